--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: install run test lint format schema clean
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml requirements.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+run: install
+	$(BIN)/coltsfoottrack demo
+
+test: install
+	$(BIN)/python -m tests
+
+lint: install
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check --quiet src tests
+
+format: install
+	$(BIN)/black --quiet src tests
+	$(BIN)/ruff check --quiet --fix src tests
+
+schema: install
+	scripts/generate-schema
+
+clean:
+	rm -rf $(VENV) build src/*.egg-info
--- /dev/null
+++ b/src/coltsfoottrack/__init__.py
@@ -0,0 +1,3 @@
+"""Overload control for service call graphs."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/coltsfoottrack/_internal/admission/queue.py
@@ -0,0 +1,48 @@
+"""Waiting requests, the most important first."""
+
+from asyncio import Future, get_running_loop
+from bisect import insort
+from time import monotonic
+
+from coltsfoottrack._internal.calls.context import CallContext
+
+
+class Waiter:
+    """One waiting request."""
+
+    def __init__(self, context: CallContext) -> None:
+        self.context = context
+        self.rank = context.rank
+        self.arrived = monotonic()
+        self.admitted: Future[None] = get_running_loop().create_future()
+
+    def sort_key(self) -> tuple[int, float]:
+        """Orders waiters: the lowest rank first, within a rank the latest arrival first."""
+        return (self.rank, -self.arrived)
+
+
+class PriorityQueue:
+    """A bounded queue that serves the highest rank first and evicts the lowest."""
+
+    def __init__(self) -> None:
+        self.waiters: list[Waiter] = []
+
+    def __len__(self) -> int:
+        return len(self.waiters)
+
+    def add(self, waiter: Waiter) -> None:
+        """Adds a waiter in its place."""
+        insort(self.waiters, waiter, key=Waiter.sort_key)
+
+    def lowest(self) -> Waiter | None:
+        """Returns the waiter that would be evicted first."""
+        return self.waiters[0] if self.waiters else None
+
+    def pop_highest(self) -> Waiter | None:
+        """Removes and returns the waiter to serve next."""
+        return self.waiters.pop() if self.waiters else None
+
+    def remove(self, waiter: Waiter) -> None:
+        """Removes a waiter if it still waits."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/calls/__init__.py
@@ -0,0 +1,1 @@
+"""What travels with a call: identifiers, deadline, attempt budget and outcome."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -0,0 +1,220 @@
+"""What travels with a call, and its form in HTTP headers."""
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from coltsfoottrack._internal.calls.budget import AttemptBudget
+from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.exceptions import BadRequestError
+from coltsfoottrack._internal.calls.identifiers import (
+    RANK_BUCKETS,
+    check_identifier,
+    new_call_id,
+    new_request_id,
+    rank_bucket,
+)
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
+
+PROTOCOL_VERSION = 1
+
+REQUEST_ID = "Request-Id"
+CALL_ID = "Call-Id"
+IDEMPOTENCY_KEY = "Idempotency-Key"
+PRIORITY = "Priority"
+DEADLINE_MS = "Deadline-Ms"
+ATTEMPT_BUDGET = "Attempt-Budget"
+SUSPECTED_CRASHES = "Suspected-Crashes"
+HOP_DEPTH = "Hop-Depth"
+EVENT_CLOCK = "Event-Clock"
+CLUSTER = "Cluster"
+PROTOCOL = "Protocol-Version"
+
+OUTCOME = "Outcome"
+REASON = "Reason"
+RETRY_USEFUL = "Retry-Useful"
+RETRY_AFTER_MS = "Retry-After-Ms"
+ATTEMPTS_LEFT = "Attempts-Left"
+ADMISSION_LEVEL = "Admission-Level"
+PATH_LEVEL = "Path-Level"
+NEXT_KEY = "Next-Idempotency-Key"
+SERVED_BY = "Served-By"
+COPY_DISPATCHED = "Copy-Dispatched"
+NODE_LEAVING = "Node-Leaving"
+
+MAX_DEPTH = 32
+PRIORITY_NAMES = ("sheddable", "normal", "critical")
+
+
+class CallContext(NamedTuple):
+    """Everything that travels with one copy of a call besides its body."""
+
+    service: str
+    operation: str
+    request_id: str
+    call_id: str
+    deadline: Deadline
+    budget: AttemptBudget
+    priority: int = 0
+    idempotency_key: str = ""
+    suspected_crashes: int = 0
+    depth: int = 0
+    # Rank of the caller's own request; a call below it is never ranked lower.
+    from_peer: bool = False
+
+    @property
+    def rank(self) -> int:
+        """Rank for shedding: priority first, then a bucket that is the same at every layer.
+
+        Work that is already under way in other services goes before work at the entry of the
+        same priority and bucket.
+        """
+        bucket = rank_bucket(self.request_id)
+        return (self.priority * RANK_BUCKETS + bucket) * 2 + (1 if self.depth else 0)
+
+    @property
+    def priority_name(self) -> str:
+        """Name of the priority."""
+        return PRIORITY_NAMES[self.priority]
+
+    def headers(self, cluster: str, event_clock: int) -> dict[str, str]:
+        """Returns the HTTP headers that carry this context to the next hop."""
+        headers = {
+            REQUEST_ID: self.request_id,
+            CALL_ID: self.call_id,
+            PRIORITY: self.priority_name,
+            DEADLINE_MS: str(max(0, int(self.deadline.remaining_ms()))),
+            ATTEMPT_BUDGET: str(self.budget.retries),
+            HOP_DEPTH: str(self.depth),
+            CLUSTER: cluster,
+            PROTOCOL: str(PROTOCOL_VERSION),
+            EVENT_CLOCK: str(event_clock),
+        }
+        if self.idempotency_key:
+            headers[IDEMPOTENCY_KEY] = self.idempotency_key
+        if self.suspected_crashes:
+            headers[SUSPECTED_CRASHES] = str(self.suspected_crashes)
+        return headers
+
+
+class CallGrant(NamedTuple):
+    """What the configuration grants an operation; callers cannot exceed it."""
+
+    priority: int
+    idempotent: bool
+    default_deadline_ms: float
+    max_deadline_ms: float
+    attempt_budget: int
+
+
+def whole_number(headers: Mapping[str, str], name: str, default: int, greatest: int) -> int:
+    """Reads a whole number from 0 to ``greatest``; larger ones count as ``greatest``.
+
+    Raises BadRequestError if the header is present and not a whole number.
+    """
+    text = headers.get(name)
+    if text is None:
+        return default
+    if not (text.isascii() and text.isdigit() and len(text) <= 20):
+        raise BadRequestError(f"{name} must be a whole number from 0")
+    return min(int(text), greatest)
+
+
+def read_context(
+    service: str, operation: str, headers: Mapping[str, str], grant: CallGrant
+) -> CallContext:
+    """Builds the context of an arriving call, capped by what its operation is granted.
+
+    Raises BadRequestError if a header is malformed.
+    """
+    check_identifier(service, "service")
+    check_identifier(operation, "operation")
+    request_id = headers.get(REQUEST_ID)
+    if request_id is None:
+        request_id = new_request_id()
+    check_identifier(request_id, REQUEST_ID)
+    call_id = headers.get(CALL_ID)
+    if call_id is None:
+        call_id = new_call_id()
+    check_identifier(call_id, CALL_ID)
+    deadline_ms = whole_number(
+        headers, DEADLINE_MS, int(grant.default_deadline_ms), int(grant.max_deadline_ms)
+    )
+    retries = whole_number(headers, ATTEMPT_BUDGET, grant.attempt_budget, grant.attempt_budget)
+    return CallContext(
+        service=service,
+        operation=operation,
+        request_id=request_id,
+        call_id=call_id,
+        deadline=Deadline.after_ms(deadline_ms),
+        budget=AttemptBudget(retries),
+        priority=_granted_priority(headers, grant),
+        idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
+        suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
+        depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH),
+        from_peer=CLUSTER in headers,
+    )
+
+
+def _granted_priority(headers: Mapping[str, str], grant: CallGrant) -> int:
+    name = headers.get(PRIORITY)
+    if name is None:
+        return grant.priority
+    if name not in PRIORITY_NAMES:
+        raise BadRequestError(f"{PRIORITY} must be one of {', '.join(PRIORITY_NAMES)}")
+    return min(PRIORITY_NAMES.index(name), grant.priority)
+
+
+def answer_headers(answer: Answer, event_clock: int) -> dict[str, str]:
+    """Returns the HTTP headers that carry an answer, besides its status and body."""
+    headers = {
+        OUTCOME: answer.outcome.value,
+        RETRY_USEFUL: "yes" if answer.retry_useful else "no",
+        ATTEMPTS_LEFT: str(answer.attempts_left),
+        ADMISSION_LEVEL: str(answer.admission_level),
+        PATH_LEVEL: str(answer.path_level),
+        SERVED_BY: answer.served_by,
+        EVENT_CLOCK: str(event_clock),
+        "Content-Type": answer.content_type,
+    }
+    if answer.reason:
+        headers[REASON] = answer.reason.value
+    if answer.retry_after_ms:
+        headers[RETRY_AFTER_MS] = str(answer.retry_after_ms)
+    if answer.next_key:
+        headers[NEXT_KEY] = answer.next_key
+    if answer.suspected_crashes:
+        headers[SUSPECTED_CRASHES] = str(answer.suspected_crashes)
+    if not answer.copy_dispatched:
+        headers[COPY_DISPATCHED] = "no"
+    if answer.node_leaving:
+        headers[NODE_LEAVING] = "yes"
+    return headers
+
+
+def read_answer(status: int, headers: Mapping[str, str], body: bytes) -> Answer:
+    """Builds the answer from a node's HTTP response.
+
+    Raises BadRequestError if the response does not come from a node.
+    """
+    try:
+        outcome = Outcome(headers.get(OUTCOME, ""))
+        reason = Reason(headers.get(REASON, ""))
+    except ValueError as error:
+        raise BadRequestError("response does not come from a node") from error
+    return Answer(
+        outcome=outcome,
+        reason=reason,
+        status=status,
+        body=body,
+        content_type=headers.get("Content-Type", "application/octet-stream"),
+        retry_useful=headers.get(RETRY_USEFUL) == "yes",
+        retry_after_ms=whole_number(headers, RETRY_AFTER_MS, 0, 3_600_000),
+        attempts_left=whole_number(headers, ATTEMPTS_LEFT, 0, 1_000),
+        admission_level=whole_number(headers, ADMISSION_LEVEL, 0, 10_000),
+        path_level=whole_number(headers, PATH_LEVEL, 0, 10_000),
+        next_key=headers.get(NEXT_KEY, ""),
+        served_by=headers.get(SERVED_BY, ""),
+        suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
+        copy_dispatched=headers.get(COPY_DISPATCHED) != "no",
+        node_leaving=headers.get(NODE_LEAVING) == "yes",
+    )
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/standin.py
@@ -0,0 +1,44 @@
+"""``coltsfoottrack standin``: stand-ins for demonstrations and tests."""
+
+from asyncio import run
+from signal import SIGINT, SIGTERM, signal
+
+from coltsfoottrack._internal.observability.logs import configure_logs
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import BackendSettings, PlatformSettings
+from coltsfoottrack._internal.settings.loader import load_file
+from coltsfoottrack._internal.standins.backend import run_backend
+from coltsfoottrack._internal.standins.platform import PlatformStandIn
+
+
+class StandInCommands:
+    """Runs a stand-in for the platform or for a backend server."""
+
+    def platform(self, settings: str) -> None:
+        """Runs the platform stand-in until SIGTERM.
+
+        Args:
+            settings: Path of its YAML settings file.
+        """
+        loaded = load_file(str(settings), PlatformSettings)
+        configure_logs()
+        server = PlatformStandIn.from_config(loaded).server()
+
+        def stop(_signal: int, _frame: object) -> None:
+            raise KeyboardInterrupt
+
+        signal(SIGTERM, stop)
+        signal(SIGINT, stop)
+        try:
+            server.safe_start()
+        except KeyboardInterrupt:
+            server.stop()
+
+    def backend(self, settings: str) -> None:
+        """Runs a backend server stand-in until SIGTERM.
+
+        Args:
+            settings: Path of its YAML settings file.
+        """
+        loaded = load_file(str(settings), BackendSettings)
+        configure_logs()
+        run(run_backend(loaded))
--- /dev/null
+++ b/src/coltsfoottrack/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet configuration: validation, distribution and the policy in force."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/configuration/policy.py
@@ -0,0 +1,74 @@
+"""The policy in force for an operation: defaults, then exceptions by scope."""
+
+from datetime import UTC, datetime
+
+from coltsfoottrack._internal.calls.context import CallGrant
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    PRIORITY_SHEDDABLE,
+    FleetConfiguration,
+    OverloadPolicy,
+    PolicyException,
+)
+from coltsfoottrack._internal.settings.rules import number_or_default
+
+
+class PolicyTable:
+    """Looks up policies in one configuration; built once per generation."""
+
+    def __init__(self, configuration: FleetConfiguration) -> None:
+        self.configuration = configuration
+        self.operations = {}
+        for operation in configuration.operations:
+            self.operations[(operation.service, operation.operation)] = operation
+        self.cache: dict[tuple[str, str], OverloadPolicy] = {}
+        self.has_expiring = any(e.expires for e in configuration.exceptions)
+
+    def policy(self, service: str, operation: str = "") -> OverloadPolicy:
+        """Returns the policy for an operation, or for a whole service if it is empty."""
+        cached = self.cache.get((service, operation))
+        if cached is not None and not self.has_expiring:
+            return cached
+        policy = OverloadPolicy()
+        policy.CopyFrom(self.configuration.defaults)
+        for scope in ("", operation):
+            for exception in self.configuration.exceptions:
+                if exception.service != service or exception.operation != scope:
+                    continue
+                if has_expired(exception, datetime.now(UTC)):
+                    continue
+                policy.MergeFrom(exception.policy)
+            if not operation:
+                break
+        if len(self.cache) < 10_000:
+            self.cache[(service, operation)] = policy
+        return policy
+
+    def is_known(self, service: str, operation: str) -> bool:
+        """Tells whether the configuration lists the operation."""
+        return (service, operation) in self.operations
+
+    def grant(self, service: str, operation: str) -> CallGrant:
+        """Returns what the operation is granted.
+
+        An operation that the configuration does not list is treated as sheddable and not
+        idempotent: the safe assumption about a run that must not happen twice.
+        """
+        policy = self.policy(service, operation)
+        kind = self.operations.get((service, operation))
+        return CallGrant(
+            priority=PRIORITY_SHEDDABLE if kind is None else kind.priority,
+            idempotent=kind is not None and kind.idempotent,
+            default_deadline_ms=number_or_default(policy, "default_deadline_ms"),
+            max_deadline_ms=number_or_default(policy, "max_deadline_ms"),
+            attempt_budget=int(number_or_default(policy, "attempt_budget")),
+        )
+
+
+def has_expired(exception: PolicyException, now: datetime) -> bool:
+    """Tells whether an exception has an expiry that has passed."""
+    if not exception.expires:
+        return False
+    expiry = datetime.fromisoformat(exception.expires)
+    if expiry.tzinfo is None:
+        expiry = expiry.replace(tzinfo=UTC)
+    return expiry <= now
--- /dev/null
+++ b/src/coltsfoottrack/_internal/events/__init__.py
@@ -0,0 +1,1 @@
+"""Event clock, event ring and time line."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator, fault injection, scenarios and reports."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/demo.py
@@ -0,0 +1,79 @@
+"""The demonstration behind ``make run``: a fleet, a surge, and what became of the requests."""
+
+from asyncio import run
+from collections import Counter
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from coltsfoottrack._internal.experiment.fleet import Fleet
+from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestKind
+from coltsfoottrack._internal.experiment.report import (
+    check_runs,
+    goodput,
+    outcome_rows,
+    recovery_seconds,
+)
+from coltsfoottrack._internal.experiment.shapes import wheel_works
+
+SEED = 20261204
+DEADLINE_MS = 1000
+CAPACITY_PER_SECOND = 300
+PHASES = [
+    Phase("before", 5.0, 150),
+    Phase("surge", 6.0, 3 * CAPACITY_PER_SECOND),
+    Phase("after", 6.0, 150),
+]
+MIX = [
+    RequestKind("stores", "lookup", "sheddable", True, 0.8),
+    RequestKind("casting", "order", "critical", False, 0.1),
+    RequestKind("shipping", "dispatch", "critical", False, 0.1),
+]
+
+
+def run_demo() -> int:
+    """Runs the demonstration and prints its figures; returns the number of violations."""
+    with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
+        return _run_in(Path(directory))
+
+
+def _run_in(directory: Path) -> int:
+    shape = wheel_works()
+    fleet = Fleet.from_config(shape, directory)
+    total = sum(service.backend_servers for service in shape.services)
+    print(
+        f"{shape.name}: {total} backend servers, {total} nodes and a platform stand-in, in "
+        f"{len(shape.failure_domains)} failure domains; slots scaled down by {shape.scale}"
+    )
+    try:
+        fleet.start()
+        entries = [place.call_address for place in fleet.places]
+        load = LoadGenerator(MIX, entries, DEADLINE_MS, SEED)
+        results = run(load.play(PHASES))
+    finally:
+        killed = fleet.stop()
+    print(
+        f"{'phase':8}{'priority':11}{'sent':>6}{'done':>6}{'late':>6}{'refused':>9}"
+        f"{'failed':>8}{'unknown':>9}{'p50 ms':>8}{'p99 ms':>8}"
+    )
+    for row in outcome_rows(results):
+        print(
+            f"{row.phase:8}{row.priority:11}{row.sent:6}{row.done:6}{row.late:6}"
+            f"{row.refused:9}{row.failed:8}{row.unknown:9}{row.p50_ms:8.1f}{row.p99_ms:8.1f}"
+        )
+    for phase in PHASES:
+        rate = goodput(results, phase.name, phase.seconds)
+        print(f"goodput {phase.name}: {rate:.0f}/s of {phase.requests_per_second:.0f}/s sent")
+    recovered = recovery_seconds(results, PHASES[0].seconds + PHASES[1].seconds)
+    print("recovery: not reached" if recovered is None else f"recovery: {recovered:.2f} s")
+    reasons: Counter[str] = Counter()
+    for result in results:
+        if result.answer.reason:
+            reasons[f"{result.answer.outcome}: {result.answer.reason}"] += 1
+    for reason, count in reasons.most_common():
+        print(f"  {reason}: {count}")
+    check = check_runs(results, fleet.run_log)
+    print(
+        f"run twice: {check.run_twice}, run though refused: {check.run_though_refused}, "
+        f"wrong answers: {check.wrong_answers}, processes that had to be killed: {len(killed)}"
+    )
+    return check.violations
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -0,0 +1,275 @@
+"""Starts a fleet of real processes on the loopback interface, and stops it.
+
+This is a tool for experiments; the processes of the product start no other process.
+"""
+
+import sys
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from socket import AF_INET, SOCK_STREAM, socket
+from subprocess import Popen, TimeoutExpired
+from time import monotonic, sleep, time
+from typing import NamedTuple
+
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+from yaml import safe_dump
+
+from coltsfoottrack._internal.configuration.codec import CURRENT_PATH, encode_record
+from coltsfoottrack._internal.experiment.exceptions import ExperimentError
+from coltsfoottrack._internal.experiment.shapes import FleetShape, ServiceShape
+from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ConfigurationRecord
+
+LOOPBACK = "127.0.0.1"
+STOP_SECONDS = 12.0
+READY_SECONDS = 30.0
+POLL_SECONDS = 0.1
+
+
+class NodePlace(NamedTuple):
+    """One node and its backend server, with their ports."""
+
+    service: str
+    name: str
+    failure_domain: str
+    call_port: int
+    peer_port: int
+    admin_port: int
+    backend_port: int
+
+    @property
+    def call_address(self) -> str:
+        """Address for calls, HOST:PORT."""
+        return f"{LOOPBACK}:{self.call_port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Address for peers and operators, HOST:PORT."""
+        return f"{LOOPBACK}:{self.peer_port}"
+
+    @property
+    def node_process(self) -> str:
+        """Name of the node's process in the fleet."""
+        return f"node/{self.service}/{self.name}"
+
+    @property
+    def backend_process(self) -> str:
+        """Name of the backend server's process in the fleet."""
+        return f"backend/{self.service}/{self.name}"
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns loopback ports that nothing listens on."""
+    sockets = []
+    for _ in range(count):
+        probe = socket(AF_INET, SOCK_STREAM)
+        probe.bind((LOOPBACK, 0))
+        sockets.append(probe)
+    ports = [probe.getsockname()[1] for probe in sockets]
+    for probe in sockets:
+        probe.close()
+    return ports
+
+
+class Fleet:
+    """The processes of one experiment: platform stand-in, nodes and backend servers."""
+
+    def __init__(self, shape: FleetShape, directory: Path, cluster: str = "demo") -> None:
+        self.shape = shape
+        self.directory = directory
+        self.cluster = cluster
+        self.processes: dict[str, Popen] = {}
+        self.arguments: dict[str, list[str]] = {}
+        self.places: list[NodePlace] = []
+        self.platform_port = 0
+        self.http = PoolManager(retries=False)
+        self._place_all()
+
+    @classmethod
+    def from_config(cls, shape: FleetShape, directory: Path) -> "Fleet":
+        """Builds a fleet; settings, logs and run logs go to the directory."""
+        return cls(shape, directory)
+
+    @property
+    def platform_address(self) -> str:
+        """Address of the platform stand-in, HOST:PORT."""
+        return f"{LOOPBACK}:{self.platform_port}"
+
+    @property
+    def run_log(self) -> Path:
+        """File to which each backend server appends a line for each run."""
+        return self.directory / "runs.jsonl"
+
+    def _place_all(self) -> None:
+        total = sum(service.backend_servers for service in self.shape.services)
+        ports = free_ports(1 + 4 * total)
+        self.platform_port = ports.pop()
+        domains = self.shape.failure_domains
+        for service in self.shape.services:
+            for index in range(service.backend_servers):
+                four = [ports.pop() for _ in range(4)]
+                domain = domains[index % len(domains)]
+                self.places.append(NodePlace(service.name, f"{domain}-{index}", domain, *four))
+
+    def start(self) -> None:
+        """Starts all processes and waits until each node serves its service."""
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.start_platform()
+        self.write_configuration()
+        for place in self.places:
+            self.start_node(place)
+            self.start_backend(place)
+        self.wait_until_ready()
+
+    def start_platform(self) -> None:
+        """Starts the platform stand-in and waits until it answers."""
+        settings = {"address": LOOPBACK, "port": self.platform_port}
+        self._spawn("platform", ["standin", "platform"], settings)
+        expiry = monotonic() + READY_SECONDS
+        while monotonic() < expiry:
+            try:
+                self.http.request("GET", f"http://{self.platform_address}/counts")
+                return
+            except HTTPError:
+                sleep(POLL_SECONDS)
+        raise ExperimentError("platform stand-in did not start")
+
+    def write_configuration(self) -> None:
+        """Writes the first configuration to the platform stand-in."""
+        record = ConfigurationRecord(
+            generation=1,
+            change_id="first",
+            author="experiment",
+            written_at_ms=int(time() * 1000),
+            configuration=self.shape.configuration(),
+        )
+        client = PlatformClient.from_config([self.platform_address])
+        client.put(CURRENT_PATH, encode_record(record), 0)
+
+    def start_node(self, place: NodePlace) -> None:
+        """Starts one node."""
+        settings = {
+            "cluster": self.cluster,
+            "name": place.name,
+            "service": place.service,
+            "failure_domain": place.failure_domain,
+            "region": "one",
+            "address": LOOPBACK,
+            "call_port": place.call_port,
+            "peer_port": place.peer_port,
+            "admin_port": place.admin_port,
+            "platform_addresses": [self.platform_address],
+        }
+        self._spawn(place.node_process, ["node"], settings)
+
+    def start_backend(self, place: NodePlace) -> None:
+        """Starts one backend server."""
+        service = self.service_shape(place.service)
+        operations = []
+        for operation in service.operations:
+            operations.append({"name": operation.name, "calls": list(operation.calls)})
+        settings = {
+            "cluster": self.cluster,
+            "service": place.service,
+            "name": place.name,
+            "address": LOOPBACK,
+            "port": place.backend_port,
+            "node_peer_address": place.peer_address,
+            "slots": service.slots,
+            "service_time_ms": service.service_time_ms,
+            "operations": operations,
+            "seed": place.backend_port,
+            "run_log": str(self.run_log),
+        }
+        self._spawn(place.backend_process, ["standin", "backend"], settings)
+
+    def service_shape(self, name: str) -> ServiceShape:
+        """Returns the shape of a service."""
+        for service in self.shape.services:
+            if service.name == name:
+                return service
+        raise ExperimentError(f"shape {self.shape.name!r} has no service {name!r}")
+
+    def places_of(self, service: str) -> list[NodePlace]:
+        """Returns the places of a service."""
+        return [place for place in self.places if place.service == service]
+
+    def wait_until_ready(self) -> None:
+        """Waits until every service answers through the node of every place."""
+        expiry = monotonic() + READY_SECONDS
+        for place in self.places:
+            for service in self.shape.services:
+                self._wait_for_service(place, service, expiry)
+
+    def _wait_for_service(self, place: NodePlace, service: ServiceShape, expiry: float) -> None:
+        url = f"http://{place.call_address}/v1/services/{service.name}/readiness"
+        while monotonic() < expiry:
+            try:
+                reply = self.http.request("POST", url, body=b"", timeout=5.0)
+                # The operation is not in the configuration, so a node that is ready asks for a key.
+                if reply.status == 428:
+                    return
+            except HTTPError:
+                pass
+            sleep(POLL_SECONDS)
+        raise ExperimentError(f"{place.node_process} does not reach {service.name}")
+
+    def set_faults(self, **faults: bool | float) -> None:
+        """Sets the faults of the platform stand-in, replacing those in force."""
+        self.http.request("POST", f"http://{self.platform_address}/faults", json=faults)
+
+    def slow_backend(self, place: NodePlace, factor: float) -> None:
+        """Makes one backend server slower by a factor, 1 for its normal speed."""
+        url = f"http://{LOOPBACK}:{place.backend_port}/slow"
+        self.http.request("POST", url, body=str(factor).encode(), timeout=5.0)
+
+    def terminate(self, name: str) -> None:
+        """Asks a process to stop."""
+        self.processes[name].send_signal(SIGTERM)
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once and waits for its end."""
+        self.processes[name].send_signal(SIGKILL)
+        self.processes[name].wait()
+
+    def pause(self, name: str) -> None:
+        """Stops a process without ending it."""
+        self.processes[name].send_signal(SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Lets a paused process go on."""
+        self.processes[name].send_signal(SIGCONT)
+
+    def restart(self, name: str) -> None:
+        """Starts a process that has ended again with the same settings."""
+        self._start(name)
+
+    def stop(self) -> list[str]:
+        """Stops all processes; returns those that had to be killed."""
+        killed = []
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(SIGCONT)
+                process.send_signal(SIGTERM)
+        expiry = monotonic() + STOP_SECONDS
+        for name, process in self.processes.items():
+            try:
+                process.wait(max(0.1, expiry - monotonic()))
+            except TimeoutExpired:
+                process.kill()
+                process.wait()
+                killed.append(name)
+        return killed
+
+    def _spawn(self, name: str, command: list[str], settings: dict) -> None:
+        file = self.directory / f"{name.replace('/', '-')}.yaml"
+        file.write_text(safe_dump(settings), encoding="utf-8")
+        self.arguments[name] = [*command, "--settings", str(file)]
+        self._start(name)
+
+    def _start(self, name: str) -> None:
+        log = (self.directory / f"{name.replace('/', '-')}.log").open("ab")
+        command = [sys.executable, "-m", "coltsfoottrack", *self.arguments[name]]
+        self.processes[name] = Popen(command, stdout=log, stderr=log)
+        log.close()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/report.py
@@ -0,0 +1,130 @@
+"""Figures from the results of a load."""
+
+from collections import Counter
+from collections.abc import Iterable
+from json import loads
+from pathlib import Path
+from typing import NamedTuple
+
+from coltsfoottrack._internal.calls.outcome import Outcome
+from coltsfoottrack._internal.experiment.load import RequestResult
+
+BUCKET_SECONDS = 0.25
+
+
+class OutcomeRow(NamedTuple):
+    """Counts of one phase and priority."""
+
+    phase: str
+    priority: str
+    sent: int
+    done: int
+    late: int
+    refused: int
+    failed: int
+    unknown: int
+    p50_ms: float
+    p99_ms: float
+
+
+class RunCheck(NamedTuple):
+    """What the run log of the backend servers shows about the results."""
+
+    run_twice: int
+    run_though_refused: int
+    wrong_answers: int
+
+    @property
+    def violations(self) -> int:
+        """Number of breaches of all kinds."""
+        return self.run_twice + self.run_though_refused + self.wrong_answers
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Returns the value below which the given share of the values lies, 0 for none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def is_good(result: RequestResult) -> bool:
+    """Tells whether a request finished whole and in time."""
+    return result.answer.outcome is Outcome.DONE and result.on_time and not result.wrong_answer
+
+
+def outcome_rows(results: list[RequestResult]) -> list[OutcomeRow]:
+    """Counts outcomes by phase and priority, in the order in which they came up."""
+    groups: dict[tuple[str, str], list[RequestResult]] = {}
+    for result in results:
+        groups.setdefault((result.phase, result.kind.priority), []).append(result)
+    rows = []
+    for (phase, priority), group in groups.items():
+        outcomes = Counter(result.answer.outcome for result in group)
+        good = [result for result in group if is_good(result)]
+        latencies = [result.seconds * 1000.0 for result in good]
+        rows.append(
+            OutcomeRow(
+                phase=phase,
+                priority=priority,
+                sent=len(group),
+                done=len(good),
+                late=outcomes[Outcome.DONE] - len(good),
+                refused=outcomes[Outcome.REFUSED],
+                failed=outcomes[Outcome.FAILED],
+                unknown=outcomes[Outcome.UNKNOWN],
+                p50_ms=percentile(latencies, 0.5),
+                p99_ms=percentile(latencies, 0.99),
+            )
+        )
+    return rows
+
+
+def goodput(results: Iterable[RequestResult], phase: str, seconds: float) -> float:
+    """Returns the requests of a phase that finished whole and in time, per second."""
+    good = [result for result in results if result.phase == phase and is_good(result)]
+    return len(good) / seconds
+
+
+def recovery_seconds(
+    results: list[RequestResult], trigger_end: float, share: float = 0.99
+) -> float | None:
+    """Returns the time after the trigger's end from which on the given share is good.
+
+    Works on quarters of a second by starting time; None if it is never reached.
+    """
+    buckets: dict[int, list[bool]] = {}
+    for result in results:
+        if result.started < trigger_end:
+            continue
+        bucket = int((result.started - trigger_end) / BUCKET_SECONDS)
+        buckets.setdefault(bucket, []).append(is_good(result))
+    recovered: float | None = None
+    for bucket in sorted(buckets):
+        flags = buckets[bucket]
+        if sum(flags) < share * len(flags):
+            recovered = None
+        elif recovered is None:
+            recovered = bucket * BUCKET_SECONDS
+    return recovered
+
+
+def check_runs(results: list[RequestResult], run_log: Path) -> RunCheck:
+    """Compares what callers were told with what the backend servers ran."""
+    runs: Counter[tuple[str, str]] = Counter()
+    if run_log.exists():
+        for line in run_log.read_text(encoding="utf-8").splitlines():
+            run = loads(line)
+            runs[(run["request_id"], f"{run['service']}/{run['operation']}")] += 1
+    run_twice = 0
+    run_though_refused = 0
+    wrong_answers = 0
+    for result in results:
+        count = runs[(result.request_id, f"{result.kind.service}/{result.kind.operation}")]
+        if not result.kind.idempotent and count > 1:
+            run_twice += 1
+        if result.answer.outcome is Outcome.REFUSED and count:
+            run_though_refused += 1
+        if result.wrong_answer:
+            wrong_answers += 1
+    return RunCheck(run_twice, run_though_refused, wrong_answers)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/shapes.py
@@ -0,0 +1,92 @@
+"""Shapes of fleets for experiments: services, operations and the calls between them."""
+
+from typing import NamedTuple
+
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    PRIORITY_CRITICAL,
+    PRIORITY_SHEDDABLE,
+    FleetConfiguration,
+    OperationPolicy,
+)
+
+
+class OperationShape(NamedTuple):
+    """One operation and the calls that it makes."""
+
+    name: str
+    priority: int
+    idempotent: bool
+    calls: tuple[str, ...] = ()
+
+
+class ServiceShape(NamedTuple):
+    """One service: number of backend servers, and what each of them can do."""
+
+    name: str
+    backend_servers: int
+    slots: int
+    service_time_ms: int
+    operations: tuple[OperationShape, ...]
+
+
+class FleetShape(NamedTuple):
+    """Services in failure domains, scaled down by a factor."""
+
+    name: str
+    failure_domains: tuple[str, ...]
+    services: tuple[ServiceShape, ...]
+    scale: int
+
+    def configuration(self) -> FleetConfiguration:
+        """Returns the first fleet configuration: the kind of each operation."""
+        configuration = FleetConfiguration()
+        for service in self.services:
+            for operation in service.operations:
+                configuration.operations.append(
+                    OperationPolicy(
+                        service=service.name,
+                        operation=operation.name,
+                        priority=operation.priority,
+                        idempotent=operation.idempotent,
+                    )
+                )
+        configuration.defaults.SetInParent()
+        return configuration
+
+
+def wheel_works() -> FleetShape:
+    """The Wheel Works with slots scaled down by 10, three services deep."""
+    lookup = OperationShape("lookup", PRIORITY_SHEDDABLE, True, ("fitments/fitting_lookup",))
+    allocate = OperationShape("allocate", PRIORITY_CRITICAL, True, ("fitments/fitting",))
+    return FleetShape(
+        name="wheel-works",
+        failure_domains=("east", "west", "south"),
+        scale=10,
+        services=(
+            ServiceShape("stores", 3, 8, 10, (lookup, allocate)),
+            ServiceShape(
+                "casting",
+                3,
+                8,
+                10,
+                (OperationShape("order", PRIORITY_CRITICAL, False, ("stores/allocate",)),),
+            ),
+            ServiceShape(
+                "shipping",
+                3,
+                8,
+                10,
+                (OperationShape("dispatch", PRIORITY_CRITICAL, False, ("stores/allocate",)),),
+            ),
+            ServiceShape(
+                "fitments",
+                3,
+                2,
+                20,
+                (
+                    OperationShape("fitting_lookup", PRIORITY_SHEDDABLE, True),
+                    OperationShape("fitting", PRIORITY_CRITICAL, True),
+                ),
+            ),
+        ),
+    )
--- /dev/null
+++ b/src/coltsfoottrack/_internal/ledger/__init__.py
@@ -0,0 +1,1 @@
+"""At most one run for each idempotency key."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which nodes exist and which are alive."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/exceptions.py
@@ -0,0 +1,9 @@
+"""Errors of the membership layer."""
+
+
+class MembershipError(Exception):
+    """Base of the errors of the membership layer."""
+
+
+class ForeignMessageError(MembershipError):
+    """A message came from another cluster or another protocol version."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -0,0 +1,63 @@
+"""Calls that the backend server beside this node is to run."""
+
+from time import monotonic
+
+from coltsfoottrack._internal.admission.controller import AdmissionController
+from coltsfoottrack._internal.admission.exceptions import NotAdmittedError
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.observability.metrics import NodeMetrics
+
+RETRYABLE_REASONS = (Reason.OVERLOAD, Reason.EVICTED, Reason.LEAVING, Reason.BACKEND_DOWN)
+
+
+class LocalCalls:
+    """Admits a call, runs it on the backend server and records what happened."""
+
+    def __init__(
+        self,
+        admission: AdmissionController,
+        backend: BackendLink,
+        ring: EventRing,
+        metrics: NodeMetrics,
+    ) -> None:
+        self.admission = admission
+        self.backend = backend
+        self.ring = ring
+        self.metrics = metrics
+
+    async def run(self, context: CallContext, body: bytes) -> Answer:
+        """Returns the answer to a call, run at most once."""
+        if not self.backend.address:
+            return refused(Reason.BACKEND_DOWN, retry_useful=True)
+        try:
+            waited = await self.admission.admit(context)
+        except NotAdmittedError as error:
+            self.ring.add_call("refused", context, reason=error.reason.value)
+            useful = error.reason in RETRYABLE_REASONS
+            return self._with_level(refused(error.reason, retry_useful=useful))
+        self.metrics.queue_delay.observe({}, waited)
+        started = monotonic()
+        shed = False
+        try:
+            if context.deadline.has_passed():
+                return self._with_level(refused(Reason.DEADLINE))
+            answer = await self.backend.run(context, body)
+            shed = answer.reason is Reason.BACKEND_SHED
+        finally:
+            self.admission.release(shed)
+        seconds = monotonic() - started
+        self.metrics.service_time.observe({}, seconds)
+        if answer.outcome is not Outcome.DONE:
+            self.ring.add_call(
+                answer.outcome.value,
+                context,
+                reason=answer.reason.value,
+                duration_ms=seconds * 1000.0,
+            )
+        return self._with_level(answer)
+
+    def _with_level(self, answer: Answer) -> Answer:
+        return answer._replace(admission_level=self.admission.level)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, logs and invariant checks."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's object API."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/platform/client.py
@@ -0,0 +1,148 @@
+"""Client of the platform's object API, blocking, over urllib3.
+
+The API: ``GET``, ``PUT`` and ``DELETE`` on ``/objects/PATH`` with versions as entity tags,
+``GET /objects?prefix=P`` for a list, ``GET /watch?prefix=P&after=REVISION&timeout_ms=T`` for a
+long poll that returns the objects changed after a revision.
+"""
+
+from json import loads
+from typing import NamedTuple, Self
+from urllib.parse import quote, urlencode
+
+from urllib3 import HTTPResponse, PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
+
+from coltsfoottrack._internal.platform.exceptions import (
+    ObjectNotFoundError,
+    PlatformUnavailableError,
+    VersionConflictError,
+    WriteUncertainError,
+)
+
+REQUEST_TIMEOUT_SECONDS = 2.0
+WATCH_TIMEOUT_SECONDS = 30.0
+CONNECTIONS = 4
+
+
+class StoredObject(NamedTuple):
+    """One object of the platform. A deleted one has no content."""
+
+    path: str
+    version: int
+    content: bytes | None
+
+
+class ObjectList(NamedTuple):
+    """Objects under a prefix, and the store's revision at that moment."""
+
+    objects: list[StoredObject]
+    revision: int
+
+
+class PlatformClient:
+    """Calls the platform at the first address that answers."""
+
+    def __init__(self, addresses: list[str]) -> None:
+        self.addresses = addresses
+        self.pool = PoolManager(maxsize=CONNECTIONS, retries=Retry(0, redirect=0))
+
+    @classmethod
+    def from_config(cls, addresses: list[str]) -> Self:
+        """Builds a client from the platform addresses of a settings file."""
+        return cls(list(addresses))
+
+    def get(self, path: str) -> StoredObject:
+        """Reads an object. Raises ObjectNotFoundError or PlatformUnavailableError."""
+        response = self._read(f"/objects/{quote(path)}", REQUEST_TIMEOUT_SECONDS)
+        return StoredObject(path, _version(response), response.data)
+
+    def list(self, prefix: str) -> ObjectList:
+        """Lists the objects under a prefix."""
+        query = urlencode({"prefix": prefix})
+        return _object_list(self._read(f"/objects?{query}", REQUEST_TIMEOUT_SECONDS))
+
+    def watch(self, prefix: str, after: int, seconds: float = WATCH_TIMEOUT_SECONDS) -> ObjectList:
+        """Waits for changes under a prefix after a revision; returns none when time is up."""
+        query = urlencode({"prefix": prefix, "after": after, "timeout_ms": int(seconds * 1000)})
+        return _object_list(self._read(f"/watch?{query}", seconds + REQUEST_TIMEOUT_SECONDS))
+
+    def put(self, path: str, content: bytes, version: int | None = None) -> int:
+        """Writes an object and returns its new version.
+
+        With a version, the write takes effect only if the object has it; version 0 means that
+        the object must not exist. Raises VersionConflictError, WriteUncertainError if the
+        answer was lost, or PlatformUnavailableError if the write certainly had no effect.
+        """
+        headers = {}
+        if version == 0:
+            headers["If-None-Match"] = "*"
+        elif version is not None:
+            headers["If-Match"] = str(version)
+        return _version(self._write("PUT", f"/objects/{quote(path)}", content, headers))
+
+    def delete(self, path: str, version: int | None = None) -> None:
+        """Deletes an object, if it has the given version."""
+        headers = {} if version is None else {"If-Match": str(version)}
+        self._write("DELETE", f"/objects/{quote(path)}", b"", headers)
+
+    def _read(self, target: str, seconds: float) -> HTTPResponse:
+        problem = "no platform address"
+        for address in self.addresses:
+            try:
+                response = self.pool.request(
+                    "GET",
+                    f"http://{address}{target}",
+                    timeout=Timeout(connect=REQUEST_TIMEOUT_SECONDS, read=seconds),
+                )
+            except HTTPError as error:
+                problem = f"{address}: {error}"
+                continue
+            if response.status == 404:
+                raise ObjectNotFoundError(f"{target} does not exist")
+            if response.status == 200:
+                return response
+            problem = f"{address}: HTTP status {response.status}"
+        raise PlatformUnavailableError(f"platform does not answer reads: {problem}")
+
+    def _write(
+        self, method: str, target: str, content: bytes, headers: dict[str, str]
+    ) -> HTTPResponse:
+        problem = "no platform address"
+        for address in self.addresses:
+            try:
+                response = self.pool.request(
+                    method,
+                    f"http://{address}{target}",
+                    body=content,
+                    headers=headers,
+                    timeout=REQUEST_TIMEOUT_SECONDS,
+                )
+            except MaxRetryError as error:
+                if not isinstance(error.reason, NewConnectionError):
+                    raise WriteUncertainError(f"answer to {method} {target} was lost") from error
+                problem = f"{address}: {error.reason}"
+                continue
+            except HTTPError as error:
+                raise WriteUncertainError(f"answer to {method} {target} was lost") from error
+            if response.status in (409, 412):
+                raise VersionConflictError(f"{target} has another version")
+            if response.status == 404:
+                raise ObjectNotFoundError(f"{target} does not exist")
+            if response.status in (200, 201, 204):
+                return response
+            problem = f"{address}: HTTP status {response.status}"
+        raise PlatformUnavailableError(f"platform does not take writes: {problem}")
+
+
+def _version(response: HTTPResponse) -> int:
+    return int(response.headers.get("ETag", "0"))
+
+
+def _object_list(response: HTTPResponse) -> ObjectList:
+    document = loads(response.data)
+    objects = []
+    for item in document["objects"]:
+        content = item["content"]
+        data = None if content is None else content.encode("utf-8")
+        objects.append(StoredObject(item["path"], item["version"], data))
+    return ObjectList(objects, document["revision"])
--- /dev/null
+++ b/src/coltsfoottrack/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a node for a call, sending, and retries."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -0,0 +1,143 @@
+"""The embedded client: calls other services directly from a backend server."""
+
+from asyncio import gather, sleep
+from random import Random
+from typing import NamedTuple, Self
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from coltsfoottrack._internal.calls.budget import AttemptBudget
+from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION, CallContext
+from coltsfoottrack._internal.calls.identifiers import new_call_id
+from coltsfoottrack._internal.calls.outcome import Answer
+from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.membership.table import MembershipTable
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import BackendStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    AnnounceRequest,
+    Envelope,
+    WatchRoutesRequest,
+)
+
+ANNOUNCE_INTERVAL_SECONDS = 1.0
+RECONNECT_SECONDS = 0.2
+RPC_TIMEOUT_SECONDS = 2.0
+
+
+class OutgoingCall(NamedTuple):
+    """One call to make: the callee's service and operation, and the request body."""
+
+    service: str
+    operation: str
+    body: bytes
+
+
+class CallClient:
+    """Announces a backend server to its node and makes calls for it.
+
+    The client follows the members and the configuration that the node beside it knows, and sends
+    each call straight to a node of the callee's service.
+    """
+
+    def __init__(self, cluster: str, name: str, node_peer_address: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        host, _, port = node_peer_address.rpartition(":")
+        self.channel = Channel(host, int(port))
+        self.node = BackendStub(self.channel)
+        self.clock = HybridClock()
+        self.ring = EventRing(name, self.clock)
+        self.members = MembershipTable()
+        self.configuration = ConfigurationHolder(InvariantChecker())
+        self.router = Router(
+            cluster=cluster,
+            members=self.members,
+            policies=lambda: self.configuration.policies,
+            clock=self.clock,
+            ring=self.ring,
+            random=Random(),
+        )
+
+    @classmethod
+    def from_config(cls, cluster: str, name: str, node_peer_address: str) -> Self:
+        """Builds a client; must run inside an event loop."""
+        return cls(cluster, name, node_peer_address)
+
+    async def announce_forever(self, request: AnnounceRequest) -> None:
+        """Announces the backend server now and every second, so that a new node learns of it."""
+        while True:
+            request.envelope.CopyFrom(self._envelope())
+            try:
+                await self.node.Announce(request, timeout=RPC_TIMEOUT_SECONDS)
+            except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
+                await sleep(RECONNECT_SECONDS)
+                continue
+            await sleep(ANNOUNCE_INTERVAL_SECONDS)
+
+    async def follow_routes(self) -> None:
+        """Follows members and configuration from the node, for ever."""
+        while True:
+            try:
+                await self._follow_once()
+            except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
+                await sleep(RECONNECT_SECONDS)
+
+    async def _follow_once(self) -> None:
+        async with self.node.WatchRoutes.open() as stream:
+            await stream.send_message(WatchRoutesRequest(envelope=self._envelope()), end=True)
+            async for update in stream:
+                self.clock.observe(update.envelope.event_clock)
+                for member in update.members:
+                    self.members.merge(member)
+                self.configuration.offer(update.configuration, "node")
+
+    async def call(self, parent: CallContext, call: OutgoingCall) -> Answer:
+        """Makes one call on behalf of a request that this backend server is running."""
+        return (await self.call_all(parent, [call]))[0]
+
+    async def call_all(self, parent: CallContext, calls: list[OutgoingCall]) -> list[Answer]:
+        """Makes calls in parallel; they share the budget, deadline and priority of the parent.
+
+        What the calls leave of the attempt budget goes back to the parent. A cancellation
+        cancels all of them.
+        """
+        shares = parent.budget.split(len(calls))
+        pending = []
+        for call, share in zip(calls, shares, strict=True):
+            pending.append(self._call_one(parent, call, share))
+        answers = await gather(*pending)
+        for answer in answers:
+            parent.budget.restore(answer.attempts_left)
+        return answers
+
+    async def _call_one(
+        self, parent: CallContext, call: OutgoingCall, share: AttemptBudget
+    ) -> Answer:
+        context = parent._replace(
+            service=call.service,
+            operation=call.operation,
+            call_id=new_call_id(),
+            budget=share,
+            idempotency_key="",
+            suspected_crashes=0,
+            depth=parent.depth + 1,
+        )
+        return await self.router.call(context, call.body)
+
+    def _envelope(self) -> Envelope:
+        return Envelope(
+            cluster=self.cluster,
+            protocol_version=PROTOCOL_VERSION,
+            sender=self.name,
+            event_clock=self.clock.tick(),
+        )
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self.router.close()
+        self.channel.close()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/routing/exceptions.py
@@ -0,0 +1,13 @@
+"""Errors of the routing layer."""
+
+
+class RoutingError(Exception):
+    """Base of the errors of the routing layer."""
+
+
+class NotSentError(RoutingError):
+    """No byte of a call was sent, so this copy of it was certainly not run."""
+
+
+class ConnectionLostError(RoutingError):
+    """The connection broke after bytes of a call were sent; it may have been run."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Protobuf schema of messages, settings and configuration, with its generated code."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of the daemons."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/settings/exceptions.py
@@ -0,0 +1,15 @@
+"""Errors of the settings layer."""
+
+
+class SettingsError(Exception):
+    """A settings file cannot be used.
+
+    The message has the form ``FILE:LINE: FIELD: what is wrong, and what is accepted``.
+    """
+
+    def __init__(self, file: str, line: int, field: str, problem: str) -> None:
+        super().__init__(f"{file}:{line}: {field}: {problem}")
+        self.file = file
+        self.line = line
+        self.field = field
+        self.problem = problem
--- /dev/null
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -0,0 +1,211 @@
+"""Stand-in for a backend server, for demonstrations and tests.
+
+It has slots, a service time, a short queue beyond which it sheds, cold start, drain, a load
+endpoint that lags or misleads, and it crashes on a body that starts with ``crash``. It makes the
+calls that its settings list for an operation through the embedded client.
+"""
+
+from asyncio import Event, Semaphore, TaskGroup, get_running_loop, sleep, timeout
+from collections import deque
+from json import dumps
+from os import _exit
+from pathlib import Path
+from random import Random
+from signal import SIGINT, SIGTERM
+from time import monotonic, time
+from typing import NamedTuple
+
+from aiohttp.web import BaseRequest, Response, Server
+from aiohttp.web_runner import ServerRunner, TCPSite
+
+from coltsfoottrack._internal.calls.context import (
+    ATTEMPTS_LEFT,
+    PATH_LEVEL,
+    CallContext,
+    CallGrant,
+    read_context,
+)
+from coltsfoottrack._internal.calls.exceptions import BadRequestError
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome
+from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest, BackendSettings
+from coltsfoottrack._internal.settings.rules import number_or_default
+
+CRASH_MARK = b"crash"
+CRASH_EXIT_STATUS = 70
+COLD_START_FACTOR = 4.0
+DRAIN_ANNOUNCE_SECONDS = 1.5
+SHUTDOWN_SECONDS = 10.0
+# The node has capped what arrives here, so nothing is capped again.
+FULL_GRANT = CallGrant(
+    priority=2,
+    idempotent=False,
+    default_deadline_ms=600_000,
+    max_deadline_ms=600_000,
+    attempt_budget=1000,
+)
+
+
+class LoadSample(NamedTuple):
+    """The load at one moment, for an endpoint that lags."""
+
+    at: float
+    running: int
+
+
+class BackendStandIn:
+    """One backend server."""
+
+    def __init__(self, settings: BackendSettings) -> None:
+        self.settings = settings
+        self.random = Random(settings.seed)
+        self.slots = int(number_or_default(settings, "slots"))
+        self.slot_guard = Semaphore(self.slots)
+        self.max_present = self.slots + int(number_or_default(settings, "queue_length"))
+        self.service_seconds = number_or_default(settings, "service_time_ms") / 1000.0
+        self.slow_factor = 1.0
+        self.present = 0
+        self.idle = Event()
+        self.idle.set()
+        self.running = 0
+        self.started = monotonic()
+        self.samples: deque[LoadSample] = deque(maxlen=1000)
+        self.operations = {operation.name: operation for operation in settings.operations}
+        self.client = CallClient.from_config(
+            settings.cluster,
+            f"{settings.service}/{settings.name}",
+            settings.node_peer_address,
+        )
+        self.announcement = AnnounceRequest(
+            service=settings.service,
+            name=settings.name,
+            address=settings.address,
+            port=settings.port,
+            slots=self.slots,
+        )
+
+    async def serve(self, request: BaseRequest) -> Response:
+        """Answers one HTTP request."""
+        if request.path == "/load":
+            return self._load()
+        if request.path == "/slow":
+            self.slow_factor = float(await request.text())
+            return Response(text="ok")
+        body = await request.read()
+        operation = request.path.lstrip("/")
+        try:
+            context = read_context(self.settings.service, operation, request.headers, FULL_GRANT)
+        except BadRequestError as error:
+            return Response(status=400, text=str(error))
+        if self.present >= self.max_present or context.deadline.has_passed():
+            return Response(status=503, headers={"Shed": "yes"})
+        self.present += 1
+        self.idle.clear()
+        try:
+            async with self.slot_guard:
+                return await self._run(context, body)
+        finally:
+            self.present -= 1
+            if not self.present:
+                self.idle.set()
+
+    async def _run(self, context: CallContext, body: bytes) -> Response:
+        if context.deadline.has_passed():
+            return Response(status=503, headers={"Shed": "yes"})
+        self._log_run(context)
+        if body.startswith(CRASH_MARK):
+            _exit(CRASH_EXIT_STATUS)
+        self.running += 1
+        self.samples.append(LoadSample(monotonic(), self.running))
+        try:
+            async with timeout(context.deadline.remaining_seconds()):
+                await sleep(self._service_time())
+                answers = await self._call_others(context, body)
+        except TimeoutError:
+            return Response(status=504, text="deadline passed while running")
+        finally:
+            self.running -= 1
+            self.samples.append(LoadSample(monotonic(), self.running))
+        return self._response(context, body, answers)
+
+    async def _call_others(self, context: CallContext, body: bytes) -> list[Answer]:
+        operation = self.operations.get(context.operation)
+        if operation is None or not operation.calls:
+            return []
+        calls = []
+        for target in operation.calls:
+            service, _, name = target.partition("/")
+            calls.append(OutgoingCall(service, name, body))
+        return await self.client.call_all(context, calls)
+
+    def _response(self, context: CallContext, body: bytes, answers: list[Answer]) -> Response:
+        headers = {ATTEMPTS_LEFT: str(context.budget.retries)}
+        levels = [max(answer.admission_level, answer.path_level) for answer in answers]
+        headers[PATH_LEVEL] = str(max(levels, default=0))
+        for answer in answers:
+            if answer.outcome is Outcome.DONE:
+                continue
+            text = f"{self.settings.service}: call below was {answer.outcome}: {answer.reason}"
+            return Response(status=502, text=text, headers=headers)
+        return Response(body=context.request_id.encode() + b" " + body, headers=headers)
+
+    def _service_time(self) -> float:
+        seconds = self.service_seconds * self.slow_factor * self.random.uniform(0.7, 1.3)
+        cold_seconds = number_or_default(self.settings, "cold_start_ms") / 1000.0
+        if monotonic() - self.started < cold_seconds:
+            return seconds * COLD_START_FACTOR
+        return seconds
+
+    def _load(self) -> Response:
+        lag = number_or_default(self.settings, "load_report_lag_ms") / 1000.0
+        reported = 0
+        for sample in self.samples:
+            if sample.at > monotonic() - lag:
+                break
+            reported = sample.running
+        factor = number_or_default(self.settings, "load_report_factor")
+        return Response(text=dumps({"running": reported * factor, "slots": self.slots}))
+
+    def _log_run(self, context: CallContext) -> None:
+        if not self.settings.run_log:
+            return
+        line = {
+            "request_id": context.request_id,
+            "key": context.idempotency_key,
+            "call_id": context.call_id,
+            "service": self.settings.service,
+            "operation": context.operation,
+            "backend": self.settings.name,
+            "wall": time(),
+        }
+        with Path(self.settings.run_log).open("a", encoding="utf-8") as file:
+            file.write(dumps(line) + "\n")
+
+
+async def run_backend(settings: BackendSettings) -> None:
+    """Runs a backend server stand-in until SIGTERM or SIGINT, then drains it."""
+    stopping = Event()
+    loop = get_running_loop()
+    for signal in (SIGTERM, SIGINT):
+        loop.add_signal_handler(signal, stopping.set)
+    backend = BackendStandIn(settings)
+    runner = ServerRunner(
+        Server(backend.serve, access_log=None),
+        handler_cancellation=True,
+        shutdown_timeout=SHUTDOWN_SECONDS,
+    )
+    await runner.setup()
+    await TCPSite(runner, settings.address, settings.port, backlog=1024).start()
+    async with TaskGroup() as tasks:
+        background = [
+            tasks.create_task(backend.client.announce_forever(backend.announcement)),
+            tasks.create_task(backend.client.follow_routes()),
+        ]
+        await stopping.wait()
+        backend.announcement.leaving = True
+        await sleep(DRAIN_ANNOUNCE_SECONDS)
+        await backend.idle.wait()
+        for task in background:
+            task.cancel()
+    await runner.cleanup()
+    await backend.client.close()
