Split peer services by layer and the router by job

Cause: one gRPC service for all peer messages would put four layers into one class, and the router held key handling and transport besides choice and retries.

--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -135,7 +135,7 @@
         if context.service == self.state.settings.service:
             key = self._new_key()
         else:
-            key = await self.state.router.take_key(context)
+            key = await self.state.router.keys.take(context)
         text = f"{context.operation} is not idempotent; send it with an Idempotency-Key"
         return refused(Reason.KEY_REQUIRED, text=text, retry_useful=True)._replace(next_key=key)
 
--- /dev/null
+++ b/src/coltsfoottrack/_internal/routing/peer_channels.py
@@ -0,0 +1,45 @@
+"""gRPC channels to other nodes, kept open and shared."""
+
+from collections import OrderedDict
+
+from grpclib.client import Channel
+from grpclib.config import Configuration
+
+MAX_CHANNELS = 64
+KEEPALIVE_SECONDS = 5.0
+KEEPALIVE_TIMEOUT_SECONDS = 2.0
+
+
+class PeerChannels:
+    """Channels by peer address; the one used longest ago is closed when there are too many."""
+
+    def __init__(self) -> None:
+        self.channels: OrderedDict[str, Channel] = OrderedDict()
+
+    def channel(self, address: str) -> Channel:
+        """Returns the channel to HOST:PORT; it connects at its first call."""
+        channel = self.channels.pop(address, None)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            configuration = Configuration(
+                _keepalive_time=KEEPALIVE_SECONDS,
+                _keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
+            )
+            channel = Channel(host, int(port), config=configuration)
+        self.channels[address] = channel
+        if len(self.channels) > MAX_CHANNELS:
+            _, oldest = self.channels.popitem(last=False)
+            oldest.close()
+        return channel
+
+    def discard(self, address: str) -> None:
+        """Closes the channel to an address, so that the next call uses a new connection."""
+        channel = self.channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
+    def close(self) -> None:
+        """Closes all channels."""
+        for channel in self.channels.values():
+            channel.close()
+        self.channels.clear()
--- a/src/coltsfoottrack/_internal/schema/coltsfoottrack_grpc.py
+++ b/src/coltsfoottrack/_internal/schema/coltsfoottrack_grpc.py
@@ -13,125 +13,161 @@
 import coltsfoottrack._internal.schema.coltsfoottrack_pb2
 
 
-class PeerBase(abc.ABC):
+class MembershipPeerBase(abc.ABC):
 
     @abc.abstractmethod
     async def Sync(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def FetchConfiguration(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchConfigurationRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply]') -> None:
-        pass
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/coltsfoottrack.v1.MembershipPeer/Sync': grpclib.const.Handler(
+                self.Sync,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncRequest,
+                coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncReply,
+            ),
+        }
 
-    @abc.abstractmethod
-    async def PushConfiguration(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.PushConfigurationRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply]') -> None:
-        pass
 
-    @abc.abstractmethod
-    async def StoreOutcome(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeReply]') -> None:
-        pass
+class MembershipPeerStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.Sync = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfoottrack.v1.MembershipPeer/Sync',
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncRequest,
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncReply,
+        )
 
-    @abc.abstractmethod
-    async def FetchOutcome(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeReply]') -> None:
-        pass
+
+class ConfigurationPeerBase(abc.ABC):
 
     @abc.abstractmethod
-    async def Settle(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleReply]') -> None:
+    async def FetchConfiguration(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchConfigurationRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply]') -> None:
         pass
 
     @abc.abstractmethod
-    async def ReportSuspects(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsReply]') -> None:
+    async def PushConfiguration(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.PushConfigurationRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply]') -> None:
         pass
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
-            '/coltsfoottrack.v1.Peer/Sync': grpclib.const.Handler(
-                self.Sync,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncRequest,
-                coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncReply,
-            ),
-            '/coltsfoottrack.v1.Peer/FetchConfiguration': grpclib.const.Handler(
+            '/coltsfoottrack.v1.ConfigurationPeer/FetchConfiguration': grpclib.const.Handler(
                 self.FetchConfiguration,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchConfigurationRequest,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply,
             ),
-            '/coltsfoottrack.v1.Peer/PushConfiguration': grpclib.const.Handler(
+            '/coltsfoottrack.v1.ConfigurationPeer/PushConfiguration': grpclib.const.Handler(
                 self.PushConfiguration,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.PushConfigurationRequest,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply,
             ),
-            '/coltsfoottrack.v1.Peer/StoreOutcome': grpclib.const.Handler(
+        }
+
+
+class ConfigurationPeerStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.FetchConfiguration = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfoottrack.v1.ConfigurationPeer/FetchConfiguration',
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchConfigurationRequest,
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply,
+        )
+        self.PushConfiguration = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfoottrack.v1.ConfigurationPeer/PushConfiguration',
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.PushConfigurationRequest,
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply,
+        )
+
+
+class OutcomePeerBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def StoreOutcome(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def FetchOutcome(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Settle(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/coltsfoottrack.v1.OutcomePeer/StoreOutcome': grpclib.const.Handler(
                 self.StoreOutcome,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeRequest,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeReply,
             ),
-            '/coltsfoottrack.v1.Peer/FetchOutcome': grpclib.const.Handler(
+            '/coltsfoottrack.v1.OutcomePeer/FetchOutcome': grpclib.const.Handler(
                 self.FetchOutcome,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeRequest,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeReply,
             ),
-            '/coltsfoottrack.v1.Peer/Settle': grpclib.const.Handler(
+            '/coltsfoottrack.v1.OutcomePeer/Settle': grpclib.const.Handler(
                 self.Settle,
                 grpclib.const.Cardinality.UNARY_UNARY,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleRequest,
                 coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleReply,
             ),
-            '/coltsfoottrack.v1.Peer/ReportSuspects': grpclib.const.Handler(
-                self.ReportSuspects,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsRequest,
-                coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsReply,
-            ),
         }
 
 
-class PeerStub:
+class OutcomePeerStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
-        self.Sync = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/coltsfoottrack.v1.Peer/Sync',
-            coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncRequest,
-            coltsfoottrack._internal.schema.coltsfoottrack_pb2.SyncReply,
-        )
-        self.FetchConfiguration = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/coltsfoottrack.v1.Peer/FetchConfiguration',
-            coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchConfigurationRequest,
-            coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply,
-        )
-        self.PushConfiguration = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/coltsfoottrack.v1.Peer/PushConfiguration',
-            coltsfoottrack._internal.schema.coltsfoottrack_pb2.PushConfigurationRequest,
-            coltsfoottrack._internal.schema.coltsfoottrack_pb2.ConfigurationReply,
-        )
         self.StoreOutcome = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/coltsfoottrack.v1.Peer/StoreOutcome',
+            '/coltsfoottrack.v1.OutcomePeer/StoreOutcome',
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeRequest,
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.StoreOutcomeReply,
         )
         self.FetchOutcome = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/coltsfoottrack.v1.Peer/FetchOutcome',
+            '/coltsfoottrack.v1.OutcomePeer/FetchOutcome',
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeRequest,
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.FetchOutcomeReply,
         )
         self.Settle = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/coltsfoottrack.v1.Peer/Settle',
+            '/coltsfoottrack.v1.OutcomePeer/Settle',
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleRequest,
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.SettleReply,
         )
+
+
+class SuspectPeerBase(abc.ABC):
+
+    @abc.abstractmethod
+    async def ReportSuspects(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsReply]') -> None:
+        pass
+
+    def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
+        return {
+            '/coltsfoottrack.v1.SuspectPeer/ReportSuspects': grpclib.const.Handler(
+                self.ReportSuspects,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsRequest,
+                coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsReply,
+            ),
+        }
+
+
+class SuspectPeerStub:
+
+    def __init__(self, channel: grpclib.client.Channel) -> None:
         self.ReportSuspects = grpclib.client.UnaryUnaryMethod(
             channel,
-            '/coltsfoottrack.v1.Peer/ReportSuspects',
+            '/coltsfoottrack.v1.SuspectPeer/ReportSuspects',
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsRequest,
             coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportSuspectsReply,
         )
