Bound the attempts of a whole request, and let its retries happen

Cause: answers made by a node (refusals) or by the sender (no connection) carried attempts_left 0 and the router took the minimum, so the budget was gone at the first refusal and no retry was ever made. A budget that was counted on after a lost answer, and the repeat of a wide call graph by one retry, would on the other hand have exceeded the stated bound.

Now every answer returns what is left of the share that its attempt was lent; a sender keeps one retry back if it holds more than one; a repeated run pays for each parallel call beyond its first; an entry node remembers the budget of a Request-Id. Router, client and call server count violations. A refusal after an attempt that may have run is now reported as unknown.

Ruled out: keeping one retry at every layer (none arrives below layer 3); counting on the lent share; leaving repeated subtrees uncounted.

--- a/src/coltsfoottrack/_internal/calls/budget.py
+++ b/src/coltsfoottrack/_internal/calls/budget.py
@@ -1,11 +1,14 @@
 """Bounds on retries: a budget that travels with the request, and a ratio per destination."""
 
-from collections import deque
+from collections import OrderedDict, deque
 from time import monotonic
 from typing import Self
 
 RATIO_WINDOW_SECONDS = 10.0
 RATIO_RESERVE = 10
+MEMORY_SECONDS = 60.0
+MAX_REMEMBERED = 10_000
+MAX_KEYS_REMEMBERED = 32
 
 
 class AttemptBudget:
@@ -13,10 +16,17 @@
 
     Parallel calls split the budget, so that the retries of a whole request never exceed what it
     set out with, however deep the call graph is.
+
+    A run is *repeated* if an earlier attempt at the same call may have run too. Its calls may
+    then repeat calls that were made before. The retry that started the run has paid for one call
+    at each service below, so the first call of a repeated run is free and each further one costs
+    a retry. Without this rule one retry near the entry would repeat a whole wide call graph.
     """
 
-    def __init__(self, retries: int) -> None:
+    def __init__(self, retries: int, repeated: bool = False) -> None:
         self.retries = max(0, retries)
+        self.repeated = repeated
+        self.free_calls = 1
 
     def spend(self) -> bool:
         """Takes one retry; returns False if none is left."""
@@ -25,20 +35,116 @@
         self.retries -= 1
         return True
 
+    def pay_for_calls(self, calls: int) -> bool:
+        """Pays for calls that a run is about to make; returns False if it cannot make all.
+
+        Calls of a run that is not repeated cost nothing.
+        """
+        if not self.repeated:
+            return True
+        cost = max(0, calls - self.free_calls)
+        if cost > self.retries:
+            return False
+        self.free_calls = max(0, self.free_calls - calls)
+        self.retries -= cost
+        return True
+
     def split(self, parts: int) -> list[Self]:
         """Moves the whole budget into the given number of shares, as even as possible."""
         share, rest = divmod(self.retries, parts)
         self.retries = 0
         shares = []
         for index in range(parts):
-            shares.append(type(self)(share + (1 if index < rest else 0)))
+            shares.append(type(self)(share + (1 if index < rest else 0), self.repeated))
         return shares
 
+    def lend(self) -> Self:
+        """Moves the budget into a share for one attempt, and keeps one retry back if it can.
+
+        If the answer is lost, the callee may still spend its share, so the sender may count only
+        on what it kept. The last retry is passed on, because most refusals come from the deepest
+        services and only their direct callers may retry them.
+        """
+        kept = 1 if self.retries > 1 else 0
+        share = type(self)(self.retries - kept, self.repeated)
+        self.retries = kept
+        return share
+
     def restore(self, retries: int) -> None:
         """Adds what an answer returned of a share."""
         self.retries += max(0, retries)
 
 
+class RememberedRequest:
+    """What an entry node remembers of a request that a caller has sent."""
+
+    def __init__(self, retries: int, expires_at: float) -> None:
+        self.granted = retries
+        self.retries = retries
+        self.expires_at = expires_at
+        self.may_have_run = False
+        self.keys: set[str] = set()
+        self.sendings = 0
+
+    def begin(self, retries: int, keep_back: bool) -> AttemptBudget:
+        """Hands the budget, at most the given number of retries, to one sending.
+
+        ``keep_back`` if nobody below this node keeps a retry for the case that the caller goes
+        before its answer arrives.
+        """
+        budget = AttemptBudget(min(retries, self.retries), self.may_have_run)
+        self.retries -= budget.retries
+        self.may_have_run = True
+        if not keep_back:
+            return budget
+        share = budget.lend()
+        self.retries += budget.retries
+        return share
+
+    def end(self, retries: int, refused: bool) -> None:
+        """Takes back what a sending left; ``refused`` if it was certainly not run."""
+        self.retries += retries
+        if refused and self.sendings == 1:
+            self.may_have_run = False
+
+
+class RequestMemory:
+    """Budgets of requests by identifier, so that a caller that sends again gets no new budget.
+
+    Bounded to 10,000 requests; the one used longest ago is dropped first. A request is
+    remembered for 60 s after its last sending.
+    """
+
+    def __init__(self) -> None:
+        self.requests: OrderedDict[str, RememberedRequest] = OrderedDict()
+
+    def admit(self, request_id: str, retries: int, key: str) -> RememberedRequest | None:
+        """Counts a sending; returns None if it would exceed the budget of the request.
+
+        A copy under a key that was sent before costs nothing: the home of the key runs it at most
+        once, and the caller must be able to ask for its outcome.
+        """
+        now = monotonic()
+        while self.requests and next(iter(self.requests.values())).expires_at < now:
+            self.requests.popitem(last=False)
+        remembered = self.requests.pop(request_id, None)
+        if remembered is None:
+            remembered = RememberedRequest(retries, now)
+        self.requests[request_id] = remembered
+        remembered.expires_at = now + MEMORY_SECONDS
+        if len(self.requests) > MAX_REMEMBERED:
+            self.requests.popitem(last=False)
+        is_copy = bool(key) and key in remembered.keys
+        if remembered.sendings and not is_copy:
+            if not remembered.retries:
+                return None
+            remembered.retries -= 1
+        remembered.sendings += 1
+        if key and len(remembered.keys) < MAX_KEYS_REMEMBERED:
+            remembered.keys.add(key)
+        return remembered
+
+
 class RetryRatio:
     """Limits retries to a share of the first attempts of the last 10 s, plus a reserve of 10."""
 
--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -23,6 +23,7 @@
 PRIORITY = "Priority"
 DEADLINE_MS = "Deadline-Ms"
 ATTEMPT_BUDGET = "Attempt-Budget"
+ATTEMPT_REPEATED = "Attempt-Repeated"
 SUSPECTED_CRASHES = "Suspected-Crashes"
 HOP_DEPTH = "Hop-Depth"
 EVENT_CLOCK = "Event-Clock"
@@ -91,6 +92,8 @@
         }
         if self.idempotency_key:
             headers[IDEMPOTENCY_KEY] = self.idempotency_key
+        if self.budget.repeated:
+            headers[ATTEMPT_REPEATED] = "yes"
         if self.suspected_crashes:
             headers[SUSPECTED_CRASHES] = str(self.suspected_crashes)
         return headers
@@ -146,7 +149,7 @@
         request_id=request_id,
         call_id=call_id,
         deadline=Deadline.after_ms(deadline_ms),
-        budget=AttemptBudget(retries),
+        budget=AttemptBudget(retries, headers.get(ATTEMPT_REPEATED) == "yes"),
         priority=_granted_priority(headers, grant),
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -44,6 +44,7 @@
     WRONG_CLUSTER = "wrong_cluster"
     EARLY_REFUSAL = "early_refusal"
     NOT_READY = "not_ready"
+    BUDGET_SPENT = "budget_spent"
 
 
 _REFUSAL_STATUS = {
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -43,34 +43,39 @@
         if not self.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         headers = context.headers(self.cluster, self.clock.tick())
+        # The backend server may spend the budget until it answers, so none is left here.
+        lent = context.budget.retries
+        context.budget.retries = 0
         seconds = context.deadline.remaining_seconds()
         path = f"/{context.operation}"
         try:
             reply = await self.transport.send("POST", self.address, path, headers, body, seconds)
         except NotSentError:
             self.address = ""
+            context.budget.retries = lent
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         except ConnectionLostError:
             if context.deadline.has_passed():
                 return unknown(Reason.DEADLINE)
             return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
-        return _read_reply(reply, context)
+        return _read_reply(reply, context, lent)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self.transport.close()
 
 
-def _read_reply(reply: HttpReply, context: CallContext) -> Answer:
+def _read_reply(reply: HttpReply, context: CallContext, lent: int) -> Answer:
     content_type = reply.headers.get("Content-Type", "application/octet-stream")
     try:
-        attempts_left = whole_number(reply.headers, ATTEMPTS_LEFT, context.budget.retries, 1000)
+        attempts_left = whole_number(reply.headers, ATTEMPTS_LEFT, lent, lent)
         path_level = whole_number(reply.headers, PATH_LEVEL, 0, 10_000)
     except BadRequestError:
         attempts_left, path_level = 0, 0
-    context.budget.retries = min(context.budget.retries, attempts_left)
     if reply.status == 503 and SHED_HEADER in reply.headers:
+        context.budget.retries = lent
         return refused(Reason.BACKEND_SHED, retry_useful=True)
+    context.budget.retries = attempts_left
     if reply.status >= 500:
         answer = failed(Reason.BACKEND_ERROR, reply.body, content_type)
         return answer._replace(path_level=path_level, attempts_left=attempts_left)
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -17,9 +17,10 @@
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
 from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.observability.invariants import Invariant
 from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
 SERVICES_PREFIX = "/v1/services/"
@@ -113,9 +114,44 @@
                 return refused(Reason.UNKNOWN_SERVICE)
             if not state.members.serving(context.service):
                 return refused(Reason.UNKNOWN_SERVICE, retry_useful=True)
-            return await state.router.call(context, body)
+        if not context.from_peer:
+            return await self._from_caller(context, body, idempotent)
+        answer = await self._dispatch(context, body, idempotent)
+        # Covers answers made here too, which would otherwise return nothing.
+        return answer._replace(attempts_left=context.budget.retries)
+
+    async def _from_caller(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
+        """Dispatches a call under the budget that is remembered for its Request-Id."""
+        key = context.idempotency_key
+        granted = context.budget.retries
+        sending = self.state.requests.admit(context.request_id, granted, key)
+        if sending is None:
+            # An earlier sending may have run, here or through another entry.
+            return unknown(Reason.BUDGET_SPENT, copy_dispatched=False)
+        is_local = context.service == self.state.settings.service
+        share = sending.begin(granted, keep_back=is_local)
+        finished = False
+        refused_here = False
+        try:
+            answer = await self._dispatch(context._replace(budget=share), body, idempotent)
+            finished = True
+            refused_here = answer.outcome is Outcome.REFUSED
+        finally:
+            # A run under a key goes on without its caller and may still spend its share.
+            left = share.retries if finished or not key else 0
+            sending.end(left, refused_here)
+            self.state.checker.check(
+                sending.retries <= sending.granted,
+                Invariant.BOUNDED_RETRIES,
+                f"{context.request_id} has {sending.retries} of {sending.granted} retries left",
+            )
+        return answer._replace(attempts_left=sending.retries)
+
+    async def _dispatch(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
+        if context.service != self.state.settings.service:
+            return await self.state.router.call(context, body)
         if idempotent:
-            return await state.local_calls.run(context, body)
+            return await self.state.local_calls.run(context, body)
         return await self._call_under_key(context, body)
 
     async def _call_under_key(self, context: CallContext, body: bytes) -> Answer:
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -6,6 +6,7 @@
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
+from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.events.clock import HybridClock
@@ -61,7 +62,9 @@
             clock=self.clock,
             ring=self.ring,
             random=Random(),
+            checker=self.checker,
         )
+        self.requests = RequestMemory()
         self.member = Member(
             name=settings.name,
             service=settings.service,
--- a/src/coltsfoottrack/_internal/routing/client.py
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -10,12 +10,12 @@
 from coltsfoottrack._internal.calls.budget import AttemptBudget
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION, CallContext
 from coltsfoottrack._internal.calls.identifiers import new_call_id
-from coltsfoottrack._internal.calls.outcome import Answer
+from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable
-from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import BackendStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
@@ -53,7 +53,8 @@
         self.clock = HybridClock()
         self.ring = EventRing(name, self.clock)
         self.members = MembershipTable()
-        self.configuration = ConfigurationHolder(InvariantChecker())
+        self.checker = InvariantChecker()
+        self.configuration = ConfigurationHolder(self.checker)
         self.router = Router(
             cluster=cluster,
             members=self.members,
@@ -61,6 +62,7 @@
             clock=self.clock,
             ring=self.ring,
             random=Random(),
+            checker=self.checker,
         )
 
     @classmethod
@@ -106,6 +108,9 @@
         What the calls leave of the attempt budget goes back to the parent. A cancellation
         cancels all of them.
         """
+        if not parent.budget.pay_for_calls(len(calls)):
+            return [refused(Reason.BUDGET_SPENT) for _ in calls]
+        given = parent.budget.retries
         shares = parent.budget.split(len(calls))
         pending = []
         for call, share in zip(calls, shares, strict=True):
@@ -113,6 +118,11 @@
         answers = await gather(*pending)
         for answer in answers:
             parent.budget.restore(answer.attempts_left)
+        self.checker.check(
+            parent.budget.retries <= given,
+            Invariant.BOUNDED_RETRIES,
+            f"{parent.request_id}: calls returned more than the {given} retries they got",
+        )
         return answers
 
     async def _call_one(
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -28,8 +28,10 @@
             reply = await self.transport.send("POST", address, path, headers, body, seconds)
         except NotSentError:
             if context.idempotency_key:
-                return unknown(Reason.HOME_GONE, copy_dispatched=False)
-            return refused(Reason.NO_NODE, retry_useful=True)
+                answer = unknown(Reason.HOME_GONE, copy_dispatched=False)
+            else:
+                answer = refused(Reason.NO_NODE, retry_useful=True)
+            return answer._replace(attempts_left=context.budget.retries)
         except ConnectionLostError:
             return unknown(Reason.CONNECTION_LOST)._replace(retry_useful=True)
         try:
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -11,11 +11,12 @@
     InvalidKeyError,
 )
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable, call_address
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.routing.exchange import Exchange
 from coltsfoottrack._internal.routing.keys import KeyPool
 from coltsfoottrack._internal.routing.levels import ReportedLevels
@@ -26,6 +27,14 @@
 BACKOFF_MAXIMUM_SECONDS = 0.25
 
 
+class CallHistory:
+    """What one call has led to so far."""
+
+    def __init__(self) -> None:
+        self.attempts = 0
+        self.may_have_run = False
+
+
 class Router:
     """Sends calls to nodes of other services; shared by nodes and the embedded client."""
 
@@ -37,6 +46,7 @@
         clock: HybridClock,
         ring: EventRing,
         random: Random,
+        checker: InvariantChecker,
     ) -> None:
         self.cluster = cluster
         self.members = members
@@ -44,6 +54,7 @@
         self.clock = clock
         self.ring = ring
         self.random = random
+        self.checker = checker
         self.transport = Transport()
         self.levels = ReportedLevels()
         self.outstanding: Counter[str] = Counter()
@@ -56,17 +67,26 @@
 
         A caller's own idempotency key is sent to its home and never replaced by another key.
         """
-        answer = await self._attempts(context, body)
+        given = context.budget.retries
+        history = CallHistory()
+        answer = await self._attempts(context, body, history)
+        self.checker.check(
+            history.attempts + context.budget.retries <= 1 + given,
+            Invariant.BOUNDED_RETRIES,
+            f"{context.request_id}: {history.attempts} attempts with {given} retries",
+        )
+        if answer.outcome is Outcome.REFUSED and history.may_have_run:
+            # The last attempt was not run, but an earlier one may have been.
+            answer = unknown(answer.reason)
         return answer._replace(attempts_left=context.budget.retries)
 
-    async def _attempts(self, context: CallContext, body: bytes) -> Answer:
+    async def _attempts(self, context: CallContext, body: bytes, history: CallHistory) -> Answer:
         destination = f"{context.service}/{context.operation}"
         grant = self.policies().grant(context.service, context.operation)
         own_key = bool(context.idempotency_key)
         ratio = self._ratio(context.service, destination)
         ratio.record_first_attempt()
         tried: set[str] = set()
-        attempt = 0
         while True:
             if context.deadline.has_passed():
                 return refused(Reason.DEADLINE)
@@ -77,37 +97,47 @@
                 if not key:
                     return refused(Reason.NO_NODE, retry_useful=True)
                 context = context._replace(idempotency_key=key)
-            answer = await self._one_attempt(context, body, tried)
+            answer = await self._one_attempt(context, body, tried, history)
             if not own_key and not grant.idempotent and not answer.copy_dispatched:
                 # This router sent the only copy, and it went nowhere.
                 answer = refused(answer.reason, retry_useful=True)
             may_retry = answer.outcome is Outcome.REFUSED and not own_key
-            if grant.idempotent and answer.outcome is Outcome.UNKNOWN:
-                may_retry = True
+            if answer.outcome is Outcome.UNKNOWN:
+                history.may_have_run = True
+                context.budget.repeated = True
+                may_retry = grant.idempotent
             if not (may_retry and answer.retry_useful):
                 return answer
             if not (context.budget.retries and ratio.allow_retry() and context.budget.spend()):
                 return answer._replace(retry_useful=False)
             self.ring.add_call("retry", context, reason=answer.reason.value)
-            await sleep(self._backoff(attempt))
-            attempt += 1
+            await sleep(self._backoff(history.attempts))
             context = context._replace(
                 call_id=new_call_id(), suspected_crashes=answer.suspected_crashes
             )
 
-    async def _one_attempt(self, context: CallContext, body: bytes, tried: set[str]) -> Answer:
+    async def _one_attempt(
+        self, context: CallContext, body: bytes, tried: set[str], history: CallHistory
+    ) -> Answer:
         address = self._address(context, tried)
         if address is None:
             return refused(Reason.NO_NODE, retry_useful=True)
         tried.add(address)
         self.outstanding[address] += 1
+        share = context.budget.lend()
+        history.attempts += 1
         try:
-            answer = await self.exchange.send(context, address, body)
+            answer = await self.exchange.send(context._replace(budget=share), address, body)
         finally:
             self.outstanding[address] -= 1
         level = max(answer.admission_level, answer.path_level)
         self.levels.record(f"{context.service}/{context.operation}", level)
-        context.budget.retries = min(context.budget.retries, answer.attempts_left)
+        returned = self.checker.check(
+            answer.attempts_left <= share.retries,
+            Invariant.BOUNDED_RETRIES,
+            f"{address} returned {answer.attempts_left} of {share.retries} retries",
+        )
+        context.budget.restore(answer.attempts_left if returned else 0)
         return answer
 
     def _address(self, context: CallContext, tried: set[str]) -> str | None:
--- /dev/null
+++ b/tests/unit/test_retry_bound.py
@@ -0,0 +1,286 @@
+"""Retries of a whole request stay within its budget, however deep and wide its call graph."""
+
+from asyncio import CancelledError, create_task, gather, run, sleep
+from collections import Counter
+from contextlib import aclosing
+from random import Random
+from unittest import TestCase
+
+from hypothesis import example, given, settings
+from hypothesis.strategies import floats, integers, lists
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from coltsfoottrack._internal.calls.budget import AttemptBudget, RequestMemory
+from coltsfoottrack._internal.calls.context import ATTEMPTS_LEFT, CallContext, read_context
+from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.membership.table import MembershipTable
+from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall
+from coltsfoottrack._internal.routing.exceptions import ConnectionLostError
+from coltsfoottrack._internal.routing.transport import HttpReply, Transport
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    ConfigurationRecord,
+    Member,
+    NodeSettings,
+)
+from coltsfoottrack._internal.standins.backend import FULL_GRANT
+
+DEPTH = 7
+NODES_PER_LAYER = 3
+SENDINGS = 4
+
+
+def layer_name(layer: int) -> str:
+    return f"layer{layer}"
+
+
+def fill_members(members: MembershipTable) -> None:
+    for layer in range(DEPTH):
+        for node in range(NODES_PER_LAYER):
+            members.merge(
+                Member(
+                    name=str(node),
+                    service=layer_name(layer),
+                    address="127.0.0.1",
+                    call_port=1000 + 10 * layer + node,
+                    status=MEMBER_STATUS_ALIVE,
+                    backend_ready=True,
+                )
+            )
+
+
+def configuration(budget: int) -> ConfigurationRecord:
+    record = ConfigurationRecord(generation=1)
+    record.configuration.defaults.attempt_budget = budget
+    # The ratio per destination is not what bounds these retries.
+    record.configuration.defaults.retry_ratio = 1.0
+    for layer in range(DEPTH):
+        record.configuration.operations.add(
+            service=layer_name(layer), operation="read", idempotent=True
+        )
+    return record
+
+
+class Network:
+    """All layers in memory: callee nodes with their backend links, and backend servers."""
+
+    def __init__(self, widths: list[int], budget: int, trouble: float, seed: int) -> None:
+        self.widths = widths
+        self.trouble = trouble
+        self.random = Random(seed)
+        self.attempts: Counter[str] = Counter()
+        self.runs: Counter[str] = Counter()
+        self.late: list = []
+        self.refusals: Counter[str] = Counter()
+        self.losses: Counter[str] = Counter()
+        self.outcomes: list[str] = []
+        self.violations = 0
+        self.unused: list[Transport] = []
+        self.clients: dict[str, CallClient] = {}
+        self.links: dict[str, BackendLink] = {}
+        for layer in range(DEPTH):
+            client = CallClient.from_config("test", layer_name(layer), "127.0.0.1:9")
+            fill_members(client.members)
+            client.configuration.offer(configuration(budget), "test")
+            self.use(client.router)
+            self.clients[layer_name(layer)] = client
+            self.links[layer_name(layer)] = self.link()
+
+    def link(self) -> BackendLink:
+        link = BackendLink("test", HybridClock())
+        link.address = "127.0.0.1:9"
+        self.unused.append(link.transport)
+        link.transport = self
+        return link
+
+    def use(self, router) -> None:
+        router.exchange = Exchange(self)
+        router._backoff = lambda _attempt: 0.0
+
+    def strikes(self) -> bool:
+        return self.random.random() < self.trouble
+
+    def takes_one(self, planned: Counter[str], service: str) -> bool:
+        planned[service] -= 1
+        return planned[service] >= 0
+
+    async def serve(self, context: CallContext, headers: dict[str, str], body: bytes) -> Answer:
+        """The callee's node."""
+        arrived = read_context(context.service, context.operation, headers, FULL_GRANT)
+        self.attempts[context.service] += 1
+        if self.strikes() or self.takes_one(self.refusals, context.service):
+            answer = refused(Reason.OVERLOAD, retry_useful=True)
+        else:
+            answer = await self.links[context.service].run(arrived, body)
+        return answer._replace(attempts_left=arrived.budget.retries)
+
+    async def send(self, _method, _address, path, headers, body, _seconds) -> HttpReply:
+        """The backend server, called by its node in place of a transport."""
+        service = body.decode()
+        context = read_context(service, path.lstrip("/"), headers, FULL_GRANT)
+        self.runs[service] += 1
+        if self.strikes():
+            raise ConnectionLostError("crashed before its calls")
+        status = 200
+        layer = int(service.removeprefix("layer"))
+        if layer + 1 < DEPTH:
+            below = layer_name(layer + 1)
+            call = OutgoingCall(below, "read", below.encode())
+            answers = await self.clients[service].call_all(context, [call] * self.widths[layer])
+            if any(answer.outcome is not Outcome.DONE for answer in answers):
+                status = 502
+        if self.strikes():
+            raise ConnectionLostError("crashed after its calls")
+        reply = CIMultiDict({ATTEMPTS_LEFT: str(context.budget.retries)})
+        return HttpReply(status, CIMultiDictProxy(reply), b"")
+
+    async def close(self) -> None:
+        await gather(*self.late)
+        for part in (*self.clients.values(), *self.unused):
+            await part.close()
+
+    async def aclose(self) -> None:
+        await self.close()
+
+
+class Exchange:
+    """Sends one copy over the network in memory, which may lose it or its answer."""
+
+    def __init__(self, network: Network) -> None:
+        self.network = network
+
+    async def send(self, context: CallContext, _address: str, body: bytes) -> Answer:
+        network = self.network
+        lost = unknown(Reason.CONNECTION_LOST)._replace(retry_useful=True)
+        if network.strikes():
+            if network.random.random() < 0.5:
+                return lost
+            return refused(Reason.NO_NODE, True)._replace(attempts_left=context.budget.retries)
+        serving = network.serve(context, context.headers("test", 1), body)
+        if network.strikes():
+            # The answer is lost, at once, while the callee goes on running and retrying.
+            network.late.append(create_task(serving))
+            return lost
+        answer = await serving
+        if network.strikes() or network.takes_one(network.losses, context.service):
+            return lost
+        return answer
+
+
+async def play(
+    widths: list[int],
+    budget: int,
+    trouble: float,
+    seed: int,
+    refusals: dict[str, int] | None = None,
+    losses: dict[str, int] | None = None,
+    sendings: int = SENDINGS,
+) -> Network:
+    """Sends one request several times, some copies abandoned or at the same moment."""
+    network = Network(widths, budget, trouble, seed)
+    network.refusals.update(refusals or {})
+    network.losses.update(losses or {})
+    settings_of_entry = NodeSettings(
+        cluster="test", name="entry", service="entry", platform_addresses=["127.0.0.1:9"]
+    )
+    async with aclosing(network):
+        state = NodeState.from_config(settings_of_entry)
+        fill_members(state.members)
+        state.configuration.offer(configuration(budget), "test")
+        network.use(state.router)
+        server = CallServer(state)
+        sent = []
+        for _ in range(sendings):
+            context = CallContext(
+                service="layer0",
+                operation="read",
+                request_id="request",
+                call_id="caller",
+                deadline=Deadline.after_ms(60_000),
+                budget=AttemptBudget(budget),
+            )
+            sending = create_task(server._call(context, b"layer0", True))
+            sent.append(sending)
+            if network.random.random() < 0.5:
+                await gather(sending, return_exceptions=True)
+                continue
+            await sleep(0)
+            if network.random.random() < 0.5:
+                sending.cancel()
+        for result in await gather(*sent, return_exceptions=True):
+            if not isinstance(result, CancelledError | Answer):
+                raise result
+            if isinstance(result, Answer):
+                network.outcomes.append(result.outcome.value)
+        await state.close()
+        checkers = [state.checker] + [client.checker for client in network.clients.values()]
+        network.violations = sum(checker.total() for checker in checkers)
+    return network
+
+
+class RetryBoundTest(TestCase):
+    """Guards against retries that multiply from layer to layer."""
+
+    @settings(max_examples=60)
+    @given(
+        widths=lists(integers(1, 3), min_size=DEPTH - 1, max_size=DEPTH - 1),
+        budget=integers(0, 12),
+        trouble=floats(0.0, 0.3),
+        seed=integers(0, 2**32),
+    )
+    @example(widths=[3] * (DEPTH - 1), budget=3, trouble=0.01, seed=1)
+    @example(widths=[3] * (DEPTH - 1), budget=12, trouble=0.03, seed=2)
+    @example(widths=[1] * (DEPTH - 1), budget=12, trouble=0.2, seed=3)
+    def test_attempts_stay_within_first_attempts_and_budget(
+        self, widths: list[int], budget: int, trouble: float, seed: int
+    ) -> None:
+        network = run(play(widths, budget, trouble, seed))
+        first_attempts = 1
+        for layer in range(DEPTH):
+            name = layer_name(layer)
+            self.assertLessEqual(network.attempts[name], first_attempts + budget, name)
+            self.assertLessEqual(network.runs[name], first_attempts + budget, name)
+            if layer + 1 < DEPTH:
+                first_attempts *= widths[layer]
+        self.assertEqual(network.violations, 0)
+
+    def test_refusals_are_retried_at_the_deepest_layer(self) -> None:
+        """Guards against a budget that is lost on the way down or at the first refusal."""
+        deepest = layer_name(DEPTH - 1)
+        network = run(play([1] * (DEPTH - 1), 3, 0.0, 1, refusals={deepest: 1}, sendings=1))
+        self.assertEqual(network.attempts[deepest], 2)
+        self.assertEqual(network.runs[deepest], 1)
+        self.assertEqual(network.outcomes, ["done"])
+
+    def test_a_retry_is_kept_back_for_a_lost_answer(self) -> None:
+        """Guards against a share counted twice, and against no retry after a lost answer."""
+        deepest = layer_name(DEPTH - 1)
+        network = run(play([1] * (DEPTH - 1), 3, 0.0, 1, losses={"layer0": 1}, sendings=1))
+        self.assertEqual(network.runs[deepest], 2)
+        self.assertEqual(network.outcomes, ["done"])
+
+
+class RequestMemoryTest(TestCase):
+    """Guards against a new budget for each sending, and against unbounded memory."""
+
+    def test_sendings_share_one_budget(self) -> None:
+        memory = RequestMemory()
+        self.assertEqual(
+            [bool(memory.admit("r", 2, "")) for _ in range(5)], [True] * 3 + [False] * 2
+        )
+
+    def test_a_copy_under_the_same_key_costs_nothing(self) -> None:
+        memory = RequestMemory()
+        self.assertTrue(all(memory.admit("r", 0, "key") for _ in range(5)))
+        self.assertIsNone(memory.admit("r", 0, "other key"))
+
+    def test_memory_is_bounded(self) -> None:
+        memory = RequestMemory()
+        for number in range(10_050):
+            memory.admit(str(number), 1, "")
+        self.assertEqual(len(memory.requests), 10_000)
