Stop requests that crash backend servers, without blaming others

A backend server that ends with requests in flight is now noticed (connection lost, new connections refused at once and after 50 ms). A suspect runs as the only suspect of its node, with no other request beside it for 250 ms, so that a second crash has one cause; at two crashes it is refused as quarantined. Kept connections to the old process are dropped and a new announcement brings the backend server back.

Found by the randomised test and mended: a run that had started before its request was suspected added to a crash learned of meanwhile, which quarantined innocent requests; a held-back request could slip past a gate that had closed again.

Ruled out: counting the first crash for every request in flight without probation alone (innocent requests quarantined); believing an outside caller's count of one crash, which would let it hold others back.

--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -1,5 +1,26 @@
 """The backend server beside the node, as it announced itself."""
 
+from asyncio import (
+    Event,
+    Lock,
+    Task,
+    create_task,
+    get_running_loop,
+    open_connection,
+    sleep,
+    timeout,
+)
+from collections.abc import Awaitable, Callable
+from itertools import count
+from typing import NamedTuple
+
+from structlog import get_logger
+
+from coltsfoottrack._internal.admission.suspects import (
+    QUARANTINE_CRASHES,
+    SuspectReport,
+    SuspectTable,
+)
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
     PATH_LEVEL,
@@ -9,23 +30,66 @@
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.ledger.ledger import request_digest
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
 SHED_HEADER = "Shed"
+CONNECT_SECONDS = 0.5
+# A process that ends closes its connections and its listening socket one after the other.
+SECOND_CHECK_SECONDS = 0.05
+# Other requests are held back this long for a suspect, so that a crash has one possible cause.
+ALONE_SECONDS = 0.25
+
+ReportSuspects = Callable[[list[SuspectReport], list[bytes]], Awaitable[None]]
+
+logger = get_logger(__name__)
+
+
+class RunningCall(NamedTuple):
+    """A request that the backend server is running."""
+
+    digest: bytes
+    known_crashes: int
 
 
 class BackendLink:
-    """Sends calls to the backend server and says truthfully what became of them."""
+    """Sends calls to the backend server and says truthfully what became of them.
+
+    It notices when the backend server crashes: a connection breaks with requests in flight and
+    new connections are refused. All of these requests become suspects. A suspect runs with no
+    other request in flight for its first 250 ms, so that a second crash has only one cause.
+    A server that is back within 50 ms is not noticed to have crashed.
+    """
 
-    def __init__(self, cluster: str, clock: HybridClock) -> None:
+    def __init__(
+        self,
+        cluster: str,
+        clock: HybridClock,
+        suspects: SuspectTable,
+        new_transport: Callable[[], Transport] = Transport,
+    ) -> None:
         self.cluster = cluster
         self.clock = clock
-        self.transport = Transport()
+        self.suspects = suspects
+        self.new_transport = new_transport
+        self.transport = new_transport()
         self.address = ""
         self.slots = 0
         self.leaving = False
+        self.alone_seconds = ALONE_SECONDS
+        self.crashes = 0
+        self.running: dict[int, RunningCall] = {}
+        self.numbers = count()
+        self.idle = Event()
+        self.idle.set()
+        self.open = Event()
+        self.open.set()
+        self.probation = Lock()
+        self.on_down: Callable[[], None] = lambda: None
+        self.report: ReportSuspects | None = None
+        self.reports: set[Task[None]] = set()
 
     @property
     def is_ready(self) -> bool:
@@ -39,32 +103,171 @@
         self.leaving = request.leaving
 
     async def run(self, context: CallContext, body: bytes) -> Answer:
-        """Runs a call on the backend server."""
+        """Runs a call on the backend server, unless it is quarantined."""
+        digest = request_digest(context.service, context.operation, body)
+        crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
+        if crashes >= QUARANTINE_CRASHES:
+            return _quarantined(context, crashes)
+        try:
+            if crashes:
+                return await self._run_on_probation(context, body, digest)
+            async with timeout(context.deadline.remaining_seconds()):
+                # Another suspect may have closed it again before this task went on.
+                while not self.open.is_set():
+                    await self.open.wait()
+        except TimeoutError:
+            return refused(Reason.DEADLINE)._replace(suspected_crashes=crashes)
+        return await self._dispatch(context, body, RunningCall(digest, crashes))
+
+    async def _run_on_probation(self, context: CallContext, body: bytes, digest: bytes) -> Answer:
+        """Runs a suspect while no other suspect runs. Raises TimeoutError at the deadline."""
+        async with timeout(context.deadline.remaining_seconds()):
+            await self.probation.acquire()
+        alone = True
+        try:
+            crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
+            if crashes >= QUARANTINE_CRASHES:
+                return _quarantined(context, crashes)
+            if not crashes:
+                # Another copy has run to its end meanwhile.
+                self.probation.release()
+                alone = False
+                return await self._dispatch(context, body, RunningCall(digest, 0))
+            self.open.clear()
+            try:
+                async with timeout(min(self.alone_seconds, context.deadline.remaining_seconds())):
+                    await self.idle.wait()
+            except TimeoutError:
+                pass
+            reopening = get_running_loop().call_later(self.alone_seconds, self.open.set)
+            try:
+                return await self._dispatch(context, body, RunningCall(digest, crashes))
+            finally:
+                reopening.cancel()
+        finally:
+            if alone:
+                self.open.set()
+                self.probation.release()
+
+    async def _dispatch(self, context: CallContext, body: bytes, call: RunningCall) -> Answer:
         if not self.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
+        if context.deadline.has_passed():
+            return refused(Reason.DEADLINE)
+        number = next(self.numbers)
+        self.running[number] = call
+        self.idle.clear()
+        try:
+            return await self._send(context, body, call)
+        finally:
+            del self.running[number]
+            if not self.running:
+                self.idle.set()
+
+    async def _send(self, context: CallContext, body: bytes, call: RunningCall) -> Answer:
         headers = context.headers(self.cluster, self.clock.tick())
         # The backend server may spend the budget until it answers, so none is left here.
         lent = context.budget.retries
         context.budget.retries = 0
-        seconds = context.deadline.remaining_seconds()
+        address, crashes_before = self.address, self.crashes
         path = f"/{context.operation}"
+        seconds = context.deadline.remaining_seconds()
         try:
-            reply = await self.transport.send("POST", self.address, path, headers, body, seconds)
+            reply = await self.transport.send("POST", address, path, headers, body, seconds)
         except NotSentError:
-            self.address = ""
             context.budget.retries = lent
+            self._mark_down(address)
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         except ConnectionLostError:
             if context.deadline.has_passed():
                 return unknown(Reason.DEADLINE)
-            return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
-        return _read_reply(reply, context, lent)
+            if not await self._has_crashed(address, crashes_before):
+                return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
+            return _crashed(context, max(1, self.suspects.crashes(call.digest)))
+        answer = _read_reply(reply, context, lent)
+        if answer.outcome is not Outcome.REFUSED:
+            self._clear(call.digest)
+        return answer
+
+    def _mark_down(self, address: str) -> None:
+        if self.address == address:
+            self.address = ""
+            self.on_down()
+
+    async def _has_crashed(self, address: str, crashes_before: int) -> bool:
+        """Tells whether the backend server has ended since, and makes suspects if so."""
+        for pause in (0.0, SECOND_CHECK_SECONDS):
+            await sleep(pause)
+            if self.crashes != crashes_before:
+                return True
+            if await self.refuses_connections(address):
+                break
+        else:
+            return False
+        if self.crashes == crashes_before:
+            await self._note_crash(address)
+        return True
+
+    async def refuses_connections(self, address: str) -> bool:
+        """Tells whether the backend server refuses a new connection; a slow one does not."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with timeout(CONNECT_SECONDS):
+                _, writer = await open_connection(host, int(port))
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        writer.close()
+        return False
+
+    async def _note_crash(self, address: str) -> None:
+        self.crashes += 1
+        running: dict[bytes, int] = {}
+        for call in self.running.values():
+            running[call.digest] = max(call.known_crashes, running.get(call.digest, 0))
+        reports = []
+        for digest, known_crashes in running.items():
+            self.suspects.record_crash(digest, known_crashes)
+            report = self.suspects.report(digest)
+            if report is not None:
+                reports.append(report)
+        logger.error("backend_crashed", address=address, suspects=len(reports))
+        self._mark_down(address)
+        broken = self.transport
+        # No kept connection to the old process may be used for a new one at the same address.
+        self.transport = self.new_transport()
+        await broken.close()
+        if self.report is not None:
+            await self.report(reports, [])
+
+    def _clear(self, digest: bytes) -> None:
+        if not self.suspects.clear(digest) or self.report is None:
+            return
+        task = create_task(self.report([], [digest]))
+        self.reports.add(task)
+        task.add_done_callback(self.reports.discard)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self.transport.close()
 
 
+def _quarantined(context: CallContext, crashes: int) -> Answer:
+    text = (
+        f"not run: {crashes} backend servers of {context.service} crashed while they ran this "
+        "request, so it is quarantined"
+    )
+    answer = refused(Reason.QUARANTINED, text=text)
+    return answer._replace(suspected_crashes=crashes)
+
+
+def _crashed(context: CallContext, crashes: int) -> Answer:
+    text = f"outcome unknown: the backend server of {context.service} crashed during this request"
+    answer = unknown(Reason.BACKEND_LOST)
+    return answer._replace(retry_useful=True, suspected_crashes=crashes, body=text.encode())
+
+
 def _read_reply(reply: HttpReply, context: CallContext, lent: int) -> Answer:
     content_type = reply.headers.get("Content-Type", "application/octet-stream")
     try:
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -5,6 +5,7 @@
 from aiohttp.web import BaseRequest, HTTPException, HTTPRequestEntityTooLarge, Response, Server
 from aiohttp.web_runner import ServerRunner, TCPSite
 
+from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES
 from coltsfoottrack._internal.calls.context import (
     CLUSTER,
     EVENT_CLOCK,
@@ -133,7 +134,10 @@
         finished = False
         refused_here = False
         try:
-            answer = await self._dispatch(context._replace(budget=share), body, idempotent)
+            context = context._replace(
+                budget=share, suspected_crashes=_trusted_crashes(context.suspected_crashes)
+            )
+            answer = await self._dispatch(context, body, idempotent)
             finished = True
             refused_here = answer.outcome is Outcome.REFUSED
         finally:
@@ -195,6 +199,15 @@
             return ""
 
 
+def _trusted_crashes(crashes: int) -> int:
+    """Returns what to believe of a caller's count of crashes.
+
+    Probation holds other requests back, so only nodes may ask for it. A count that leads to
+    quarantine harms nobody but the caller.
+    """
+    return crashes if crashes >= QUARANTINE_CRASHES else 0
+
+
 def _text_answer(text: str) -> Answer:
     return Answer(Outcome.DONE, body=text.encode("ascii"), content_type="text/plain")
 
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -14,6 +14,7 @@
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
 from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.node.suspect_service import SuspectReporter, SuspectService
 from coltsfoottrack._internal.platform.exceptions import PlatformError
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import NodeSettings
 
@@ -30,7 +31,8 @@
         loop.add_signal_handler(signal, stopping.set)
     state = NodeState.from_config(settings)
     call_server = CallServer(state)
-    peer_server = Server([BackendService(state)])
+    peer_server = Server([BackendService(state), SuspectService(state)])
+    state.backend.report = SuspectReporter(state).report
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
     freeze()
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -6,6 +6,7 @@
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
+from coltsfoottrack._internal.admission.suspects import SuspectTable
 from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
@@ -18,6 +19,7 @@
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
 from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
@@ -25,6 +27,7 @@
     Member,
     NodeSettings,
 )
+from coltsfoottrack._internal.settings.rules import number_or_default
 
 
 class NodeState:
@@ -40,7 +43,14 @@
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
         self.platform = PlatformClient.from_config(settings.platform_addresses)
-        self.backend = BackendLink(settings.cluster, self.clock)
+        self.suspects = SuspectTable(
+            lambda: number_or_default(
+                self.configuration.policies.policy(settings.service), "quarantine_ms"
+            )
+        )
+        self.backend = BackendLink(settings.cluster, self.clock, self.suspects)
+        self.backend.on_down = self.publish_member
+        self.peers = PeerChannels()
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
@@ -104,5 +114,6 @@
 
     async def close(self) -> None:
         """Closes all outgoing connections."""
+        self.peers.close()
         await self.router.close()
         await self.backend.close()
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -112,9 +112,9 @@
                 return answer._replace(retry_useful=False)
             self.ring.add_call("retry", context, reason=answer.reason.value)
             await sleep(self._backoff(history.attempts))
-            context = context._replace(
-                call_id=new_call_id(), suspected_crashes=answer.suspected_crashes
-            )
+            # A refusal by a node that knows less must not lose what an earlier one reported.
+            crashes = max(context.suspected_crashes, answer.suspected_crashes)
+            context = context._replace(call_id=new_call_id(), suspected_crashes=crashes)
 
     async def _one_attempt(
         self, context: CallContext, body: bytes, tried: set[str], history: CallHistory
--- /dev/null
+++ b/tests/functional/test_crashing_request.py
@@ -0,0 +1,70 @@
+"""A request that crashes whatever runs it, against real processes."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+from unittest import TestCase
+
+from urllib3 import BaseHTTPResponse
+
+from coltsfoottrack._internal.experiment.fleet import Fleet, NodePlace
+from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import PRIORITY_CRITICAL
+
+SHAPE = FleetShape(
+    name="one-service",
+    failure_domains=("east", "west", "south"),
+    scale=1,
+    services=(ServiceShape("stores", 3, 8, 5, (OperationShape("read", PRIORITY_CRITICAL, True),)),),
+)
+WAIT_SECONDS = 10.0
+
+
+class CrashingRequestTest(TestCase):
+    """Guards against a request that takes down all backend servers, and against dead nodes."""
+
+    def setUp(self) -> None:
+        directory = TemporaryDirectory(prefix="coltsfoottrack-")
+        self.addCleanup(directory.cleanup)
+        self.fleet = Fleet.from_config(SHAPE, Path(directory.name))
+        self.addCleanup(self.fleet.http.clear)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        for place in self.fleet.places:
+            self.wait_until_done(place)
+
+    def send(self, place: NodePlace, body: bytes) -> BaseHTTPResponse:
+        url = f"http://{place.call_address}/v1/services/stores/read"
+        return self.fleet.http.request("POST", url, body=body, timeout=WAIT_SECONDS)
+
+    def crashed(self) -> list[NodePlace]:
+        processes = self.fleet.processes
+        return [p for p in self.fleet.places if processes[p.backend_process].poll() is not None]
+
+    def test_two_crashes_then_quarantine_and_the_nodes_go_on(self) -> None:
+        first, second, third = self.fleet.places
+        answer = self.send(first, b"crash it")
+        self.assertEqual(answer.headers["Outcome"], "unknown")
+        self.assertIn(b"backend server of stores crashed during this request", answer.data)
+        self.assertEqual(answer.headers["Suspected-Crashes"], "1")
+        answer = self.send(second, b"crash it")
+        self.assertEqual(answer.headers["Suspected-Crashes"], "2")
+        for _ in range(3):
+            answer = self.send(third, b"crash it")
+            self.assertEqual(answer.headers["Outcome"], "refused")
+            self.assertEqual(answer.headers["Reason"], "quarantined")
+            self.assertIn(b"2 backend servers of stores crashed", answer.data)
+        self.assertEqual(self.crashed(), [first, second])
+        for place in (first, second):
+            self.fleet.restart(place.backend_process)
+        for place in self.fleet.places:
+            self.wait_until_done(place)
+        self.assertEqual(self.send(first, b"crash it").headers["Reason"], "quarantined")
+
+    def wait_until_done(self, place: NodePlace) -> None:
+        expiry = monotonic() + WAIT_SECONDS
+        while monotonic() < expiry:
+            if self.send(place, b"another").headers["Outcome"] == "done":
+                return
+            sleep(0.05)
+        self.fail(f"{place.node_process} does not use its restarted backend server")
--- /dev/null
+++ b/tests/unit/test_suspects.py
@@ -0,0 +1,206 @@
+"""One request takes down at most two backend servers of a service, and innocent ones finish."""
+
+from asyncio import CancelledError, Event, create_task, gather, run, sleep, wait_for
+from collections import Counter
+from random import Random
+from unittest import TestCase
+
+from hypothesis import given, settings
+from hypothesis.strategies import integers
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from coltsfoottrack._internal.admission.suspects import (
+    MAX_SUSPECTS,
+    SuspectReport,
+    SuspectTable,
+)
+from coltsfoottrack._internal.calls.budget import AttemptBudget
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.routing.exceptions import ConnectionLostError
+from coltsfoottrack._internal.routing.transport import HttpReply
+
+NODES = 5
+RESTART_SECONDS = 0.03
+CRASHING = b"crash"
+
+
+class BackendServer:
+    """A backend server in memory, which ends when it runs a crashing request, and restarts."""
+
+    def __init__(self, random: Random, crashes: Counter[bytes]) -> None:
+        self.random = random
+        self.crashes = crashes
+        self.link = BackendLink(
+            "test", HybridClock(), SuspectTable(lambda: 600_000.0), lambda: self
+        )
+        self.link.refuses_connections = self.refuses_connections
+        self.link.address = "127.0.0.1:9"
+        # A stall of the test machine must not end the time that a suspect runs alone.
+        self.link.alone_seconds = 10.0
+        self.up = True
+        self.ended = Event()
+        self.noticed = Event()
+        self.link.on_down = self.noticed.set
+
+    async def refuses_connections(self, _address: str) -> bool:
+        return not self.up
+
+    async def send(self, _method, _address, _path, _headers, body, _seconds) -> HttpReply:
+        ended = self.ended
+        await sleep(self.random.uniform(0.0, 0.004))
+        if body.startswith(CRASHING) and not ended.is_set():
+            self.crashes[body] += 1
+            self.up = False
+            ended.set()
+            self.restarting = create_task(self.restart())
+        await sleep(self.random.uniform(0.0, 0.004))
+        if ended.is_set():
+            raise ConnectionLostError("ended")
+        return HttpReply(200, CIMultiDictProxy(CIMultiDict()), body)
+
+    async def restart(self) -> None:
+        # A server that is back before its node has looked is not noticed to have crashed.
+        await self.noticed.wait()
+        self.noticed.clear()
+        await sleep(RESTART_SECONDS)
+        self.ended = Event()
+        self.up = True
+        self.link.address = "127.0.0.1:9"
+
+    async def close(self) -> None:
+        pass
+
+
+class Service:
+    """Nodes of one service that report suspects to each other, with some reports lost."""
+
+    def __init__(self, seed: int, loss: float) -> None:
+        self.random = Random(seed)
+        self.loss = loss
+        self.crashes: Counter[bytes] = Counter()
+        self.servers = [BackendServer(self.random, self.crashes) for _ in range(NODES)]
+        for server in self.servers:
+            server.link.report = self.report
+
+    async def report(self, suspects: list[SuspectReport], cleared: list[bytes]) -> None:
+        await sleep(self.random.uniform(0.0, 0.003))
+        for server in self.servers:
+            if self.random.random() < self.loss:
+                continue
+            for suspect in suspects:
+                server.link.suspects.merge(suspect)
+            for digest in cleared:
+                server.link.suspects.clear(digest)
+
+    async def send_until_settled(self, body: bytes) -> Answer:
+        """Sends a request to random nodes, again after each failure, as an eager caller does."""
+        crashes = 0
+        while True:
+            await sleep(self.random.uniform(0.0, 0.01))
+            context = CallContext(
+                service="stores",
+                operation="lookup",
+                request_id="r",
+                call_id="c",
+                deadline=Deadline.after_ms(5_000),
+                budget=AttemptBudget(0),
+                suspected_crashes=crashes,
+            )
+            answer = await self.random.choice(self.servers).link.run(context, body)
+            if answer.outcome is Outcome.DONE or answer.reason is Reason.QUARANTINED:
+                return answer
+            crashes = max(crashes, answer.suspected_crashes)
+
+
+async def play(seed: int, loss: float) -> tuple[Service, list[Answer], list[Answer]]:
+    service = Service(seed, loss)
+    innocent = [b"innocent %d" % (number % 12) for number in range(30)]
+    crashing = [b"crash %d" % number for number in range(2)]
+    pending = [create_task(service.send_until_settled(body)) for body in innocent + crashing]
+    answers = await wait_for(gather(*pending), 30)
+    return service, answers[: len(innocent)], answers[len(innocent) :]
+
+
+class CrashBoundTest(TestCase):
+    """Guards against a request that takes down one backend server after another."""
+
+    @settings(max_examples=25, deadline=None)
+    @given(seed=integers(0, 2**32), loss=integers(0, 1))
+    def test_crashing_requests_are_stopped_and_innocent_ones_finish(
+        self, seed: int, loss: int
+    ) -> None:
+        service, innocent, crashing = run(play(seed, loss * 0.3))
+        self.assertLessEqual(max(service.crashes.values()), 2, service.crashes)
+        self.assertEqual({answer.reason for answer in crashing}, {Reason.QUARANTINED})
+        self.assertEqual({answer.outcome for answer in innocent}, {Outcome.DONE})
+
+    def test_caller_is_told_why(self) -> None:
+        _, _, crashing = run(play(1, 0.0))
+        self.assertIn(b"2 backend servers of stores crashed", crashing[0].body)
+        self.assertEqual(crashing[0].suspected_crashes, 2)
+
+
+class SuspectTableTest(TestCase):
+    """Guards against unbounded memory, suspicion for ever and a quarantine lifted too soon."""
+
+    def setUp(self) -> None:
+        self.now = 1000.0
+        self.table = SuspectTable(lambda: 600_000.0, lambda: self.now)
+
+    def test_entries_expire(self) -> None:
+        self.table.record_crash(b"a")
+        self.table.record_crash(b"a", known_crashes=1)
+        self.now += 599.0
+        self.assertEqual(self.table.crashes(b"a"), 2)
+        self.now += 2.0
+        self.assertEqual(self.table.crashes(b"a"), 0)
+
+    def test_success_clears_probation_but_not_quarantine(self) -> None:
+        self.table.record_crash(b"a")
+        self.assertTrue(self.table.clear(b"a"))
+        self.table.record_crash(b"b", known_crashes=1)
+        self.assertFalse(self.table.clear(b"b"))
+        self.assertEqual((self.table.crashes(b"a"), self.table.quarantined()), (0, 1))
+
+    def test_run_that_started_unsuspected_does_not_lead_to_quarantine(self) -> None:
+        """Guards against an innocent request blamed for two crashes of another."""
+        self.table.merge(SuspectReport(b"a", 1, 0))
+        self.assertEqual(self.table.record_crash(b"a", known_crashes=0), 1)
+
+    def test_old_and_lower_reports_change_nothing(self) -> None:
+        self.table.record_crash(b"a", known_crashes=1)
+        self.table.merge(SuspectReport(b"a", 1, 0))
+        self.table.merge(SuspectReport(b"b", 2, 700_000))
+        self.assertEqual((self.table.crashes(b"a"), self.table.crashes(b"b")), (2, 0))
+
+    def test_memory_is_bounded(self) -> None:
+        for number in range(MAX_SUSPECTS + 100):
+            self.table.record_crash(str(number).encode())
+        self.assertEqual(len(self.table.entries), MAX_SUSPECTS)
+
+
+class ProbationTest(TestCase):
+    """Guards against a suspect that gives up its place and stops the node."""
+
+    def test_cancelled_and_late_suspects_leave_the_node_open(self) -> None:
+        async def play_once() -> Answer:
+            service = Service(1, 0.0)
+            link = service.servers[0].link
+            context = CallContext(
+                "stores", "lookup", "r", "c", Deadline.after_ms(200), AttemptBudget(0), 0, "", 1
+            )
+            sent = [create_task(link.run(context, b"%d" % number)) for number in range(4)]
+            await sleep(0.001)
+            for sending in sent[:2]:
+                sending.cancel()
+            for result in await gather(*sent, return_exceptions=True):
+                self.assertIsInstance(result, CancelledError | Answer)
+            self.assertTrue(link.open.is_set())
+            self.assertFalse(link.probation.locked())
+            return await link.run(context._replace(suspected_crashes=0), b"another")
+
+        self.assertEqual(run(play_once()).outcome, Outcome.DONE)
