Give each caller the whole answer to its own call

Cause: a kept connection on which a second response arrived late gave that response to the next call; a response without a length that was cut off looked whole. Nodes and the backend server stand-in now echo Call-Id, the transport throws away a response that names another call (counted as a violation), refuses responses without a length, and uses a connection again only for an address that echoes.

Ruled out: never keeping connections (about 1 ms a call); trusting aiohttp to notice data on idle connections (it does not when the data comes late).

--- a/src/coltsfoottrack/_internal/calls/identifiers.py
+++ b/src/coltsfoottrack/_internal/calls/identifiers.py
@@ -28,13 +28,18 @@
     return token_hex(12)
 
 
+def is_identifier(value: str) -> bool:
+    """Tells whether a text is an identifier that may be sent on."""
+    return _IDENTIFIER_PATTERN.fullmatch(value) is not None
+
+
 def check_identifier(value: str, header: str) -> str:
     """Returns an identifier that came from outside.
 
     Raises BadRequestError if it is longer than 128 characters or holds other characters than
     letters, digits and ``. _ : / -``.
     """
-    if _IDENTIFIER_PATTERN.fullmatch(value) is None:
+    if not is_identifier(value):
         raise BadRequestError(
             f"{header} must be 1 to {MAX_IDENTIFIER_LENGTH} letters, digits or . _ : / -"
         )
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -7,6 +7,7 @@
 
 from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES
 from coltsfoottrack._internal.calls.context import (
+    CALL_ID,
     CLUSTER,
     EVENT_CLOCK,
     PROTOCOL,
@@ -17,7 +18,7 @@
     whole_number,
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
-from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, is_identifier
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
 from coltsfoottrack._internal.node.state import NodeState
@@ -65,6 +66,9 @@
         headers = answer_headers(
             answer._replace(served_by=self.state.name), self.state.clock.tick()
         )
+        call_id = request.headers.get(CALL_ID)
+        if call_id is not None and is_identifier(call_id):
+            headers[CALL_ID] = call_id
         return Response(status=answer.status, body=answer.body, headers=headers)
 
     async def _answer(self, request: BaseRequest) -> Answer:
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -21,6 +21,7 @@
 from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.routing.transport import Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     Envelope,
@@ -48,7 +49,9 @@
                 self.configuration.policies.policy(settings.service), "quarantine_ms"
             )
         )
-        self.backend = BackendLink(settings.cluster, self.clock, self.suspects)
+        self.backend = BackendLink(
+            settings.cluster, self.clock, self.suspects, lambda: Transport(self.checker)
+        )
         self.backend.on_down = self.publish_member
         self.peers = PeerChannels()
         self.limiter = ConcurrencyLimiter()
--- a/src/coltsfoottrack/_internal/routing/exceptions.py
+++ b/src/coltsfoottrack/_internal/routing/exceptions.py
@@ -11,3 +11,7 @@
 
 class ConnectionLostError(RoutingError):
     """The connection broke after bytes of a call were sent; it may have been run."""
+
+
+class ForeignAnswerError(ConnectionLostError):
+    """A response names another call than the one that was sent; it was thrown away."""
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -55,7 +55,7 @@
         self.ring = ring
         self.random = random
         self.checker = checker
-        self.transport = Transport()
+        self.transport = Transport(checker)
         self.levels = ReportedLevels()
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
--- a/src/coltsfoottrack/_internal/routing/transport.py
+++ b/src/coltsfoottrack/_internal/routing/transport.py
@@ -14,10 +14,17 @@
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.calls.context import CALL_ID
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+from coltsfoottrack._internal.routing.exceptions import (
+    ConnectionLostError,
+    ForeignAnswerError,
+    NotSentError,
+)
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 KEEPALIVE_SECONDS = 30.0
+MAX_ECHOING = 10_000
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -30,20 +37,18 @@
 
 
 class Transport:
-    """A pool of HTTP connections to nodes or to a backend server."""
-
-    def __init__(self, max_connections_per_address: int = 0) -> None:
-        self.session = ClientSession(
-            connector=TCPConnector(
-                limit=0,
-                limit_per_host=max_connections_per_address,
-                keepalive_timeout=KEEPALIVE_SECONDS,
-            ),
-            cookie_jar=DummyCookieJar(),
-            auto_decompress=False,
-            skip_auto_headers=AUTOMATIC_HEADERS,
-            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
-        )
+    """Pools of HTTP connections to nodes or to a backend server.
+
+    A connection is used again only for an address whose last response echoed the ``Call-Id`` of
+    its request. Elsewhere a second response that arrives late on a kept connection could not be
+    told from the response to the next request.
+    """
+
+    def __init__(self, checker: InvariantChecker | None = None) -> None:
+        self.checker = checker or InvariantChecker()
+        self.kept = _new_session(force_close=False)
+        self.single = _new_session(force_close=True)
+        self.echoing: set[str] = set()
 
     async def send(
         self,
@@ -57,21 +62,64 @@
         """Sends a request and returns the whole response.
 
         Raises NotSentError if no connection could be made, ConnectionLostError if it broke or
-        gave no whole response within the given seconds. A cancellation closes the connection,
-        which cancels the call at the other end.
+        gave no whole response within the given seconds, ForeignAnswerError if the response is
+        that of another call. A cancellation closes the connection, which cancels the call at the
+        other end.
         """
         url = URL(f"http://{address}{path}", encoded=True)
+        call_id = headers.get(CALL_ID, "")
+        echoes = address in self.echoing or not call_id
+        session = self.kept if echoes else self.single
         try:
             async with (
                 timeout(seconds),
-                self.session.request(method, url, headers=headers, data=body) as response,
+                session.request(method, url, headers=headers, data=body) as response,
             ):
-                return HttpReply(response.status, response.headers, await response.read())
+                reply = HttpReply(response.status, response.headers, await response.read())
         except ClientConnectorError as error:
             raise NotSentError(f"no connection to {address}: {error}") from error
         except (ClientError, TimeoutError, OSError) as error:
             raise ConnectionLostError(f"no answer from {address}: {error!r}") from error
+        if not _is_framed(reply):
+            # It ended with its connection, so a truncated body would look the same.
+            raise ConnectionLostError(f"answer from {address} has no length")
+        if call_id:
+            self._check_echo(reply, call_id, address, echoes)
+        return reply
+
+    def _check_echo(self, reply: HttpReply, call_id: str, address: str, kept: bool) -> None:
+        echo = reply.headers.get(CALL_ID, "")
+        if echo == call_id:
+            if len(self.echoing) >= MAX_ECHOING:
+                self.echoing.clear()
+            self.echoing.add(address)
+            return
+        self.echoing.discard(address)
+        if not echo and not kept:
+            return
+        detail = f"{address} answered {call_id} with the answer to {echo or 'an unnamed call'}"
+        # An answer that names no call may come from a new process at the address.
+        self.checker.check(not echo, Invariant.ANSWER_TO_ITS_CALLER, detail)
+        raise ForeignAnswerError(detail)
 
     async def close(self) -> None:
         """Closes all connections."""
-        await self.session.close()
+        await self.kept.close()
+        await self.single.close()
+
+
+def _new_session(force_close: bool) -> ClientSession:
+    keepalive = {} if force_close else {"keepalive_timeout": KEEPALIVE_SECONDS}
+    return ClientSession(
+        connector=TCPConnector(limit=0, force_close=force_close, **keepalive),
+        cookie_jar=DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=AUTOMATIC_HEADERS,
+        timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_SECONDS),
+    )
+
+
+def _is_framed(reply: HttpReply) -> bool:
+    if reply.status in (204, 304) or "Content-Length" in reply.headers:
+        return True
+    return reply.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -20,6 +20,7 @@
 
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    CALL_ID,
     PATH_LEVEL,
     CallContext,
     CallGrant,
@@ -85,7 +86,13 @@
         )
 
     async def serve(self, request: BaseRequest) -> Response:
-        """Answers one HTTP request."""
+        """Answers one HTTP request and echoes its call identifier."""
+        response = await self._answer(request)
+        if CALL_ID in request.headers:
+            response.headers[CALL_ID] = request.headers[CALL_ID]
+        return response
+
+    async def _answer(self, request: BaseRequest) -> Response:
         if request.path == "/load":
             return self._load()
         if request.path == "/slow":
