--- a/src/coltsfoottrack/_internal/routing/transport.py
+++ b/src/coltsfoottrack/_internal/routing/transport.py
@@ -1,6 +1,7 @@
 """Sending of one copy of a call to one address."""
 
 from asyncio import timeout
+from functools import lru_cache
 from typing import NamedTuple
 
 from aiohttp import (
@@ -66,7 +67,7 @@
         that of another call. A cancellation closes the connection, which cancels the call at the
         other end.
         """
-        url = URL(f"http://{address}{path}", encoded=True)
+        url = _url(address, path)
         call_id = headers.get(CALL_ID, "")
         echoes = address in self.echoing or not call_id
         session = self.kept if echoes else self.single
@@ -123,3 +124,8 @@
     if reply.status in (204, 304) or "Content-Length" in reply.headers:
         return True
     return reply.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
+
+
+@lru_cache(maxsize=1024)
+def _url(address: str, path: str) -> URL:
+    return URL(f"http://{address}{path}", encoded=True)
