--- a/src/coltsfoottrack/_internal/configuration/holder.py
+++ b/src/coltsfoottrack/_internal/configuration/holder.py
@@ -5,7 +5,9 @@
 
 from structlog import get_logger
 
+from coltsfoottrack._internal.configuration.exceptions import InvalidConfigurationError
 from coltsfoottrack._internal.configuration.policy import PolicyTable
+from coltsfoottrack._internal.configuration.validation import validate
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ConfigurationRecord
 
@@ -21,6 +23,8 @@
         self.policies = PolicyTable(self.record.configuration)
         self.since_ms = int(time() * 1000)
         self.problem = ""
+        self.conflicts = 0
+        self.unreadable = 0
         self.changed = Event()
 
     @property
@@ -29,17 +33,31 @@
         return self.record.generation
 
     def offer(self, record: ConfigurationRecord, source: str) -> bool:
-        """Puts a record in force if it is newer; returns whether it was."""
-        if record.generation <= self.record.generation:
+        """Puts a record in force if it is newer and valid; returns whether it was.
+
+        An equal generation with another change identifier is counted as a conflict; the one
+        that came first stays in force. An invalid record is reported and the last good one kept.
+        """
+        if record.generation < self.record.generation or not record.generation:
+            return False
+        if record.generation == self.record.generation:
+            self._compare(record.change_id, source)
+            return False
+        try:
+            validate(record.configuration)
+        except InvalidConfigurationError as error:
+            self.report_unreadable(f"generation {record.generation}: {error}", source)
             return False
         before = self.record.generation
-        self.record = record
-        self.policies = PolicyTable(record.configuration)
+        self.record = ConfigurationRecord()
+        self.record.CopyFrom(record)
+        self.policies = PolicyTable(self.record.configuration)
         self.since_ms = int(time() * 1000)
+        self.problem = ""
         self.checker.check(
-            record.generation > before,
+            self.record.generation > before,
             Invariant.CONFIGURATION_NEVER_REVERTS,
-            f"generation {record.generation} replaced {before}",
+            f"generation {self.record.generation} replaced {before}",
         )
         logger.info(
             "configuration_in_force",
@@ -50,3 +68,23 @@
         self.changed.set()
         self.changed = Event()
         return True
+
+    def report_unreadable(self, problem: str, source: str) -> None:
+        """Records that a newer configuration could not be used; the last good one stays."""
+        self.unreadable += 1
+        if problem == self.problem:
+            return
+        self.problem = problem
+        logger.error("configuration_unreadable", problem=problem, source=source)
+
+    def _compare(self, change_id: str, source: str) -> None:
+        if change_id == self.record.change_id:
+            return
+        self.conflicts += 1
+        problem = (
+            f"generation {self.record.generation} is change {self.record.change_id} here and "
+            f"{change_id} at {source}"
+        )
+        if problem != self.problem:
+            self.problem = problem
+            logger.error("configuration_conflict", problem=problem)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/configuration/store.py
@@ -0,0 +1,314 @@
+"""The configuration as operators read and change it, over the platform and the nodes.
+
+A change is *accepted* when its conditional write took effect and at least two nodes in different
+failure domains, or all that there are, hold it. The command that makes the change pushes it to
+them, so an outage of the platform right after acceptance does not lose it.
+"""
+
+from asyncio import gather, sleep, wait_for
+from collections.abc import Awaitable, Callable
+from datetime import UTC, datetime
+from random import Random
+from secrets import token_hex
+from time import time
+from typing import NamedTuple, Protocol
+
+from coltsfoottrack._internal.configuration.codec import (
+    CURRENT_PATH,
+    HISTORY_PREFIX,
+    decode_record,
+    encode_record,
+    history_path,
+)
+from coltsfoottrack._internal.configuration.exceptions import (
+    ChangeUncertainError,
+    ConfigurationConflictError,
+    ConfigurationError,
+    PeerUnavailableError,
+    StoreUnavailableError,
+    UnreadableConfigurationError,
+)
+from coltsfoottrack._internal.configuration.validation import validate
+from coltsfoottrack._internal.membership.registration import MEMBERS_PREFIX, decode_member
+from coltsfoottrack._internal.membership.table import member_id, peer_address
+from coltsfoottrack._internal.platform.client import ObjectList, StoredObject
+from coltsfoottrack._internal.platform.exceptions import (
+    ObjectNotFoundError,
+    PlatformError,
+    VersionConflictError,
+    WriteUncertainError,
+)
+from coltsfoottrack._internal.platform.threads import in_thread
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    ConfigurationRecord,
+    FleetConfiguration,
+    Member,
+)
+
+PUSHES_PER_FAILURE_DOMAIN = 2
+PUSH_TIMEOUT_SECONDS = 1.0
+PUSH_ROUNDS = 3
+WRITE_ATTEMPTS = 4
+RETRY_SECONDS = 0.5
+
+
+class ObjectStore(Protocol):
+    """The part of the platform client that the store uses; its calls block."""
+
+    def get(self, path: str) -> StoredObject:
+        """Reads an object."""
+
+    def list(self, prefix: str) -> ObjectList:
+        """Lists the objects under a prefix."""
+
+    def put(self, path: str, content: bytes, version: int | None = None) -> int:
+        """Writes an object, conditionally if a version is given."""
+
+
+class ConfigurationPeers(Protocol):
+    """Access to the configuration that single nodes hold."""
+
+    async def fetch(self, address: str) -> ConfigurationRecord:
+        """Returns the record in force at a node. Raises PeerUnavailableError."""
+
+    async def push(self, address: str, record: ConfigurationRecord) -> ConfigurationRecord:
+        """Offers a record to a node and returns the one in force there afterwards."""
+
+
+class StoredConfiguration(NamedTuple):
+    """The record in the platform and the object's version, 0 if there is none yet."""
+
+    record: ConfigurationRecord
+    version: int
+
+
+class Holder(NamedTuple):
+    """A node that confirmed that it holds a change."""
+
+    node: str
+    failure_domain: str
+
+
+class ChangeResult(NamedTuple):
+    """What became of a change that the platform stored.
+
+    ``accepted`` is False when too few nodes confirmed it in time; it is stored all the same, and
+    nodes take it from the platform as long as that is up.
+    """
+
+    record: ConfigurationRecord
+    accepted: bool
+    holders: list[Holder]
+    unconfirmed: list[str]
+
+
+class ConfigurationStore:
+    """Reads and changes the configuration of one cluster."""
+
+    def __init__(
+        self,
+        objects: ObjectStore,
+        peers: ConfigurationPeers,
+        random: Random | None = None,
+        pause: Callable[[float], Awaitable[None]] = sleep,
+    ) -> None:
+        self.objects = objects
+        self.peers = peers
+        self.random = random or Random()
+        self.pause = pause
+
+    async def read(self) -> StoredConfiguration:
+        """Returns the stored configuration.
+
+        Raises StoreUnavailableError or UnreadableConfigurationError.
+        """
+        try:
+            stored = await in_thread(self.objects.get, CURRENT_PATH)
+        except ObjectNotFoundError:
+            return StoredConfiguration(ConfigurationRecord(), 0)
+        except PlatformError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if stored.content is None:
+            return StoredConfiguration(ConfigurationRecord(), 0)
+        return StoredConfiguration(decode_record(stored.content), stored.version)
+
+    def validate(self, configuration: FleetConfiguration) -> None:
+        """Raises InvalidConfigurationError, with all problems, for one that breaks a rule."""
+        validate(configuration, datetime.now(UTC))
+
+    async def history(self, limit: int = 50) -> list[ConfigurationRecord]:
+        """Returns the stored records, newest first, at most ``limit``; unreadable ones left out.
+
+        Raises StoreUnavailableError.
+        """
+        try:
+            listed = await in_thread(self.objects.list, HISTORY_PREFIX)
+        except PlatformError as error:
+            raise StoreUnavailableError(str(error)) from error
+        records = []
+        for stored in sorted(listed.objects, key=lambda item: item.path, reverse=True):
+            if stored.content is None or len(records) >= limit:
+                continue
+            try:
+                records.append(decode_record(stored.content))
+            except UnreadableConfigurationError:
+                continue
+        return records
+
+    async def members(self) -> list[Member]:
+        """Returns the registered nodes. Raises StoreUnavailableError."""
+        try:
+            listed = await in_thread(self.objects.list, MEMBERS_PREFIX)
+        except PlatformError as error:
+            raise StoreUnavailableError(str(error)) from error
+        found = [decode_member(stored) for stored in listed.objects]
+        return [member for member in found if member is not None]
+
+    async def set(
+        self,
+        configuration: FleetConfiguration,
+        author: str,
+        base: StoredConfiguration | None = None,
+    ) -> ChangeResult:
+        """Validates and stores a configuration, and pushes it to nodes.
+
+        ``base`` is what the operator saw; the change takes effect only if that is still stored.
+        Without it the configuration is read right before the write. Raises
+        InvalidConfigurationError, ConfigurationConflictError with the other change,
+        ChangeUncertainError if the write's effect could not be found out, StoreUnavailableError
+        if nothing was changed.
+        """
+        self.validate(configuration)
+        if base is None:
+            base = await self.read()
+        members = await self.members()
+        await self._check_nodes(base, members)
+        record = ConfigurationRecord(
+            generation=base.record.generation + 1,
+            change_id=token_hex(8),
+            author=author,
+            written_at_ms=int(time() * 1000),
+            configuration=configuration,
+        )
+        if base.record.generation:
+            await self._keep_in_history(base.record)
+        await self._write(record, base.version)
+        try:
+            await self._keep_in_history(record)
+        except ConfigurationError:
+            # The next change writes it before it replaces the current object.
+            pass
+        return await self._push(record, members)
+
+    async def confirm(self, record: ConfigurationRecord) -> ChangeResult:
+        """Pushes a stored record again and tells whether it is accepted now."""
+        return await self._push(record, await self.members())
+
+    async def _check_nodes(self, base: StoredConfiguration, members: list[Member]) -> None:
+        """Refuses a change while nodes hold a newer generation than the platform.
+
+        This happens after the platform was restored to an older state and before a node has
+        written the newer one back; a change on top of the old state would revert it.
+        """
+        asked = self._sample(members)
+        answers = await gather(*(self._fetch(member) for member in asked))
+        for held in answers:
+            if held is not None and held.generation > base.record.generation:
+                raise ConfigurationConflictError(held)
+
+    async def _fetch(self, member: Member) -> ConfigurationRecord | None:
+        try:
+            return await wait_for(self.peers.fetch(peer_address(member)), PUSH_TIMEOUT_SECONDS)
+        except (PeerUnavailableError, TimeoutError):
+            return None
+
+    async def _write(self, record: ConfigurationRecord, version: int) -> None:
+        """Writes the current object; repeats the same conditional write when its answer is lost.
+
+        The repetition is safe: whichever copy comes second finds another version.
+        """
+        sent = False
+        for attempt in range(WRITE_ATTEMPTS):
+            if attempt:
+                await self.pause(RETRY_SECONDS)
+            try:
+                await in_thread(self.objects.put, CURRENT_PATH, encode_record(record), version)
+                return
+            except WriteUncertainError:
+                sent = True
+            except VersionConflictError:
+                if await self._took_effect(record):
+                    return
+            except PlatformError as error:
+                if not sent:
+                    raise StoreUnavailableError(str(error)) from error
+        raise ChangeUncertainError(record.change_id)
+
+    async def _took_effect(self, record: ConfigurationRecord) -> bool:
+        """Tells whether a change is the current one, or was before another replaced it.
+
+        Raises ConfigurationConflictError if it certainly had no effect.
+        """
+        try:
+            current = (await self.read()).record
+            if current.change_id == record.change_id:
+                return True
+            if current.generation > record.generation:
+                # The change that replaced it has kept it in the history first.
+                kept = await in_thread(self.objects.get, history_path(record.generation))
+                if kept.content and decode_record(kept.content).change_id == record.change_id:
+                    return True
+        except (StoreUnavailableError, PlatformError):
+            return False
+        raise ConfigurationConflictError(current)
+
+    async def _keep_in_history(self, record: ConfigurationRecord) -> None:
+        path = history_path(record.generation)
+        try:
+            await in_thread(self.objects.put, path, encode_record(record), 0)
+        except VersionConflictError:
+            return
+        except PlatformError as error:
+            raise StoreUnavailableError(str(error)) from error
+
+    async def _push(self, record: ConfigurationRecord, members: list[Member]) -> ChangeResult:
+        """Pushes a record to some nodes of every failure domain until it is accepted."""
+        holders: dict[str, Holder] = {}
+        failed: set[str] = set()
+        domains = {member.failure_domain for member in members}
+        needed_domains = min(2, len(domains))
+        needed = min(2, len(members))
+        for _ in range(PUSH_ROUNDS):
+            fresh = [member for member in members if member_id(member) not in holders]
+            asked = self._sample(fresh)
+            results = await gather(*(self._push_one(member, record) for member in asked))
+            for member, held in zip(asked, results, strict=True):
+                name = member_id(member)
+                if held:
+                    holders[name] = Holder(name, member.failure_domain)
+                    failed.discard(name)
+                else:
+                    failed.add(name)
+            reached = {holder.failure_domain for holder in holders.values()}
+            if len(holders) >= needed and len(reached) >= needed_domains:
+                return ChangeResult(record, True, list(holders.values()), sorted(failed))
+        return ChangeResult(record, False, list(holders.values()), sorted(failed))
+
+    async def _push_one(self, member: Member, record: ConfigurationRecord) -> bool:
+        address = peer_address(member)
+        try:
+            held = await wait_for(self.peers.push(address, record), PUSH_TIMEOUT_SECONDS)
+        except (PeerUnavailableError, TimeoutError):
+            return False
+        return held.generation == record.generation and held.change_id == record.change_id
+
+    def _sample(self, members: list[Member]) -> list[Member]:
+        """Picks a few random nodes of every failure domain."""
+        by_domain: dict[str, list[Member]] = {}
+        for member in members:
+            by_domain.setdefault(member.failure_domain, []).append(member)
+        picked = []
+        for group in by_domain.values():
+            count = min(PUSHES_PER_FAILURE_DOMAIN, len(group))
+            picked.extend(self.random.sample(group, count))
+        return picked
