--- /dev/null
+++ b/src/coltsfoottrack/_internal/configuration/distribution.py
@@ -0,0 +1,214 @@
+"""How a new configuration reaches this node, and how this node passes it on."""
+
+from asyncio import Event, sleep, wait_for
+from collections.abc import Callable
+from hashlib import blake2b
+from random import Random
+from typing import Protocol
+
+from structlog import get_logger
+
+from coltsfoottrack._internal.configuration.codec import (
+    CURRENT_PATH,
+    decode_record,
+    encode_record,
+)
+from coltsfoottrack._internal.configuration.exceptions import (
+    PeerUnavailableError,
+    UnreadableConfigurationError,
+)
+from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.configuration.store import ConfigurationPeers, ObjectStore
+from coltsfoottrack._internal.membership.table import MembershipTable, member_id, peer_address
+from coltsfoottrack._internal.platform.client import ObjectList
+from coltsfoottrack._internal.platform.exceptions import ObjectNotFoundError, PlatformError
+from coltsfoottrack._internal.platform.threads import in_thread
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MEMBER_STATUS_ALIVE, Member
+
+WATCHERS_PER_FAILURE_DOMAIN = 4
+# A restored platform may show no change to a watch, so the object is also read after each wait.
+WATCH_SECONDS = 10.0
+RETRY_SECONDS = 1.0
+FETCH_TIMEOUT_SECONDS = 1.0
+PEERS_ASKED_AT_START = 3
+
+logger = get_logger(__name__)
+
+
+class WatchedStore(ObjectStore, Protocol):
+    """An object store that can be watched."""
+
+    def watch(self, prefix: str, after: int, seconds: float) -> ObjectList:
+        """Waits for changes under a prefix."""
+
+
+class ConfigurationDistribution:
+    """Keeps one node's configuration the newest that it can hear of."""
+
+    def __init__(
+        self,
+        holder: ConfigurationHolder,
+        objects: WatchedStore,
+        peers: ConfigurationPeers,
+        table: MembershipTable,
+        own: Member,
+        random: Random,
+        notify: Callable[[], None],
+    ) -> None:
+        self.holder = holder
+        self.objects = objects
+        self.peers = peers
+        self.table = table
+        self.own = own
+        self.random = random
+        self.notify = notify
+        self.platform_reachable = False
+        self.written_back = 0
+        self.fetches = 0
+        self.announced: dict[str, int] = {}
+        self.heard = Event()
+
+    # ------------------------------------------------------------ start
+
+    async def load(self) -> bool:
+        """Takes the newest configuration of platform and peers.
+
+        Returns True if the node may serve: the platform answered, or a peer with a configuration
+        did.
+        """
+        from_peers = False
+        for member in self._some_peers(PEERS_ASKED_AT_START):
+            from_peers |= await self._fetch(peer_address(member))
+        await self.read_platform()
+        return self.platform_reachable or (from_peers and self.holder.generation > 0)
+
+    async def load_until_ready(self) -> None:
+        """Loads again and again until the node may serve."""
+        while True:
+            if await self.load():
+                return
+            await sleep(RETRY_SECONDS * self.random.uniform(0.5, 1.5))
+
+    # --------------------------------------------------------- platform
+
+    async def read_platform(self) -> None:
+        """Reads the stored record, and writes the one in force back if that is newer."""
+        version = 0
+        generation = 0
+        try:
+            stored = await in_thread(self.objects.get, CURRENT_PATH)
+            version = stored.version
+            if stored.content is not None:
+                record = decode_record(stored.content)
+                generation = record.generation
+                self.holder.offer(record, "platform")
+        except ObjectNotFoundError:
+            pass
+        except UnreadableConfigurationError as error:
+            self.platform_reachable = True
+            self.holder.report_unreadable(str(error), "platform")
+            return
+        except PlatformError:
+            self.platform_reachable = False
+            return
+        self.platform_reachable = True
+        if generation < self.holder.generation:
+            await self._write_back(version)
+
+    async def _write_back(self, version: int) -> None:
+        """Writes the record in force; the version makes it fail if anything was stored since."""
+        content = encode_record(self.holder.record)
+        try:
+            await in_thread(self.objects.put, CURRENT_PATH, content, version)
+        except PlatformError:
+            return
+        self.written_back += 1
+        logger.warning("configuration_written_back", generation=self.holder.generation)
+
+    def is_watcher(self) -> bool:
+        """Tells whether this node is one of the few of its failure domain that watch."""
+        own_rank = _rank(member_id(self.own))
+        lower = 0
+        for key, member in self.table.members.items():
+            if member.failure_domain != self.own.failure_domain:
+                continue
+            if member.status == MEMBER_STATUS_ALIVE and _rank(key) < own_rank:
+                lower += 1
+        return lower < WATCHERS_PER_FAILURE_DOMAIN
+
+    async def watch(self) -> None:
+        """Watches the platform while this node is a watcher, for ever."""
+        revision = 0
+        while True:
+            if not self.is_watcher():
+                revision = 0
+                await sleep(WATCH_SECONDS * self.random.uniform(0.5, 1.0))
+                continue
+            try:
+                if revision:
+                    listed = await in_thread(
+                        self.objects.watch, CURRENT_PATH, revision, WATCH_SECONDS
+                    )
+                else:
+                    listed = await in_thread(self.objects.list, CURRENT_PATH)
+                revision = listed.revision
+            except PlatformError:
+                self.platform_reachable = False
+                await sleep(RETRY_SECONDS * self.random.uniform(0.5, 1.5))
+                continue
+            await self.read_platform()
+
+    # ------------------------------------------------------------ peers
+
+    def hear(self, sender: str, generation: int, change_id: str) -> None:
+        """Takes note of the generation that a datagram carried."""
+        if generation > self.holder.generation:
+            if len(self.announced) < 64:
+                self.announced[sender] = generation
+            self.heard.set()
+        elif generation == self.holder.generation and generation:
+            self.holder.compare(change_id, sender)
+
+    async def fetch_announced(self) -> None:
+        """Fetches newer generations from the peers that announced them, for ever."""
+        while True:
+            await self.heard.wait()
+            self.heard.clear()
+            await self.fetch_newest()
+
+    async def fetch_newest(self) -> None:
+        """Fetches from one peer after the other until the newest announced one is in force."""
+        while self.announced:
+            sender = max(self.announced, key=lambda name: self.announced[name])
+            generation = self.announced.pop(sender)
+            member = self.table.members.get(sender)
+            if generation <= self.holder.generation or member is None:
+                continue
+            await self._fetch(peer_address(member))
+
+    async def _fetch(self, address: str) -> bool:
+        self.fetches += 1
+        try:
+            record = await wait_for(self.peers.fetch(address), FETCH_TIMEOUT_SECONDS)
+        except (PeerUnavailableError, TimeoutError):
+            return False
+        self.holder.offer(record, address)
+        return True
+
+    async def pass_on(self) -> None:
+        """Tells some random peers of each new generation, for ever; they fetch it."""
+        while True:
+            changed = self.holder.changed
+            await changed.wait()
+            self.notify()
+
+    def _some_peers(self, number: int) -> list[Member]:
+        found = []
+        for key, member in self.table.members.items():
+            if key != member_id(self.own) and member.status == MEMBER_STATUS_ALIVE:
+                found.append(member)
+        return self.random.sample(found, min(number, len(found)))
+
+
+def _rank(key: str) -> bytes:
+    return blake2b(key.encode(), digest_size=8).digest()
--- a/src/coltsfoottrack/_internal/configuration/holder.py
+++ b/src/coltsfoottrack/_internal/configuration/holder.py
@@ -41,7 +41,7 @@
         if record.generation < self.record.generation or not record.generation:
             return False
         if record.generation == self.record.generation:
-            self._compare(record.change_id, source)
+            self.compare(record.change_id, source)
             return False
         try:
             validate(record.configuration)
@@ -77,7 +77,8 @@
         self.problem = problem
         logger.error("configuration_unreadable", problem=problem, source=source)
 
-    def _compare(self, change_id: str, source: str) -> None:
+    def compare(self, change_id: str, source: str) -> None:
+        """Counts a conflict if another change is in force elsewhere under the same generation."""
         if change_id == self.record.change_id:
             return
         self.conflicts += 1
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/cluster.py
@@ -0,0 +1,233 @@
+"""This node's part in the membership: joining, keeping up, leaving."""
+
+from asyncio import Event, sleep
+from collections.abc import Callable
+from random import Random
+from time import monotonic
+
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from structlog import get_logger
+
+from coltsfoottrack._internal.membership.detector import FailureDetector
+from coltsfoottrack._internal.membership.local import LocalMember
+from coltsfoottrack._internal.membership.messages import DatagramCodec
+from coltsfoottrack._internal.membership.registration import Registration
+from coltsfoottrack._internal.membership.sync import bucket_digests, members_of
+from coltsfoottrack._internal.membership.table import MembershipTable, member_id, peer_address
+from coltsfoottrack._internal.membership.transport import MembershipSocket
+from coltsfoottrack._internal.platform.exceptions import PlatformError
+from coltsfoottrack._internal.routing.peer_channels import PeerChannels
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import MembershipPeerStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_LEAVING,
+    Envelope,
+    Member,
+    SyncRequest,
+)
+
+SYNC_INTERVAL_SECONDS = 60.0
+SYNC_TIMEOUT_SECONDS = 2.0
+JOIN_PEERS = 5
+JOIN_RETRY_SECONDS = 1.0
+REUNION_INTERVAL_SECONDS = 5.0
+# Own object checked, dead nodes' objects deleted.
+OBJECT_CHECK_SECONDS = 600.0
+CLEAN_INTERVAL_SECONDS = 60.0
+CLEAN_AFTER_SECONDS = 300.0
+RPC_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
+
+logger = get_logger(__name__)
+
+
+class ClusterMembership:
+    """Joins the cluster, keeps the table up to date and leaves."""
+
+    def __init__(
+        self,
+        local: LocalMember,
+        table: MembershipTable,
+        codec: DatagramCodec,
+        registration: Registration,
+        channels: PeerChannels,
+        envelope: Callable[[], Envelope],
+        seed_nodes: list[str],
+        random: Random,
+    ) -> None:
+        self.local = local
+        self.table = table
+        self.registration = registration
+        self.channels = channels
+        self.envelope = envelope
+        self.seed_nodes = seed_nodes
+        self.random = random
+        self.socket = MembershipSocket()
+        self.detector = FailureDetector(local, table, codec, random, self.socket.send, monotonic())
+        self.socket.detector = self.detector
+        self.detector.on_reunion = self._note_reunion
+        self.reunion = Event()
+        self.reunited = ""
+
+    async def open(self) -> None:
+        """Binds the UDP socket. Raises OSError if the port is taken."""
+        await self.socket.open(self.local.member.address, self.local.member.peer_port)
+
+    def publish(self) -> None:
+        """Spreads the own entry after a change, at once."""
+        self.detector.spread(self.local.member)
+        self.detector.spread_now()
+
+    async def join(self) -> None:
+        """Finds peers through the platform or the seed nodes, and registers.
+
+        Tries until one of them answers. The node is not alone if others are registered.
+        """
+        while True:
+            if await self._meet():
+                break
+            await sleep(JOIN_RETRY_SECONDS * self.random.uniform(0.5, 1.5))
+        await self._register()
+
+    async def _register(self) -> None:
+        if not await self.registration.register(len(self.table.members)):
+            self.detector.on_replaced()
+            return
+        # Of two nodes that start together, the one that lists later sees the other.
+        if len(self.others()) < JOIN_PEERS:
+            await self._meet()
+        self.local.joined = True
+        logger.info("member_registered", member=member_id(self.local.member))
+
+    async def _meet(self) -> bool:
+        """Synchronises with some known nodes; returns whether this node is now in the cluster."""
+        addresses = list(self.seed_nodes)
+        own = peer_address(self.local.member)
+        listed: list[Member] | None = None
+        try:
+            listed = await self.registration.registered()
+        except PlatformError:
+            pass
+        candidates = [peer_address(member) for member in listed or []]
+        candidates = [address for address in candidates if address != own]
+        for member in listed or []:
+            if member_id(member) == self.detector.name:
+                self.local.answer_to(member)
+        self.random.shuffle(candidates)
+        addresses.extend(candidates[:JOIN_PEERS])
+        reached = 0
+        for address in addresses:
+            if address != own and await self.sync_with(address):
+                reached += 1
+            if reached >= 2:
+                return True
+        if not reached and listed:
+            # Their nodes may be starting too; the probes will tell.
+            self.detector.apply_all(listed)
+        return bool(reached) or listed is not None
+
+    def others(self) -> list[Member]:
+        """Returns the other members that are not dead."""
+        found = []
+        for key, member in self.table.members.items():
+            if key != self.detector.name and member.status != MEMBER_STATUS_DEAD:
+                found.append(member)
+        return found
+
+    async def sync_with(self, address: str) -> bool:
+        """Exchanges the whole membership with a node; returns whether it answered."""
+        stub = MembershipPeerStub(self.channels.channel(address))
+        request = SyncRequest(
+            envelope=self.envelope(),
+            members=[self.local.member],
+            digests=bucket_digests(self.table),
+        )
+        try:
+            reply = await stub.Sync(request, timeout=SYNC_TIMEOUT_SECONDS)
+            own = members_of(self.table, list(reply.differing_buckets))
+            self.detector.apply_all(list(reply.members))
+            if own:
+                request = SyncRequest(envelope=self.envelope(), members=own)
+                await stub.Sync(request, timeout=SYNC_TIMEOUT_SECONDS)
+        except RPC_ERRORS:
+            return False
+        return True
+
+    async def run_socket(self) -> None:
+        """Runs the failure detector, for ever."""
+        await self.socket.run()
+
+    async def keep_synchronised(self) -> None:
+        """Synchronises with a random node every minute, for ever, and when alone at once."""
+        while True:
+            others = self.others()
+            if not others:
+                await sleep(REUNION_INTERVAL_SECONDS * self.random.uniform(0.5, 1.5))
+                await self._meet()
+                continue
+            await sleep(SYNC_INTERVAL_SECONDS * self.random.uniform(0.8, 1.2))
+            others = self.others()
+            if others:
+                await self.sync_with(peer_address(self.random.choice(others)))
+
+    def _note_reunion(self, member: Member) -> None:
+        self.reunited = peer_address(member)
+        self.reunion.set()
+
+    async def follow_reunions(self) -> None:
+        """Synchronises with a node that was held for dead and answered, for ever.
+
+        After a partition this brings both sides together without waiting for the next minute.
+        """
+        while True:
+            await self.reunion.wait()
+            self.reunion.clear()
+            await self.sync_with(self.reunited)
+            await sleep(REUNION_INTERVAL_SECONDS * self.random.uniform(0.5, 1.5))
+
+    async def check_objects(self) -> None:
+        """Rewrites the own object when it is missing and cleans up those of dead nodes."""
+        checked = monotonic()
+        while True:
+            await sleep(CLEAN_INTERVAL_SECONDS * self.random.uniform(0.8, 1.2))
+            try:
+                if self.is_cleaner():
+                    await self.registration.clean(self.long_dead())
+            except PlatformError:
+                pass
+            if monotonic() - checked >= OBJECT_CHECK_SECONDS:
+                checked = monotonic()
+                await self.registration.register(len(self.table.members))
+
+    def is_cleaner(self) -> bool:
+        """Tells whether this node is the one that cleans up: the first alive one by name."""
+        alive = []
+        for key, member in self.table.members.items():
+            if member.status == MEMBER_STATUS_ALIVE:
+                alive.append(key)
+        return bool(alive) and min(alive) == self.detector.name
+
+    def long_dead(self) -> list[Member]:
+        """Returns the members that have been dead for CLEAN_AFTER_SECONDS."""
+        found = []
+        for key, since in self.detector.dead_since.items():
+            member = self.table.members.get(key)
+            if member is not None and self.detector.time - since >= CLEAN_AFTER_SECONDS:
+                found.append(member)
+        return found
+
+    def leave(self) -> None:
+        """Spreads at once that this node leaves."""
+        self.local.leave()
+        self.publish()
+
+    async def end(self) -> None:
+        """Spreads that this node is gone, and deletes its object if the platform answers."""
+        leaving = 1
+        for member in self.table.members.values():
+            if member.status == MEMBER_STATUS_LEAVING:
+                leaving += 1
+        await self.registration.deregister(leaving)
+        self.local.end()
+        self.publish()
+        self.socket.close()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/detector.py
@@ -0,0 +1,412 @@
+"""Failure detection and spreading of member changes.
+
+SWIM (Das, Gupta and Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group
+Membership Protocol", DSN 2002) with the local health multiplier of Lifeguard (Dadgar, Phillips and
+Currey, DSN-W 2018). This module has no sockets and no clock of its own: it is given datagrams and
+the time, and hands datagrams to a function, so that tests run it with simulated ones.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from math import log10
+from random import Random
+
+from structlog import get_logger
+
+from coltsfoottrack._internal.membership.exceptions import (
+    ForeignMessageError,
+    MalformedMessageError,
+)
+from coltsfoottrack._internal.membership.local import LocalMember
+from coltsfoottrack._internal.membership.messages import (
+    Address,
+    DatagramCodec,
+    is_plausible,
+    udp_address,
+)
+from coltsfoottrack._internal.membership.table import (
+    MembershipTable,
+    member_id,
+    process_order,
+)
+from coltsfoottrack._internal.membership.updates import MAX_UPDATE_BYTES, UpdateQueue
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_SUSPECT,
+    Datagram,
+    Member,
+    ProbeAck,
+    ProbeNack,
+    ProbePing,
+    ProbeRequest,
+)
+
+PROBE_INTERVAL_SECONDS = 1.0
+DIRECT_TIMEOUT_SECONDS = 0.5
+# A helper says that it got no ack before the requester's round ends.
+NACK_SECONDS = 0.4
+INDIRECT_PROBES = 3
+SUSPICION_SECONDS = 3.0
+MAX_HEALTH = 8
+GOSSIP_INTERVAL_SECONDS = 0.2
+GOSSIP_FANOUT = 3
+URGENT_FANOUT = 8
+DEAD_KEPT_SECONDS = 3600.0
+DEAD_PROBE_SECONDS = 10.0
+# A longer gap between two calls of advance means that this process did not run.
+STALL_SECONDS = 1.0
+
+logger = get_logger(__name__)
+
+
+class Probe:
+    """A probe of this node that waits for its ack."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.acked = False
+        self.helpers = 0
+        self.nacks = 0
+
+
+class FailureDetector:
+    """Probes members, suspects and buries silent ones, and spreads changes."""
+
+    def __init__(
+        self,
+        local: LocalMember,
+        table: MembershipTable,
+        codec: DatagramCodec,
+        random: Random,
+        send: Callable[[Address, bytes], None],
+        now: float,
+    ) -> None:
+        self.local = local
+        self.name = member_id(local.member)
+        self.table = table
+        self.codec = codec
+        self.random = random
+        self.send = send
+        self.updates = UpdateQueue()
+        self.counts: Counter[str] = Counter()
+        self.health = 0
+        self.on_generation: Callable[[str, int, str], None] = lambda name, number, change: None
+        self.on_reunion: Callable[[Member], None] = lambda member: None
+        self.on_replaced: Callable[[], None] = lambda: None
+        self.timers: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self.numbers = count(1)
+        self.sequences = count(random.getrandbits(32))
+        self.probes: dict[int, Probe] = {}
+        self.relays: dict[int, tuple[Address, int]] = {}
+        self.suspicions: dict[str, tuple[int, int, int]] = {}
+        self.dead_since: dict[str, float] = {}
+        self.round: list[str] = []
+        self.last_advance = now
+        self.stalled_seconds = 0.0
+        self.time = now
+        self._after(random.uniform(0.0, PROBE_INTERVAL_SECONDS), self._probe_round)
+        self._after(random.uniform(0.0, GOSSIP_INTERVAL_SECONDS), self._gossip)
+        self._after(random.uniform(0.0, DEAD_PROBE_SECONDS), self._probe_dead)
+        self.spread(local.member)
+
+    # ------------------------------------------------------------ time
+
+    def advance(self, now: float) -> float:
+        """Runs what is due; returns the time in seconds until something is due again.
+
+        Time in which this process did not run is left out: it must not end the suspicions of
+        others, whose acks may wait in the socket's buffer.
+        """
+        gap = now - self.last_advance
+        self.last_advance = now
+        if gap > STALL_SECONDS + PROBE_INTERVAL_SECONDS:
+            self.stalled_seconds += gap
+            self.counts["stalls"] += 1
+            self._change_health(1)
+        self.time = now - self.stalled_seconds
+        while self.timers and self.timers[0][0] <= self.time:
+            _, _, action, arguments = heappop(self.timers)
+            action(*arguments)
+        return max(0.0, self.timers[0][0] - self.time)
+
+    def _after(self, seconds: float, action: Callable[..., None], *arguments: object) -> None:
+        heappush(self.timers, (self.time + seconds, next(self.numbers), action, arguments))
+
+    def _change_health(self, step: int) -> None:
+        self.health = min(MAX_HEALTH, max(0, self.health + step))
+
+    # ----------------------------------------------------------- probes
+
+    def _probe_round(self) -> None:
+        scale = 1 + self.health
+        interval = PROBE_INTERVAL_SECONDS * scale
+        target = self._next_target()
+        if target is None:
+            self._after(interval, self._probe_round)
+            return
+        sequence = next(self.sequences)
+        self.probes[sequence] = Probe(member_id(target))
+        self._send(target, ping=ProbePing(sequence=sequence, target=member_id(target)))
+        self._after(DIRECT_TIMEOUT_SECONDS * scale, self._probe_indirectly, sequence)
+        self._after(interval, self._end_probe, sequence)
+
+    def _next_target(self) -> Member | None:
+        for _ in range(2):
+            while self.round:
+                member = self.table.members.get(self.round.pop())
+                if member is not None and member.status != MEMBER_STATUS_DEAD:
+                    return member
+            self.round = [member_id(member) for member in self._others()]
+            self.random.shuffle(self.round)
+        return None
+
+    def _probe_indirectly(self, sequence: int) -> None:
+        probe = self.probes[sequence]
+        if probe.acked:
+            return
+        helpers = self._pick(INDIRECT_PROBES, leave_out=probe.target)
+        probe.helpers = len(helpers)
+        for helper in helpers:
+            request = ProbeRequest(sequence=sequence, target=probe.target)
+            self._send(helper, probe_request=request)
+
+    def _end_probe(self, sequence: int) -> None:
+        probe = self.probes.pop(sequence)
+        if probe.acked:
+            self._change_health(-1)
+        else:
+            # Without nacks from its helpers this node itself may be cut off or slow.
+            self._change_health(1 if probe.nacks < probe.helpers or not probe.helpers else 0)
+            self._suspect(probe.target)
+        self._probe_round()
+
+    def _suspect(self, key: str) -> None:
+        member = self.table.members.get(key)
+        if member is None or member.status == MEMBER_STATUS_DEAD:
+            return
+        if member.status == MEMBER_STATUS_ALIVE:
+            claim = Member()
+            claim.CopyFrom(member)
+            claim.status = MEMBER_STATUS_SUSPECT
+            self.counts["suspected"] += 1
+            self.apply(claim)
+            return
+        self._start_suspicion(member)
+
+    def _start_suspicion(self, member: Member) -> None:
+        key = member_id(member)
+        version = (*process_order(member), member.revision)
+        if self.suspicions.get(key) == version:
+            return
+        self.suspicions[key] = version
+        self._after(self.suspicion_seconds(), self._end_suspicion, key, version)
+
+    def suspicion_seconds(self) -> float:
+        """Returns how long a suspected member has to refute, in seconds."""
+        return SUSPICION_SECONDS * max(1.0, log10(max(1, len(self.table.members))))
+
+    def _end_suspicion(self, key: str, version: tuple[int, int, int]) -> None:
+        if self.suspicions.get(key) == version:
+            del self.suspicions[key]
+        member = self.table.members.get(key)
+        if member is None or (*process_order(member), member.revision) != version:
+            return
+        if member.status in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_DEAD):
+            return
+        claim = Member()
+        claim.CopyFrom(member)
+        claim.status = MEMBER_STATUS_DEAD
+        self.counts["declared_dead"] += 1
+        self.apply(claim)
+
+    def _probe_dead(self) -> None:
+        self._after(DEAD_PROBE_SECONDS, self._probe_dead)
+        for key, since in list(self.dead_since.items()):
+            if self.time - since >= DEAD_KEPT_SECONDS:
+                del self.dead_since[key]
+                self.table.remove(key)
+        if not self.dead_since:
+            return
+        member = self.table.members.get(self.random.choice(list(self.dead_since)))
+        if member is not None:
+            target = member_id(member)
+            self._send(member, ping=ProbePing(sequence=next(self.sequences), target=target))
+
+    # ---------------------------------------------------------- spreading
+
+    def apply(self, update: Member, spread_unknown: bool = True) -> bool:
+        """Takes over a change and spreads it if it is new; returns whether it was."""
+        key = member_id(update)
+        if key == self.name:
+            self._answer_claim(update)
+            return False
+        known = self.table.members.get(key)
+        if known is None and update.status == MEMBER_STATUS_DEAD:
+            return False
+        was_dead = known is not None and known.status == MEMBER_STATUS_DEAD
+        if not self.table.merge(update):
+            return False
+        if update.status == MEMBER_STATUS_DEAD:
+            self.dead_since[key] = self.time
+        else:
+            self.dead_since.pop(key, None)
+        if update.status == MEMBER_STATUS_SUSPECT:
+            self._start_suspicion(update)
+        if known is not None or spread_unknown:
+            self.updates.add(update)
+        if was_dead and update.status != MEMBER_STATUS_DEAD:
+            self.on_reunion(update)
+        return True
+
+    def apply_all(self, members: list[Member]) -> None:
+        """Takes over a full list of members from a peer or from the platform.
+
+        That another node holds a member for dead only makes it suspect here, so that after a
+        partition the members of the other side can refute before they get no more work. Members
+        unknown so far are not spread: a node that joins would send the whole table around.
+        """
+        for member in members:
+            if not is_plausible(member):
+                self.counts["malformed"] += 1
+                continue
+            known = self.table.members.get(member_id(member))
+            claim = member
+            if (
+                member.status == MEMBER_STATUS_DEAD
+                and known is not None
+                and known.status in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT)
+            ):
+                claim = Member()
+                claim.CopyFrom(member)
+                claim.status = MEMBER_STATUS_SUSPECT
+            self.apply(claim, spread_unknown=False)
+
+    def _answer_claim(self, claim: Member) -> None:
+        if self.local.answer_to(claim):
+            if claim.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
+                self.counts["refuted"] += 1
+                self._change_health(1)
+            self.spread(self.local.member)
+        if self.local.replaced:
+            self.on_replaced()
+
+    def spread(self, member: Member) -> None:
+        """Takes over a change of the own entry and queues it for the others."""
+        self.table.merge(member)
+        self.updates.add(member)
+
+    def spread_now(self) -> None:
+        """Sends the waiting changes to some peers at once."""
+        for member in self._pick(URGENT_FANOUT):
+            self._send(member)
+
+    def _gossip(self) -> None:
+        self._after(GOSSIP_INTERVAL_SECONDS, self._gossip)
+        if not self.updates.pending:
+            return
+        for member in self._pick(GOSSIP_FANOUT):
+            self._send(member)
+
+    # ---------------------------------------------------------- datagrams
+
+    def receive(self, content: bytes, source: Address) -> None:
+        """Takes a datagram; foreign and malformed ones are counted and dropped."""
+        self.counts["received"] += 1
+        self.counts["received_bytes"] += len(content)
+        try:
+            datagram = self.codec.decode(content)
+        except ForeignMessageError:
+            self.counts["foreign"] += 1
+            return
+        except MalformedMessageError:
+            self.counts["malformed"] += 1
+            return
+        for update in datagram.updates:
+            self.apply(update)
+        self.on_generation(
+            datagram.sender, datagram.configuration_generation, datagram.configuration_change_id
+        )
+        self._handle(datagram, source)
+
+    def _handle(self, datagram: Datagram, source: Address) -> None:
+        kind = datagram.WhichOneof("body")
+        if kind == "ping" and datagram.ping.target == self.name:
+            ack = ProbeAck(sequence=datagram.ping.sequence)
+            self._send_to(source, datagram.sender, ack=ack)
+        elif kind == "ack":
+            self._handle_ack(datagram.ack.sequence, datagram.sender)
+        elif kind == "nack":
+            probe = self.probes.get(datagram.nack.sequence)
+            if probe is not None:
+                probe.nacks += 1
+        elif kind == "probe_request":
+            self._relay(datagram.probe_request, source)
+
+    def _handle_ack(self, sequence: int, sender: str) -> None:
+        probe = self.probes.get(sequence)
+        if probe is not None and (sender == probe.target or probe.helpers):
+            probe.acked = True
+        relay = self.relays.pop(sequence, None)
+        if relay is not None:
+            self._send_to(relay[0], "", ack=ProbeAck(sequence=relay[1]))
+
+    def _relay(self, request: ProbeRequest, source: Address) -> None:
+        target = self.table.members.get(request.target)
+        if target is None or len(self.relays) >= 1000:
+            return
+        sequence = next(self.sequences)
+        self.relays[sequence] = (source, request.sequence)
+        self._send(target, ping=ProbePing(sequence=sequence, target=request.target))
+        self._after(NACK_SECONDS, self._end_relay, sequence)
+
+    def _end_relay(self, sequence: int) -> None:
+        relay = self.relays.pop(sequence, None)
+        if relay is not None:
+            self._send_to(relay[0], "", nack=ProbeNack(sequence=relay[1]))
+
+    def _send(self, member: Member, **body: object) -> None:
+        self._send_to(udp_address(member), member_id(member), **body)
+
+    def _send_to(self, address: Address, receiver: str, **body: object) -> None:
+        """Sends a datagram; a suspected or dead receiver learns of that first, to refute it."""
+        updates = []
+        room = MAX_UPDATE_BYTES
+        known = self.table.members.get(receiver)
+        if known is not None and known.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
+            updates.append(known)
+            room -= known.ByteSize()
+        updates.extend(self.updates.take(len(self.table.members), room))
+        content = self.codec.encode(updates, **body)
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(content)
+        self.send(address, content)
+
+    # ------------------------------------------------------------ choice
+
+    def _others(self) -> list[Member]:
+        found = []
+        for key, member in self.table.members.items():
+            if member.status != MEMBER_STATUS_DEAD and key != self.name:
+                found.append(member)
+        return found
+
+    def _pick(self, number: int, leave_out: str = "") -> list[Member]:
+        """Picks random members that are not dead, without going through all of them."""
+        keys = list(self.table.members)
+        picked: dict[str, Member] = {}
+        for key in self.random.sample(keys, min(len(keys), 2 * number + 4)):
+            member = self.table.members[key]
+            if len(picked) >= number:
+                break
+            if member.status == MEMBER_STATUS_DEAD or key in (self.name, leave_out):
+                continue
+            picked[key] = member
+        if len(picked) < number and len(keys) > 2 * number + 4:
+            rest = [m for m in self._others() if member_id(m) not in picked]
+            rest = [m for m in rest if member_id(m) != leave_out]
+            for member in self.random.sample(rest, min(len(rest), number - len(picked))):
+                picked[member_id(member)] = member
+        return list(picked.values())
--- a/src/coltsfoottrack/_internal/membership/exceptions.py
+++ b/src/coltsfoottrack/_internal/membership/exceptions.py
@@ -7,3 +7,7 @@
 
 class ForeignMessageError(MembershipError):
     """A message came from another cluster or another protocol version."""
+
+
+class MalformedMessageError(MembershipError):
+    """A message cannot be decoded or has fields that cannot be used."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/local.py
@@ -0,0 +1,79 @@
+"""This node's own member entry, which only the node itself changes."""
+
+from time import time
+
+from coltsfoottrack._internal.membership.table import process_order
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_LEAVING,
+    Member,
+    NodeSettings,
+)
+
+
+def new_member(settings: NodeSettings, incarnation: int) -> Member:
+    """Returns the entry of a node process that starts now."""
+    return Member(
+        name=settings.name,
+        service=settings.service,
+        failure_domain=settings.failure_domain,
+        region=settings.region,
+        address=settings.address,
+        call_port=settings.call_port,
+        peer_port=settings.peer_port,
+        incarnation=incarnation,
+        revision=1,
+        status=MEMBER_STATUS_ALIVE,
+        start_order=int(time() * 1000),
+    )
+
+
+class LocalMember:
+    """The own entry; each change raises its revision."""
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.joined = False
+        self.replaced = False
+
+    def set_ready(self, ready: bool) -> bool:
+        """Sets whether the backend server takes new work; returns whether that changed."""
+        if self.member.backend_ready == ready:
+            return False
+        self.member.backend_ready = ready
+        self.member.revision += 1
+        return True
+
+    def leave(self) -> None:
+        """Marks this node as leaving."""
+        if self.member.status == MEMBER_STATUS_ALIVE:
+            self.member.status = MEMBER_STATUS_LEAVING
+            self.member.revision += 1
+
+    def end(self) -> None:
+        """Marks this node as gone, right before its process ends."""
+        self.member.status = MEMBER_STATUS_DEAD
+        self.member.revision += 1
+
+    def answer_to(self, claim: Member) -> bool:
+        """Reacts to what others say of this node; returns whether the entry must be spread.
+
+        A wrong claim about this process is refuted by a greater revision. A claim about a later
+        process of the same name means that this one was replaced, unless this node is still
+        joining: then its clock is behind that of its former self.
+        """
+        own = self.member
+        if process_order(claim) != process_order(own):
+            if process_order(claim) < process_order(own):
+                return True
+            if self.joined:
+                self.replaced = True
+                return False
+            own.start_order = claim.start_order + 1
+            return True
+        is_same = claim.status == own.status and claim.backend_ready == own.backend_ready
+        if claim.revision < own.revision or (claim.revision == own.revision and is_same):
+            return False
+        own.revision = claim.revision + 1
+        return True
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/sync.py
@@ -0,0 +1,52 @@
+"""Full exchange of the membership between two nodes, by digests of buckets of members.
+
+Two nodes that agree exchange 64 digests and no member; after a change they exchange only the
+buckets that differ. A full table of 1,000 members every 60 s would take over the 2 KB/s that a
+node may spend.
+"""
+
+from hashlib import blake2b
+from zlib import crc32
+
+from coltsfoottrack._internal.membership.table import MembershipTable
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MEMBER_STATUS_DEAD, Member
+
+BUCKETS = 64
+DIGEST_BYTES = 8
+
+
+def bucket_of(key: str) -> int:
+    """Returns the bucket of a member's name."""
+    return crc32(key.encode()) % BUCKETS
+
+
+def bucket_digests(table: MembershipTable) -> list[int]:
+    """Returns a digest of each bucket over its members that are not dead.
+
+    Nodes that joined later do not know the dead ones, so these would differ for ever.
+    """
+    hashers = [blake2b(digest_size=DIGEST_BYTES) for _ in range(BUCKETS)]
+    for key in sorted(table.members):
+        member = table.members[key]
+        if member.status == MEMBER_STATUS_DEAD:
+            continue
+        state = (
+            f"{key} {member.start_order} {member.incarnation} {member.revision} {member.status} "
+            f"{member.backend_ready};"
+        )
+        hashers[bucket_of(key)].update(state.encode())
+    return [int.from_bytes(hasher.digest(), "big") for hasher in hashers]
+
+
+def differing_buckets(table: MembershipTable, digests: list[int]) -> list[int]:
+    """Returns the buckets whose digests differ from the given ones."""
+    if len(digests) != BUCKETS:
+        return list(range(BUCKETS))
+    own = bucket_digests(table)
+    return [index for index in range(BUCKETS) if own[index] != digests[index]]
+
+
+def members_of(table: MembershipTable, buckets: list[int]) -> list[Member]:
+    """Returns the members of some buckets, dead ones too."""
+    wanted = set(buckets)
+    return [member for key, member in table.members.items() if bucket_of(key) in wanted]
--- a/src/coltsfoottrack/_internal/membership/table.py
+++ b/src/coltsfoottrack/_internal/membership/table.py
@@ -1,6 +1,7 @@
 """The members of the cluster as one process knows them."""
 
 from asyncio import Event
+from time import monotonic
 
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
@@ -18,6 +19,10 @@
 }
 
 
+# Membership news arrives well within this time; until then an answer's word counts.
+LEAVING_NOTE_SECONDS = 5.0
+
+
 def member_id(member: Member) -> str:
     """Returns the name under which a member is known, service and node name."""
     return f"{member.service}/{member.name}"
@@ -34,11 +39,18 @@
 
 
 class MembershipTable:
-    """Members by name. Newer revisions win; at equal revision the stronger status wins."""
+    """Members by name.
+
+    A process that started later replaces an earlier one of the same name; within a process newer
+    revisions win; at equal revision the stronger status wins.
+    """
 
     def __init__(self) -> None:
         self.members: dict[str, Member] = {}
         self.changed = Event()
+        self.serving_cache: dict[str, list[Member]] = {}
+        # Call addresses of nodes whose answers said that they leave, with the time of expiry.
+        self.leaving_notes: dict[str, float] = {}
 
     def merge(self, update: Member) -> bool:
         """Takes over an update if it is newer; returns whether it was."""
@@ -49,31 +61,63 @@
         member = Member()
         member.CopyFrom(update)
         self.members[key] = member
-        self._notify()
+        self.leaving_notes.pop(call_address(member), None)
+        self._notify(update.service)
         return True
 
     def remove(self, key: str) -> None:
         """Forgets a member."""
-        if self.members.pop(key, None) is not None:
-            self._notify()
+        member = self.members.pop(key, None)
+        if member is not None:
+            self._notify(member.service)
 
     def serving(self, service: str) -> list[Member]:
-        """Returns the members of a service that may get new work."""
-        found = []
-        for member in self.members.values():
-            if member.service != service or not member.backend_ready:
-                continue
-            if member.status in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT):
-                found.append(member)
-        return found
-
-    def _notify(self) -> None:
+        """Returns the members of a service that may get new work; the list is shared."""
+        found = self.serving_cache.get(service)
+        if found is None:
+            found = [member for member in self.members.values() if is_serving(member, service)]
+            if found:
+                self.serving_cache[service] = found
+        if not self.leaving_notes:
+            return found
+        staying = [member for member in found if not self._is_noted(call_address(member))]
+        return staying or found
+
+    def note_leaving(self, address: str) -> None:
+        """Remembers that the node at a call address said in an answer that it leaves."""
+        self.leaving_notes[address] = monotonic() + LEAVING_NOTE_SECONDS
+
+    def _is_noted(self, address: str) -> bool:
+        expiry = self.leaving_notes.get(address)
+        if expiry is None:
+            return False
+        if expiry > monotonic():
+            return True
+        del self.leaving_notes[address]
+        return False
+
+    def _notify(self, service: str) -> None:
+        self.serving_cache.pop(service, None)
         self.changed.set()
         self.changed = Event()
 
 
+def is_serving(member: Member, service: str) -> bool:
+    """Tells whether a member is one of the service and may get new work."""
+    if member.service != service or not member.backend_ready:
+        return False
+    return member.status in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT)
+
+
+def process_order(member: Member) -> tuple[int, int]:
+    """Returns what orders the processes of one name; the greater one replaces the other."""
+    return (member.start_order, member.incarnation)
+
+
 def supersedes(update: Member, known: Member) -> bool:
     """Tells whether an update is newer than what is known of the same member."""
+    if process_order(update) != process_order(known):
+        return process_order(update) > process_order(known)
     if update.revision != known.revision:
         return update.revision > known.revision
     return STATUS_STRENGTH.get(update.status, 0) > STATUS_STRENGTH.get(known.status, 0)
--- a/src/coltsfoottrack/_internal/node/backend_service.py
+++ b/src/coltsfoottrack/_internal/node/backend_service.py
@@ -1,6 +1,6 @@
 """What the backend server beside the node asks of it, over gRPC."""
 
-from asyncio import FIRST_COMPLETED, ensure_future, wait
+from asyncio import FIRST_COMPLETED, ensure_future, sleep, wait
 
 from grpclib.server import Stream
 
@@ -10,10 +10,14 @@
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     AnnounceReply,
     AnnounceRequest,
+    Member,
     RoutesUpdate,
     WatchRoutesRequest,
 )
 
+# Changes that come together go out as one update.
+COALESCE_SECONDS = 0.02
+
 
 class BackendService(BackendBase):
     """Announcement of the backend server, and the routes for its embedded client."""
@@ -34,23 +38,29 @@
     async def WatchRoutes(  # noqa: N802 - name from the schema
         self, stream: Stream[WatchRoutesRequest, RoutesUpdate]
     ) -> None:
-        """Sends members and configuration at once and on every change."""
+        """Sends members and configuration at once, then what has changed."""
         request = await stream.recv_message()
         check_envelope(request.envelope, self.state)
         state = self.state
+        sent: dict[str, Member] = {}
+        generation = 0
         while True:
             members_changed = ensure_future(state.members.changed.wait())
             configuration_changed = ensure_future(state.configuration.changed.wait())
-            await stream.send_message(
-                RoutesUpdate(
-                    envelope=state.envelope(),
-                    members=list(state.members.members.values()),
-                    configuration=state.configuration.record,
-                )
-            )
+            changed = []
+            for key, member in list(state.members.members.items()):
+                if sent.get(key) is not member:
+                    changed.append(member)
+                    sent[key] = member
+            update = RoutesUpdate(envelope=state.envelope(), members=changed)
+            if state.configuration.generation != generation:
+                generation = state.configuration.generation
+                update.configuration.CopyFrom(state.configuration.record)
+            await stream.send_message(update)
             waiting = (members_changed, configuration_changed)
             try:
                 await wait(waiting, return_when=FIRST_COMPLETED)
             finally:
                 for future in waiting:
                     future.cancel()
+            await sleep(COALESCE_SECONDS)
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -59,11 +59,16 @@
 
     async def serve(self, request: BaseRequest) -> Response:
         """Answers one HTTP request."""
-        answer = await self._answer(request)
-        headers = answer_headers(
-            answer._replace(served_by=self.state.name), self.state.clock.tick()
-        )
-        return Response(status=answer.status, body=answer.body, headers=headers)
+        drain = self.state.drain
+        with drain.call():
+            answer = await self._answer(request)
+        answer = answer._replace(served_by=self.state.name, node_leaving=drain.is_leaving)
+        headers = answer_headers(answer, self.state.clock.tick())
+        response = Response(status=answer.status, body=answer.body, headers=headers)
+        if drain.node_since is not None:
+            # A request on a connection that is kept open could meet the closing of the port.
+            response.force_close()
+        return response
 
     async def _answer(self, request: BaseRequest) -> Answer:
         state = self.state
@@ -106,6 +111,10 @@
 
     async def _call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
         state = self.state
+        if not state.ready:
+            return refused(Reason.NOT_READY, retry_useful=True)
+        if context.service != state.settings.service and state.drain.refuses_new_work():
+            return refused(Reason.LEAVING, retry_useful=True)
         if not idempotent and not context.idempotency_key:
             return await self._require_key(context)
         if context.service != state.settings.service:
@@ -133,6 +142,9 @@
 
     async def _require_key(self, context: CallContext) -> Answer:
         if context.service == self.state.settings.service:
+            if self.state.drain.is_leaving:
+                # A key of this node would be lost with it.
+                return refused(Reason.LEAVING, retry_useful=True)
             key = self._new_key()
         else:
             key = await self.state.router.keys.take(context)
@@ -140,6 +152,8 @@
         return refused(Reason.KEY_REQUIRED, text=text, retry_useful=True)._replace(next_key=key)
 
     def _issue_keys(self, request: BaseRequest) -> Answer:
+        if self.state.drain.is_leaving:
+            return refused(Reason.LEAVING, retry_useful=True)
         count = whole_number(request.query, "count", 1, MAX_KEYS_PER_REQUEST)
         keys = []
         for _ in range(count):
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -1,36 +1,44 @@
 """The node process: starts the servers and tasks, and stops them without cutting off calls."""
 
-from asyncio import Event, TaskGroup, get_running_loop, to_thread
-from asyncio import sleep as async_sleep
+from asyncio import Event, TaskGroup, get_running_loop, sleep, wait_for
 from gc import freeze
 from signal import SIGINT, SIGTERM
 
 from grpclib.server import Server
 from structlog import get_logger
 
-from coltsfoottrack._internal.configuration.codec import CURRENT_PATH, decode_record
-from coltsfoottrack._internal.configuration.exceptions import UnreadableConfigurationError
-from coltsfoottrack._internal.membership.registration import register, watch_members
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.configuration_service import ConfigurationService
+from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.state import NodeState
-from coltsfoottrack._internal.platform.exceptions import PlatformError
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import NodeSettings
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import FleetConfiguration, NodeSettings
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
 
-WATCH_RETRY_SECONDS = 1.0
+# Beyond the longest deadline: time for the last answers to be written.
+DRAIN_MARGIN_SECONDS = 2.0
+CLOSE_SECONDS = 2.0
 
 logger = get_logger(__name__)
 
 
 async def run_node(settings: NodeSettings) -> None:
-    """Runs a node until SIGTERM or SIGINT."""
+    """Runs a node until SIGTERM or SIGINT, then drains it.
+
+    It ends by itself within the grace time, the longest deadline in force and 16 s (2 s margin,
+    2 s for the platform, 10 s for callers that read their answers slowly, 2 s to close).
+    """
     stopping = Event()
     loop = get_running_loop()
     for signal in (SIGTERM, SIGINT):
         loop.add_signal_handler(signal, stopping.set)
     state = NodeState.from_config(settings)
+    state.cluster.detector.on_replaced = stopping.set
     call_server = CallServer(state)
-    peer_server = Server([BackendService(state)])
+    peer_server = Server(
+        [BackendService(state), MembershipService(state), ConfigurationService(state)]
+    )
+    await state.cluster.open()
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
     freeze()
@@ -38,44 +46,59 @@
     try:
         async with TaskGroup() as tasks:
             background = [
-                tasks.create_task(watch_members(state.platform, state.members)),
-                tasks.create_task(watch_configuration(state)),
-                tasks.create_task(keep_registered(state)),
+                tasks.create_task(state.cluster.run_socket()),
+                tasks.create_task(join_and_serve(state)),
             ]
             await stopping.wait()
+            await drain(state)
             for task in background:
                 task.cancel()
     finally:
         await call_server.stop()
         peer_server.close()
-        await peer_server.wait_closed()
+        try:
+            await wait_for(peer_server.wait_closed(), CLOSE_SECONDS)
+        except TimeoutError:
+            logger.warning("peer_connections_left_open", node=state.name)
         await state.close()
-    logger.info("node_stopped", node=state.name)
+    logger.info("node_stopped", node=state.name, violations=state.checker.total())
 
 
-async def keep_registered(state: NodeState) -> None:
-    """Writes the node's member object now and whenever the node's own state changes."""
-    while True:
-        state.member_changed.clear()
-        await register(state.platform, state.member)
-        await state.member_changed.wait()
+async def join_and_serve(state: NodeState) -> None:
+    """Joins, takes the newest configuration, opens for calls, and keeps all of it up to date."""
+    async with TaskGroup() as tasks:
+        tasks.create_task(state.cluster.join())
+        tasks.create_task(state.distribution.fetch_announced())
+        tasks.create_task(state.distribution.pass_on())
+        tasks.create_task(state.cluster.follow_reunions())
+        await state.distribution.load_until_ready()
+        state.ready = True
+        state.publish_member()
+        logger.info("node_ready", node=state.name, generation=state.configuration.generation)
+        tasks.create_task(state.distribution.watch())
+        tasks.create_task(state.cluster.keep_synchronised())
+        tasks.create_task(state.cluster.check_objects())
 
 
-async def watch_configuration(state: NodeState) -> None:
-    """Follows the configuration object and puts newer generations in force."""
-    revision = 0
-    while True:
-        try:
-            listed = await to_thread(state.platform.watch, CURRENT_PATH, revision)
-        except PlatformError:
-            await async_sleep(WATCH_RETRY_SECONDS)
-            continue
-        revision = listed.revision
-        for stored in listed.objects:
-            if stored.content is None:
-                continue
-            try:
-                state.configuration.offer(decode_record(stored.content), "platform")
-            except UnreadableConfigurationError as error:
-                state.configuration.problem = str(error)
-                logger.error("configuration_unreadable", problem=str(error))
+async def drain(state: NodeState) -> None:
+    """Leaves the cluster and waits until no call is in flight.
+
+    A node that has not become ready has taken no calls and leaves at once.
+    """
+    logger.info("node_leaving", node=state.name, in_flight=state.drain.in_flight)
+    state.drain.start()
+    state.cluster.leave()
+    if state.ready:
+        await sleep(state.drain.grace_seconds())
+        longest = longest_deadline_seconds(state.configuration.record.configuration)
+        await state.drain.wait_until_idle(longest + DRAIN_MARGIN_SECONDS)
+    await state.cluster.end()
+
+
+def longest_deadline_seconds(configuration: FleetConfiguration) -> float:
+    """Returns the longest deadline, in seconds, that any call may have."""
+    longest = milliseconds_to_seconds(configuration.defaults, "max_deadline_ms")
+    for exception in configuration.exceptions:
+        if exception.policy.HasField("max_deadline_ms"):
+            longest = max(longest, exception.policy.max_deadline_ms / 1000.0)
+    return longest
--- /dev/null
+++ b/src/coltsfoottrack/_internal/node/drain.py
@@ -0,0 +1,82 @@
+"""Leaving: which calls are still taken, and which are in flight."""
+
+from asyncio import Event, wait_for
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from time import monotonic
+
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+
+
+class Drain:
+    """Two reasons to leave: the node ends, or the backend server announced that it leaves.
+
+    After the grace time the node refuses all new work by itself. It asks only its own clock, so
+    that it depends neither on the platform nor on a peer.
+    """
+
+    def __init__(self, grace_seconds: Callable[[], float], checker: InvariantChecker) -> None:
+        self.grace_seconds = grace_seconds
+        self.checker = checker
+        self.node_since: float | None = None
+        self.backend_since: float | None = None
+        self.in_flight = 0
+        self.idle = Event()
+        self.idle.set()
+
+    def start(self) -> None:
+        """Begins to drain because the node ends; a second time changes nothing."""
+        if self.node_since is None:
+            self.node_since = monotonic()
+
+    def set_backend_leaving(self, leaving: bool) -> None:
+        """Takes over whether the backend server leaves; a new one may take its place."""
+        if not leaving:
+            self.backend_since = None
+        elif self.backend_since is None:
+            self.backend_since = monotonic()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Tells whether routers should choose other nodes."""
+        return self.node_since is not None or self.backend_since is not None
+
+    def refuses_new_work(self) -> bool:
+        """Tells whether the grace time has passed."""
+        started = [since for since in (self.node_since, self.backend_since) if since is not None]
+        return bool(started) and monotonic() - min(started) >= self.grace_seconds()
+
+    def check_dispatch(self, request_id: str) -> None:
+        """Asserts, right where new work starts, that the grace time has not passed for long.
+
+        A call that was admitted within the grace time may have waited for its slot since.
+        """
+        self.checker.check(
+            not self.refuses_new_work(),
+            Invariant.NO_WORK_WHEN_LEFT,
+            f"{request_id} was admitted after the grace time",
+        )
+
+    @contextmanager
+    def call(self) -> Iterator[None]:
+        """Counts a call from its arrival until its answer is ready."""
+        self.in_flight += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+            if not self.in_flight:
+                self.idle.set()
+
+    async def wait_until_idle(self, seconds: float) -> None:
+        """Waits for the calls in flight; those that outlast the time count as cut off."""
+        try:
+            await wait_for(self.idle.wait(), seconds)
+        except TimeoutError:
+            pass
+        self.checker.check(
+            self.in_flight == 0,
+            Invariant.NO_CALL_CUT_OFF,
+            f"{self.in_flight} calls in flight after {seconds:.1f} s",
+        )
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -1,5 +1,6 @@
 """Calls that the backend server beside this node is to run."""
 
+from collections.abc import Callable
 from time import monotonic
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
@@ -27,9 +28,12 @@
         self.backend = backend
         self.ring = ring
         self.metrics = metrics
+        self.refuses_new_work: Callable[[], bool] = lambda: False
 
     async def run(self, context: CallContext, body: bytes) -> Answer:
         """Returns the answer to a call, run at most once."""
+        if self.refuses_new_work():
+            return refused(Reason.LEAVING, retry_useful=True)
         if not self.backend.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         try:
--- /dev/null
+++ b/src/coltsfoottrack/_internal/node/membership_service.py
@@ -0,0 +1,33 @@
+"""Full exchange of the membership with peers, over gRPC."""
+
+from grpclib.server import Stream
+
+from coltsfoottrack._internal.membership.sync import differing_buckets, members_of
+from coltsfoottrack._internal.node.envelopes import check_envelope
+from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import MembershipPeerBase
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import SyncReply, SyncRequest
+
+
+class MembershipService(MembershipPeerBase):
+    """Serves MembershipPeer."""
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+
+    async def Sync(  # noqa: N802 - name from the schema
+        self, stream: Stream[SyncRequest, SyncReply]
+    ) -> None:
+        """Returns the members of the buckets that differ, then takes over those of the peer."""
+        request = await stream.recv_message()
+        check_envelope(request.envelope, self.state)
+        table = self.state.members
+        buckets = differing_buckets(table, list(request.digests)) if request.digests else []
+        reply = SyncReply(
+            envelope=self.state.envelope(),
+            members=members_of(table, buckets),
+            configuration_generation=self.state.configuration.generation,
+            differing_buckets=buckets,
+        )
+        self.state.cluster.detector.apply_all(list(request.members))
+        await stream.send_message(reply)
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -1,29 +1,32 @@
 """The parts of one node, put together from its settings."""
 
-from asyncio import Event
 from random import Random
 from typing import Self
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.configuration.distribution import ConfigurationDistribution
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.configuration.peers import GrpcConfigurationPeers
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.membership.cluster import ClusterMembership
+from coltsfoottrack._internal.membership.local import LocalMember, new_member
+from coltsfoottrack._internal.membership.messages import DatagramCodec
+from coltsfoottrack._internal.membership.registration import Registration
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.node.drain import Drain
 from coltsfoottrack._internal.node.local_calls import LocalCalls
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
 from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
-    MEMBER_STATUS_ALIVE,
-    Envelope,
-    Member,
-    NodeSettings,
-)
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, NodeSettings
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
 
 
 class NodeState:
@@ -46,7 +49,9 @@
             self.checker,
             lambda: self.configuration.policies.policy(settings.service),
         )
+        self.drain = Drain(self._grace_seconds, self.checker)
         self.local_calls = LocalCalls(self.admission, self.backend, self.ring, self.metrics)
+        self.local_calls.refuses_new_work = self.drain.refuses_new_work
         self.ledger = Ledger(
             service=settings.service,
             home=self.name,
@@ -62,19 +67,35 @@
             ring=self.ring,
             random=Random(),
         )
-        self.member = Member(
-            name=settings.name,
-            service=settings.service,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            address=settings.address,
-            call_port=settings.call_port,
-            peer_port=settings.peer_port,
-            incarnation=self.ledger.incarnation,
-            revision=1,
-            status=MEMBER_STATUS_ALIVE,
+        self.local = LocalMember(new_member(settings, self.ledger.incarnation))
+        self.member = self.local.member
+        self.channels = PeerChannels()
+        self.cluster = ClusterMembership(
+            local=self.local,
+            table=self.members,
+            codec=DatagramCodec(
+                settings.cluster,
+                self.name,
+                self.clock,
+                lambda: (self.configuration.generation, self.configuration.record.change_id),
+            ),
+            registration=Registration(self.platform, self.local, Random()),
+            channels=self.channels,
+            envelope=self.envelope,
+            seed_nodes=list(settings.seed_nodes),
+            random=Random(),
         )
-        self.member_changed = Event()
+        self.distribution = ConfigurationDistribution(
+            holder=self.configuration,
+            objects=self.platform,
+            peers=GrpcConfigurationPeers(self.channels, self.envelope),
+            table=self.members,
+            own=self.member,
+            random=Random(),
+            notify=self.cluster.detector.spread_now,
+        )
+        self.cluster.detector.on_generation = self.distribution.hear
+        self.ready = False
 
     @classmethod
     def from_config(cls, settings: NodeSettings) -> Self:
@@ -92,14 +113,16 @@
 
     def publish_member(self) -> None:
         """Makes a change of this node's own state known."""
-        if self.member.backend_ready == self.backend.is_ready:
-            return
-        self.member.backend_ready = self.backend.is_ready
-        self.member.revision += 1
-        self.members.merge(self.member)
-        self.member_changed.set()
+        self.drain.set_backend_leaving(self.backend.leaving)
+        if self.local.set_ready(self.ready and self.backend.is_ready):
+            self.cluster.publish()
+
+    def _grace_seconds(self) -> float:
+        policy = self.configuration.policies.policy(self.settings.service)
+        return milliseconds_to_seconds(policy, "drain_grace_ms")
 
     async def close(self) -> None:
         """Closes all outgoing connections."""
         await self.router.close()
         await self.backend.close()
+        self.channels.close()
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -105,6 +105,8 @@
             answer = await self.exchange.send(context, address, body)
         finally:
             self.outstanding[address] -= 1
+        if answer.node_leaving:
+            self.members.note_leaving(address)
         level = max(answer.admission_level, answer.path_level)
         self.levels.record(f"{context.service}/{context.operation}", level)
         context.budget.retries = min(context.budget.retries, answer.attempts_left)
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -34,7 +34,8 @@
 CRASH_MARK = b"crash"
 CRASH_EXIT_STATUS = 70
 COLD_START_FACTOR = 4.0
-DRAIN_ANNOUNCE_SECONDS = 1.5
+# The default grace time of the node and the second between two announcements.
+DRAIN_SECONDS = 4.2
 SHUTDOWN_SECONDS = 10.0
 # The node has capped what arrives here, so nothing is capped again.
 FULL_GRANT = CallGrant(
@@ -203,7 +204,7 @@
         ]
         await stopping.wait()
         backend.announcement.leaving = True
-        await sleep(DRAIN_ANNOUNCE_SECONDS)
+        await sleep(DRAIN_SECONDS)
         await backend.idle.wait()
         for task in background:
             task.cancel()
--- a/src/coltsfoottrack/_internal/standins/platform.py
+++ b/src/coltsfoottrack/_internal/standins/platform.py
@@ -91,6 +91,7 @@
         server.keep_alive_conn_limit = 2 * WORKER_THREADS
         server.request_queue_size = WORKER_THREADS
         server.timeout = 60
+        server.shutdown_timeout = 1
         return server
 
     def application(self, environ: Environ, start_response: Callable) -> Iterable[bytes]:
