Test membership and configuration on a simulated network and platform

Cause: invariant 8 and the failure detection had no proof. Ruled out: tests with real sockets and waiting, whose verdict depends on the machine's load.

--- /dev/null
+++ b/tests/unit/test_configuration.py
@@ -0,0 +1,396 @@
+"""Invariant 8: an accepted configuration is in force everywhere and never reverts."""
+
+from asyncio import Runner
+from datetime import UTC, datetime
+from random import Random
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from coltsfoottrack._internal.configuration.codec import CURRENT_PATH, encode_record
+from coltsfoottrack._internal.configuration.exceptions import (
+    ChangeUncertainError,
+    ConfigurationConflictError,
+    ConfigurationError,
+    InvalidConfigurationError,
+    StoreUnavailableError,
+)
+from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.configuration.store import ConfigurationStore
+from coltsfoottrack._internal.configuration.validation import find_problems
+from coltsfoottrack._internal.membership.registration import encode_member, member_path
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.platform.client import StoredObject
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    ConfigurationRecord,
+    FleetConfiguration,
+    OperationPolicy,
+    OverloadPolicy,
+    PolicyException,
+)
+from tests.unit.fakes import FakeNetwork, FakePeers
+
+NODES = 6
+# 8.8: in force everywhere within 6 s.
+IN_FORCE_SECONDS = 6
+NOW = datetime(2026, 12, 4, tzinfo=UTC)
+
+
+def configuration_with(budget: int) -> FleetConfiguration:
+    return FleetConfiguration(
+        defaults=OverloadPolicy(attempt_budget=budget),
+        operations=[OperationPolicy(service="stores", operation="lookup")],
+    )
+
+
+async def no_pause(seconds: float) -> None:
+    """Takes the place of waiting between attempts."""
+
+
+class Cluster:
+    """Nodes, a platform with their objects, and operators."""
+
+    def __init__(self, nodes: int = NODES, seed: int = 7) -> None:
+        self.network = FakeNetwork(seed)
+        for index in range(nodes):
+            self.network.add(index)
+        self.platform = self.network.platform
+        for node in self.network.nodes.values():
+            member = node.local.member
+            self.platform.put(member_path(member), encode_member(member), 0)
+        self.random = Random(seed)
+
+    def operator(self) -> ConfigurationStore:
+        peers = FakePeers(self.network, None)
+        return ConfigurationStore(self.platform, peers, self.random, no_pause)
+
+    async def watchers_read(self) -> None:
+        for node in list(self.network.nodes.values()):
+            if node.address not in self.network.paused and node.distribution.is_watcher():
+                before = node.holder.generation
+                await node.distribution.read_platform()
+                if node.holder.generation != before:
+                    node.detector.spread_now()
+
+    def generations(self) -> set[int]:
+        return {node.holder.generation for node in self.network.nodes.values()}
+
+
+class StoreTest(IsolatedAsyncioTestCase):
+    """One operator, or two, against the platform's faults."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = Cluster()
+        await self.cluster.network.run(2)
+        self.store = self.cluster.operator()
+
+    async def test_change_is_accepted_by_two_failure_domains(self) -> None:
+        """Guards against a change that only the platform holds when the command returns."""
+        result = await self.store.set(configuration_with(1), "a")
+        self.assertTrue(result.accepted)
+        self.assertGreaterEqual(len({holder.failure_domain for holder in result.holders}), 2)
+
+    async def test_accepted_change_survives_an_outage_right_after(self) -> None:
+        """Guards against changes lost or stuck because the platform went down."""
+        await self.store.set(configuration_with(1), "a")
+        self.cluster.platform.down = True
+        await self.cluster.network.run(IN_FORCE_SECONDS)
+        self.assertEqual({1}, self.cluster.generations())
+
+    async def test_not_accepted_without_nodes_in_two_domains(self) -> None:
+        """Guards against acceptance by the nodes of one failure domain alone."""
+        for node in self.cluster.network.nodes.values():
+            if node.local.member.failure_domain != "d0":
+                self.cluster.network.paused.add(node.address)
+        result = await self.store.set(configuration_with(1), "a")
+        self.assertFalse(result.accepted)
+        self.cluster.network.paused.clear()
+        self.assertTrue((await self.store.confirm(result.record)).accepted)
+
+    async def test_second_operator_sees_the_conflict(self) -> None:
+        """Guards against a change that silently undoes another operator's."""
+        base = await self.store.read()
+        await self.store.set(configuration_with(1), "a", base)
+        with self.assertRaises(ConfigurationConflictError) as caught:
+            await self.cluster.operator().set(configuration_with(2), "b", base)
+        self.assertEqual("a", caught.exception.found.author)
+        self.assertEqual(1, (await self.store.read()).record.generation)
+
+    async def test_lost_answer_is_read_back(self) -> None:
+        """Guards against a change stored twice, or reported as failed, after a lost answer."""
+        self.cluster.platform.lose_answers = 1
+        result = await self.store.set(configuration_with(1), "a")
+        self.assertTrue(result.accepted)
+        self.assertEqual(1, (await self.store.read()).record.generation)
+        self.assertEqual([result.record], await self.store.history())
+
+    async def test_lost_answer_and_another_change_on_top(self) -> None:
+        """Guards against "no effect" told of a change that another has since replaced."""
+        platform = self.cluster.platform
+        conflicting = []
+
+        def replace_once(path: str) -> None:
+            stored = platform.objects.get(CURRENT_PATH)
+            if path != CURRENT_PATH or conflicting or stored is None:
+                return
+            conflicting.append(path)
+            first = ConfigurationRecord.FromString(b"")
+            first.CopyFrom(self.pushed)
+            platform.objects["configuration/history/000000000001"] = stored
+            later = ConfigurationRecord(generation=2, change_id="other")
+            content = encode_record(later)
+            platform.objects[CURRENT_PATH] = StoredObject(CURRENT_PATH, 999, content)
+
+        self.pushed = ConfigurationRecord()
+        platform.lose_answers = 1
+        platform.before_write = replace_once
+        result = await self.store.set(configuration_with(1), "a")
+        self.assertTrue(conflicting)
+        self.assertEqual(1, result.record.generation)
+
+    async def test_write_that_never_shows_is_uncertain(self) -> None:
+        """Guards against "done" or "not done" told without knowing."""
+        self.cluster.platform.lose_writes = 100
+        with self.assertRaises(ChangeUncertainError):
+            await self.store.set(configuration_with(1), "a")
+
+    async def test_platform_down_changes_nothing(self) -> None:
+        """Guards against nodes that hold a change which was never stored."""
+        self.cluster.platform.down = True
+        with self.assertRaises(StoreUnavailableError):
+            await self.store.set(configuration_with(1), "a")
+        self.assertEqual({0}, self.cluster.generations())
+
+    async def test_restored_platform_gets_the_newer_record_back(self) -> None:
+        """Guards against a restore of the platform that reverts the fleet."""
+        await self.store.set(configuration_with(1), "a")
+        older = dict(self.cluster.platform.objects)
+        await self.store.set(configuration_with(2), "a")
+        self.cluster.platform.objects = older
+        with self.assertRaises(ConfigurationConflictError):
+            await self.store.set(configuration_with(3), "b")
+        await self.cluster.watchers_read()
+        self.assertEqual(2, (await self.store.read()).record.generation)
+        await self.cluster.network.run(IN_FORCE_SECONDS)
+        self.assertEqual({2}, self.cluster.generations())
+
+    async def test_new_node_takes_the_newest_before_it_is_ready(self) -> None:
+        """Guards against a node that serves under the older record of a restored platform."""
+        await self.store.set(configuration_with(1), "a")
+        older = dict(self.cluster.platform.objects)
+        await self.store.set(configuration_with(2), "a")
+        await self.cluster.network.run(IN_FORCE_SECONDS)
+        self.cluster.platform.objects = older
+        node = self.cluster.network.add(NODES)
+        self.assertTrue(await node.distribution.load())
+        self.assertEqual(2, node.holder.generation)
+
+    async def test_new_node_in_an_outage_takes_it_from_peers(self) -> None:
+        """Guards against nodes that cannot start, or start empty, while the platform is down."""
+        await self.store.set(configuration_with(1), "a")
+        await self.cluster.network.run(IN_FORCE_SECONDS)
+        self.cluster.platform.down = True
+        node = self.cluster.network.add(NODES)
+        self.assertTrue(await node.distribution.load())
+        self.assertEqual(1, node.holder.generation)
+
+    async def test_unreadable_record_is_reported_and_the_last_good_one_kept(self) -> None:
+        """Guards against one bad object that takes the configuration away."""
+        await self.store.set(configuration_with(1), "a")
+        bad = ConfigurationRecord(generation=2, change_id="bad")
+        bad.configuration.defaults.attempt_budget = 1000
+        for content in (b"not a record", encode_record(bad)):
+            version = self.cluster.platform.get(CURRENT_PATH).version
+            self.cluster.platform.put(CURRENT_PATH, content, version)
+            node = self.cluster.network.nodes[("127.0.0.1", 20_000)]
+            await node.distribution.read_platform()
+            self.assertEqual(1, node.holder.generation)
+            self.assertTrue(node.holder.problem)
+
+    async def test_equal_generation_of_another_change_is_counted(self) -> None:
+        """Guards against two halves of a fleet that silently run different configurations."""
+        holder = ConfigurationHolder(InvariantChecker())
+        holder.offer(ConfigurationRecord(generation=3, change_id="one"), "test")
+        self.assertFalse(holder.offer(ConfigurationRecord(generation=3, change_id="other"), "test"))
+        self.assertEqual(1, holder.conflicts)
+        self.assertEqual("one", holder.record.change_id)
+        self.assertIn("other", holder.problem)
+
+    async def test_invalid_configuration_is_not_stored(self) -> None:
+        """Guards against a stored configuration that no node can use."""
+        with self.assertRaises(InvalidConfigurationError):
+            await self.store.set(configuration_with(1000), "a")
+        self.assertNotIn(CURRENT_PATH, self.cluster.platform.objects)
+
+
+class ValidationTest(TestCase):
+    """Each rule, with the field that its message names."""
+
+    def problems(self, exception: PolicyException) -> str:
+        configuration = configuration_with(1)
+        if not exception.policy.ListFields():
+            exception.policy.attempt_budget = 2
+        configuration.exceptions.append(exception)
+        return "; ".join(find_problems(configuration, NOW))
+
+    def test_valid(self) -> None:
+        """Guards against rules that refuse what operators need."""
+        exception = PolicyException(
+            name="e", service="stores", operation="lookup", reason="why",
+            expires="2026-12-31T18:00:00Z",
+        )  # fmt: skip
+        self.assertEqual("", self.problems(exception))
+
+    def test_broken_rules_are_named(self) -> None:
+        """Guards against exceptions without a reason, end or known scope."""
+        good = {"name": "e", "service": "stores", "reason": "why"}
+        cases = {
+            "reason: missing": {"reason": " "},
+            "name: missing": {"name": ""},
+            "has passed": {"expires": "2026-01-01T00:00:00Z"},
+            "accepted: a time such as": {"expires": "tomorrow"},
+            "has no offset": {"expires": "2026-12-31T18:00:00"},
+            "over ten years": {"expires": "2100-01-01T00:00:00Z"},
+            "has no operation": {"service": "elsewhere"},
+            "is not an operation": {"operation": "unheard"},
+            "out of range": {"policy": OverloadPolicy(minimum_share=float("nan"))},
+            "above max_deadline_ms": {"policy": OverloadPolicy(default_deadline_ms=6000)},
+        }
+        for expected, change in cases.items():
+            with self.subTest(expected):
+                self.assertIn(expected, self.problems(PolicyException(**good | change)))
+
+
+class ConfigurationMachine(RuleBasedStateMachine):
+    """Operators, outages, restarts, partitions and restores in any order.
+
+    Checked after each step: no node goes back and no node breaks its own assertion; at the end:
+    once everything is reachable, the newest accepted change or a later one is in force everywhere.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.runner = Runner()
+        self.cluster = Cluster()
+        self.runner.run(self.cluster.network.run(2))
+        self.accepted: list[ConfigurationRecord] = []
+        self.seen: dict[int, int] = {}
+        self.snapshot = dict(self.cluster.platform.objects)
+        self.budget = 0
+
+    def change(self, base: object = None) -> None:
+        self.budget = (self.budget + 1) % 20
+        try:
+            result = self.runner.run(
+                self.cluster.operator().set(configuration_with(self.budget), "op", base)
+            )
+        except ConfigurationError:
+            return
+        if result.accepted:
+            self.accepted.append(result.record)
+
+    @rule(lost=st.integers(0, 2), dropped=st.integers(0, 1))
+    def set(self, lost: int, dropped: int) -> None:
+        self.cluster.platform.lose_answers = lost
+        self.cluster.platform.lose_writes = dropped
+        self.change()
+        self.cluster.platform.lose_answers = 0
+        self.cluster.platform.lose_writes = 0
+
+    @rule()
+    def set_by_two(self) -> None:
+        try:
+            base = self.runner.run(self.cluster.operator().read())
+        except ConfigurationError:
+            return
+        before = len(self.accepted)
+        self.change(base)
+        self.change(base)
+        assert len(self.accepted) <= before + 1, "two changes on one base accepted"
+        generations = [record.generation for record in self.accepted]
+        assert len(set(generations)) == len(generations), "one generation accepted twice"
+
+    @rule()
+    def set_then_outage(self) -> None:
+        self.change()
+        self.cluster.platform.down = True
+
+    @rule(down=st.booleans())
+    def platform(self, down: bool) -> None:
+        self.cluster.platform.down = down
+
+    @rule()
+    def take_snapshot(self) -> None:
+        self.snapshot = dict(self.cluster.platform.objects)
+
+    @rule()
+    def restore(self) -> None:
+        self.cluster.platform.objects = dict(self.snapshot)
+
+    @rule(index=st.integers(0, NODES - 1))
+    def cut_off(self, index: int) -> None:
+        self.cluster.network.sides[("127.0.0.1", 20_000 + index)] = 1
+
+    @rule(index=st.integers(0, NODES - 1))
+    def make_deaf(self, index: int) -> None:
+        self.cluster.network.deaf = {("127.0.0.1", 20_000 + index)}
+
+    @rule()
+    def reconnect(self) -> None:
+        self.cluster.network.sides.clear()
+
+    @rule(index=st.integers(0, NODES - 1))
+    def restart(self, index: int) -> None:
+        """A node restarts, one at a time: its former copy is gone."""
+        node = self.cluster.network.nodes[("127.0.0.1", 20_000 + index)]
+        self.cluster.network.remove(node)
+        self.seen.pop(index, None)
+        fresh = self.cluster.network.add(index)
+        self.runner.run(fresh.distribution.load())
+
+    @rule()
+    def watch(self) -> None:
+        self.runner.run(self.cluster.watchers_read())
+
+    @rule(seconds=st.integers(1, 5))
+    def run(self, seconds: int) -> None:
+        self.runner.run(self.cluster.network.run(seconds))
+
+    @precondition(lambda self: self.accepted)
+    @rule()
+    def settle(self) -> None:
+        self.check_in_force()
+
+    @invariant()
+    def never_reverts(self) -> None:
+        for node in self.cluster.network.nodes.values():
+            assert node.checker.total() == 0
+            before = self.seen.get(node.index, 0)
+            assert node.holder.generation >= before, f"node {node.index} went back"
+            self.seen[node.index] = node.holder.generation
+
+    def check_in_force(self) -> None:
+        network = self.cluster.network
+        network.sides.clear()
+        network.deaf.clear()
+        self.cluster.platform.down = False
+        self.runner.run(self.cluster.watchers_read())
+        self.runner.run(network.run(30))
+        self.runner.run(self.cluster.watchers_read())
+        self.runner.run(network.run(IN_FORCE_SECONDS))
+        newest = self.accepted[-1]
+        for node in network.nodes.values():
+            assert node.holder.generation >= newest.generation, f"node {node.index} is behind"
+            if node.holder.generation == newest.generation:
+                assert node.holder.record.change_id == newest.change_id
+
+    def teardown(self) -> None:
+        if self.accepted:
+            self.check_in_force()
+        self.runner.close()
+
+
+ConfigurationStateTest = ConfigurationMachine.TestCase
+ConfigurationStateTest.settings = settings(max_examples=40, stateful_step_count=15)
--- /dev/null
+++ b/tests/unit/test_membership.py
@@ -0,0 +1,297 @@
+"""Failure detection, spreading of changes, and what must not bring back an older state."""
+
+from random import Random
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from coltsfoottrack._internal.membership.local import LocalMember
+from coltsfoottrack._internal.membership.registration import Registration, member_path
+from coltsfoottrack._internal.membership.sync import bucket_digests, differing_buckets
+from coltsfoottrack._internal.membership.table import MembershipTable, member_id
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_LEAVING,
+    MEMBER_STATUS_SUSPECT,
+    Datagram,
+    Member,
+    ProbePing,
+)
+from tests.unit.fakes import FakeNetwork, FakePlatform, make_member
+
+SEED = 41
+
+
+def network_of(count: int, loss: float = 0.0) -> FakeNetwork:
+    network = FakeNetwork(SEED, loss)
+    for index in range(count):
+        network.add(index)
+    return network
+
+
+class DetectionTest(IsolatedAsyncioTestCase):
+    """The detector on a simulated network."""
+
+    async def test_silent_node_is_dead_everywhere(self) -> None:
+        """Guards against silent nodes that stay in the routing tables."""
+        network = network_of(16)
+        await network.run(5)
+        victim = network.nodes[("127.0.0.1", 20_003)]
+        network.remove(victim)
+        await network.run(15)
+        for viewer in network.nodes.values():
+            self.assertEqual(MEMBER_STATUS_DEAD, network.status(viewer, victim))
+
+    async def test_lossy_network_declares_nobody_dead(self) -> None:
+        """Guards against false deaths when one datagram in ten is lost."""
+        network = network_of(12, loss=0.1)
+        await network.run(60)
+        deaths = sum(node.detector.counts["declared_dead"] for node in network.nodes.values())
+        self.assertEqual(0, deaths)
+
+    async def test_deaf_node_accuses_nobody_in_vain(self) -> None:
+        """Guards against one node that hears nothing and makes the others look dead."""
+        network = network_of(12)
+        await network.run(5)
+        deaf = network.nodes[("127.0.0.1", 20_005)]
+        network.deaf.add(deaf.address)
+        await network.run(20)
+        for viewer in network.nodes.values():
+            for node in network.nodes.values():
+                if deaf in (viewer, node):
+                    continue
+                self.assertNotEqual(MEMBER_STATUS_DEAD, network.status(viewer, node))
+        self.assertGreater(deaf.detector.health, 0)
+
+    async def test_partition_heals(self) -> None:
+        """Guards against regions that stay apart after they lost contact for minutes."""
+        network = network_of(12)
+        await network.run(5)
+        for index, address in enumerate(network.nodes):
+            network.sides[address] = index % 2
+        await network.run(120)
+        one, other = list(network.nodes.values())[:2]
+        self.assertEqual(MEMBER_STATUS_DEAD, network.status(one, other))
+        network.sides.clear()
+        await network.run(60)
+        self.assertTrue(network.agree_alive())
+
+    async def test_paused_node_buries_nobody_on_resuming(self) -> None:
+        """Guards against timers that run out while the process does not run."""
+        network = network_of(8)
+        await network.run(5)
+        paused = network.nodes[("127.0.0.1", 20_002)]
+        network.paused.add(paused.address)
+        await network.run(30)
+        network.paused.clear()
+        await network.run(40)
+        self.assertEqual(0, paused.detector.counts["declared_dead"])
+        self.assertTrue(network.agree_alive())
+
+    async def test_restarted_node_replaces_its_former_self(self) -> None:
+        """Guards against entries of an earlier process, and against late datagrams of it."""
+        network = network_of(8)
+        await network.run(5)
+        former = network.nodes[("127.0.0.1", 20_004)]
+        late = Member.FromString(former.local.member.SerializeToString())
+        late.revision = 1000
+        network.remove(former)
+        network.add(4)
+        await network.run(5)
+        self.assertTrue(network.agree_alive())
+        for node in network.nodes.values():
+            node.detector.apply(late)
+        await network.run(5)
+        self.assertTrue(network.agree_alive())
+
+    async def test_restart_with_clock_behind(self) -> None:
+        """Guards against a replacement whose clock is behind that of the process it replaces."""
+        network = network_of(6)
+        await network.run(5)
+        former = network.nodes[("127.0.0.1", 20_004)]
+        network.remove(former)
+        network.starts = 0
+        replacement = network.add(4)
+        await network.run(10)
+        self.assertFalse(replacement.local.replaced)
+        self.assertTrue(network.agree_alive())
+
+    async def test_leaving_is_known_at_once(self) -> None:
+        """Guards against leaving nodes that are still chosen when the grace time ends."""
+        network = network_of(32)
+        await network.run(5)
+        leaver = network.nodes[("127.0.0.1", 20_007)]
+        leaver.local.leave()
+        leaver.detector.spread(leaver.local.member)
+        leaver.detector.spread_now()
+        await network.run(2)
+        for viewer in network.nodes.values():
+            self.assertEqual(MEMBER_STATUS_LEAVING, network.status(viewer, leaver))
+            names = [member_id(m) for m in viewer.table.serving(leaver.local.member.service)]
+            self.assertNotIn(leaver.name, names)
+
+    async def test_dead_node_is_forgotten_after_an_hour(self) -> None:
+        """Guards against tables that grow with every replaced instance."""
+        network = network_of(3)
+        await network.run(3)
+        victim = network.nodes[("127.0.0.1", 20_002)]
+        network.remove(victim)
+        await network.run(3700)
+        for viewer in network.nodes.values():
+            self.assertNotIn(victim.name, viewer.table.members)
+
+
+class RefusedDatagramsTest(TestCase):
+    """Datagrams that must not be taken over."""
+
+    @given(st.binary(max_size=200))
+    def test_random_bytes_never_raise(self, content: bytes) -> None:
+        """Guards against datagrams that end the membership task."""
+        node = network_of(1).nodes[("127.0.0.1", 20_000)]
+        node.detector.receive(content, ("127.0.0.1", 9))
+        self.assertEqual(1, node.detector.counts["malformed"] + node.detector.counts["foreign"])
+
+    @given(
+        st.integers(0, 2**64 - 1),
+        st.integers(0, 2**64 - 1),
+        st.integers(0, 2**31 - 1),
+        st.text(max_size=5),
+        st.integers(0, 2**32 - 1),
+    )
+    def test_any_update_is_survived(
+        self, revision: int, order: int, status: int, address: str, port: int
+    ) -> None:
+        """Guards against updates about the node itself with values at the limits."""
+        node = network_of(2).nodes[("127.0.0.1", 20_000)]
+        update = Member(
+            name="n0",
+            service="s0",
+            address=address or "127.0.0.1",
+            peer_port=port or 1,
+            call_port=1,
+            revision=revision,
+            start_order=order,
+            incarnation=revision,
+            status=status,
+        )
+        content = Datagram(
+            cluster="test",
+            protocol_version=1,
+            sender="x/y",
+            event_clock=2**64 - 1,
+            updates=[update],
+            ping=ProbePing(sequence=revision, target="s0/n0"),
+        ).SerializeToString()
+        node.detector.receive(content, ("127.0.0.1", 9))
+        for now in range(1, 20):
+            node.detector.advance(float(now))
+
+    def test_other_cluster_and_version_are_counted(self) -> None:
+        """Guards against two clusters that merge when their addresses are reused."""
+        network = network_of(1)
+        node = network.nodes[("127.0.0.1", 20_000)]
+        for cluster, version in (("other", 1), ("test", 99)):
+            content = Datagram(
+                cluster=cluster, protocol_version=version, updates=[make_member(5)]
+            ).SerializeToString()
+            node.detector.receive(content, ("127.0.0.1", 9))
+        self.assertEqual(2, node.detector.counts["foreign"])
+        self.assertEqual(1, len(node.table.members))
+
+
+class MergeOrderTest(TestCase):
+    """Updates that arrive in any order."""
+
+    @given(st.lists(st.tuples(st.integers(1, 3), st.integers(1, 3), st.integers(1, 4)), max_size=8))
+    def test_any_order_gives_the_same_entry(self, changes: list[tuple[int, int, int]]) -> None:
+        """Guards against entries that depend on the order in which datagrams arrive."""
+        updates = []
+        for order, revision, status in changes:
+            member = make_member(0, order)
+            member.revision = revision
+            member.status = status
+            updates.append(member)
+        tables = []
+        for arranged in (updates, updates[::-1], sorted(updates, key=str)):
+            table = MembershipTable()
+            for update in arranged:
+                table.merge(update)
+            tables.append(table)
+        self.assertEqual(tables[0].members, tables[1].members)
+        self.assertEqual(tables[0].members, tables[2].members)
+        self.assertEqual([], differing_buckets(tables[0], bucket_digests(tables[1])))
+
+
+class RegistrationTest(IsolatedAsyncioTestCase):
+    """Objects in the platform."""
+
+    def registration(self, platform: FakePlatform, order: int) -> Registration:
+        return Registration(platform, LocalMember(make_member(0, order)), Random(SEED))
+
+    async def test_late_write_of_a_former_process_changes_nothing(self) -> None:
+        """Guards against the object of a running node replaced by that of its former process."""
+        platform = FakePlatform()
+        former = self.registration(platform, 1)
+        self.assertTrue(await former.register(0))
+        stale_version = former.version
+        later = self.registration(platform, 2)
+        self.assertTrue(await later.register(0))
+        stored = platform.get(member_path(later.local.member))
+        former.version = stale_version
+        self.assertFalse(await former.deregister(1))
+        former.local.joined = True
+        self.assertFalse(await former.register(0))
+        self.assertEqual(stored, platform.get(member_path(later.local.member)))
+
+    async def test_lost_answer_is_read_back(self) -> None:
+        """Guards against a second write after a write that took effect."""
+        platform = FakePlatform()
+        platform.lose_answers = 1
+        registration = self.registration(platform, 1)
+        self.assertTrue(await registration.register(0))
+        self.assertEqual(1, platform.writes)
+        self.assertTrue(await registration.deregister(1))
+
+    async def test_only_dead_members_are_cleaned_up(self) -> None:
+        """Guards against the deletion of a restarted node's object."""
+        platform = FakePlatform()
+        dead = make_member(1, 1)
+        dead.status = MEMBER_STATUS_DEAD
+        for member in (make_member(1, 1), make_member(2, 5)):
+            platform.put(member_path(member), b"", 0)
+            registration = Registration(platform, LocalMember(member), Random(SEED))
+            platform.objects.clear()
+            await registration.register(0)
+        restarted = make_member(3, 9)
+        await Registration(platform, LocalMember(restarted), Random(SEED)).register(0)
+        await Registration(platform, LocalMember(dead), Random(SEED)).register(0)
+        former = make_member(3, 2)
+        cleaner = self.registration(platform, 1)
+        self.assertEqual(1, await cleaner.clean([dead, former]))
+        self.assertIn(member_path(restarted), platform.objects)
+        self.assertNotIn(member_path(dead), platform.objects)
+
+    def test_mass_restart_stays_below_the_write_rate(self) -> None:
+        """Guards against 1,000 nodes that write their objects within a few seconds."""
+        random = Random(SEED)
+        registration = Registration(FakePlatform(), LocalMember(make_member(0)), random)
+        waits = [int(registration.jitter_seconds(1000)) for _ in range(1000)]
+        busiest = max(waits.count(second) for second in set(waits))
+        self.assertLessEqual(busiest, 100)
+
+
+class RefutationTest(TestCase):
+    """Answers to claims about the own node."""
+
+    def test_wrong_claims_are_refuted(self) -> None:
+        """Guards against a node that stays suspect or dead though it answers."""
+        for status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
+            local = LocalMember(make_member(0))
+            claim = make_member(0)
+            claim.status = status
+            claim.revision = 7
+            self.assertTrue(local.answer_to(claim))
+            self.assertEqual(8, local.member.revision)
+            self.assertEqual(MEMBER_STATUS_ALIVE, local.member.status)
