--- a/src/coltsfoottrack/_internal/node/suspect_service.py
+++ b/src/coltsfoottrack/_internal/node/suspect_service.py
@@ -81,7 +81,7 @@
         await gather(*sending)
 
     async def _send(self, address: str, request: ReportSuspectsRequest) -> None:
-        stub = SuspectPeerStub(self.state.peers.channel(address))
+        stub = SuspectPeerStub(self.state.channels.channel(address))
         try:
             async with timeout(REPORT_TIMEOUT_SECONDS):
                 await stub.ReportSuspects(request)
