--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -79,6 +79,8 @@
         self.shape = shape
         self.directory = directory
         self.cluster = cluster
+        # Ports of links in front of the nodes' call ports, by service and node name.
+        self.advertised_ports: dict[str, dict[str, int]] = {}
         self.processes: dict[str, Popen] = {}
         self.arguments: dict[str, list[str]] = {}
         self.places: list[NodePlace] = []
@@ -161,6 +163,8 @@
             "admin_port": place.admin_port,
             "platform_addresses": [self.platform_address],
         }
+        if place.name in self.advertised_ports.get(place.service, {}):
+            settings["advertised_call_port"] = self.advertised_ports[place.service][place.name]
         self._spawn(place.node_process, ["node"], settings)
 
     def start_backend(self, place: NodePlace) -> None:
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -1,6 +1,5 @@
 """The parts of one node, put together from its settings."""
 
-from asyncio import Event
 from random import Random
 from typing import Self
 
@@ -9,12 +8,19 @@
 from coltsfoottrack._internal.admission.suspects import SuspectTable
 from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.configuration.distribution import ConfigurationDistribution
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.configuration.peers import GrpcConfigurationPeers
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.membership.cluster import ClusterMembership
+from coltsfoottrack._internal.membership.local import LocalMember, new_member
+from coltsfoottrack._internal.membership.messages import DatagramCodec
+from coltsfoottrack._internal.membership.registration import Registration
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.node.drain import Drain
 from coltsfoottrack._internal.node.local_calls import LocalCalls
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
@@ -22,13 +28,8 @@
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.routing.transport import Transport
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
-    MEMBER_STATUS_ALIVE,
-    Envelope,
-    Member,
-    NodeSettings,
-)
-from coltsfoottrack._internal.settings.rules import number_or_default
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, NodeSettings
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
 
 class NodeState:
@@ -36,6 +37,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
+        advertised_call_port = settings.advertised_call_port or settings.call_port
         self.name = f"{settings.service}/{settings.name}"
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
@@ -53,18 +55,20 @@
             settings.cluster, self.clock, self.suspects, lambda: Transport(self.checker)
         )
         self.backend.on_down = self.publish_member
-        self.peers = PeerChannels()
+        self.channels = PeerChannels()
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
             self.checker,
             lambda: self.configuration.policies.policy(settings.service),
         )
+        self.drain = Drain(self._grace_seconds, self.checker)
         self.local_calls = LocalCalls(self.admission, self.backend, self.ring, self.metrics)
+        self.local_calls.refuses_new_work = self.drain.refuses_new_work
         self.ledger = Ledger(
             service=settings.service,
             home=self.name,
-            home_call_address=f"{settings.address}:{settings.call_port}",
+            home_call_address=f"{settings.address}:{advertised_call_port}",
             home_peer_address=f"{settings.address}:{settings.peer_port}",
             checker=self.checker,
         )
@@ -78,19 +82,34 @@
             checker=self.checker,
         )
         self.requests = RequestMemory()
-        self.member = Member(
-            name=settings.name,
-            service=settings.service,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            address=settings.address,
-            call_port=settings.call_port,
-            peer_port=settings.peer_port,
-            incarnation=self.ledger.incarnation,
-            revision=1,
-            status=MEMBER_STATUS_ALIVE,
+        self.local = LocalMember(new_member(settings, self.ledger.incarnation))
+        self.member = self.local.member
+        self.cluster = ClusterMembership(
+            local=self.local,
+            table=self.members,
+            codec=DatagramCodec(
+                settings.cluster,
+                self.name,
+                self.clock,
+                lambda: (self.configuration.generation, self.configuration.record.change_id),
+            ),
+            registration=Registration(self.platform, self.local, Random()),
+            channels=self.channels,
+            envelope=self.envelope,
+            seed_nodes=list(settings.seed_nodes),
+            random=Random(),
         )
-        self.member_changed = Event()
+        self.distribution = ConfigurationDistribution(
+            holder=self.configuration,
+            objects=self.platform,
+            peers=GrpcConfigurationPeers(self.channels, self.envelope),
+            table=self.members,
+            own=self.member,
+            random=Random(),
+            notify=self.cluster.detector.spread_now,
+        )
+        self.cluster.detector.on_generation = self.distribution.hear
+        self.ready = False
 
     @classmethod
     def from_config(cls, settings: NodeSettings) -> Self:
@@ -108,15 +127,16 @@
 
     def publish_member(self) -> None:
         """Makes a change of this node's own state known."""
-        if self.member.backend_ready == self.backend.is_ready:
-            return
-        self.member.backend_ready = self.backend.is_ready
-        self.member.revision += 1
-        self.members.merge(self.member)
-        self.member_changed.set()
+        self.drain.set_backend_leaving(self.backend.leaving)
+        if self.local.set_ready(self.ready and self.backend.is_ready):
+            self.cluster.publish()
+
+    def _grace_seconds(self) -> float:
+        policy = self.configuration.policies.policy(self.settings.service)
+        return milliseconds_to_seconds(policy, "drain_grace_ms")
 
     async def close(self) -> None:
         """Closes all outgoing connections."""
-        self.peers.close()
         await self.router.close()
         await self.backend.close()
+        self.channels.close()
--- a/tests/unit/test_retry_bound.py
+++ b/tests/unit/test_retry_bound.py
@@ -194,6 +194,7 @@
         state = NodeState.from_config(settings_of_entry)
         fill_members(state.members)
         state.configuration.offer(configuration(budget), "test")
+        state.ready = True
         network.use(state.router)
         server = CallServer(state)
         sent = []
