--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,11 @@
 PYTHON ?= python3.11
+SECONDS ?= 60
+SEED ?= 1
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install run test lint format schema clean
+.PHONY: install run soak test lint format schema clean
 
 install: $(STAMP)
 
@@ -16,6 +18,9 @@
 run: install
 	$(BIN)/coltsfoottrack demo
 
+soak: install
+	$(BIN)/python -m coltsfoottrack._internal.experiment.soak --seconds=$(SECONDS) --seed=$(SEED)
+
 test: install
 	$(BIN)/python -m tests
 
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/faults.py
@@ -0,0 +1,207 @@
+"""Faults for experiments and functional tests: links between processes, and whole processes."""
+
+from asyncio import (
+    AbstractServer,
+    StreamReader,
+    StreamWriter,
+    Task,
+    create_task,
+    gather,
+    open_connection,
+    sleep,
+    start_server,
+)
+
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, NodePlace
+
+CHUNK_BYTES = 65_536
+
+
+class LinkConnection:
+    """One connection through a link: the caller's side and the target's side."""
+
+    def __init__(self, caller: StreamWriter, target: StreamWriter) -> None:
+        self.caller = caller
+        self.target = target
+        self.silent = False
+        self.truncate_after: int | None = None
+
+    def abort(self) -> None:
+        """Ends both sides at once; the peers see a reset or an end of the stream."""
+        self.caller.transport.abort()
+        self.target.transport.abort()
+
+
+class FaultyLink:
+    """A TCP link that forwards to a target port, and that can be broken in several ways.
+
+    It must be started and used in one event loop.
+    """
+
+    def __init__(self, port: int, target_port: int) -> None:
+        self.port = port
+        self.target_port = target_port
+        self.delay_seconds = 0.0
+        self.connections: set[LinkConnection] = set()
+        self.tasks: set[Task[None]] = set()
+        self.server: AbstractServer | None = None
+
+    async def start(self) -> None:
+        """Opens the link's port on the loopback interface."""
+        self.server = await start_server(self._accept, LOOPBACK, self.port)
+
+    async def stop(self) -> None:
+        """Closes the port and cuts all connections."""
+        if self.server is not None:
+            self.server.close()
+        self.cut()
+        await gather(*self.tasks, return_exceptions=True)
+
+    def cut(self) -> None:
+        """Cuts all open connections; new ones work."""
+        for connection in list(self.connections):
+            connection.abort()
+
+    def delay(self, milliseconds: float) -> None:
+        """Delays each piece of data in both directions from now on; 0 for no delay."""
+        self.delay_seconds = milliseconds / 1000.0
+
+    def truncate(self, response_bytes: int) -> None:
+        """Cuts each open connection after this many more bytes towards the caller."""
+        for connection in self.connections:
+            connection.truncate_after = response_bytes
+
+    def silence_open(self) -> None:
+        """Lets open connections swallow all data for ever, without closing; new ones work."""
+        for connection in self.connections:
+            connection.silent = True
+
+    async def _accept(self, reader: StreamReader, writer: StreamWriter) -> None:
+        try:
+            target_reader, target_writer = await open_connection(LOOPBACK, self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = LinkConnection(writer, target_writer)
+        self.connections.add(connection)
+        pumps = [
+            create_task(self._pump(connection, reader, target_writer, False)),
+            create_task(self._pump(connection, target_reader, writer, True)),
+        ]
+        self.tasks.update(pumps)
+        await gather(*pumps, return_exceptions=True)
+        self.tasks.difference_update(pumps)
+        self.connections.discard(connection)
+        connection.abort()
+
+    async def _pump(
+        self,
+        connection: LinkConnection,
+        reader: StreamReader,
+        writer: StreamWriter,
+        to_caller: bool,
+    ) -> None:
+        """Forwards one direction until it ends; the end of one ends both."""
+        try:
+            while data := await reader.read(CHUNK_BYTES):
+                if self.delay_seconds:
+                    await sleep(self.delay_seconds)
+                if connection.silent:
+                    continue
+                if to_caller and connection.truncate_after is not None:
+                    data = data[: connection.truncate_after]
+                    connection.truncate_after -= len(data)
+                writer.write(data)
+                await writer.drain()
+                if to_caller and connection.truncate_after == 0:
+                    break
+        except OSError:
+            pass
+        if connection.silent:
+            # A silent connection shows the end of neither side.
+            return
+        # Lets what was written leave before the connection ends.
+        writer.close()
+        if to_caller:
+            connection.target.transport.abort()
+
+
+class FaultInjector:
+    """Sets faults in a fleet whose nodes' call ports are behind links."""
+
+    def __init__(self, fleet: Fleet, links: dict[str, FaultyLink]) -> None:
+        self.fleet = fleet
+        self.links = links
+
+    def link(self, place: NodePlace) -> FaultyLink:
+        """Returns the link in front of a node's call port."""
+        return self.links[place.node_process]
+
+    def kill(self, process: str) -> None:
+        """Ends a process at once, unless it has ended."""
+        if self.is_running(process):
+            self.fleet.kill(process)
+
+    def terminate(self, process: str) -> None:
+        """Asks a process to drain and end, unless it has ended."""
+        if self.is_running(process):
+            self.fleet.terminate(process)
+
+    def pause(self, process: str) -> None:
+        """Stops a process without ending it; its connections stay open and go silent."""
+        if self.is_running(process):
+            self.fleet.pause(process)
+
+    def resume(self, process: str) -> None:
+        """Lets a paused process go on."""
+        if self.is_running(process):
+            self.fleet.resume(process)
+
+    def restart_ended(self) -> list[str]:
+        """Starts all processes again that have ended; returns their names."""
+        restarted = []
+        for name in list(self.fleet.processes):
+            if self.is_running(name):
+                continue
+            self.fleet.restart(name)
+            restarted.append(name)
+        return restarted
+
+    def is_running(self, process: str) -> bool:
+        """Tells whether a process has not ended; a paused one has not."""
+        return self.fleet.processes[process].poll() is None
+
+    def platform_down(self) -> None:
+        """Makes the platform refuse all calls."""
+        self.fleet.set_faults(down=True)
+
+    def platform_slow(self, milliseconds: float) -> None:
+        """Delays each call of the platform."""
+        self.fleet.set_faults(slow_ms=milliseconds)
+
+    def platform_loses_answers(self) -> None:
+        """Lets writes take effect while their answers are lost."""
+        self.fleet.set_faults(lose_answers=True)
+
+    def platform_snapshot(self) -> None:
+        """Takes the platform's state as the older state to restore."""
+        self.fleet.set_faults(take_snapshot=True)
+
+    def platform_restored(self) -> None:
+        """Restores the platform to the older state, without other faults."""
+        self.fleet.set_faults(restore_snapshot=True)
+
+    def platform_healthy(self) -> None:
+        """Ends all faults of the platform."""
+        self.fleet.set_faults()
+
+
+async def start_links(fleet: Fleet, ports: list[int]) -> dict[str, FaultyLink]:
+    """Puts a link in front of each node's call port; call before the fleet starts."""
+    links = {}
+    for place, port in zip(fleet.places, ports, strict=True):
+        link = FaultyLink(port, place.call_port)
+        await link.start()
+        links[place.node_process] = link
+        fleet.advertised_ports.setdefault(place.service, {})[place.name] = port
+    return links
