Answer operators from each node: status, events, drain, metrics, readiness

Cause: on-call teams could not see what a node refuses, where and since when. Ruled out: recording events in the layers below the call port (a call passes several, so one trouble left several events and none had the whole time). Before: no operator service, no admin port. The bounds of the call port were not in force: client_max_size is not an argument of aiohttp's RequestHandler, which then dropped all arguments and logged a warning for each connection. After: bounds in force through BoundedServer; each late, slow, refused, failed or unknown answer leaves one event with its queue and running time; events of the embedded client reach the node through Backend.ReportEvents.

--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -80,6 +80,9 @@
     # False only when this copy of the call was certainly not sent on to where it could run.
     copy_dispatched: bool = True
     node_leaving: bool = False
+    # Time that the call waited for a slot, and that the backend server took, in ms.
+    queued_ms: float = 0.0
+    running_ms: float = 0.0
 
 
 def refused(reason: Reason, retry_useful: bool = False, text: str = "") -> Answer:
--- a/src/coltsfoottrack/_internal/events/clock.py
+++ b/src/coltsfoottrack/_internal/events/clock.py
@@ -3,13 +3,17 @@
 from time import time
 
 LOGICAL_BITS = 16
+# A reading further ahead than this comes from a broken or hostile sender; following it would
+# move all later events of the fleet into the future.
+MAX_AHEAD_MS = 600_000
 
 
 class HybridClock:
     """A clock that follows the wall clock and never runs behind a reading it has seen.
 
     A reading is one integer, wall milliseconds shifted left by 16 bits plus a counter, after
-    Kulkarni et al., "Logical Physical Clocks" (OPODIS 2014).
+    Kulkarni et al., "Logical Physical Clocks" (OPODIS 2014). Readings more than 10 minutes ahead
+    of the own wall clock are ignored.
     """
 
     def __init__(self) -> None:
@@ -22,5 +26,7 @@
 
     def observe(self, reading: int) -> None:
         """Takes over a reading that came with a message, so that later events sort after it."""
-        if reading.bit_length() <= 63:
-            self.last = max(self.last, reading)
+        if reading <= self.last:
+            return
+        if reading >> LOGICAL_BITS <= int(time() * 1000) + MAX_AHEAD_MS:
+            self.last = reading
--- /dev/null
+++ b/src/coltsfoottrack/_internal/events/kinds.py
@@ -0,0 +1,27 @@
+"""Kinds of events, a fixed set that metrics and filters can rely on."""
+
+from enum import StrEnum
+
+
+class EventKind(StrEnum):
+    """What an event tells."""
+
+    REFUSED = "refused"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+    LATE = "late"
+    SLOW = "slow"
+    CANCELLED = "cancelled"
+    RETRY = "retry"
+    RETRY_REFUSED = "retry_refused"
+    BAD_REQUEST = "bad_request"
+    CONFIGURATION = "configuration"
+    BACKEND = "backend"
+    DRAIN = "drain"
+    MEMBER = "member"
+    GAP = "gap"
+
+
+TROUBLE_KINDS = frozenset(
+    (EventKind.REFUSED, EventKind.FAILED, EventKind.UNKNOWN, EventKind.LATE, EventKind.SLOW)
+)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/node/admin_server.py
@@ -0,0 +1,101 @@
+"""The admin port: ``/metrics`` for a scraper, ``/ready`` and ``/live`` for the platform."""
+
+from collections import Counter
+
+from aiohttp.web import BaseRequest, Response, Server
+from aiohttp.web_runner import ServerRunner, TCPSite
+from aioprometheus import render
+
+from coltsfoottrack._internal.events.kinds import EventKind
+from coltsfoottrack._internal.node.operator_service import configuration_age_seconds
+from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.observability.invariants import Invariant
+from coltsfoottrack._internal.observability.process import resident_bytes
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MemberStatus
+
+KEEPALIVE_SECONDS = 30.0
+STATUS_PREFIX = "MEMBER_STATUS_"
+
+
+class AdminServer:
+    """Serves the metrics and the readiness of one node."""
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+        self.runner = ServerRunner(
+            Server(self.serve, access_log=None, keepalive_timeout=KEEPALIVE_SECONDS)
+        )
+
+    async def start(self) -> None:
+        """Opens the admin port. Raises OSError if it cannot be opened."""
+        await self.runner.setup()
+        settings = self.state.settings
+        await TCPSite(self.runner, settings.address, settings.admin_port).start()
+
+    async def stop(self) -> None:
+        """Closes the port."""
+        await self.runner.cleanup()
+
+    async def serve(self, request: BaseRequest) -> Response:
+        """Answers one HTTP request."""
+        if request.method != "GET":
+            return Response(status=405, text="expected GET")
+        if request.path == "/metrics":
+            refresh_gauges(self.state)
+            body, headers = render(
+                self.state.metrics.registry, request.headers.getall("Accept", [])
+            )
+            return Response(body=body, headers=headers)
+        if request.path == "/ready":
+            reason = self.state.not_ready_reason()
+            return Response(status=503 if reason else 200, text=f"{reason or 'ready'}\n")
+        if request.path == "/live":
+            return Response(text="live\n")
+        return Response(status=404, text="expected /metrics, /ready or /live")
+
+
+def refresh_gauges(state: NodeState) -> None:
+    """Reads the node's state into the gauges; done at each scrape so that calls do not pay."""
+    metrics = state.metrics
+    metrics.set_gauge("concurrency_limit", "Limit in force.", int(state.limiter.limit))
+    metrics.set_gauge("in_flight", "Calls running now.", state.limiter.in_flight)
+    metrics.set_gauge("queued", "Calls waiting for a slot.", len(state.admission.queue))
+    metrics.set_gauge("admission_level", "Least rank admitted.", state.admission.level)
+    metrics.set_gauge(
+        "configuration_generation",
+        "Configuration generation in force.",
+        state.configuration.generation,
+    )
+    metrics.set_gauge(
+        "configuration_age_seconds",
+        "Time since the configuration in force was taken over, in seconds.",
+        configuration_age_seconds(state),
+    )
+    metrics.set_gauge(
+        "configuration_unusable",
+        "1 if the newest configuration seen could not be used.",
+        1 if state.configuration.problem else 0,
+    )
+    metrics.set_gauge(
+        "platform_reachable",
+        "1 if the platform answered the last call to it.",
+        1 if state.platform.contact.reachable else 0,
+    )
+    metrics.set_gauge(
+        "unknown_outcomes",
+        "Calls answered with outcome unknown, in this node and its embedded client.",
+        state.ring.counts[EventKind.UNKNOWN.value],
+    )
+    metrics.set_gauge("events_dropped", "Events overwritten in the ring.", state.ring.dropped)
+    metrics.set_gauge("open_keys", "Idempotency keys with a record.", len(state.ledger.records))
+    metrics.set_gauge("resident_bytes", "Resident memory, in bytes.", resident_bytes())
+    metrics.set_gauge("ready", "1 if the node is ready.", 0 if state.not_ready_reason() else 1)
+    metrics.retries.set({"result": "sent"}, state.ring.counts[EventKind.RETRY.value])
+    metrics.retries.set({"result": "refused"}, state.ring.counts[EventKind.RETRY_REFUSED.value])
+    for invariant in Invariant:
+        metrics.violations.set({"invariant": invariant.value}, state.checker.violations[invariant])
+    statuses = Counter(member.status for member in state.members.members.values())
+    for status in MemberStatus.values():
+        name = MemberStatus.Name(status).removeprefix(STATUS_PREFIX).lower()
+        if name != "unspecified":
+            metrics.members.set({"status": name}, statuses[status])
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -1,7 +1,10 @@
 """The backend server beside the node, as it announced itself."""
 
+from contextlib import suppress
+
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    EVENT_CLOCK,
     PATH_LEVEL,
     CallContext,
     whole_number,
@@ -54,6 +57,8 @@
             if context.deadline.has_passed():
                 return unknown(Reason.DEADLINE)
             return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
+        with suppress(BadRequestError):
+            self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
         return _read_reply(reply, context)
 
     async def close(self) -> None:
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -1,8 +1,9 @@
 """The call port: HTTP/1.1 requests from callers, peers and embedded clients."""
 
-from asyncio import timeout
+from asyncio import CancelledError, timeout
+from time import monotonic
 
-from aiohttp.web import BaseRequest, HTTPException, HTTPRequestEntityTooLarge, Response, Server
+from aiohttp.web import BaseRequest, HTTPException, HTTPRequestEntityTooLarge, Response
 from aiohttp.web_runner import ServerRunner, TCPSite
 
 from coltsfoottrack._internal.calls.context import (
@@ -18,9 +19,17 @@
 from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
+from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
+from coltsfoottrack._internal.node.connections import (
+    BoundedServer,
+    ConnectionBounds,
+    header_block_bytes,
+)
+from coltsfoottrack._internal.node.exceptions import HeadersTooLargeError, WrongClusterError
 from coltsfoottrack._internal.node.state import NodeState
-from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
+from coltsfoottrack._internal.settings.rules import number_or_default
 
 SERVICES_PREFIX = "/v1/services/"
 MAX_KEYS_PER_REQUEST = 1000
@@ -32,19 +41,10 @@
 
     def __init__(self, state: NodeState) -> None:
         self.state = state
-        limits = state.settings.limits
-        self.max_body = int(number_or_default(limits, "max_body_bytes"))
-        self.body_timeout = milliseconds_to_seconds(limits, "body_timeout_ms")
+        self.bounds = ConnectionBounds.from_config(state.settings.limits)
+        self.server = BoundedServer(self.serve, self.bounds, state.metrics)
         self.runner = ServerRunner(
-            Server(
-                self.serve,
-                access_log=None,
-                max_field_size=int(number_or_default(limits, "max_header_bytes")),
-                client_max_size=self.max_body,
-                lingering_time=0,
-            ),
-            handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_SECONDS,
+            self.server, handler_cancellation=True, shutdown_timeout=SHUTDOWN_SECONDS
         )
 
     async def start(self) -> None:
@@ -67,7 +67,9 @@
 
     async def _answer(self, request: BaseRequest) -> Answer:
         state = self.state
+        started = monotonic()
         try:
+            self._check_size(request)
             body = await self._read_body(request)
             self._check_peer(request)
             service, operation = _split_path(request)
@@ -75,34 +77,75 @@
                 return self._issue_keys(request)
             grant = state.configuration.policies.grant(service, operation)
             context = read_context(service, operation, request.headers, grant)
+        except HeadersTooLargeError as error:
+            return self._refuse_input("431", refused(Reason.BAD_REQUEST, text=str(error)))
+        except WrongClusterError as error:
+            return self._refuse_input("400", refused(Reason.WRONG_CLUSTER, text=str(error)))
         except BadRequestError as error:
-            state.metrics.bad_requests.inc({"status": "400"})
-            return refused(Reason.BAD_REQUEST, text=str(error))
+            return self._refuse_input("400", refused(Reason.BAD_REQUEST, text=str(error)))
         except HTTPRequestEntityTooLarge:
-            state.metrics.bad_requests.inc({"status": "413"})
-            return refused(Reason.TOO_LARGE, text=f"body is over {self.max_body} bytes")
+            text = f"body is over {self.bounds.max_body_bytes} bytes"
+            return self._refuse_input("413", refused(Reason.TOO_LARGE, text=text))
         except (HTTPException, TimeoutError):
-            state.metrics.bad_requests.inc({"status": "408"})
-            return refused(Reason.BAD_REQUEST, text="body did not arrive in time")
-        answer = await self._call(context, body, grant.idempotent)
-        state.metrics.count_call(context.priority_name, answer.outcome.value, answer.reason.value)
+            text = "body did not arrive whole and in time"
+            return self._refuse_input("408", refused(Reason.BAD_REQUEST, text=text))
+        try:
+            answer = await self._call(context, body, grant.idempotent)
+        except CancelledError:
+            record_cancelled(state.ring, context, started, state.name)
+            raise
+        self._record(context, answer, started)
         return answer
 
+    def _refuse_input(self, status: str, answer: Answer) -> Answer:
+        """Counts a request refused for its form; the text of the answer says what is wrong."""
+        state = self.state
+        state.metrics.bad_requests.inc({"status": status})
+        detail = answer.body.decode("utf-8", "replace")[:200]
+        state.ring.add(EventKind.BAD_REQUEST.value, reason=answer.reason.value, detail=detail)
+        return answer._replace(status=int(status))
+
+    def _record(self, context: CallContext, answer: Answer, started: float) -> None:
+        state = self.state
+        priority = context.priority_name
+        reason = answer.reason.value
+        state.metrics.count_call(priority, answer.outcome.value, reason)
+        if answer.outcome is Outcome.DONE:
+            if not context.deadline.has_passed():
+                state.metrics.count_good(priority, not context.depth and not context.from_peer)
+        elif answer.outcome is Outcome.REFUSED:
+            state.metrics.refusals.inc({"priority": priority, "reason": reason})
+            state.refusals.count(priority, reason)
+        record_answer(state.ring, context, answer, started, state.name)
+
+    def _check_size(self, request: BaseRequest) -> None:
+        """Refuses a request by its announced sizes, before its body is read."""
+        size = header_block_bytes(request)
+        if size > self.bounds.max_header_bytes:
+            limit = self.bounds.max_header_bytes
+            raise HeadersTooLargeError(f"header fields are {size} bytes, over {limit}")
+        length = request.content_length
+        if length is not None and length > self.bounds.max_body_bytes:
+            raise HTTPRequestEntityTooLarge(self.bounds.max_body_bytes, length)
+
     async def _read_body(self, request: BaseRequest) -> bytes:
-        async with timeout(self.body_timeout):
+        async with timeout(self.bounds.body_seconds):
             return await request.read()
 
     def _check_peer(self, request: BaseRequest) -> None:
         headers = request.headers
         cluster = headers.get(CLUSTER)
         if cluster is not None and cluster != self.state.settings.cluster:
-            raise BadRequestError(
+            raise WrongClusterError(
                 f"request is for cluster {cluster!r}, this is {self.state.settings.cluster!r}"
             )
         version = headers.get(PROTOCOL)
         if version is not None and version != str(PROTOCOL_VERSION):
-            raise BadRequestError(f"protocol version {version!r} is not {PROTOCOL_VERSION}")
-        self.state.clock.observe(whole_number(headers, EVENT_CLOCK, 0, 2**63 - 1))
+            raise WrongClusterError(
+                f"protocol version {version!r}, this node speaks {PROTOCOL_VERSION}"
+            )
+        if cluster is not None:
+            self.state.clock.observe(whole_number(headers, EVENT_CLOCK, 0, 2**63 - 1))
 
     async def _call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
         state = self.state
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -11,8 +11,10 @@
 from coltsfoottrack._internal.configuration.codec import CURRENT_PATH, decode_record
 from coltsfoottrack._internal.configuration.exceptions import UnreadableConfigurationError
 from coltsfoottrack._internal.membership.registration import register, watch_members
+from coltsfoottrack._internal.node.admin_server import AdminServer
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.operator_service import OperatorService
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.platform.exceptions import PlatformError
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import NodeSettings
@@ -30,9 +32,11 @@
         loop.add_signal_handler(signal, stopping.set)
     state = NodeState.from_config(settings)
     call_server = CallServer(state)
-    peer_server = Server([BackendService(state)])
+    admin_server = AdminServer(state)
+    peer_server = Server([BackendService(state), OperatorService(state)])
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
+    await admin_server.start()
     freeze()
     logger.info("node_started", node=state.name, call_port=settings.call_port)
     try:
@@ -47,6 +51,7 @@
                 task.cancel()
     finally:
         await call_server.stop()
+        await admin_server.stop()
         peer_server.close()
         await peer_server.wait_closed()
         await state.close()
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -5,7 +5,7 @@
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.exceptions import NotAdmittedError
 from coltsfoottrack._internal.calls.context import CallContext
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
@@ -32,12 +32,13 @@
         """Returns the answer to a call, run at most once."""
         if not self.backend.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
+        arrived = monotonic()
         try:
             waited = await self.admission.admit(context)
         except NotAdmittedError as error:
-            self.ring.add_call("refused", context, reason=error.reason.value)
             useful = error.reason in RETRYABLE_REASONS
-            return self._with_level(refused(error.reason, retry_useful=useful))
+            answer = refused(error.reason, retry_useful=useful)
+            return self._with_level(answer._replace(queued_ms=(monotonic() - arrived) * 1000.0))
         self.metrics.queue_delay.observe({}, waited)
         started = monotonic()
         shed = False
@@ -50,13 +51,7 @@
             self.admission.release(shed)
         seconds = monotonic() - started
         self.metrics.service_time.observe({}, seconds)
-        if answer.outcome is not Outcome.DONE:
-            self.ring.add_call(
-                answer.outcome.value,
-                context,
-                reason=answer.reason.value,
-                duration_ms=seconds * 1000.0,
-            )
+        answer = answer._replace(queued_ms=waited * 1000.0, running_ms=seconds * 1000.0)
         return self._with_level(answer)
 
     def _with_level(self, answer: Answer) -> Answer:
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event
 from random import Random
+from time import time
 from typing import Self
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
@@ -16,6 +17,7 @@
 from coltsfoottrack._internal.node.local_calls import LocalCalls
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
+from coltsfoottrack._internal.observability.refusals import RefusalRuns
 from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
@@ -35,6 +37,9 @@
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
         self.metrics = NodeMetrics()
+        self.refusals = RefusalRuns()
+        self.started_ms = int(time() * 1000)
+        self.draining = False
         self.checker = InvariantChecker()
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
@@ -99,6 +104,24 @@
         self.members.merge(self.member)
         self.member_changed.set()
 
+    def drain(self) -> None:
+        """Makes the node leave: it takes no new work, and calls in flight go on to their end."""
+        self.draining = True
+        self.backend.leaving = True
+        self.publish_member()
+
+    def not_ready_reason(self) -> str:
+        """Says why this node should get no calls yet; empty if it is ready."""
+        if self.draining:
+            return "the node is draining"
+        if not self.configuration.generation:
+            return "no configuration is in force yet"
+        if not self.backend.address:
+            return "no backend server has announced itself"
+        if self.backend.leaving:
+            return "the backend server is leaving"
+        return ""
+
     async def close(self) -> None:
         """Closes all outgoing connections."""
         await self.router.close()
--- a/src/coltsfoottrack/_internal/observability/invariants.py
+++ b/src/coltsfoottrack/_internal/observability/invariants.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from enum import StrEnum
+from time import time
 
 from structlog import get_logger
 
@@ -26,12 +27,15 @@
 
     def __init__(self) -> None:
         self.violations: Counter[Invariant] = Counter()
+        # Wall clock of the first violation of each kind, ms since the epoch.
+        self.since_ms: dict[Invariant, int] = {}
 
     def check(self, holds: bool, invariant: Invariant, detail: str) -> bool:
         """Records a violation if the condition does not hold; returns the condition."""
         if holds:
             return True
         self.violations[invariant] += 1
+        self.since_ms.setdefault(invariant, int(time() * 1000))
         if self.violations[invariant] % 1000 == 1:
             logger.error("invariant_violated", invariant=invariant.value, detail=detail)
         return False
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -15,6 +15,16 @@
             "Answered calls by priority, outcome and reason.",
             registry=self.registry,
         )
+        self.good_calls = Counter(
+            "coltsfoottrack_good_calls_total",
+            "Calls done in time for a caller that was still connected, by priority and entry.",
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            "coltsfoottrack_refusals_total",
+            "Refused calls by priority and reason.",
+            registry=self.registry,
+        )
         self.queue_delay = Histogram(
             "coltsfoottrack_queue_delay_seconds",
             "Time that a call waited for a slot.",
@@ -32,12 +42,28 @@
             "Requests refused for their form, by HTTP status.",
             registry=self.registry,
         )
+        self.connections_refused = Counter(
+            "coltsfoottrack_connections_refused_total",
+            "Connections closed by a bound, by the bound.",
+            registry=self.registry,
+        )
         self.retries = Counter(
             "coltsfoottrack_retries_total",
             "Retries sent, and retries that a bound forbade, by result.",
             registry=self.registry,
         )
+        self.violations = Gauge(
+            "coltsfoottrack_violations",
+            "Violations since the start, by invariant.",
+            registry=self.registry,
+        )
+        self.members = Gauge(
+            "coltsfoottrack_members",
+            "Known members by status.",
+            registry=self.registry,
+        )
         self.gauges: dict[str, Gauge] = {}
+        self.good_total = 0
 
     def set_gauge(self, name: str, text: str, value: float) -> None:
         """Sets a gauge without labels, creating it at first use."""
@@ -50,3 +76,8 @@
     def count_call(self, priority: str, outcome: str, reason: str) -> None:
         """Counts an answered call."""
         self.calls.inc({"priority": priority, "outcome": outcome, "reason": reason})
+
+    def count_good(self, priority: str, is_entry: bool) -> None:
+        """Counts a call that was done in time; ``is_entry`` if no other service called it."""
+        self.good_total += 1
+        self.good_calls.inc({"priority": priority, "entry": "yes" if is_entry else "no"})
--- a/src/coltsfoottrack/_internal/platform/client.py
+++ b/src/coltsfoottrack/_internal/platform/client.py
@@ -12,6 +12,7 @@
 from urllib3 import HTTPResponse, PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
 
+from coltsfoottrack._internal.observability.contact import PlatformContact
 from coltsfoottrack._internal.platform.exceptions import (
     ObjectNotFoundError,
     PlatformUnavailableError,
@@ -44,6 +45,7 @@
 
     def __init__(self, addresses: list[str]) -> None:
         self.addresses = addresses
+        self.contact = PlatformContact()
         self.pool = PoolManager(maxsize=CONNECTIONS, retries=Retry(0, redirect=0))
 
     @classmethod
@@ -97,11 +99,14 @@
             except HTTPError as error:
                 problem = f"{address}: {error}"
                 continue
+            if response.status in (200, 404):
+                self.contact.record(True)
             if response.status == 404:
                 raise ObjectNotFoundError(f"{target} does not exist")
             if response.status == 200:
                 return response
             problem = f"{address}: HTTP status {response.status}"
+        self.contact.record(False)
         raise PlatformUnavailableError(f"platform does not answer reads: {problem}")
 
     def _write(
@@ -124,6 +129,8 @@
                 continue
             except HTTPError as error:
                 raise WriteUncertainError(f"answer to {method} {target} was lost") from error
+            if response.status < 429:
+                self.contact.record(True)
             if response.status in (409, 412):
                 raise VersionConflictError(f"{target} has another version")
             if response.status == 404:
@@ -131,6 +138,7 @@
             if response.status in (200, 201, 204):
                 return response
             problem = f"{address}: HTTP status {response.status}"
+        self.contact.record(False)
         raise PlatformUnavailableError(f"platform does not take writes: {problem}")
 
 
--- a/src/coltsfoottrack/_internal/routing/client.py
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -1,19 +1,27 @@
 """The embedded client: calls other services directly from a backend server."""
 
 from asyncio import gather, sleep
+from collections.abc import Mapping
 from random import Random
+from time import monotonic
 from typing import NamedTuple, Self
 
 from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from coltsfoottrack._internal.calls.budget import AttemptBudget
-from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION, CallContext
+from coltsfoottrack._internal.calls.context import (
+    EVENT_CLOCK,
+    PROTOCOL_VERSION,
+    CallContext,
+    whole_number,
+)
 from coltsfoottrack._internal.calls.identifiers import new_call_id
 from coltsfoottrack._internal.calls.outcome import Answer
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.events.call_record import record_answer
 from coltsfoottrack._internal.events.clock import HybridClock
-from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.events.ring import PROCESS_CLIENT, EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.routing.router import Router
@@ -21,12 +29,16 @@
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     AnnounceRequest,
     Envelope,
+    ReportEventsRequest,
     WatchRoutesRequest,
 )
 
 ANNOUNCE_INTERVAL_SECONDS = 1.0
 RECONNECT_SECONDS = 0.2
 RPC_TIMEOUT_SECONDS = 2.0
+REPORT_INTERVAL_SECONDS = 0.25
+REPORT_BATCH = 200
+CLIENT_RING_CAPACITY = 1024
 
 
 class OutgoingCall(NamedTuple):
@@ -51,7 +63,7 @@
         self.channel = Channel(host, int(port))
         self.node = BackendStub(self.channel)
         self.clock = HybridClock()
-        self.ring = EventRing(name, self.clock)
+        self.ring = EventRing(name, self.clock, CLIENT_RING_CAPACITY, PROCESS_CLIENT)
         self.members = MembershipTable()
         self.configuration = ConfigurationHolder(InvariantChecker())
         self.router = Router(
@@ -79,6 +91,19 @@
                 continue
             await sleep(ANNOUNCE_INTERVAL_SECONDS)
 
+    async def report_events(self) -> None:
+        """Hands events of this client to the node, for ever; while it is away the oldest go."""
+        while True:
+            await sleep(REPORT_INTERVAL_SECONDS)
+            events, dropped = self.ring.take(REPORT_BATCH)
+            if not events and not dropped:
+                continue
+            request = ReportEventsRequest(envelope=self._envelope(), events=events, dropped=dropped)
+            try:
+                await self.node.ReportEvents(request, timeout=RPC_TIMEOUT_SECONDS)
+            except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
+                self.ring.put_back(events, dropped)
+
     async def follow_routes(self) -> None:
         """Follows members and configuration from the node, for ever."""
         while True:
@@ -96,6 +121,13 @@
                     self.members.merge(member)
                 self.configuration.offer(update.configuration, "node")
 
+    def observe(self, headers: Mapping[str, str]) -> None:
+        """Follows the event clock of an arriving request, so that later events sort after it.
+
+        Raises BadRequestError if the header is malformed.
+        """
+        self.clock.observe(whole_number(headers, EVENT_CLOCK, 0, 2**63 - 1))
+
     async def call(self, parent: CallContext, call: OutgoingCall) -> Answer:
         """Makes one call on behalf of a request that this backend server is running."""
         return (await self.call_all(parent, [call]))[0]
@@ -127,7 +159,10 @@
             suspected_crashes=0,
             depth=parent.depth + 1,
         )
-        return await self.router.call(context, call.body)
+        started = monotonic()
+        answer = await self.router.call(context, call.body)
+        record_answer(self.ring, context, answer, started)
+        return answer
 
     def _envelope(self) -> Envelope:
         return Envelope(
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -1,6 +1,11 @@
 """One copy of a call sent to one node, and the truth about what became of it."""
 
-from coltsfoottrack._internal.calls.context import CallContext, read_answer
+from coltsfoottrack._internal.calls.context import (
+    EVENT_CLOCK,
+    CallContext,
+    read_answer,
+    whole_number,
+)
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
@@ -33,6 +38,7 @@
         except ConnectionLostError:
             return unknown(Reason.CONNECTION_LOST)._replace(retry_useful=True)
         try:
+            self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
             return read_answer(reply.status, reply.headers, reply.body)
         except BadRequestError:
             return unknown(Reason.CONNECTION_LOST)
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -87,6 +87,7 @@
             if not (may_retry and answer.retry_useful):
                 return answer
             if not (context.budget.retries and ratio.allow_retry() and context.budget.spend()):
+                self.ring.add_call("retry_refused", context, reason=answer.reason.value)
                 return answer._replace(retry_useful=False)
             self.ring.add_call("retry", context, reason=answer.reason.value)
             await sleep(self._backoff(attempt))
--- a/src/coltsfoottrack/_internal/schema/coltsfoottrack_grpc.py
+++ b/src/coltsfoottrack/_internal/schema/coltsfoottrack_grpc.py
@@ -175,6 +175,10 @@
 
 class BackendBase(abc.ABC):
 
+    @abc.abstractmethod
+    async def ReportEvents(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportEventsRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportEventsReply]') -> None:
+        pass
+
     @abc.abstractmethod
     async def Announce(self, stream: 'grpclib.server.Stream[coltsfoottrack._internal.schema.coltsfoottrack_pb2.AnnounceRequest, coltsfoottrack._internal.schema.coltsfoottrack_pb2.AnnounceReply]') -> None:
         pass
@@ -185,6 +189,12 @@
 
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
+            '/coltsfoottrack.v1.Backend/ReportEvents': grpclib.const.Handler(
+                self.ReportEvents,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportEventsRequest,
+                coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportEventsReply,
+            ),
             '/coltsfoottrack.v1.Backend/Announce': grpclib.const.Handler(
                 self.Announce,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -203,6 +213,12 @@
 class BackendStub:
 
     def __init__(self, channel: grpclib.client.Channel) -> None:
+        self.ReportEvents = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfoottrack.v1.Backend/ReportEvents',
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportEventsRequest,
+            coltsfoottrack._internal.schema.coltsfoottrack_pb2.ReportEventsReply,
+        )
         self.Announce = grpclib.client.UnaryUnaryMethod(
             channel,
             '/coltsfoottrack.v1.Backend/Announce',
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -20,6 +20,7 @@
 
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    EVENT_CLOCK,
     PATH_LEVEL,
     CallContext,
     CallGrant,
@@ -95,6 +96,7 @@
         operation = request.path.lstrip("/")
         try:
             context = read_context(self.settings.service, operation, request.headers, FULL_GRANT)
+            self.client.observe(request.headers)
         except BadRequestError as error:
             return Response(status=400, text=str(error))
         if self.present >= self.max_present or context.deadline.has_passed():
@@ -139,7 +141,10 @@
         return await self.client.call_all(context, calls)
 
     def _response(self, context: CallContext, body: bytes, answers: list[Answer]) -> Response:
-        headers = {ATTEMPTS_LEFT: str(context.budget.retries)}
+        headers = {
+            ATTEMPTS_LEFT: str(context.budget.retries),
+            EVENT_CLOCK: str(self.client.clock.tick()),
+        }
         levels = [max(answer.admission_level, answer.path_level) for answer in answers]
         headers[PATH_LEVEL] = str(max(levels, default=0))
         for answer in answers:
@@ -200,6 +205,7 @@
         background = [
             tasks.create_task(backend.client.announce_forever(backend.announcement)),
             tasks.create_task(backend.client.follow_routes()),
+            tasks.create_task(backend.client.report_events()),
         ]
         await stopping.wait()
         backend.announcement.leaving = True
