--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/drain.py
@@ -0,0 +1,88 @@
+"""``coltsfoottrack drain``: makes one node take no new work."""
+
+from asyncio import get_running_loop, run, sleep
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.exceptions import (
+    EXIT_BAD_INPUT,
+    EXIT_NOT_CONFIRMED,
+    EXIT_UNREACHABLE,
+    CommandError,
+)
+from coltsfoottrack._internal.cli.fleet_access import FleetAccess, NodeAnswer
+from coltsfoottrack._internal.cli.output import check_output, emit
+
+POLL_SECONDS = 0.25
+
+
+@SetParseFn(str)
+def drain(
+    name: str,
+    wait: str = "0",
+    node: str = "",
+    platform: str = "",
+    output: str = "text",
+    **unknown: str,
+) -> None:
+    """Makes a node leave: it takes no new work, and calls in flight go on to their end.
+
+    Args:
+        name: The node to drain, as SERVICE/NAME, as status shows it.
+        wait: Seconds to wait until no call is in flight there; 0 does not wait.
+        node: Peer address HOST:PORT of any node; default is COLTSFOOTTRACK_NODE.
+        platform: Address HOST:PORT of the platform, to learn the nodes from.
+        output: text or json.
+        unknown: Not accepted; an unknown flag stops the command before it does anything.
+    """
+    refuse_unknown(unknown)
+    check_output(output)
+    if not (wait.isascii() and wait.isdigit()):
+        raise CommandError("--wait must be a whole number of seconds", EXIT_BAD_INPUT)
+    run(_drain(name, int(wait[:6]), node, platform, output))
+
+
+def refuse_unknown(unknown: dict[str, str]) -> None:
+    """Raises CommandError for flags that a command does not have.
+
+    Fire reports them only after the command has run, too late for one that changes something.
+    """
+    if unknown:
+        flags = ", ".join(f"--{name}" for name in unknown)
+        raise CommandError(f"unknown flag {flags}; see --help; nothing was done", EXIT_BAD_INPUT)
+
+
+async def _drain(name: str, wait_seconds: int, node: str, platform: str, output: str) -> None:
+    access = FleetAccess.from_config(node, platform)
+    try:
+        address = _find(await access.statuses(), name)
+        answer = await access.drain(address)
+        if answer.reply is None:
+            raise CommandError(f"{name} at {address}: {answer.problem}", EXIT_UNREACHABLE)
+        in_flight = answer.reply.in_flight
+        loop = get_running_loop()
+        expiry = loop.time() + wait_seconds
+        while in_flight and loop.time() < expiry:
+            await sleep(POLL_SECONDS)
+            answer = await access.drain(address)
+            if answer.reply is None:
+                in_flight = 0
+                break
+            in_flight = answer.reply.in_flight
+    finally:
+        access.close()
+    text = f"{name} takes no new work; {in_flight} calls in flight"
+    emit(output, {"node": name, "address": address, "in_flight": in_flight}, [text])
+    if wait_seconds and in_flight:
+        raise CommandError(
+            f"{in_flight} calls were still in flight at {name} after {wait_seconds} s; wait again",
+            EXIT_NOT_CONFIRMED,
+        )
+
+
+def _find(answers: list[NodeAnswer], name: str) -> str:
+    for answer in answers:
+        if name in (answer.name, answer.address):
+            return answer.address
+    known = ", ".join(sorted(answer.name or answer.address for answer in answers)[:20])
+    raise CommandError(f"no node is named {name!r}; known: {known}", EXIT_BAD_INPUT)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/explain.py
@@ -0,0 +1,52 @@
+"""``coltsfoottrack explain``: what happened to one request, for whom and why."""
+
+from asyncio import run
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.event_lines import (
+    event_document,
+    event_line,
+    fetch_events,
+    missing_document,
+    missing_lines,
+)
+from coltsfoottrack._internal.cli.output import check_output, emit
+from coltsfoottrack._internal.events.explain import explain_events
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import EventsRequest
+
+MAX_EVENTS = 4096
+
+
+@SetParseFn(str)
+def explain(request_id: str, node: str = "", platform: str = "", output: str = "text") -> None:
+    """Explains where a request waited, was refused or was tried again, for whom and why.
+
+    Args:
+        request_id: Value of the request's Request-Id header.
+        node: Peer address HOST:PORT of any node; default is COLTSFOOTTRACK_NODE.
+        platform: Address HOST:PORT of the platform, to learn the nodes from.
+        output: text or json.
+    """
+    check_output(output)
+    wanted = EventsRequest(request_id=request_id, limit=MAX_EVENTS)
+    found = run(fetch_events(node, platform, wanted))
+    told = explain_events(request_id, found.events)
+    document = {
+        "request_id": request_id,
+        "verdict": told.verdict,
+        "retries": told.retries,
+        "times": told.times,
+        "events": [event_document(event) for event in found.events],
+    }
+    document.update(missing_document(found))
+    lines = [told.verdict]
+    lines.extend(f"  {line}" for line in told.retries)
+    if told.times:
+        lines.append("where the time went:")
+        lines.extend(f"  {line}" for line in told.times)
+    if found.events:
+        lines.append("events:")
+        lines.extend(f"  {event_line(event)}" for event in found.events)
+    lines.extend(missing_lines(found))
+    emit(output, document, lines)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/status.py
@@ -0,0 +1,31 @@
+"""``coltsfoottrack status``: what the fleet is doing, and what is wrong."""
+
+from asyncio import run
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.fleet_access import FleetAccess
+from coltsfoottrack._internal.cli.output import check_output, emit
+from coltsfoottrack._internal.cli.status_report import build_status, status_lines
+
+
+@SetParseFn(str)
+def status(node: str = "", platform: str = "", output: str = "text") -> None:
+    """Shows services, backend servers, limits, what is shed and since when, and violations.
+
+    Args:
+        node: Peer address HOST:PORT of any node; default is COLTSFOOTTRACK_NODE.
+        platform: Address HOST:PORT of the platform, to learn the nodes from.
+        output: text or json.
+    """
+    check_output(output)
+    run(_status(node, platform, output))
+
+
+async def _status(node: str, platform: str, output: str) -> None:
+    access = FleetAccess.from_config(node, platform)
+    try:
+        document = build_status(access, await access.statuses())
+    finally:
+        access.close()
+    emit(output, document, status_lines(document))
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/configuration_access.py
@@ -0,0 +1,171 @@
+"""The configuration as the commands read, change and follow it."""
+
+from asyncio import get_running_loop, sleep
+from typing import Any, NamedTuple, Self
+
+from google.protobuf.json_format import MessageToDict
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.cli.exceptions import EXIT_UNREACHABLE, CommandError
+from coltsfoottrack._internal.cli.fleet_access import (
+    RPC_TIMEOUT_SECONDS,
+    FleetAccess,
+    NodeAnswer,
+    operator_name,
+)
+from coltsfoottrack._internal.configuration.exceptions import (
+    StoreUnavailableError,
+    UnreadableConfigurationError,
+)
+from coltsfoottrack._internal.configuration.peers import operator_store
+from coltsfoottrack._internal.configuration.store import ConfigurationStore, StoredConfiguration
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import ConfigurationPeerStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    ConfigurationRecord,
+    Envelope,
+    FetchConfigurationRequest,
+    FleetConfiguration,
+)
+
+POLL_SECONDS = 0.25
+PRIORITY_PREFIX = "PRIORITY_"
+
+
+class ReadRecord(NamedTuple):
+    """A record and where it was read."""
+
+    record: ConfigurationRecord
+    source: str
+
+
+class Unconfirmed(NamedTuple):
+    """A node that does not hold a change, and what it holds instead."""
+
+    node: str
+    problem: str
+    generation: int = 0
+    since_ms: int = 0
+
+
+class ConfigurationAccess:
+    """The configuration in the platform and at the nodes of one fleet."""
+
+    def __init__(self, fleet: FleetAccess, answers: list[NodeAnswer]) -> None:
+        self.fleet = fleet
+        self.answers = answers
+        platforms = fleet.platforms
+        for answer in answers:
+            if not platforms and answer.reply is not None:
+                platforms = list(answer.reply.platform_addresses)
+        self.store: ConfigurationStore = operator_store(platforms, fleet.cluster)
+
+    @classmethod
+    async def open(cls, node: str, platform: str) -> Self:
+        """Finds the nodes and the platform. Raises CommandError if no node answers."""
+        fleet = FleetAccess.from_config(node, platform)
+        return cls(fleet, await fleet.statuses())
+
+    async def stored(self) -> StoredConfiguration:
+        """Returns what the platform stores, which a change needs as its base."""
+        try:
+            return await self.store.read()
+        except StoreUnavailableError as error:
+            raise CommandError(
+                f"{error}; nothing was changed, try again when the platform answers",
+                EXIT_UNREACHABLE,
+            ) from error
+        except UnreadableConfigurationError as error:
+            raise CommandError(f"{error}; restore it with config set --file FILE") from error
+
+    async def newest(self) -> ReadRecord:
+        """Returns the newest record: of the platform, or of a node that has a newer one."""
+        try:
+            best = ReadRecord((await self.store.read()).record, "platform")
+        except (StoreUnavailableError, UnreadableConfigurationError) as error:
+            self.fleet.add_note(f"{error}; this answer comes from the nodes alone")
+            best = ReadRecord(ConfigurationRecord(), "")
+        newest = None
+        for answer in self.answers:
+            if answer.reply is None:
+                continue
+            if newest is None or (
+                answer.reply.configuration_generation > newest.reply.configuration_generation
+            ):
+                newest = answer
+        if newest is None or newest.reply.configuration_generation <= best.record.generation:
+            return best
+        return ReadRecord(await self._fetch(newest.address), newest.name)
+
+    async def unconfirmed(self, record: ConfigurationRecord) -> list[Unconfirmed]:
+        """Returns the known nodes that do not hold a change, and since when they hold theirs."""
+        self.answers = await self.fleet.statuses()
+        found = []
+        for answer in self.answers:
+            name = answer.name or answer.address
+            reply = answer.reply
+            if reply is None:
+                found.append(Unconfirmed(name, answer.problem))
+                continue
+            held = reply.configuration_generation
+            if held > record.generation:
+                continue
+            if held == record.generation and reply.configuration_change_id == record.change_id:
+                continue
+            problem = reply.configuration_problem or f"holds generation {held}"
+            found.append(Unconfirmed(name, problem, held, reply.configuration_since_ms))
+        return found
+
+    async def wait_for_all(self, record: ConfigurationRecord, seconds: float) -> list[Unconfirmed]:
+        """Waits until every known node holds a change; returns those that do not in time."""
+        loop = get_running_loop()
+        expiry = loop.time() + seconds
+        while True:
+            missing = await self.unconfirmed(record)
+            if not missing or loop.time() >= expiry:
+                return missing
+            await sleep(POLL_SECONDS)
+
+    async def _fetch(self, address: str) -> ConfigurationRecord:
+        envelope = Envelope(
+            cluster=self.fleet.cluster,
+            protocol_version=PROTOCOL_VERSION,
+            sender=operator_name(),
+        )
+        stub = ConfigurationPeerStub(self.fleet.channels.channel(address))
+        try:
+            reply = await stub.FetchConfiguration(
+                FetchConfigurationRequest(envelope=envelope), timeout=RPC_TIMEOUT_SECONDS
+            )
+        except (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError) as error:
+            raise CommandError(
+                f"{address} does not give its configuration: {error!r}", EXIT_UNREACHABLE
+            ) from error
+        return reply.record
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self.fleet.close()
+        self.store.peers.close()
+
+
+def configuration_document(configuration: FleetConfiguration) -> dict[str, Any]:
+    """Returns a configuration as a document in the form that a settings file has."""
+    document = MessageToDict(configuration, preserving_proto_field_name=True)
+    for operation, message in zip(
+        document.get("operations", []), configuration.operations, strict=True
+    ):
+        name = operation.get("priority", "PRIORITY_SHEDDABLE")
+        operation["priority"] = str(name).removeprefix(PRIORITY_PREFIX).lower()
+        operation["idempotent"] = message.idempotent
+    return document
+
+
+def record_document(record: ConfigurationRecord) -> dict[str, Any]:
+    """Returns the identity of a record as a document."""
+    return {
+        "generation": record.generation,
+        "change_id": record.change_id,
+        "author": record.author,
+        "written_at_ms": record.written_at_ms,
+    }
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/configuration_change.py
@@ -0,0 +1,142 @@
+"""The course of ``config set``: read, show the difference, write conditionally, confirm."""
+
+from coltsfoottrack._internal.cli.configuration_access import (
+    ConfigurationAccess,
+    Unconfirmed,
+    record_document,
+)
+from coltsfoottrack._internal.cli.configuration_edit import EditRequest, apply_edit
+from coltsfoottrack._internal.cli.exceptions import (
+    EXIT_BAD_INPUT,
+    EXIT_CONFLICT,
+    EXIT_NOT_CONFIRMED,
+    EXIT_UNREACHABLE,
+    CommandError,
+)
+from coltsfoottrack._internal.cli.fleet_access import operator_name
+from coltsfoottrack._internal.cli.output import clock_time, emit, since
+from coltsfoottrack._internal.configuration.difference import FieldChange, difference
+from coltsfoottrack._internal.configuration.exceptions import (
+    ChangeUncertainError,
+    ConfigurationConflictError,
+    InvalidConfigurationError,
+    StoreUnavailableError,
+)
+from coltsfoottrack._internal.configuration.store import ChangeResult, StoredConfiguration
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    ConfigurationRecord,
+    FleetConfiguration,
+)
+
+DEFAULT_WAIT_SECONDS = 10
+
+
+async def change_configuration(
+    edit: EditRequest, base: str, wait: str, node: str, platform: str, output: str
+) -> None:
+    """Makes a change and says what became of it.
+
+    Raises CommandError with EXIT_CONFLICT if another operator was first, EXIT_NOT_CONFIRMED if
+    the change is stored but not confirmed by all, or if its effect is not certain.
+    """
+    wait_seconds = _read_wait(wait)
+    access = await ConfigurationAccess.open(node, platform)
+    try:
+        stored = await access.stored()
+        if base and base != str(stored.record.generation):
+            raise _conflict(stored.record, stored.record.configuration, None)
+        changed = apply_edit(stored.record.configuration, edit)
+        changes = difference(stored.record.configuration, changed)
+        if output == "text":
+            for change in changes:
+                print(change.line())
+        if not changes:
+            emit(output, {"changed": False, **record_document(stored.record)}, ["no difference"])
+            return
+        result = await _store(access, changed, stored)
+        missing: list[Unconfirmed] = []
+        if wait_seconds:
+            missing = await access.wait_for_all(result.record, wait_seconds)
+    finally:
+        access.close()
+    _report(result, changes, missing, wait_seconds, output)
+
+
+def _read_wait(wait: str) -> int:
+    # Fire passes a flag without a value as True.
+    if wait == "True":
+        return DEFAULT_WAIT_SECONDS
+    if not (wait.isascii() and wait.isdigit() and len(wait) <= 5):
+        raise CommandError("--wait must be a whole number of seconds", EXIT_BAD_INPUT)
+    return int(wait)
+
+
+async def _store(
+    access: ConfigurationAccess, changed: FleetConfiguration, stored: StoredConfiguration
+) -> ChangeResult:
+    try:
+        return await access.store.set(changed, operator_name(), stored)
+    except InvalidConfigurationError as error:
+        raise CommandError(f"refused, nothing was changed: {error}", EXIT_BAD_INPUT) from error
+    except ConfigurationConflictError as error:
+        raise _conflict(error.found, stored.record.configuration, error) from error
+    except ChangeUncertainError as error:
+        raise CommandError(
+            f"{error}; look for it with: coltsfoottrack config history", EXIT_NOT_CONFIRMED
+        ) from error
+    except StoreUnavailableError as error:
+        raise CommandError(
+            f"{error}; nothing was changed, try again when the platform answers", EXIT_UNREACHABLE
+        ) from error
+
+
+def _conflict(
+    found: ConfigurationRecord, before: FleetConfiguration, error: Exception | None
+) -> CommandError:
+    """Builds the error that shows the other operator's change."""
+    changes = "; ".join(change.line() for change in difference(before, found.configuration))
+    shown = f"; it changed: {changes}" if error is not None and changes else ""
+    return CommandError(
+        f"generation {found.generation} was stored by {found.author or 'unknown'} at "
+        f"{clock_time(found.written_at_ms)} (change {found.change_id}){shown}; nothing was "
+        "altered; look at it with config get and try again",
+        EXIT_CONFLICT,
+    )
+
+
+def _report(
+    result: ChangeResult,
+    changes: list[FieldChange],
+    missing: list[Unconfirmed],
+    wait_seconds: int,
+    output: str,
+) -> None:
+    record = result.record
+    state = "accepted" if result.accepted else "stored, but too few nodes hold it yet"
+    lines = [f"generation {record.generation} (change {record.change_id}): {state}"]
+    if wait_seconds and not missing:
+        lines.append("in force at every known node")
+    for item in missing:
+        held = f", generation {item.generation} in force since {since(item.since_ms)}"
+        lines.append(f"not confirmed: {item.node}: {item.problem}{held if item.since_ms else ''}")
+    document = {
+        "changed": True,
+        **record_document(record),
+        "accepted": result.accepted,
+        "holders": [holder.node for holder in result.holders],
+        "changes": [change._asdict() for change in changes],
+        "unconfirmed": [item._asdict() for item in missing],
+    }
+    emit(output, document, lines)
+    if missing:
+        names = ", ".join(item.node for item in missing)
+        raise CommandError(
+            f"not confirmed after {wait_seconds} s by {names}; follow it with config status",
+            EXIT_NOT_CONFIRMED,
+        )
+    if not result.accepted:
+        raise CommandError(
+            "the change is stored but not accepted; keep the platform up and follow it with "
+            "config status",
+            EXIT_NOT_CONFIRMED,
+        )
--- a/src/coltsfoottrack/_internal/events/call_record.py
+++ b/src/coltsfoottrack/_internal/events/call_record.py
@@ -3,7 +3,7 @@
 from time import monotonic
 
 from coltsfoottrack._internal.calls.context import CallContext
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.events.ring import EventRing
 
@@ -19,6 +19,9 @@
     now = monotonic()
     remaining = context.deadline.expires_at - now
     elapsed = now - started
+    if answer.reason is Reason.KEY_REQUIRED:
+        # An ordinary step on the way to a key, which would crowd out events of trouble.
+        return
     if answer.outcome is Outcome.DONE:
         if elapsed <= remaining:
             return
--- /dev/null
+++ b/src/coltsfoottrack/_internal/events/explain.py
@@ -0,0 +1,103 @@
+"""What happened to one request: where it waited, was refused or tried again, and why."""
+
+from typing import NamedTuple
+
+from coltsfoottrack._internal.events.kinds import TROUBLE_KINDS, EventKind
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Event
+
+REASON_TEXTS = {
+    "overload": "the node's queue was full of work at least as important",
+    "evicted": "more important work took its place in the queue",
+    "early_refusal": "the services below were shedding this priority, so it was refused early",
+    "deadline": "its deadline passed before it could be answered",
+    "backend_shed": "the backend server turned it away",
+    "backend_down": "no backend server was running beside the node",
+    "backend_error": "the backend server ran it and reported failure",
+    "backend_lost": "the connection to the backend server broke while it ran",
+    "connection_lost": "the connection to the next node broke after it was sent",
+    "silent": "the connection to the next node went silent",
+    "home_gone": "the node that issued its idempotency key is gone",
+    "leaving": "the node was leaving",
+    "no_node": "no node of the service could be reached",
+    "quarantined": "it crashed backend servers before",
+    "caller_gone": "its caller closed the connection",
+}
+
+
+class Explanation(NamedTuple):
+    """The short answer, what was tried again, and the longest waits of a request."""
+
+    verdict: str
+    retries: list[str]
+    times: list[str]
+
+
+def explain_events(request_id: str, events: list[Event]) -> Explanation:
+    """Explains one request from its events, which must be in causal order."""
+    trouble = [event for event in events if event.kind in TROUBLE_KINDS]
+    retries = []
+    for event in events:
+        if event.kind == EventKind.RETRY:
+            retries.append(
+                f"tried again towards {place(event)} after {event.reason or 'a failure'}"
+            )
+        if event.kind == EventKind.RETRY_REFUSED:
+            retries.append(
+                f"not tried again towards {place(event)} after {event.reason}: the attempt budget "
+                "or the retry ratio was used up"
+            )
+    if not trouble:
+        cancelled = [event for event in events if event.kind == EventKind.CANCELLED]
+        if cancelled:
+            first = cancelled[0]
+            verdict = (
+                f"its caller went away after {first.duration_ms:.1f} ms, while it was at "
+                f"{place(first)}"
+            )
+            return Explanation(f"request {request_id}: {verdict}", retries, [])
+        return Explanation(
+            f"request {request_id}: no trouble is recorded; it was answered in time, or its "
+            "events are no longer held",
+            retries,
+            [],
+        )
+    return Explanation(_verdict(request_id, trouble), retries, _times(trouble))
+
+
+def _verdict(request_id: str, trouble: list[Event]) -> str:
+    # A callee records its answer before its caller does, so the first event is the cause.
+    cause, end = trouble[0], trouble[-1]
+    why = REASON_TEXTS.get(cause.reason, cause.reason)
+    if cause.kind in (EventKind.SLOW, EventKind.LATE):
+        waited = cause.queued_ms > cause.running_ms
+        part = "waiting for a slot" if waited else "running on the backend server"
+        if not cause.queued_ms and not cause.running_ms:
+            part = "in the calls below it"
+        why = f"most of the time went into {part}"
+    verdict = f"request {request_id} ({cause.priority}): {cause.kind} at {place(cause)}"
+    verdict += f" after {cause.duration_ms:.1f} ms; {why}"
+    if end is not cause:
+        verdict += f"; its caller was told {end.kind} by {place(end)}"
+        if end.reason and end.reason != cause.reason:
+            verdict += f", reason {end.reason}"
+    return verdict
+
+
+def _times(trouble: list[Event]) -> list[str]:
+    times = []
+    for event in sorted(trouble, key=lambda item: item.duration_ms, reverse=True)[:10]:
+        other = max(0.0, event.duration_ms - event.queued_ms - event.running_ms)
+        times.append(
+            f"{place(event)}: {event.duration_ms:.1f} ms in all, {event.queued_ms:.1f} ms waiting "
+            f"for a slot, {event.running_ms:.1f} ms on the backend server, {other:.1f} ms other"
+        )
+    return times
+
+
+def place(event: Event) -> str:
+    """Names where an event happened: service, operation and backend server or process."""
+    target = f"{event.service}/{event.operation}"
+    where = event.backend_server or event.node
+    if event.process == "client":
+        return f"{target}, called from the backend server of {event.node}"
+    return f"{target} on {where}"
--- a/src/coltsfoottrack/_internal/events/kinds.py
+++ b/src/coltsfoottrack/_internal/events/kinds.py
@@ -22,6 +22,7 @@
     GAP = "gap"
 
 
+KIND_NAMES = frozenset(kind.value for kind in EventKind)
 TROUBLE_KINDS = frozenset(
     (EventKind.REFUSED, EventKind.FAILED, EventKind.UNKNOWN, EventKind.LATE, EventKind.SLOW)
 )
--- a/src/coltsfoottrack/_internal/events/ring.py
+++ b/src/coltsfoottrack/_internal/events/ring.py
@@ -6,7 +6,7 @@
 
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.events.clock import HybridClock
-from coltsfoottrack._internal.events.kinds import EventKind
+from coltsfoottrack._internal.events.kinds import KIND_NAMES, EventKind
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Event
 
 # About 400 bytes each, so that a full ring stays below 2 MB.
@@ -89,7 +89,7 @@
 
     def add_reported(self, event: Event) -> None:
         """Records an event of the embedded client, with its texts cut to a bounded length."""
-        if event.kind not in EventKind:
+        if event.kind not in KIND_NAMES:
             event.kind = EventKind.BACKEND.value
         for name in ("request_id", "call_id", "service", "operation", "priority", "reason"):
             text = getattr(event, name)
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -34,6 +34,16 @@
 SERVICES_PREFIX = "/v1/services/"
 MAX_KEYS_PER_REQUEST = 1000
 SHUTDOWN_SECONDS = 10.0
+# Refusals that are the caller's to mend; they say nothing about shedding.
+CALLER_REASONS = frozenset(
+    (
+        Reason.KEY_REQUIRED,
+        Reason.KEY_REUSED,
+        Reason.KEY_INVALID,
+        Reason.UNKNOWN_SERVICE,
+        Reason.BAD_REQUEST,
+    )
+)
 
 
 class CallServer:
@@ -92,7 +102,7 @@
         try:
             answer = await self._call(context, body, grant.idempotent)
         except CancelledError:
-            record_cancelled(state.ring, context, started, state.name)
+            record_cancelled(state.ring, context, started, self._backend_server(context))
             raise
         self._record(context, answer, started)
         return answer
@@ -115,8 +125,13 @@
                 state.metrics.count_good(priority, not context.depth and not context.from_peer)
         elif answer.outcome is Outcome.REFUSED:
             state.metrics.refusals.inc({"priority": priority, "reason": reason})
-            state.refusals.count(priority, reason)
-        record_answer(state.ring, context, answer, started, state.name)
+            if answer.reason not in CALLER_REASONS:
+                state.refusals.count(priority, reason)
+        record_answer(state.ring, context, answer, started, self._backend_server(context))
+
+    def _backend_server(self, context: CallContext) -> str:
+        """Names the backend server that a call was for, empty if another node has it."""
+        return self.state.name if context.service == self.state.settings.service else ""
 
     def _check_size(self, request: BaseRequest) -> None:
         """Refuses a request by its announced sizes, before its body is read."""
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -14,6 +14,7 @@
 from coltsfoottrack._internal.node.admin_server import AdminServer
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.configuration_service import ConfigurationService
 from coltsfoottrack._internal.node.operator_service import OperatorService
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.platform.exceptions import PlatformError
@@ -33,7 +34,9 @@
     state = NodeState.from_config(settings)
     call_server = CallServer(state)
     admin_server = AdminServer(state)
-    peer_server = Server([BackendService(state), OperatorService(state)])
+    peer_server = Server(
+        [BackendService(state), ConfigurationService(state), OperatorService(state)]
+    )
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
     await admin_server.start()
--- a/src/coltsfoottrack/_internal/node/operator_service.py
+++ b/src/coltsfoottrack/_internal/node/operator_service.py
@@ -112,6 +112,8 @@
         draining=state.draining,
         not_ready=state.not_ready_reason(),
         resident_bytes=resident_bytes(),
+        platform_addresses=list(state.settings.platform_addresses),
+        configuration_conflicts=state.configuration.conflicts,
         platform_reachable=state.platform.contact.reachable,
         platform_since_ms=state.platform.contact.since_ms,
     )
