--- a/src/coltsfoottrack/_internal/node/operator_service.py
+++ b/src/coltsfoottrack/_internal/node/operator_service.py
@@ -75,11 +75,11 @@
         request = await stream.recv_message()
         check_envelope(request.envelope, self.state)
         state = self.state
-        if not state.draining:
+        if state.drain.node_since is None:
             state.ring.add(EventKind.DRAIN.value, detail=f"asked by {request.envelope.sender}")
-            state.drain()
+            state.start_drain()
         await stream.send_message(
-            DrainReply(envelope=state.envelope(), in_flight=state.limiter.in_flight)
+            DrainReply(envelope=state.envelope(), in_flight=state.drain.in_flight)
         )
 
 
@@ -109,7 +109,7 @@
         retries_refused=state.ring.counts[EventKind.RETRY_REFUSED.value],
         announced_slots=state.backend.slots,
         started_ms=state.started_ms,
-        draining=state.draining,
+        draining=state.drain.is_leaving,
         not_ready=state.not_ready_reason(),
         resident_bytes=resident_bytes(),
         platform_addresses=list(state.settings.platform_addresses),
