--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -11,6 +11,7 @@
     timeout,
 )
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from itertools import count
 from typing import NamedTuple
 
@@ -23,6 +24,7 @@
 )
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    EVENT_CLOCK,
     PATH_LEVEL,
     CallContext,
     whole_number,
@@ -184,6 +186,8 @@
             if not await self._has_crashed(address, crashes_before):
                 return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
             return _crashed(context, max(1, self.suspects.crashes(call.digest)))
+        with suppress(BadRequestError):
+            self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
         answer = _read_reply(reply, context, lent)
         if answer.outcome is not Outcome.REFUSED:
             self._clear(call.digest)
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -7,10 +7,12 @@
 from grpclib.server import Server
 from structlog import get_logger
 
+from coltsfoottrack._internal.node.admin_server import AdminServer
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
 from coltsfoottrack._internal.node.configuration_service import ConfigurationService
 from coltsfoottrack._internal.node.membership_service import MembershipService
+from coltsfoottrack._internal.node.operator_service import OperatorService
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.node.suspect_service import SuspectReporter, SuspectService
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import FleetConfiguration, NodeSettings
@@ -37,17 +39,20 @@
     state.cluster.detector.on_replaced = stopping.set
     call_server = CallServer(state)
     state.backend.report = SuspectReporter(state).report
+    admin_server = AdminServer(state)
     peer_server = Server(
         [
             BackendService(state),
             MembershipService(state),
             ConfigurationService(state),
             SuspectService(state),
+            OperatorService(state),
         ]
     )
     await state.cluster.open()
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
+    await admin_server.start()
     freeze()
     logger.info("node_started", node=state.name, call_port=settings.call_port)
     try:
@@ -62,6 +67,7 @@
                 task.cancel()
     finally:
         await call_server.stop()
+        await admin_server.stop()
         peer_server.close()
         try:
             await wait_for(peer_server.wait_closed(), CLOSE_SECONDS)
