--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -1,6 +1,7 @@
 """The parts of one node, put together from its settings."""
 
 from random import Random
+from time import time
 from typing import Self
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
@@ -24,6 +25,7 @@
 from coltsfoottrack._internal.node.local_calls import LocalCalls
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
+from coltsfoottrack._internal.observability.refusals import RefusalRuns
 from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
@@ -42,6 +44,8 @@
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
         self.metrics = NodeMetrics()
+        self.refusals = RefusalRuns()
+        self.started_ms = int(time() * 1000)
         self.checker = InvariantChecker()
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
@@ -135,6 +139,23 @@
         policy = self.configuration.policies.policy(self.settings.service)
         return milliseconds_to_seconds(policy, "drain_grace_ms")
 
+    def start_drain(self) -> None:
+        """Makes the node leave: it takes no new work, and calls in flight go on to their end."""
+        self.drain.start()
+        self.cluster.leave()
+
+    def not_ready_reason(self) -> str:
+        """Says why this node should get no calls yet; empty if it is ready."""
+        if self.drain.is_leaving:
+            return "the node is draining"
+        if not self.ready:
+            return "the node has not yet taken its configuration from the platform or a peer"
+        if not self.backend.address:
+            return "no backend server has announced itself"
+        if self.backend.leaving:
+            return "the backend server is leaving"
+        return ""
+
     async def close(self) -> None:
         """Closes all outgoing connections."""
         await self.router.close()
