--- a/src/coltsfoottrack/_internal/calls/budget.py
+++ b/src/coltsfoottrack/_internal/calls/budget.py
@@ -6,6 +6,7 @@
 
 RATIO_WINDOW_SECONDS = 10.0
 RATIO_RESERVE = 10
+RECENT_TIMES = 31
 MEMORY_SECONDS = 60.0
 MAX_REMEMBERED = 10_000
 MAX_KEYS_REMEMBERED = 32
@@ -145,11 +146,27 @@
         return remembered
 
 
+class RecentTimes:
+    """Durations of the last 31 calls to one destination that were done, in seconds."""
+
+    def __init__(self) -> None:
+        self.seconds: deque[float] = deque(maxlen=RECENT_TIMES)
+
+    def record(self, seconds: float) -> None:
+        """Adds the duration of a call that was done."""
+        self.seconds.append(seconds)
+
+    def median(self) -> float:
+        """Returns the median, 0 if nothing was recorded."""
+        return sorted(self.seconds)[len(self.seconds) // 2] if self.seconds else 0.0
+
+
 class RetryRatio:
     """Limits retries to a share of the first attempts of the last 10 s, plus a reserve of 10."""
 
     def __init__(self, ratio: float) -> None:
         self.ratio = ratio
+        self.times = RecentTimes()
         self.first_attempts: deque[float] = deque()
         self.retries: deque[float] = deque()
 
--- a/src/coltsfoottrack/_internal/experiment/soak.py
+++ b/src/coltsfoottrack/_internal/experiment/soak.py
@@ -15,7 +15,10 @@
 from typing import NamedTuple
 
 from fire import Fire
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
 from coltsfoottrack._internal.experiment.faults import FaultInjector, start_links
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, NodePlace, free_ports
 from coltsfoottrack._internal.experiment.load import (
@@ -28,6 +31,8 @@
 from coltsfoottrack._internal.experiment.shapes import FleetShape, wheel_works
 from coltsfoottrack._internal.routing.exceptions import RoutingError
 from coltsfoottrack._internal.routing.transport import Transport
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OperatorStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, StatusRequest
 from coltsfoottrack._internal.settings.rules import number_or_default
 
 DEADLINE_MS = 1500
@@ -36,6 +41,7 @@
 FAULT_INTERVAL_SECONDS = 0.7
 LONGEST_FAULT_SECONDS = 3.0
 CRASH_SENDINGS = 4
+STATUS_TIMEOUT_SECONDS = 2.0
 VIOLATION_EVENT = "invariant_violated"
 MIX = [
     RequestKind("stores", "lookup", "sheddable", True, 0.5),
@@ -79,14 +85,18 @@
     run_though_refused: int
     wrong_answers: int
     over_the_bound: int
+    # From the logs, which also cover processes that have ended and embedded clients.
     violations: Counter[str]
+    # From the status of the nodes that run at the end.
+    counted_by_nodes: int
     crashed_by_one_request: int
 
     @property
     def holds(self) -> bool:
         """Tells whether no invariant was breached."""
         broken = self.run_twice + self.run_though_refused + self.wrong_answers
-        return not broken and not self.over_the_bound and not self.violations
+        counted = self.violations.total() + self.counted_by_nodes
+        return not broken and not self.over_the_bound and not counted
 
 
 def plan_faults(seed: int, seconds: float, places: int) -> list[PlannedFault]:
@@ -239,7 +249,26 @@
     return allowed
 
 
-def judge(fleet: Fleet, results: list[RequestResult]) -> SoakVerdict:
+async def violations_of_nodes(fleet: Fleet) -> int:
+    """Asks each node for its violation counter; a node that does not answer counts none."""
+    total = 0
+    for place in fleet.places:
+        channel = Channel(LOOPBACK, place.peer_port)
+        envelope = Envelope(
+            cluster=fleet.cluster, protocol_version=PROTOCOL_VERSION, sender="experiment"
+        )
+        try:
+            request = StatusRequest(envelope=envelope)
+            reply = await OperatorStub(channel).Status(request, timeout=STATUS_TIMEOUT_SECONDS)
+            total += reply.violations
+        except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
+            print(f"{place.node_process} gives no status: {error!r}")
+        finally:
+            channel.close()
+    return total
+
+
+def judge(fleet: Fleet, results: list[RequestResult], counted_by_nodes: int) -> SoakVerdict:
     """Compares what callers were told with the run log and with the violations counted."""
     check = check_runs(results, fleet.run_log)
     allowed = allowed_runs(fleet.shape)
@@ -264,6 +293,7 @@
         wrong_answers=check.wrong_answers,
         over_the_bound=len(over),
         violations=violations,
+        counted_by_nodes=counted_by_nodes,
         crashed_by_one_request=max(crashes.values(), default=0),
     )
 
@@ -279,11 +309,12 @@
         await to_thread(fleet.start)
         faults = plan_faults(seed, seconds, len(fleet.places))
         results = await Soak(fleet, injector, seed).play(faults, seconds)
+        counted = await violations_of_nodes(fleet)
     finally:
         killed = await to_thread(fleet.stop)
         for link in links.values():
             await link.stop()
-    return judge(fleet, results), results, killed
+    return judge(fleet, results, counted), results, killed
 
 
 def soak(seconds: float = 60.0, seed: int = 1, keep: str = "") -> None:
@@ -312,7 +343,8 @@
     print(
         f"run twice: {verdict.run_twice}, run though refused: {verdict.run_though_refused}, "
         f"wrong answers: {verdict.wrong_answers}, over the retry bound: {verdict.over_the_bound}, "
-        f"violations counted: {verdict.violations.total()}, most backend servers taken down by "
+        f"violations logged: {verdict.violations.total()}, counted by nodes: "
+        f"{verdict.counted_by_nodes}, most backend servers taken down by "
         f"one request: {verdict.crashed_by_one_request}"
     )
     for violation, count in verdict.violations.items():
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable
 from random import Random
+from time import monotonic
 
 from coltsfoottrack._internal.calls.budget import RetryRatio
 from coltsfoottrack._internal.calls.context import CallContext
@@ -97,7 +98,10 @@
                 if not key:
                     return refused(Reason.NO_NODE, retry_useful=True)
                 context = context._replace(idempotency_key=key)
+            started = monotonic()
             answer = await self._one_attempt(context, body, tried, history)
+            if answer.outcome is Outcome.DONE:
+                ratio.times.record(monotonic() - started)
             if not own_key and not grant.idempotent and not answer.copy_dispatched:
                 # This router sent the only copy, and it went nowhere.
                 answer = refused(answer.reason, retry_useful=True)
@@ -108,6 +112,9 @@
                 may_retry = grant.idempotent
             if not (may_retry and answer.retry_useful):
                 return answer
+            if context.deadline.remaining_seconds() < ratio.times.median():
+                # A retry would probably not finish in time and be wasted work.
+                return answer._replace(retry_useful=False)
             if not (context.budget.retries and ratio.allow_retry() and context.budget.spend()):
                 self.ring.add_call("retry_refused", context, reason=answer.reason.value)
                 return answer._replace(retry_useful=False)
--- a/tests/unit/test_retry_bound.py
+++ b/tests/unit/test_retry_bound.py
@@ -182,6 +182,7 @@
     refusals: dict[str, int] | None = None,
     losses: dict[str, int] | None = None,
     sendings: int = SENDINGS,
+    usual_seconds: float = 0.0,
 ) -> Network:
     """Sends one request several times, some copies abandoned or at the same moment."""
     network = Network(widths, budget, trouble, seed)
@@ -196,6 +197,7 @@
         state.configuration.offer(configuration(budget), "test")
         state.ready = True
         network.use(state.router)
+        state.router._ratio("layer0", "layer0/read").times.record(usual_seconds)
         server = CallServer(state)
         sent = []
         for _ in range(sendings):
@@ -267,6 +269,21 @@
         self.assertEqual(network.runs[deepest], 2)
         self.assertEqual(network.outcomes, ["done"])
 
+    def test_no_retry_starts_that_would_not_finish_in_time(self) -> None:
+        """Guards against wasted work at the end of a deadline."""
+        slow = run(
+            play(
+                [1] * (DEPTH - 1), 3, 0.0, 1, refusals={"layer0": 1}, sendings=1, usual_seconds=90.0
+            )
+        )
+        self.assertEqual(slow.outcomes[0], "refused")
+        fast = run(
+            play(
+                [1] * (DEPTH - 1), 3, 0.0, 1, refusals={"layer0": 1}, sendings=1, usual_seconds=0.1
+            )
+        )
+        self.assertEqual(fast.outcomes[0], "done")
+
 
 class RequestMemoryTest(TestCase):
     """Guards against a new budget for each sending, and against unbounded memory."""
