--- a/src/coltsfoottrack/_internal/experiment/faults.py
+++ b/src/coltsfoottrack/_internal/experiment/faults.py
@@ -55,6 +55,8 @@
         if self.server is not None:
             self.server.close()
         self.cut()
+        for task in self.tasks:
+            task.cancel()
         await gather(*self.tasks, return_exceptions=True)
 
     def cut(self) -> None:
