--- a/src/coltsfoottrack/_internal/cli/commands/standin.py
+++ b/src/coltsfoottrack/_internal/cli/commands/standin.py
@@ -21,9 +21,12 @@
         """
         loaded = load_file(str(settings), PlatformSettings)
         configure_logs()
-        server = PlatformStandIn.from_config(loaded).server()
+        platform = PlatformStandIn.from_config(loaded)
+        server = platform.server()
 
         def stop(_signal: int, _frame: object) -> None:
+            # The server waits for its threads when it stops, and a waiting watch holds one.
+            platform.end_watches()
             raise KeyboardInterrupt
 
         signal(SIGTERM, stop)
--- a/src/coltsfoottrack/_internal/standins/platform.py
+++ b/src/coltsfoottrack/_internal/standins/platform.py
@@ -77,6 +77,7 @@
         self.faults: FaultState = {}
         self.reads = RateLimit(int(number_or_default(settings, "reads_per_second")))
         self.writes = RateLimit(int(number_or_default(settings, "writes_per_second")))
+        self.closing = False
         self.counts = {"reads": 0, "writes": 0, "refused": 0}
 
     @classmethod
@@ -94,6 +95,12 @@
         server.shutdown_timeout = 1
         return server
 
+    def end_watches(self) -> None:
+        """Answers all waiting watches, whose threads would keep the process from ending."""
+        with self.changed:
+            self.closing = True
+            self.changed.notify_all()
+
     def application(self, environ: Environ, start_response: Callable) -> Iterable[bytes]:
         """Serves one request as a WSGI application."""
         reply = self._reply(environ)
@@ -166,7 +173,7 @@
     def _watch(self, prefix: str, after: int, seconds: float) -> Reply:
         expiry = monotonic() + min(seconds, 60.0)
         with self.changed:
-            while monotonic() < expiry and not self.faults.get("down"):
+            while monotonic() < expiry and not self.faults.get("down") and not self.closing:
                 # A client with a later revision has seen a state that was since restored.
                 if after > self.revision or self._has_changed(prefix, after):
                     return self._list(prefix, min(after, self.revision) if after else -1)
--- a/tests/unit/fakes.py
+++ b/tests/unit/fakes.py
@@ -187,6 +187,7 @@
         self.nodes: dict[Address, FakeNode] = {}
         self.sides: dict[Address, int] = {}
         self.deaf: set[Address] = set()
+        self.cut_links: set[tuple[Address, Address]] = set()
         self.paused: set[Address] = set()
         self.in_transit: list[tuple[Address, Address, bytes]] = []
         self.starts = 0
@@ -231,7 +232,9 @@
             arriving, self.in_transit = self.in_transit, []
             for source, target, content in arriving:
                 node = self.nodes.get(target)
-                if node is None or target in self.deaf or not self.passes(source, target):
+                if node is None or target in self.deaf or (source, target) in self.cut_links:
+                    continue
+                if not self.passes(source, target):
                     continue
                 node.detector.receive(content, source)
             for node in list(self.nodes.values()):
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -7,8 +7,12 @@
 from hypothesis import strategies as st
 
 from coltsfoottrack._internal.membership.local import LocalMember
-from coltsfoottrack._internal.membership.registration import Registration, member_path
-from coltsfoottrack._internal.membership.sync import bucket_digests, differing_buckets
+from coltsfoottrack._internal.membership.registration import (
+    Registration,
+    encode_member,
+    member_path,
+)
+from coltsfoottrack._internal.membership.sync import bucket_digests, bucket_of, differing_buckets
 from coltsfoottrack._internal.membership.table import MembershipTable, member_id
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
@@ -90,6 +94,31 @@
         self.assertEqual(0, paused.detector.counts["declared_dead"])
         self.assertTrue(network.agree_alive())
 
+    async def test_one_broken_link_makes_nobody_suspect(self) -> None:
+        """Guards against a fault between two nodes that is taken for the end of one of them."""
+        network = network_of(8)
+        await network.run(5)
+        one, other = list(network.nodes)[:2]
+        network.cut_links = {(one, other), (other, one)}
+        await network.run(40)
+        suspected = sum(node.detector.counts["suspected"] for node in network.nodes.values())
+        self.assertEqual(0, suspected)
+
+    async def test_suspicion_does_not_end_while_the_process_is_paused(self) -> None:
+        """Guards against a resumed node that buries members before it has read their answers."""
+        network = network_of(2)
+        await network.run(5)
+        paused, other = network.nodes.values()
+        network.deaf.add(other.address)
+        while network.status(paused, other) != MEMBER_STATUS_SUSPECT:
+            await network.run(0.1)
+        network.paused.add(paused.address)
+        network.deaf.clear()
+        await network.run(30)
+        network.paused.clear()
+        await network.run(0.3)
+        self.assertEqual(0, paused.detector.counts["declared_dead"])
+
     async def test_restarted_node_replaces_its_former_self(self) -> None:
         """Guards against entries of an earlier process, and against late datagrams of it."""
         network = network_of(8)
@@ -188,6 +217,16 @@
         for now in range(1, 20):
             node.detector.advance(float(now))
 
+    def test_greatest_revision_of_the_own_entry(self) -> None:
+        """Guards against a claim that cannot be refuted because no greater revision exists."""
+        node = network_of(1).nodes[("127.0.0.1", 20_000)]
+        claim = Member.FromString(node.local.member.SerializeToString())
+        claim.revision = 2**64 - 1
+        claim.status = MEMBER_STATUS_SUSPECT
+        datagram = Datagram(cluster="test", protocol_version=1, updates=[claim])
+        node.detector.receive(datagram.SerializeToString(), ("127.0.0.1", 9))
+        self.assertEqual(1, node.detector.counts["malformed"])
+
     def test_other_cluster_and_version_are_counted(self) -> None:
         """Guards against two clusters that merge when their addresses are reused."""
         network = network_of(1)
@@ -224,6 +263,30 @@
         self.assertEqual([], differing_buckets(tables[0], bucket_digests(tables[1])))
 
 
+class SyncTest(TestCase):
+    """Digests of buckets."""
+
+    def test_any_difference_shows(self) -> None:
+        """Guards against a full exchange that leaves out a member that changed."""
+        for field, value in (
+            ("revision", 2),
+            ("status", MEMBER_STATUS_LEAVING),
+            ("incarnation", 77),
+            ("start_order", 9),
+            ("backend_ready", False),
+        ):
+            with self.subTest(field):
+                tables = (MembershipTable(), MembershipTable())
+                for table in tables:
+                    table.merge(make_member(0))
+                    table.merge(make_member(1))
+                changed = make_member(1)
+                setattr(changed, field, value)
+                tables[1].members[member_id(changed)] = changed
+                found = differing_buckets(tables[0], bucket_digests(tables[1]))
+                self.assertEqual([bucket_of(member_id(changed))], found)
+
+
 class RegistrationTest(IsolatedAsyncioTestCase):
     """Objects in the platform."""
 
@@ -245,6 +308,22 @@
         self.assertFalse(await former.register(0))
         self.assertEqual(stored, platform.get(member_path(later.local.member)))
 
+    async def test_write_between_read_and_write_is_kept(self) -> None:
+        """Guards against a paused process that writes over its successor when it resumes."""
+        platform = FakePlatform()
+        former = self.registration(platform, 1)
+        former.local.joined = True
+        later = make_member(0, 2)
+
+        def register_later(path: str) -> None:
+            platform.before_write = lambda path: None
+            platform.put(path, encode_member(later), 0)
+
+        platform.before_write = register_later
+        self.assertFalse(await former.register(0))
+        stored = platform.get(member_path(later))
+        self.assertEqual(encode_member(later), stored.content)
+
     async def test_lost_answer_is_read_back(self) -> None:
         """Guards against a second write after a write that took effect."""
         platform = FakePlatform()
