--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -12,6 +12,7 @@
 from coltsfoottrack._internal.node.configuration_service import ConfigurationService
 from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.node.suspect_service import SuspectReporter, SuspectService
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import FleetConfiguration, NodeSettings
 from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
 
@@ -36,8 +37,14 @@
     state.cluster.detector.on_replaced = stopping.set
     call_server = CallServer(state)
     peer_server = Server(
-        [BackendService(state), MembershipService(state), ConfigurationService(state)]
+        [
+            BackendService(state),
+            MembershipService(state),
+            ConfigurationService(state),
+            SuspectService(state),
+        ]
     )
+    state.backend.report = SuspectReporter(state).report
     await state.cluster.open()
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -5,6 +5,8 @@
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
+from coltsfoottrack._internal.admission.suspects import SuspectTable
+from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
 from coltsfoottrack._internal.configuration.distribution import ConfigurationDistribution
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
@@ -26,7 +28,7 @@
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, NodeSettings
-from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
 
 class NodeState:
@@ -42,7 +44,14 @@
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
         self.platform = PlatformClient.from_config(settings.platform_addresses)
-        self.backend = BackendLink(settings.cluster, self.clock)
+        self.suspects = SuspectTable(
+            lambda: number_or_default(
+                self.configuration.policies.policy(settings.service), "quarantine_ms"
+            )
+        )
+        self.backend = BackendLink(settings.cluster, self.clock, self.suspects)
+        self.backend.on_down = self.publish_member
+        self.peers = PeerChannels()
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
@@ -66,10 +75,11 @@
             clock=self.clock,
             ring=self.ring,
             random=Random(),
+            checker=self.checker,
         )
+        self.requests = RequestMemory()
         self.local = LocalMember(new_member(settings, self.ledger.incarnation))
         self.member = self.local.member
-        self.channels = PeerChannels()
         self.cluster = ClusterMembership(
             local=self.local,
             table=self.members,
@@ -80,7 +90,7 @@
                 lambda: (self.configuration.generation, self.configuration.record.change_id),
             ),
             registration=Registration(self.platform, self.local, Random()),
-            channels=self.channels,
+            channels=self.peers,
             envelope=self.envelope,
             seed_nodes=list(settings.seed_nodes),
             random=Random(),
@@ -88,7 +98,7 @@
         self.distribution = ConfigurationDistribution(
             holder=self.configuration,
             objects=self.platform,
-            peers=GrpcConfigurationPeers(self.channels, self.envelope),
+            peers=GrpcConfigurationPeers(self.peers, self.envelope),
             table=self.members,
             own=self.member,
             random=Random(),
@@ -123,6 +133,6 @@
 
     async def close(self) -> None:
         """Closes all outgoing connections."""
+        self.peers.close()
         await self.router.close()
         await self.backend.close()
-        self.channels.close()
