--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.cli.commands.demo import demo
 from coltsfoottrack._internal.cli.commands.drain import drain
 from coltsfoottrack._internal.cli.commands.explain import explain
+from coltsfoottrack._internal.cli.commands.measure import MeasureCommands
 from coltsfoottrack._internal.cli.commands.node import node
 from coltsfoottrack._internal.cli.commands.reference import ReferenceCommands
 from coltsfoottrack._internal.cli.commands.standin import StandInCommands
@@ -30,6 +31,7 @@
     "node": node,
     "standin": StandInCommands,
     "reference": ReferenceCommands,
+    "measure": MeasureCommands,
     "demo": demo,
 }
 HELP_FLAGS = ("--help", "-h")
--- a/src/coltsfoottrack/_internal/node/admin_server.py
+++ b/src/coltsfoottrack/_internal/node/admin_server.py
@@ -15,6 +15,18 @@
 
 KEEPALIVE_SECONDS = 30.0
 STATUS_PREFIX = "MEMBER_STATUS_"
+MEMBERSHIP_COUNTERS = (
+    "sent",
+    "sent_bytes",
+    "received",
+    "received_bytes",
+    "foreign",
+    "malformed",
+    "suspected",
+    "refuted",
+    "declared_dead",
+    "stalls",
+)
 
 
 class AdminServer:
@@ -90,6 +102,24 @@
     metrics.set_gauge("open_keys", "Idempotency keys with a record.", len(state.ledger.records))
     metrics.set_gauge("resident_bytes", "Resident memory, in bytes.", resident_bytes())
     metrics.set_gauge("ready", "1 if the node is ready.", 0 if state.not_ready_reason() else 1)
+    for name in MEMBERSHIP_COUNTERS:
+        text = f"Datagrams or members counted as {name} by the failure detector."
+        metrics.set_gauge(f"membership_{name}", text, state.cluster.detector.counts[name])
+    metrics.set_gauge(
+        "configuration_conflicts",
+        "Times another change showed under the generation in force.",
+        state.configuration.conflicts,
+    )
+    metrics.set_gauge(
+        "configuration_unreadable",
+        "Newer configurations that could not be used.",
+        state.configuration.unreadable,
+    )
+    metrics.set_gauge(
+        "configuration_written_back",
+        "Times this node wrote the configuration back to a platform that held an older one.",
+        state.distribution.written_back,
+    )
     metrics.retries.set({"result": "sent"}, state.ring.counts[EventKind.RETRY.value])
     metrics.retries.set({"result": "refused"}, state.ring.counts[EventKind.RETRY_REFUSED.value])
     for invariant in Invariant:
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -156,3 +156,4 @@
         """Closes all outgoing connections."""
         await self.router.close()
         await self.backend.close()
+        self.channels.close()
