--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -150,7 +150,8 @@
         priority=_granted_priority(headers, grant),
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
-        depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH),
+        # Depth raises the rank within a priority, so a caller from outside has none.
+        depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH) if CLUSTER in headers else 0,
         from_peer=CLUSTER in headers,
     )
 
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -87,7 +87,7 @@
             self._check_size(request)
             body = await self._read_body(request)
             self._check_peer(request)
-            service, operation = _split_path(request)
+            service, operation = split_path(request.method, request.path)
             if operation == "keys" and service == state.settings.service:
                 return self._issue_keys(request)
             grant = state.configuration.policies.grant(service, operation)
@@ -173,18 +173,26 @@
             return refused(Reason.NOT_READY, retry_useful=True)
         if context.service != state.settings.service and state.drain.refuses_new_work():
             return refused(Reason.LEAVING, retry_useful=True)
+        is_local = context.service == state.settings.service
+        if not is_local and context.from_peer:
+            return refused(Reason.UNKNOWN_SERVICE)
+        if not is_local and not state.members.serving(context.service):
+            return self._refuse_unserved(context.service)
         if not idempotent and not context.idempotency_key:
             return await self._require_key(context)
-        if context.service != state.settings.service:
-            if context.from_peer:
-                return refused(Reason.UNKNOWN_SERVICE)
-            if not state.members.serving(context.service):
-                return refused(Reason.UNKNOWN_SERVICE, retry_useful=True)
+        if not is_local:
             return await state.router.call(context, body)
         if idempotent:
             return await state.local_calls.run(context, body)
         return await self._call_under_key(context, body)
 
+    def _refuse_unserved(self, service: str) -> Answer:
+        """Tells a service that no node knows from one whose nodes are all away."""
+        for member in self.state.members.members.values():
+            if member.service == service:
+                return refused(Reason.NO_NODE, retry_useful=True)
+        return refused(Reason.UNKNOWN_SERVICE, retry_useful=True)
+
     async def _call_under_key(self, context: CallContext, body: bytes) -> Answer:
         state = self.state
         try:
@@ -235,10 +243,11 @@
     return Answer(Outcome.DONE, body=text.encode("ascii"), content_type="text/plain")
 
 
-def _split_path(request: BaseRequest) -> tuple[str, str]:
-    if request.method != "POST" or not request.path.startswith(SERVICES_PREFIX):
+def split_path(method: str, path: str) -> tuple[str, str]:
+    """Returns service and operation of a request. Raises BadRequestError."""
+    if method != "POST" or not path.startswith(SERVICES_PREFIX):
         raise BadRequestError(f"expected POST {SERVICES_PREFIX}SERVICE/OPERATION")
-    parts = request.path.removeprefix(SERVICES_PREFIX).split("/")
+    parts = path.removeprefix(SERVICES_PREFIX).split("/")
     if len(parts) != 2:
         raise BadRequestError(f"expected POST {SERVICES_PREFIX}SERVICE/OPERATION")
     return parts[0], parts[1]
--- /dev/null
+++ b/tests/unit/test_call_port.py
@@ -0,0 +1,234 @@
+"""The call port under bad input, over real sockets."""
+
+import sys
+from asyncio import StreamReader, StreamWriter, gather, open_connection, sleep, wait_for
+from logging import disable
+from random import Random
+from socket import AF_INET, SOCK_STREAM, socket
+from unittest import IsolatedAsyncioTestCase
+
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome
+from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    PRIORITY_NORMAL,
+    ConfigurationRecord,
+    NodeSettings,
+    OperationPolicy,
+)
+
+SEED = 20261204
+RANDOM_CONNECTIONS = 400
+PATH = "/v1/services/stores/lookup"
+
+
+def free_port() -> int:
+    with socket(AF_INET, SOCK_STREAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def post(body: bytes = b"x", path: str = PATH, **headers: str) -> bytes:
+    lines = [f"POST {path} HTTP/1.1", "Host: n", f"Content-Length: {len(body)}"]
+    lines.extend(f"{name.replace('_', '-')}: {value}" for name, value in headers.items())
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+class CallPortTest(IsolatedAsyncioTestCase):
+    """Guards against callers that take resources, break other calls or give themselves rank."""
+
+    async def asyncSetUp(self) -> None:
+        disable()
+        settings = NodeSettings(
+            cluster="demo", name="a", service="stores", address="127.0.0.1", call_port=free_port()
+        )
+        settings.limits.max_body_bytes = 1000
+        settings.limits.max_header_bytes = 2048
+        settings.limits.max_connections = 60
+        settings.limits.first_byte_timeout_ms = 400
+        settings.limits.body_timeout_ms = 300
+        self.port = settings.call_port
+        self.state = NodeState.from_config(settings)
+        self.state.ready = True
+        record = ConfigurationRecord(generation=1, change_id="c")
+        record.configuration.operations.append(
+            OperationPolicy(
+                service="stores", operation="lookup", priority=PRIORITY_NORMAL, idempotent=True
+            )
+        )
+        record.configuration.defaults.max_deadline_ms = 4000
+        record.configuration.defaults.attempt_budget = 2
+        self.state.configuration.offer(record, "test")
+        self.seen: list[CallContext] = []
+
+        async def run(context: CallContext, body: bytes) -> Answer:
+            self.seen.append(context)
+            await sleep(0.01)
+            return Answer(Outcome.DONE, body=body)
+
+        self.state.local_calls.run = run
+        self.server = CallServer(self.state)
+        await self.server.start()
+
+    async def asyncTearDown(self) -> None:
+        await self.server.stop()
+        await self.state.close()
+        disable(0)
+
+    async def connect(self) -> tuple[StreamReader, StreamWriter]:
+        return await open_connection("127.0.0.1", self.port)
+
+    async def exchange(self, data: bytes) -> bytes:
+        """Sends bytes and returns what comes back until the peer closes or is silent."""
+        reader, writer = await self.connect()
+        received = b""
+        try:
+            writer.write(data)
+            while True:
+                chunk = await wait_for(reader.read(65536), 0.05 if b"\r\n\r\n" in received else 1.0)
+                received += chunk
+                if not chunk or received.startswith(b"HTTP/1.1 200"):
+                    break
+        except (TimeoutError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+        return received
+
+    async def status(self, data: bytes) -> int:
+        reply = await self.exchange(data)
+        return int(reply.split()[1]) if reply else 0
+
+    def bad_requests(self, status: str) -> int:
+        return self.state.metrics.bad_requests.values.get({"status": status}, 0)
+
+    async def test_silent_connections_hold_nothing(self) -> None:
+        silent = [await self.connect() for _ in range(50)]
+        self.assertEqual(await self.status(post()), 200)
+        await sleep(0.7)
+        self.assertEqual(self.server.server.open_connections, 0)
+        for _, writer in silent:
+            writer.close()
+
+    async def test_connections_over_the_bound_are_refused_and_the_port_recovers(self) -> None:
+        connections = await gather(*(self.connect() for _ in range(300)))
+        await sleep(0.1)
+        self.assertLessEqual(self.server.server.open_connections, 60)
+        refused = await self.exchange(post())
+        self.assertIn(b"503", refused[:20])
+        self.assertIn(b"Retry-Useful: yes", refused)
+        await sleep(0.7)
+        self.assertEqual(await self.status(post()), 200)
+        for _, writer in connections:
+            writer.close()
+
+    async def test_header_block_sent_byte_by_byte_is_cut_off(self) -> None:
+        async def dribble() -> None:
+            reader, writer = await self.connect()
+            for byte in post()[:40]:
+                writer.write(bytes([byte]))
+                await sleep(0.03)
+                if reader.at_eof():
+                    return
+
+        await gather(*(dribble() for _ in range(20)))
+        await sleep(0.05)
+        self.assertEqual((self.server.server.open_connections, self.seen), (0, []))
+
+    async def test_slow_body_is_cut_off(self) -> None:
+        reply = await self.exchange(post(b"x" * 10)[:-1])
+        self.assertIn(b"408", reply[:20])
+        self.assertEqual((self.bad_requests("408"), self.seen), (1, []))
+
+    async def test_sizes_are_bounded(self) -> None:
+        chunked = f"POST {PATH} HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = b"".join(b"200\r\n" + b"x" * 512 + b"\r\n" for _ in range(3)) + b"0\r\n\r\n"
+        many = {f"X{number}": "v" for number in range(80)}
+        cases = (
+            (post(b"x" * 1001), 413),
+            (chunked.encode() + chunks, 413),
+            (post(Padding="x" * 2100), 431),
+            (post(A="x" * 1100, B="x" * 1100), 431),
+            (post(**many), 431),
+            (b"POST / HTTP/1.1\r\nX: " + b"y" * 9000, 431),
+        )
+        for data, expected in cases:
+            with self.subTest(start=data[:60]):
+                self.assertEqual(await self.status(data), expected)
+        self.assertEqual((self.bad_requests("413"), self.bad_requests("431")), (2, 4))
+        self.assertEqual(self.seen, [])
+        self.assertEqual(await self.status(post(b"x" * 1000)), 200)
+
+    async def test_malformed_requests_are_refused_with_400(self) -> None:
+        cases = (
+            b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+            b"POST /v1 HTTP/9.9\r\n\r\n",
+            post(path="/v1/services/stores"),
+            post(path="/v1/services/stores/look%20up"),
+            post(Deadline_Ms="-1"),
+            post(Deadline_Ms="\u00b2"),
+            post(Priority="urgent"),
+            post(Request_Id="a b"),
+            post(Attempt_Budget="99999999999999999999999"),
+        )
+        for data in cases:
+            with self.subTest(data=data[:80]):
+                self.assertEqual(await self.status(data), 400)
+        self.assertEqual(self.bad_requests("400"), len(cases))
+        self.assertEqual(self.seen, [])
+
+    async def test_unknown_service_is_refused_with_404(self) -> None:
+        for path in ("/v1/services/../lookup", "/v1/services/nowhere/lookup"):
+            self.assertEqual(await self.status(post(path=path)), 404)
+        self.assertEqual(self.seen, [])
+
+    async def test_other_cluster_and_version_get_a_clear_error(self) -> None:
+        reply = await self.exchange(post(Cluster="prod"))
+        self.assertIn(b"for cluster 'prod', this is 'demo'", reply)
+        reply = await self.exchange(post(Cluster="demo", Protocol_Version="9"))
+        self.assertIn(b"protocol version '9', this node speaks 1", reply)
+        self.assertEqual(self.seen, [])
+
+    async def test_caller_gets_no_more_than_it_is_granted(self) -> None:
+        asked = {"Priority": "critical", "Deadline_Ms": "500000", "Attempt_Budget": "50"}
+        self.assertEqual(await self.status(post(Hop_Depth="9", **asked)), 200)
+        context = self.seen[0]
+        self.assertEqual((context.priority, context.depth), (PRIORITY_NORMAL, 0))
+        self.assertLessEqual(context.deadline.remaining_ms(), 4000)
+        self.assertLessEqual(context.budget.retries, 2)
+
+    async def test_event_clock_of_a_stranger_is_ignored(self) -> None:
+        before = self.state.clock.tick()
+        await self.exchange(post(Event_Clock=str(before + (60_000 << 16))))
+        self.assertLess(self.state.clock.tick() - before, 5_000 << 16)
+
+    async def test_random_bytes_disturb_no_other_request(self) -> None:
+        random = Random(SEED)
+        statuses = []
+
+        async def honest() -> None:
+            for _ in range(20):
+                statuses.append(await self.status(post()))
+
+        async def hostile() -> None:
+            for _ in range(RANDOM_CONNECTIONS // 8):
+                data = bytearray(random.choice((post(), random.randbytes(300))))
+                for _ in range(random.randrange(1, 12)):
+                    data[random.randrange(len(data))] = random.randrange(256)
+                reader, writer = await self.connect()
+                try:
+                    writer.write(bytes(data))
+                    if random.random() < 0.5:
+                        await wait_for(reader.read(65536), 0.05)
+                except (TimeoutError, ConnectionError):
+                    pass
+                finally:
+                    writer.close()
+
+        await gather(honest(), *(hostile() for _ in range(8)))
+        self.assertEqual(statuses, [200] * 20)
+        await sleep(0.5)
+        self.assertEqual(self.server.server.open_connections, 0)
+        self.assertEqual(self.state.checker.total(), 0)
+        print(f"call port: {RANDOM_CONNECTIONS} hostile connections", file=sys.__stderr__)
