--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -14,6 +14,7 @@
 from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.operator_service import OperatorService
 from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.node.suspect_service import SuspectReporter, SuspectService
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import FleetConfiguration, NodeSettings
 from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
 
@@ -38,12 +39,14 @@
     state.cluster.detector.on_replaced = stopping.set
     call_server = CallServer(state)
     admin_server = AdminServer(state)
+    state.backend.report = SuspectReporter(state).report
     peer_server = Server(
         [
             BackendService(state),
             MembershipService(state),
             ConfigurationService(state),
             OperatorService(state),
+            SuspectService(state),
         ]
     )
     await state.cluster.open()
