--- a/src/coltsfoottrack/_internal/cli/status_report.py
+++ b/src/coltsfoottrack/_internal/cli/status_report.py
@@ -138,7 +138,9 @@
             {
                 "name": name,
                 "nodes": len(group),
-                "backend_servers_ready": sum(node["backend_ready"] for node in group),
+                "backend_servers_ready": sum(
+                    node["backend_ready"] and not node["not_ready"] for node in group
+                ),
                 "limit": sum(node["limit"] for node in group),
                 "in_flight": sum(node["in_flight"] for node in group),
                 "queued": sum(node["queued"] for node in group),
