Measure the cost of calls and keys at a node

`coltsfoottrack measure path` compares with direct calls in the same run; `measure calls` fits lines through four rates and four counts of keys. Reading procfs now stands in one module. Not run yet: the machine was in use by other measurements.

--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -1,13 +1,15 @@
 """``coltsfoottrack measure``: repeatable measurements on this machine."""
 
+from coltsfoottrack._internal.experiment.measure_calls import print_call_costs
 from coltsfoottrack._internal.experiment.measure_membership import measure_membership
+from coltsfoottrack._internal.experiment.measure_path import ROUNDS, print_path_cost
 
 SIMULATED_SIZES = (4, 8, 16, 32, 64, 256, 1000)
 PROCESS_SIZES = (4, 8, 16, 32)
 
 
 class MeasureCommands:
-    """Measures what the control of a fleet costs, by fleet size."""
+    """Measures latency, processor time, memory and messages on this machine."""
 
     def membership(
         self,
@@ -21,3 +23,15 @@
             processes: Numbers of real node processes; an empty list starts none.
         """
         measure_membership(list(simulated), list(processes))
+
+    def path(self, rounds: int = ROUNDS) -> None:
+        """Measures what a node adds to a call, against a direct call in the same run.
+
+        Args:
+            rounds: Number of pairs of blocks of 5 s each.
+        """
+        print_path_cost(rounds)
+
+    def calls(self) -> None:
+        """Measures what calls and idempotency keys cost a node, and prints the slopes."""
+        print_call_costs()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/measure_calls.py
@@ -0,0 +1,122 @@
+"""What calls and idempotency keys cost a node: processor time and memory, with fitted slopes."""
+
+from pathlib import Path
+from statistics import linear_regression
+from tempfile import TemporaryDirectory
+from time import sleep
+from typing import NamedTuple
+
+from urllib3 import HTTPConnectionPool
+
+from coltsfoottrack._internal.calls.context import IDEMPOTENCY_KEY
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet
+from coltsfoottrack._internal.experiment.measure_path import (
+    BODY,
+    CLIENT_THREADS,
+    open_loop,
+    single_service,
+)
+from coltsfoottrack._internal.experiment.process_usage import cpu_seconds, resident_bytes
+
+RATES = (40, 80, 160, 240)
+BLOCK_SECONDS = 6.0
+KEY_STEPS = (500, 1000, 2000, 4000)
+MEGABYTE = 1024 * 1024
+
+
+class RateFigures(NamedTuple):
+    """Cost of a node at one rate of calls."""
+
+    calls_per_second: int
+    cpu_percent: float
+    resident_mb: float
+
+
+class KeyFigures(NamedTuple):
+    """Memory of a node after a number of finished idempotency keys."""
+
+    keys: int
+    resident_mb: float
+
+
+class Fit(NamedTuple):
+    """A straight line through measured points, and its largest error at one of them."""
+
+    slope: float
+    intercept: float
+    largest_error: float
+
+
+def fit(points: list[tuple[float, float]]) -> Fit:
+    """Returns the least squares line through the points."""
+    line = linear_regression([x for x, _ in points], [y for _, y in points])
+    errors = [abs(y - line.slope * x - line.intercept) for x, y in points]
+    return Fit(line.slope, line.intercept, max(errors))
+
+
+def print_call_costs() -> None:
+    """Measures one node beside one backend server and prints the slopes."""
+    with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
+        fleet = Fleet.from_config(single_service(), Path(directory))
+        try:
+            fleet.start()
+            _print_rates(fleet)
+            _print_keys(fleet)
+        finally:
+            fleet.stop()
+
+
+def _print_rates(fleet: Fleet) -> None:
+    place = fleet.places[0]
+    pid = fleet.processes[place.node_process].pid
+    before = cpu_seconds(pid)
+    sleep(BLOCK_SECONDS)
+    idle_percent = 100.0 * (cpu_seconds(pid) - before) / BLOCK_SECONDS
+    print(f"idle: {idle_percent:.2f}% of a core, {resident_bytes(pid) / MEGABYTE:.1f} MB resident")
+    pool = HTTPConnectionPool(LOOPBACK, place.call_port, maxsize=CLIENT_THREADS)
+    found = []
+    for rate in RATES:
+        before = cpu_seconds(pid)
+        open_loop(
+            lambda: pool.request("POST", "/v1/services/stores/lookup", body=BODY),
+            BLOCK_SECONDS,
+            rate,
+        )
+        percent = 100.0 * (cpu_seconds(pid) - before) / BLOCK_SECONDS
+        figures = RateFigures(rate, percent, resident_bytes(pid) / MEGABYTE)
+        found.append(figures)
+        print(f"{rate:5} calls/s: {percent:6.2f}% of a core, {figures.resident_mb:6.1f} MB")
+    line = fit([(figures.calls_per_second, figures.cpu_percent) for figures in found])
+    print(
+        f"processor time: {line.slope * 10:.3f} ms per call, intercept {line.intercept:.2f}%, "
+        f"largest error {line.largest_error:.2f}%"
+    )
+
+
+def _print_keys(fleet: Fleet) -> None:
+    place = fleet.places[0]
+    pid = fleet.processes[place.node_process].pid
+    pool = HTTPConnectionPool(LOOPBACK, place.call_port, maxsize=CLIENT_THREADS)
+    found = [KeyFigures(0, resident_bytes(pid) / MEGABYTE)]
+    total = 0
+    for step in KEY_STEPS:
+        _use_keys(pool, step - total)
+        total = step
+        found.append(KeyFigures(total, resident_bytes(pid) / MEGABYTE))
+        print(f"{total:5} finished keys: {found[-1].resident_mb:6.1f} MB resident")
+    line = fit([(figures.keys, figures.resident_mb) for figures in found])
+    print(
+        f"memory: {line.slope * MEGABYTE:.0f} bytes per finished key with an answer of "
+        f"{len(BODY) + 32} bytes, largest error {line.largest_error:.2f} MB"
+    )
+
+
+def _use_keys(pool: HTTPConnectionPool, count: int) -> None:
+    """Runs one non-idempotent request under each of a number of new keys."""
+    while count > 0:
+        batch = min(count, 500)
+        reply = pool.request("POST", f"/v1/services/stores/keys?count={batch}")
+        for key in reply.data.decode("ascii").split():
+            headers = {IDEMPOTENCY_KEY: key}
+            pool.request("POST", "/v1/services/stores/order", body=BODY, headers=headers)
+        count -= batch
--- a/src/coltsfoottrack/_internal/experiment/measure_membership.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_membership.py
@@ -9,7 +9,7 @@
 from asyncio import gather, run, sleep
 from json import loads
 from math import log10
-from os import getpid, sysconf
+from os import getpid
 from pathlib import Path
 from statistics import linear_regression
 from tempfile import TemporaryDirectory
@@ -25,6 +25,7 @@
 from coltsfoottrack._internal.configuration.peers import operator_store
 from coltsfoottrack._internal.experiment.exceptions import ExperimentError
 from coltsfoottrack._internal.experiment.fleet import Fleet
+from coltsfoottrack._internal.experiment.process_usage import cpu_seconds, resident_bytes
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
 from coltsfoottrack._internal.experiment.simulated_fleet import SimulatedFleet, simulated_member
 from coltsfoottrack._internal.membership.sync import BUCKETS
@@ -120,13 +121,13 @@
     """
     entries = [simulated_member(index).SerializeToString() for index in range(size)]
     kept = []
-    before = _resident_bytes(getpid())
+    before = resident_bytes(getpid())
     for _ in range(tables):
         table = MembershipTable()
         for entry in entries:
             table.merge(Member.FromString(entry))
         kept.append(table)
-    return (_resident_bytes(getpid()) - before) / size / len(kept)
+    return (resident_bytes(getpid()) - before) / size / len(kept)
 
 
 def measure_processes(size: int, seconds: float = 8.0) -> ProcessFigures:
@@ -165,12 +166,12 @@
         await sleep(0.2)
     await sleep(2.0)
     nodes = [fleet.processes[place.node_process].pid for place in fleet.places]
-    ticks = sum(_cpu_ticks(pid) for pid in nodes)
+    used = sum(cpu_seconds(pid) for pid in nodes)
     counts = _platform_counts(fleet)
     await sleep(seconds)
-    cpu = (sum(_cpu_ticks(pid) for pid in nodes) - ticks) / sysconf("SC_CLK_TCK")
+    cpu = sum(cpu_seconds(pid) for pid in nodes) - used
     after = _platform_counts(fleet)
-    resident = sum(_resident_bytes(pid) for pid in nodes) / size / 1e6
+    resident = sum(resident_bytes(pid) for pid in nodes) / size / 1e6
     base = await store.read()
     configuration = base.record.configuration
     configuration.defaults.attempt_budget = 2
@@ -197,16 +198,6 @@
     return loads(reply.data)
 
 
-def _cpu_ticks(pid: int) -> int:
-    fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
-    return int(fields[11]) + int(fields[12])
-
-
-def _resident_bytes(pid: int) -> int:
-    fields = Path(f"/proc/{pid}/statm").read_text(encoding="utf-8").split()
-    return int(fields[1]) * sysconf("SC_PAGE_SIZE")
-
-
 def configuration_bytes_per_second() -> float:
     """Returns what fetching and serving the day's changes of a large configuration costs a node."""
     record = ConfigurationRecord(generation=1, change_id="0" * 16, author="operator")
--- a/src/coltsfoottrack/_internal/experiment/measure_path.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_path.py
@@ -47,11 +47,14 @@
 def single_service() -> FleetShape:
     """One service with one backend server that answers at once."""
     lookup = OperationShape("lookup", PRIORITY_NORMAL, True)
-    service = ServiceShape("stores", 1, 80, 0, (lookup,))
+    order = OperationShape("order", PRIORITY_NORMAL, False)
+    service = ServiceShape("stores", 1, 80, 0, (lookup, order))
     return FleetShape("single", ("east",), (service,), 1)
 
 
-def open_loop(call: Callable[[], None], seconds: float) -> list[float]:
+def open_loop(
+    call: Callable[[], object], seconds: float, calls_per_second: int = CALLS_PER_SECOND
+) -> list[float]:
     """Makes calls on schedule from 16 threads; returns the latency of each, in ms."""
     latencies: list[float] = []
     due_times: SimpleQueue[float | None] = SimpleQueue()
@@ -65,8 +68,8 @@
     for thread in threads:
         thread.start()
     start = perf_counter()
-    for index in range(int(CALLS_PER_SECOND * seconds)):
-        delay = start + index / CALLS_PER_SECOND - perf_counter()
+    for index in range(int(calls_per_second * seconds)):
+        delay = start + index / calls_per_second - perf_counter()
         if delay > 0:
             sleep(delay)
         due_times.put(perf_counter())
@@ -112,3 +115,15 @@
         node, plain = of_round["node"], of_round["direct"]
         added.append(AddedCost(node.p50_ms - plain.p50_ms, node.p99_ms - plain.p99_ms))
     return PathCost(figures, added)
+
+
+def print_path_cost(rounds: int) -> None:
+    """Prints the figures of every round and the spread of what the node added."""
+    cost = measure_path(rounds)
+    print(f"{CALLS_PER_SECOND} calls/s, {CLIENT_THREADS} client threads, ms")
+    for figures in cost.figures:
+        print(f"{figures.path:8} p50 {figures.p50_ms:6.2f}  p99 {figures.p99_ms:6.2f}")
+    medians = [added.p50_ms for added in cost.added]
+    tails = [added.p99_ms for added in cost.added]
+    print(f"added at p50: {min(medians):.2f} to {max(medians):.2f}")
+    print(f"added at p99: {min(tails):.2f} to {max(tails):.2f}")
