--- a/tests/functional/test_leaving_and_configuration.py
+++ b/tests/functional/test_leaving_and_configuration.py
@@ -16,7 +16,7 @@
     REQUEST_ID,
 )
 from coltsfoottrack._internal.configuration.peers import operator_store
-from coltsfoottrack._internal.experiment.fleet import Fleet, NodePlace
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, READY_SECONDS, Fleet, NodePlace
 from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestKind
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
@@ -54,6 +54,16 @@
         self.addCleanup(self.fleet.stop)
         self.fleet.start()
         self.first, self.second, self.third = self.fleet.places
+        self.wait_for_backend_servers()
+
+    def wait_for_backend_servers(self) -> None:
+        """The fleet waits for its nodes only; a signal must not reach a backend that starts."""
+        expiry = monotonic() + READY_SECONDS
+        for place in self.fleet.places:
+            url = f"http://{LOOPBACK}:{place.admin_port}/ready"
+            while self.fleet.http.request("GET", url, timeout=5.0).status != 200:
+                self.assertLess(monotonic(), expiry, f"{place.node_process} is not ready")
+                run(sleep(0.05))
 
     def wait_for_end(self, process: str) -> int:
         return self.fleet.processes[process].wait(END_SECONDS)
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -119,6 +119,22 @@
         self.assertEqual("a", caught.exception.found.author)
         self.assertEqual(1, (await self.store.read()).record.generation)
 
+    async def test_change_between_read_and_write_is_a_conflict(self) -> None:
+        """Guards against two operators of whom the later one overwrites the earlier unseen."""
+        platform = self.cluster.platform
+        other = ConfigurationRecord(generation=1, change_id="other", author="b")
+
+        def store_other(path: str) -> None:
+            if path == CURRENT_PATH:
+                platform.before_write = lambda path: None
+                platform.put(CURRENT_PATH, encode_record(other), 0)
+
+        platform.before_write = store_other
+        with self.assertRaises(ConfigurationConflictError) as caught:
+            await self.store.set(configuration_with(1), "a")
+        self.assertEqual("other", caught.exception.found.change_id)
+        self.assertEqual("other", (await self.store.read()).record.change_id)
+
     async def test_lost_answer_is_read_back(self) -> None:
         """Guards against a change stored twice, or reported as failed, after a lost answer."""
         self.cluster.platform.lose_answers = 1
