Keep the node running when a background task fails unexpectedly

Cause: an unexpected error in a membership or configuration task ended the task group and with it the node, calls in flight included. Ruled out: leaving it to a restart by the platform; calls would be cut off.

--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -1,6 +1,7 @@
 """The node process: starts the servers and tasks, and stops them without cutting off calls."""
 
 from asyncio import Event, TaskGroup, get_running_loop, sleep, wait_for
+from collections.abc import Awaitable, Callable
 from gc import freeze
 from signal import SIGINT, SIGTERM
 
@@ -21,6 +22,7 @@
 # Beyond the longest deadline: time for the last answers to be written.
 DRAIN_MARGIN_SECONDS = 2.0
 CLOSE_SECONDS = 2.0
+RESTART_SECONDS = 1.0
 
 logger = get_logger(__name__)
 
@@ -58,7 +60,7 @@
     try:
         async with TaskGroup() as tasks:
             background = [
-                tasks.create_task(state.cluster.run_socket()),
+                tasks.create_task(keep_running(state.cluster.run_socket)),
                 tasks.create_task(join_and_serve(state)),
             ]
             await stopping.wait()
@@ -80,17 +82,31 @@
 async def join_and_serve(state: NodeState) -> None:
     """Joins, takes the newest configuration, opens for calls, and keeps all of it up to date."""
     async with TaskGroup() as tasks:
-        tasks.create_task(state.cluster.join())
-        tasks.create_task(state.distribution.fetch_announced())
-        tasks.create_task(state.distribution.pass_on())
-        tasks.create_task(state.cluster.follow_reunions())
-        await state.distribution.load_until_ready()
+        tasks.create_task(keep_running(state.cluster.join))
+        tasks.create_task(keep_running(state.distribution.fetch_announced))
+        tasks.create_task(keep_running(state.distribution.pass_on))
+        tasks.create_task(keep_running(state.cluster.follow_reunions))
+        await keep_running(state.distribution.load_until_ready)
         state.ready = True
         state.publish_member()
         logger.info("node_ready", node=state.name, generation=state.configuration.generation)
-        tasks.create_task(state.distribution.watch())
-        tasks.create_task(state.cluster.keep_synchronised())
-        tasks.create_task(state.cluster.check_objects())
+        tasks.create_task(keep_running(state.distribution.watch))
+        tasks.create_task(keep_running(state.cluster.keep_synchronised))
+        tasks.create_task(keep_running(state.cluster.check_objects))
+
+
+async def keep_running(task: Callable[[], Awaitable[None]]) -> None:
+    """Runs a background task to its end, again after an error that it did not expect.
+
+    Such an error must not end the node: its calls do not depend on these tasks.
+    """
+    while True:
+        try:
+            await task()
+            return
+        except Exception:
+            logger.exception("background_task_failed", task=task.__qualname__)
+            await sleep(RESTART_SECONDS)
 
 
 async def drain(state: NodeState) -> None:
--- a/tests/unit/test_drain.py
+++ b/tests/unit/test_drain.py
@@ -10,6 +10,7 @@
 from coltsfoottrack._internal.calls.outcome import Outcome, Reason
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.membership.table import MembershipTable, call_address
+from coltsfoottrack._internal.node import daemon as daemon_module
 from coltsfoottrack._internal.node import drain as drain_module
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.node.drain import Drain
@@ -85,6 +86,23 @@
         self.assertEqual(1, self.checker.total())
 
 
+class BackgroundTaskTest(IsolatedAsyncioTestCase):
+    """Errors in background tasks."""
+
+    async def test_unexpected_error_does_not_end_the_node(self) -> None:
+        """Guards against a fault in membership or configuration that cuts off calls."""
+        runs = []
+
+        async def fail_once() -> None:
+            runs.append(1)
+            if len(runs) == 1:
+                raise KeyError("unexpected")
+
+        with patch.object(daemon_module, "RESTART_SECONDS", 0.0):
+            await daemon_module.keep_running(fail_once)
+        self.assertEqual(2, len(runs))
+
+
 class LeavingNoteTest(TestCase):
     """What a router does with an answer that says that its node leaves."""
 
