--- a/src/coltsfoottrack/_internal/membership/local.py
+++ b/src/coltsfoottrack/_internal/membership/local.py
@@ -20,7 +20,7 @@
         failure_domain=settings.failure_domain,
         region=settings.region,
         address=settings.address,
-        call_port=settings.call_port,
+        call_port=settings.advertised_call_port or settings.call_port,
         peer_port=settings.peer_port,
         incarnation=incarnation,
         revision=1,
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -8,6 +8,7 @@
 
 from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES
 from coltsfoottrack._internal.calls.context import (
+    CALL_ID,
     CLUSTER,
     EVENT_CLOCK,
     PROTOCOL,
@@ -18,7 +19,7 @@
     whole_number,
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
-from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, is_identifier
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
 from coltsfoottrack._internal.events.kinds import EventKind
@@ -76,6 +77,9 @@
             answer = await self._answer(request)
         answer = answer._replace(served_by=self.state.name, node_leaving=drain.is_leaving)
         headers = answer_headers(answer, self.state.clock.tick())
+        call_id = request.headers.get(CALL_ID)
+        if call_id is not None and is_identifier(call_id):
+            headers[CALL_ID] = call_id
         response = Response(status=answer.status, body=answer.body, headers=headers)
         if drain.node_since is not None:
             # A request on a connection that is kept open could meet the closing of the port.
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -39,15 +39,15 @@
     state = NodeState.from_config(settings)
     state.cluster.detector.on_replaced = stopping.set
     call_server = CallServer(state)
-    admin_server = AdminServer(state)
     state.backend.report = SuspectReporter(state).report
+    admin_server = AdminServer(state)
     peer_server = Server(
         [
             BackendService(state),
             MembershipService(state),
             ConfigurationService(state),
-            OperatorService(state),
             SuspectService(state),
+            OperatorService(state),
         ]
     )
     await state.cluster.open()
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -29,6 +29,7 @@
 from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.routing.transport import Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, NodeSettings
 from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
@@ -38,6 +39,7 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
+        advertised_call_port = settings.advertised_call_port or settings.call_port
         self.name = f"{settings.service}/{settings.name}"
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
@@ -53,7 +55,9 @@
                 self.configuration.policies.policy(settings.service), "quarantine_ms"
             )
         )
-        self.backend = BackendLink(settings.cluster, self.clock, self.suspects)
+        self.backend = BackendLink(
+            settings.cluster, self.clock, self.suspects, lambda: Transport(self.checker)
+        )
         self.backend.on_down = self.publish_member
         self.channels = PeerChannels()
         self.limiter = ConcurrencyLimiter()
@@ -65,10 +69,12 @@
         self.drain = Drain(self._grace_seconds, self.checker)
         self.local_calls = LocalCalls(self.admission, self.backend, self.ring, self.metrics)
         self.local_calls.refuses_new_work = self.drain.refuses_new_work
+        self.backend.refuses_new_work = self.drain.refuses_new_work
+        self.backend.check_dispatch = self.drain.check_dispatch
         self.ledger = Ledger(
             service=settings.service,
             home=self.name,
-            home_call_address=f"{settings.address}:{settings.call_port}",
+            home_call_address=f"{settings.address}:{advertised_call_port}",
             home_peer_address=f"{settings.address}:{settings.peer_port}",
             checker=self.checker,
         )
