Record changes at once, show the other operator's change, await ready nodes

Fleet.wait_until_ready took 428 as ready, which a node answers before its backend server has announced itself; it now waits for /ready first. That the race is the cause is a conclusion from the code, the refusal's reason was not recorded.

--- a/src/coltsfoottrack/_internal/cli/commands/config.py
+++ b/src/coltsfoottrack/_internal/cli/commands/config.py
@@ -225,13 +225,12 @@
     if text == str(newest.generation):
         return newest
     try:
-        records = await access.store.history(limit=1000)
+        record = await access.generation(text)
     except StoreUnavailableError as error:
         raise CommandError(f"{error}; the history is only there", EXIT_UNREACHABLE) from error
-    for record in records:
-        if text == str(record.generation):
-            return record
-    raise CommandError(f"generation {text} is not in the history", EXIT_BAD_INPUT)
+    if record is None:
+        raise CommandError(f"generation {text} is not in the history", EXIT_BAD_INPUT)
+    return record
 
 
 async def _history(limit: int, node: str, platform: str, output: str) -> None:
--- a/src/coltsfoottrack/_internal/cli/configuration_access.py
+++ b/src/coltsfoottrack/_internal/cli/configuration_access.py
@@ -29,6 +29,7 @@
 )
 
 POLL_SECONDS = 0.25
+HISTORY_LIMIT = 1000
 PRIORITY_PREFIX = "PRIORITY_"
 
 
@@ -97,6 +98,16 @@
             return best
         return ReadRecord(await self._fetch(newest.address), newest.name)
 
+    async def generation(self, text: str) -> ConfigurationRecord | None:
+        """Returns a past generation out of the history, None if it is not there.
+
+        Raises StoreUnavailableError.
+        """
+        for record in await self.store.history(limit=HISTORY_LIMIT):
+            if text == str(record.generation):
+                return record
+        return None
+
     async def unconfirmed(self, record: ConfigurationRecord) -> list[Unconfirmed]:
         """Returns the known nodes that do not hold a change, and since when they hold theirs."""
         self.answers = await self.fleet.statuses()
--- a/src/coltsfoottrack/_internal/cli/configuration_change.py
+++ b/src/coltsfoottrack/_internal/cli/configuration_change.py
@@ -44,7 +44,8 @@
     try:
         stored = await access.stored()
         if base and base != str(stored.record.generation):
-            raise _conflict(stored.record, stored.record.configuration, None)
+            seen = await access.generation(base)
+            raise _conflict(stored.record, None if seen is None else seen.configuration)
         changed = apply_edit(stored.record.configuration, edit)
         changes = difference(stored.record.configuration, changed)
         if output == "text":
@@ -79,7 +80,7 @@
     except InvalidConfigurationError as error:
         raise CommandError(f"refused, nothing was changed: {error}", EXIT_BAD_INPUT) from error
     except ConfigurationConflictError as error:
-        raise _conflict(error.found, stored.record.configuration, error) from error
+        raise _conflict(error.found, stored.record.configuration) from error
     except ChangeUncertainError as error:
         raise CommandError(
             f"{error}; look for it with: coltsfoottrack config history", EXIT_NOT_CONFIRMED
@@ -90,12 +91,13 @@
         ) from error
 
 
-def _conflict(
-    found: ConfigurationRecord, before: FleetConfiguration, error: Exception | None
-) -> CommandError:
-    """Builds the error that shows the other operator's change."""
-    changes = "; ".join(change.line() for change in difference(before, found.configuration))
-    shown = f"; it changed: {changes}" if error is not None and changes else ""
+def _conflict(found: ConfigurationRecord, before: FleetConfiguration | None) -> CommandError:
+    """Builds the error that shows the other operator's change to what this one saw."""
+    changes: list[FieldChange] = []
+    if before is not None:
+        changes = difference(before, found.configuration)
+    lines = "; ".join(change.line() for change in changes)
+    shown = f"; since then changed: {lines}" if lines else ""
     return CommandError(
         f"generation {found.generation} was stored by {found.author or 'unknown'} at "
         f"{clock_time(found.written_at_ms)} (change {found.change_id}){shown}; nothing was "
--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -200,12 +200,26 @@
         return [place for place in self.places if place.service == service]
 
     def wait_until_ready(self) -> None:
-        """Waits until every service answers through the node of every place."""
+        """Waits until every node is ready and every service answers through it."""
         expiry = monotonic() + READY_SECONDS
+        for place in self.places:
+            self._wait_for_node(place, expiry)
         for place in self.places:
             for service in self.shape.services:
                 self._wait_for_service(place, service, expiry)
 
+    def _wait_for_node(self, place: NodePlace, expiry: float) -> None:
+        """Waits for a node and its backend server, which a node hands out keys without."""
+        url = f"http://{LOOPBACK}:{place.admin_port}/ready"
+        while monotonic() < expiry:
+            try:
+                if self.http.request("GET", url, timeout=5.0).status == 200:
+                    return
+            except HTTPError:
+                pass
+            sleep(POLL_SECONDS)
+        raise ExperimentError(f"{place.node_process} is not ready")
+
     def _wait_for_service(self, place: NodePlace, service: ServiceShape, expiry: float) -> None:
         url = f"http://{place.call_address}/v1/services/{service.name}/readiness"
         while monotonic() < expiry:
--- a/src/coltsfoottrack/_internal/node/change_events.py
+++ b/src/coltsfoottrack/_internal/node/change_events.py
@@ -34,6 +34,8 @@
             finally:
                 for future in pending:
                     future.cancel()
+            # At once, so that the event's clock is that of the change.
+            self.compare()
             await sleep(COALESCE_SECONDS)
 
     def compare(self) -> None:
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -135,6 +135,7 @@
         late = command("config", "set", "queue_delay_target_ms=9", "--base", "1")
         self.assertEqual(late.status, 3)
         self.assertIn("generation 2 was stored by operator", late.error)
+        self.assertIn("since then changed: + defaults.queue_delay_target_ms: 8", late.error)
         exception = ("config", "set", "max_queue_length=9", "--exception", "x", "--service", "deep")
         refused = command(*exception)
         self.assertEqual(refused.status, 2)
@@ -171,6 +172,10 @@
         document = self.json("status")
         self.assertEqual([node["name"] for node in document["unreachable"]], [f"deep/{deep.name}"])
         self.assertEqual(document["violations"], [])
+        waited = command("config", "set", "queue_delay_target_ms=9", "--wait", "1")
+        self.assertEqual(waited.status, 5, waited.error)
+        self.assertIn(f"not confirmed after 1 s by deep/{deep.name}", waited.error)
+        self.assertIn("generation 4", waited.text)
 
 
 class BadSettingsTest(TestCase):
