--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -25,6 +25,10 @@
 ATTEMPT_BUDGET = "Attempt-Budget"
 SUSPECTED_CRASHES = "Suspected-Crashes"
 HOP_DEPTH = "Hop-Depth"
+DISPATCH_NUMBER = "Dispatch-Number"
+# Only from a node to the backend server on the same instance: the deadline on the instance's
+# monotonic clock, in seconds.
+MONOTONIC_DEADLINE = "Monotonic-Deadline"
 EVENT_CLOCK = "Event-Clock"
 CLUSTER = "Cluster"
 PROTOCOL = "Protocol-Version"
@@ -60,6 +64,8 @@
     depth: int = 0
     # Rank of the caller's own request; a call below it is never ranked lower.
     from_peer: bool = False
+    # Above 0 in a copy that the home of its key handed to another node of the service.
+    dispatch_number: int = 0
 
     @property
     def rank(self) -> int:
@@ -93,6 +99,8 @@
             headers[IDEMPOTENCY_KEY] = self.idempotency_key
         if self.suspected_crashes:
             headers[SUSPECTED_CRASHES] = str(self.suspected_crashes)
+        if self.dispatch_number:
+            headers[DISPATCH_NUMBER] = str(self.dispatch_number)
         return headers
 
 
@@ -152,6 +160,7 @@
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
         depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH),
         from_peer=CLUSTER in headers,
+        dispatch_number=whole_number(headers, DISPATCH_NUMBER, 0, 100),
     )
 
 
@@ -188,6 +197,8 @@
         headers[COPY_DISPATCHED] = "no"
     if answer.node_leaving:
         headers[NODE_LEAVING] = "yes"
+    if answer.call_id:
+        headers[CALL_ID] = answer.call_id
     return headers
 
 
@@ -217,4 +228,5 @@
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
         copy_dispatched=headers.get(COPY_DISPATCHED) != "no",
         node_leaving=headers.get(NODE_LEAVING) == "yes",
+        call_id=headers.get(CALL_ID, ""),
     )
--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -37,6 +37,8 @@
     KEY_EXPIRED = "key_expired"
     KEYS_EXHAUSTED = "keys_exhausted"
     CLOSED = "closed"
+    DUPLICATE = "duplicate"
+    ANSWER_DROPPED = "answer_dropped"
     QUARANTINED = "quarantined"
     UNKNOWN_SERVICE = "unknown_service"
     BAD_REQUEST = "bad_request"
@@ -80,6 +82,8 @@
     # False only when this copy of the call was certainly not sent on to where it could run.
     copy_dispatched: bool = True
     node_leaving: bool = False
+    # Identifier of the copy of the call that this answers; empty if the answer names none.
+    call_id: str = ""
 
 
 def refused(reason: Reason, retry_useful: bool = False, text: str = "") -> Answer:
--- /dev/null
+++ b/src/coltsfoottrack/_internal/ledger/call_registry.py
@@ -0,0 +1,208 @@
+"""Calls that this node has seen, by Call-Id, so that a late copy of a settled call is refused."""
+
+from asyncio import CancelledError
+from collections import deque
+from collections.abc import Awaitable, Callable
+from heapq import heappop, heappush
+from time import monotonic
+
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
+from coltsfoottrack._internal.calls.outcome_records import CallState, Settlement, without_body
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+
+# 20,000 entries hold 60 s of 333 calls/s; a node is sized for 150.
+MAX_ENTRIES = 20_000
+MAX_ANSWER_BYTES = 4_000_000
+# The kernel of a sender gives a copy up after 3 s (TCP user timeout); the rest covers
+# bytes that wait in the socket of a busy node.
+RETENTION_SECONDS = 60.0
+# Longer than the 0.5 s that a sender waits for the reply to Settle.
+AGE_MARGIN_SECONDS = 2.0
+# Time in which the process was stopped counts at most this much towards retention.
+LONGEST_STEP_SECONDS = 1.0
+
+Runner = Callable[[CallContext, bytes], Awaitable[Answer]]
+
+
+class CallEntry:
+    """One call that was started or closed."""
+
+    __slots__ = ("answer", "dispatched", "drop_at", "state")
+
+    def __init__(self, state: CallState) -> None:
+        self.state = state
+        self.answer: Answer | None = None
+        # True once bytes may have reached the backend server and it has not refused the call.
+        self.dispatched = False
+        self.drop_at = 0.0
+
+
+class CallRegistry:
+    """Runs each Call-Id at most once and settles what became of it.
+
+    Finished copies of idempotent calls may be forgotten before their time to make room; the
+    registry then replies that it is uncertain instead of closing calls of that time. Closed calls
+    and dispatches under a key are never forgotten early: when they fill the table, new ones are
+    refused.
+    """
+
+    def __init__(
+        self,
+        checker: InvariantChecker,
+        wall_ms: Callable[[], int],
+        clock: Callable[[], float] = monotonic,
+        max_entries: int = MAX_ENTRIES,
+    ) -> None:
+        self.checker = checker
+        self.wall_ms = wall_ms
+        self.clock = clock
+        self.max_entries = max_entries
+        self.entries: dict[str, CallEntry] = {}
+        self.finished: deque[str] = deque()
+        self.closed: deque[str] = deque()
+        # Calls that are kept until the key of their dispatch expires, soonest first.
+        self.pinned: list[tuple[int, str]] = []
+        self.answer_bytes = 0
+        self.with_body: deque[str] = deque()
+        self.last_look = clock()
+        self.running_seconds = 0.0
+        # Calls sent before this moment may have been forgotten.
+        self.certain_since = self.last_look
+
+    async def run(
+        self,
+        context: CallContext,
+        body: bytes,
+        runner: Runner,
+        keep: bool,
+        pinned_until_ms: int = 0,
+    ) -> Answer:
+        """Runs a call unless its Call-Id was seen before.
+
+        A call that nobody can settle is not kept once it has finished. ``pinned_until_ms`` is the
+        expiry of the key of a dispatch, in wall clock ms; an expired dispatch is refused, since
+        the closing of it may have been forgotten.
+        """
+        if pinned_until_ms and pinned_until_ms <= self.wall_ms():
+            return refused(Reason.KEY_EXPIRED)
+        call_id = context.call_id
+        entry = self.entries.get(call_id)
+        if entry is not None:
+            if entry.state is CallState.CLOSED:
+                return refused(Reason.CLOSED)
+            return unknown(Reason.DUPLICATE)
+        if not self._make_room():
+            return refused(Reason.OVERLOAD, retry_useful=True)
+        entry = CallEntry(CallState.RUNNING)
+        self.entries[call_id] = entry
+        answer = unknown(Reason.CONNECTION_LOST)
+        try:
+            answer = await runner(context, body)
+        except CancelledError:
+            lost = unknown(Reason.CANCELLED)
+            answer = lost if entry.dispatched else refused(Reason.CANCELLED)
+            raise
+        finally:
+            self._finish(call_id, entry, answer, keep, pinned_until_ms)
+        return answer
+
+    def dispatching(self, call_id: str) -> bool:
+        """Notes that a call is about to be sent to the backend server; False forbids it."""
+        entry = self.entries.get(call_id)
+        allowed = entry is not None and entry.state is CallState.RUNNING and not entry.dispatched
+        if not self.checker.check(allowed, Invariant.AT_MOST_ONCE, f"{call_id} may not start"):
+            return False
+        entry.dispatched = True
+        return True
+
+    def not_run(self, call_id: str) -> None:
+        """Notes that the backend server certainly did not run a call that was sent to it."""
+        entry = self.entries.get(call_id)
+        if entry is not None:
+            entry.dispatched = False
+
+    def settle(self, call_id: str, age_ms: float, pinned_until_ms: int = 0) -> Settlement:
+        """Reports a call, or closes it for good if it was certainly never seen.
+
+        ``age_ms`` is the time since the sender began to send it. A call from before the start of
+        this process, or from before entries were dropped, gives UNCERTAIN.
+        """
+        entry = self.entries.get(call_id)
+        if entry is not None:
+            return Settlement(entry.state, entry.answer)
+        now = self.clock()
+        reach = age_ms / 1000.0 + AGE_MARGIN_SECONDS
+        if reach >= min(now - self.certain_since, RETENTION_SECONDS):
+            return Settlement(CallState.UNCERTAIN)
+        if not self._make_room():
+            return Settlement(CallState.UNCERTAIN)
+        entry = CallEntry(CallState.CLOSED)
+        self.entries[call_id] = entry
+        self._keep(call_id, entry, self.closed, pinned_until_ms)
+        return Settlement(CallState.CLOSED)
+
+    def _finish(
+        self, call_id: str, entry: CallEntry, answer: Answer, keep: bool, pinned_until_ms: int
+    ) -> None:
+        self.checker.check(
+            not (entry.dispatched and answer.outcome is Outcome.REFUSED),
+            Invariant.NOT_RUN_MEANS_NOT_RUN,
+            f"{call_id} refused after it was dispatched",
+        )
+        if not keep:
+            del self.entries[call_id]
+            return
+        entry.state = CallState.FINISHED
+        entry.answer = answer
+        self._keep(call_id, entry, self.finished, pinned_until_ms)
+        if not answer.body:
+            return
+        self.answer_bytes += len(answer.body)
+        self.with_body.append(call_id)
+        while self.answer_bytes > MAX_ANSWER_BYTES or len(self.with_body) > self.max_entries:
+            self._drop_body(self.with_body.popleft())
+
+    def _keep(self, call_id: str, entry: CallEntry, line: deque[str], pinned_until_ms: int) -> None:
+        if pinned_until_ms:
+            heappush(self.pinned, (pinned_until_ms, call_id))
+            return
+        entry.drop_at = self._running_time() + RETENTION_SECONDS
+        line.append(call_id)
+
+    def _drop_body(self, call_id: str) -> None:
+        entry = self.entries.get(call_id)
+        if entry is None or entry.answer is None:
+            return
+        self.answer_bytes -= len(entry.answer.body)
+        entry.answer = without_body(entry.answer)._replace(body=b"")
+
+    def _running_time(self) -> float:
+        """Returns the time that this process has run, not counting stops, in seconds.
+
+        After a stop, a copy that waited in a socket is read only after the process goes on.
+        """
+        now = self.clock()
+        self.running_seconds += min(now - self.last_look, LONGEST_STEP_SECONDS)
+        self.last_look = now
+        return self.running_seconds
+
+    def _make_room(self) -> bool:
+        now = self._running_time()
+        for line in (self.finished, self.closed):
+            while line and self.entries[line[0]].drop_at <= now:
+                self._remove(line.popleft())
+        while self.pinned and self.pinned[0][0] <= self.wall_ms():
+            self._remove(heappop(self.pinned)[1])
+        if len(self.entries) < self.max_entries:
+            return True
+        if not self.finished:
+            return False
+        self._remove(self.finished.popleft())
+        self.certain_since = self.clock()
+        return True
+
+    def _remove(self, call_id: str) -> None:
+        entry = self.entries.pop(call_id)
+        if entry.answer is not None:
+            self.answer_bytes -= len(entry.answer.body)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/ledger/dispatcher.py
@@ -0,0 +1,96 @@
+"""Runs of keyed requests: on the own backend server, else handed to another node."""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.exceptions import InvalidKeyError
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry, Runner
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+
+MAX_HANDOFFS = 2
+CRITICAL = 2
+# The backend server beside the home cannot run the request, but another one may.
+UNAVAILABLE_REASONS = (Reason.BACKEND_DOWN, Reason.LEAVING)
+FULL_REASONS = (Reason.OVERLOAD, Reason.EVICTED, Reason.BACKEND_SHED)
+
+Choose = Callable[[str, set[str]], str | None]
+Send = Callable[[CallContext, str, bytes], Awaitable[Answer]]
+
+
+class Dispatcher:
+    """Takes each call through the registry of calls to where it runs."""
+
+    def __init__(
+        self,
+        registry: CallRegistry,
+        run_here: Runner,
+        choose: Choose,
+        send: Send,
+        own_address: str,
+        checker: InvariantChecker,
+    ) -> None:
+        self.registry = registry
+        self.run_here = run_here
+        self.choose = choose
+        self.send = send
+        self.own_address = own_address
+        self.checker = checker
+        self.counts: Counter[str] = Counter()
+
+    async def run_copy(self, context: CallContext, body: bytes) -> Answer:
+        """Runs a copy of an idempotent call."""
+        if not context.from_peer:
+            # Callers may use a Call-Id twice; only the ones of nodes and clients are settled.
+            context = context._replace(call_id=new_call_id())
+        return await self.registry.run(context, body, self.run_here, keep=context.from_peer)
+
+    async def run_dispatch(self, context: CallContext, body: bytes) -> Answer:
+        """Runs a request that the home of its key handed to this node."""
+        try:
+            key = IdempotencyKey.parse(context.idempotency_key)
+        except InvalidKeyError as error:
+            return refused(Reason.KEY_INVALID, text=str(error))
+        return await self.registry.run(
+            context, body, self.run_here, keep=True, pinned_until_ms=key.expires_at_ms
+        )
+
+    async def run_under_key(self, context: CallContext, body: bytes) -> Answer:
+        """Runs a request whose key this node decides about.
+
+        Each further dispatch needs the certain refusal of the one before and takes one retry of
+        the attempt budget.
+        """
+        # Copies of one key arrive under several Call-Ids; the run gets one of its own.
+        here = context._replace(call_id=new_call_id())
+        answer = await self.registry.run(here, body, self.run_here, keep=False)
+        tried = {self.own_address}
+        for number in range(1, MAX_HANDOFFS + 1):
+            if not self._may_hand_over(context, answer):
+                break
+            address = self.choose(context.service, tried)
+            if address is None or address in tried or not context.budget.spend():
+                break
+            tried.add(address)
+            self.checker.check(
+                answer.outcome is Outcome.REFUSED,
+                Invariant.AT_MOST_ONCE,
+                f"{context.request_id} handed over after it was {answer.outcome}",
+            )
+            dispatch = context._replace(call_id=new_call_id(), dispatch_number=number)
+            answer = await self.send(dispatch, address, body)
+            self.counts[answer.outcome.value] += 1
+        if answer.outcome is Outcome.REFUSED:
+            answer = answer._replace(attempts_left=context.budget.retries)
+        return answer._replace(call_id="")
+
+    def _may_hand_over(self, context: CallContext, answer: Answer) -> bool:
+        if answer.outcome is not Outcome.REFUSED or context.deadline.has_passed():
+            return False
+        if answer.reason in UNAVAILABLE_REASONS or answer.reason is Reason.NO_NODE:
+            return True
+        if answer.reason is Reason.SILENT:
+            return True
+        return context.priority >= CRITICAL and answer.reason in FULL_REASONS
--- /dev/null
+++ b/src/coltsfoottrack/_internal/ledger/key_history.py
@@ -0,0 +1,48 @@
+"""What is remembered of used keys after their records are gone: two bits each."""
+
+BATCH_SIZE = 1024
+# 4,096 batches are 4 million keys in about 1.3 MB.
+MAX_BATCHES = 4096
+
+
+class KeyHistory:
+    """Which numbers of one incarnation were used, and which of those were refused.
+
+    Numbers of the oldest batches are forgotten when there are too many batches; ``remembers``
+    then tells that nothing can be said of them.
+    """
+
+    def __init__(self, max_batches: int = MAX_BATCHES) -> None:
+        self.max_batches = max_batches
+        self.used: dict[int, int] = {}
+        self.refused: dict[int, int] = {}
+        self.forgotten_below = 0
+
+    def remembers(self, number: int) -> bool:
+        """Tells whether the history still covers a number."""
+        return number // BATCH_SIZE >= self.forgotten_below
+
+    def mark_used(self, number: int) -> None:
+        """Notes that a key was used."""
+        batch, bit = divmod(number, BATCH_SIZE)
+        self.used[batch] = self.used.get(batch, 0) | 1 << bit
+        if len(self.used) > self.max_batches:
+            oldest = min(self.used)
+            del self.used[oldest]
+            self.refused.pop(oldest, None)
+            self.forgotten_below = max(self.forgotten_below, oldest + 1)
+
+    def mark_refused(self, number: int) -> None:
+        """Notes that a used key ended in a refusal."""
+        batch, bit = divmod(number, BATCH_SIZE)
+        self.refused[batch] = self.refused.get(batch, 0) | 1 << bit
+
+    def was_used(self, number: int) -> bool:
+        """Tells whether a remembered key was used."""
+        batch, bit = divmod(number, BATCH_SIZE)
+        return bool(self.used.get(batch, 0) >> bit & 1)
+
+    def was_refused(self, number: int) -> bool:
+        """Tells whether a remembered key was used and refused."""
+        batch, bit = divmod(number, BATCH_SIZE)
+        return bool(self.refused.get(batch, 0) >> bit & 1)
--- a/src/coltsfoottrack/_internal/ledger/ledger.py
+++ b/src/coltsfoottrack/_internal/ledger/ledger.py
@@ -1,22 +1,30 @@
 """Records of idempotency keys at their home node: at most one run for each key."""
 
-from asyncio import Future, get_running_loop, shield
+from asyncio import Future, get_running_loop, shield, timeout
+from collections import deque
 from collections.abc import Awaitable, Callable
 from hashlib import blake2b
 from secrets import randbits, token_bytes
-from time import time
 
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.exceptions import InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
+from coltsfoottrack._internal.calls.outcome_records import CallState, Settlement, without_body
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
+from coltsfoottrack._internal.ledger.key_history import KeyHistory
+from coltsfoottrack._internal.ledger.wall_clock import WallClock
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 
 MAX_OPEN_RECORDS = 20_000
+MAX_ANSWER_BYTES = 8_000_000
 DIGEST_BYTES = 16
+# A refusal for a passed deadline is made at the deadline and would otherwise lose the race
+# against the caller's own wait, which can only say "unknown".
+ANSWER_GRACE_SECONDS = 0.05
 
 Runner = Callable[[CallContext, bytes], Awaitable[Answer]]
+FinishedHook = Callable[[IdempotencyKey, Answer], None]
 
 
 def request_digest(service: str, operation: str, body: bytes) -> bytes:
@@ -31,11 +39,15 @@
 class KeyRecord:
     """What the home knows about one key that has been used."""
 
+    __slots__ = ("digest", "dispatched", "expires_at_ms", "result", "waiting")
+
     def __init__(self, digest: bytes, expires_at_ms: int) -> None:
         self.digest = digest
         self.expires_at_ms = expires_at_ms
-        self.answer: Future[Answer] = get_running_loop().create_future()
         self.dispatched = False
+        self.result: Answer | None = None
+        # Set until there is a result; copies of the request wait for it.
+        self.waiting: Future[Answer] | None = None
 
 
 class Ledger:
@@ -48,25 +60,38 @@
         home_call_address: str,
         home_peer_address: str,
         checker: InvariantChecker,
+        wall_ms: Callable[[], int] | None = None,
+        choose_backup: Callable[[], str] = str,
+        on_finished: FinishedHook | None = None,
+        max_records: int = MAX_OPEN_RECORDS,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         self.service = service
         self.home = home
         self.home_call_address = home_call_address
         self.home_peer_address = home_peer_address
         self.checker = checker
+        self.wall_ms = WallClock().now_ms if wall_ms is None else wall_ms
+        self.choose_backup = choose_backup
+        self.on_finished = on_finished
+        self.max_records = max_records
+        self.max_answer_bytes = max_answer_bytes
         self.incarnation = randbits(63)
         self.secret = token_bytes(32)
         self.records: dict[int, KeyRecord] = {}
+        self.finished: deque[int] = deque()
+        self.with_body: deque[int] = deque()
+        self.answer_bytes = 0
+        self.history = KeyHistory()
         self.next_number = 1
+        self.unknown_count = 0
 
     def issue(self, lifetime_ms: float, backup_peer_address: str = "") -> str:
         """Returns a new key that is valid for the given time.
 
-        Raises KeysExhaustedError while the ledger is full.
+        Raises KeysExhaustedError while as many requests run as there may be records.
         """
-        if len(self.records) >= MAX_OPEN_RECORDS:
-            self.forget_expired()
-        if len(self.records) >= MAX_OPEN_RECORDS:
+        if len(self.records) - len(self.finished) >= self.max_records:
             raise KeysExhaustedError(f"{len(self.records)} keys are open")
         key = IdempotencyKey(
             service=self.service,
@@ -74,9 +99,9 @@
             home_call_address=self.home_call_address,
             home_peer_address=self.home_peer_address,
             incarnation=self.incarnation,
-            backup_peer_address=backup_peer_address,
+            backup_peer_address=backup_peer_address or self.choose_backup(),
             number=self.next_number,
-            expires_at_ms=int(time() * 1000 + lifetime_ms),
+            expires_at_ms=int(self.wall_ms() + lifetime_ms),
         )
         self.next_number += 1
         return key.sign(self.secret).encode()
@@ -88,60 +113,172 @@
     async def run(self, context: CallContext, body: bytes, runner: Runner) -> Answer:
         """Runs a request under its key unless the key was used before.
 
-        A second copy waits for the first one's answer. The run goes on when a caller has gone,
-        so that a copy sent later learns the outcome.
+        A second copy waits for the first one's answer, up to its own deadline. The run goes on
+        when a caller has gone, so that a copy sent later learns the outcome.
         """
         try:
-            key = IdempotencyKey.parse(context.idempotency_key)
+            key = self.check_key(context.idempotency_key)
         except InvalidKeyError as error:
             return refused(Reason.KEY_INVALID, text=str(error))
-        if not self.is_home(key):
+        if key is None:
             return unknown(Reason.HOME_GONE, copy_dispatched=False)
-        if not key.is_signed_by(self.secret) or key.service != context.service:
-            return refused(Reason.KEY_INVALID, text="key was not issued by this node")
+        if key.service != context.service:
+            return refused(Reason.KEY_INVALID, text="key was issued for another service")
         digest = request_digest(context.service, context.operation, body)
         record = self.records.get(key.number)
         if record is not None:
-            if record.digest != digest:
+            if record.digest and record.digest != digest:
                 return refused(Reason.KEY_REUSED, text="key was used for another request")
-            return await shield(record.answer)
-        if key.expires_at_ms <= time() * 1000:
-            # Expired records are forgotten, so the key may have been used.
+            return await self._wait(record, context)
+        earlier = self._without_record(key)
+        if earlier is not None:
+            return earlier
+        if not self._make_room():
+            return refused(Reason.KEYS_EXHAUSTED, retry_useful=True)
+        record = self._open(key, digest)
+        record.waiting = get_running_loop().create_future()
+        task = get_running_loop().create_task(self._run_once(key, record, context, body, runner))
+        task.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return await self._wait(record, context)
+
+    def settle(self, text: str) -> Settlement:
+        """Reports the outcome of a key, or closes it for good if it was never used.
+
+        Any copy of the request that arrives later is refused. Raises InvalidKeyError if the text
+        is not a key of this service.
+        """
+        key = self.check_key(text)
+        if key is None:
+            return Settlement(CallState.UNCERTAIN)
+        record = self.records.get(key.number)
+        if record is not None:
+            if record.result is None:
+                return Settlement(CallState.RUNNING)
+            return Settlement(CallState.FINISHED, record.result)
+        earlier = self._without_record(key)
+        if earlier is not None:
+            return Settlement(CallState.FINISHED, earlier)
+        # Two bits are enough for a key that never ran.
+        self.history.mark_used(key.number)
+        self.history.mark_refused(key.number)
+        return Settlement(CallState.CLOSED)
+
+    def check_key(self, text: str) -> IdempotencyKey | None:
+        """Returns the key, or None if it is of another incarnation.
+
+        Raises InvalidKeyError if it is malformed, or claims to be of this incarnation and is
+        not signed by it.
+        """
+        key = IdempotencyKey.parse(text)
+        if not self.is_home(key):
+            return None
+        if not key.is_signed_by(self.secret):
+            raise InvalidKeyError("key was not issued by this node")
+        return key
+
+    def _without_record(self, key: IdempotencyKey) -> Answer | None:
+        """Returns the answer for a key that has no record and must not run, else None."""
+        if not self.history.remembers(key.number):
             return unknown(Reason.KEY_EXPIRED)
+        if self.history.was_refused(key.number):
+            return refused(Reason.CLOSED)
+        if self.history.was_used(key.number):
+            return unknown(Reason.ANSWER_DROPPED)
+        if key.expires_at_ms <= self.wall_ms():
+            # The clock never steps back, so a late copy is refused too.
+            return refused(Reason.KEY_EXPIRED, retry_useful=True)
+        return None
+
+    def _open(self, key: IdempotencyKey, digest: bytes) -> KeyRecord:
+        self.checker.check(
+            not self.history.was_used(key.number),
+            Invariant.AT_MOST_ONCE,
+            f"key {key.number} of {self.home} opened twice",
+        )
+        self.history.mark_used(key.number)
         record = KeyRecord(digest, key.expires_at_ms)
         self.records[key.number] = record
-        task = get_running_loop().create_task(self._run_once(record, context, body, runner))
-        task.add_done_callback(lambda done: done.exception())
-        return await shield(record.answer)
+        return record
+
+    async def _wait(self, record: KeyRecord, context: CallContext) -> Answer:
+        if record.result is not None:
+            return record.result
+        seconds = max(0.0, context.deadline.remaining_seconds()) + ANSWER_GRACE_SECONDS
+        try:
+            async with timeout(seconds):
+                return await shield(record.waiting)
+        except TimeoutError:
+            return unknown(Reason.DEADLINE)
 
     async def _run_once(
-        self, record: KeyRecord, context: CallContext, body: bytes, runner: Runner
+        self,
+        key: IdempotencyKey,
+        record: KeyRecord,
+        context: CallContext,
+        body: bytes,
+        runner: Runner,
     ) -> None:
         self.checker.check(
             not record.dispatched, Invariant.AT_MOST_ONCE, f"{context.request_id} dispatched twice"
         )
         record.dispatched = True
+        answer = unknown(Reason.CONNECTION_LOST)
         try:
             answer = await runner(context, body)
-        except BaseException:
-            record.answer.set_result(unknown(Reason.CONNECTION_LOST))
-            raise
-        record.answer.set_result(answer)
+        finally:
+            self._finish(key, record, answer)
+
+    def _finish(self, key: IdempotencyKey, record: KeyRecord, answer: Answer) -> None:
+        self.checker.check(
+            record.result is None, Invariant.AT_MOST_ONCE, f"key {key.number} finished twice"
+        )
+        record.result = answer
+        if answer.outcome is Outcome.REFUSED:
+            self.history.mark_refused(key.number)
+        if answer.outcome is Outcome.UNKNOWN:
+            self.unknown_count += 1
+        self.finished.append(key.number)
+        if answer.body:
+            self.with_body.append(key.number)
+            self.answer_bytes += len(answer.body)
+        waiting, record.waiting = record.waiting, None
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+        if self.on_finished is not None:
+            self.on_finished(key, answer)
+        while self.answer_bytes > self.max_answer_bytes and self.with_body:
+            self._drop_body(self.with_body.popleft())
+
+    def _drop_body(self, number: int) -> None:
+        record = self.records.get(number)
+        if record is None or record.result is None:
+            return
+        self.answer_bytes -= len(record.result.body)
+        record.result = without_body(record.result)._replace(body=b"")
+
+    def _make_room(self) -> bool:
+        """Reduces records of finished keys to the history, the oldest first."""
+        self.forget_expired()
+        if len(self.records) < self.max_records:
+            return True
+        if not self.finished:
+            return False
+        self._forget(self.finished.popleft())
+        return True
 
     def forget_expired(self) -> None:
         """Drops the records of expired keys that have an outcome."""
-        now_ms = time() * 1000
-        for number, record in list(self.records.items()):
-            if record.expires_at_ms > now_ms or not record.answer.done():
-                continue
-            del self.records[number]
+        now_ms = self.wall_ms()
+        while self.finished and self.records[self.finished[0]].expires_at_ms <= now_ms:
+            self._forget(self.finished.popleft())
+
+    def _forget(self, number: int) -> None:
+        record = self.records.pop(number)
+        self.answer_bytes -= len(record.result.body)
+        # Both lines are in order of finishing.
+        if self.with_body and self.with_body[0] == number:
+            self.with_body.popleft()
 
     def unknown_outcomes(self) -> int:
-        """Counts the kept records whose outcome is unknown."""
-        count = 0
-        for record in self.records.values():
-            if not record.answer.done() or record.answer.cancelled():
-                continue
-            if record.answer.result().outcome is Outcome.UNKNOWN:
-                count += 1
-        return count
+        """Counts the keys whose outcome was unknown since the start of the process."""
+        return self.unknown_count
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -2,6 +2,7 @@
 
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    MONOTONIC_DEADLINE,
     PATH_LEVEL,
     CallContext,
     whole_number,
@@ -9,6 +10,7 @@
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
@@ -19,9 +21,10 @@
 class BackendLink:
     """Sends calls to the backend server and says truthfully what became of them."""
 
-    def __init__(self, cluster: str, clock: HybridClock) -> None:
+    def __init__(self, cluster: str, clock: HybridClock, registry: CallRegistry) -> None:
         self.cluster = cluster
         self.clock = clock
+        self.registry = registry
         self.transport = Transport()
         self.address = ""
         self.slots = 0
@@ -39,22 +42,33 @@
         self.leaving = request.leaving
 
     async def run(self, context: CallContext, body: bytes) -> Answer:
-        """Runs a call on the backend server."""
+        """Runs a call on the backend server unless its deadline has passed."""
         if not self.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
+        if context.deadline.has_passed():
+            return refused(Reason.DEADLINE)
+        if not self.registry.dispatching(context.call_id):
+            return refused(Reason.CLOSED)
         headers = context.headers(self.cluster, self.clock.tick())
+        # The time left that is sent grows stale when this process is stopped before the bytes
+        # leave; the backend server is on the same instance and reads the same monotonic clock.
+        headers[MONOTONIC_DEADLINE] = f"{context.deadline.expires_at:.6f}"
         seconds = context.deadline.remaining_seconds()
         path = f"/{context.operation}"
         try:
             reply = await self.transport.send("POST", self.address, path, headers, body, seconds)
         except NotSentError:
             self.address = ""
+            self.registry.not_run(context.call_id)
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         except ConnectionLostError:
             if context.deadline.has_passed():
                 return unknown(Reason.DEADLINE)
             return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
-        return _read_reply(reply, context)
+        answer = _read_reply(reply, context)
+        if answer.outcome is Outcome.REFUSED:
+            self.registry.not_run(context.call_id)
+        return answer
 
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -85,6 +85,7 @@
             state.metrics.bad_requests.inc({"status": "408"})
             return refused(Reason.BAD_REQUEST, text="body did not arrive in time")
         answer = await self._call(context, body, grant.idempotent)
+        answer = answer._replace(call_id=context.call_id)
         state.metrics.count_call(context.priority_name, answer.outcome.value, answer.reason.value)
         return answer
 
@@ -115,7 +116,7 @@
                 return refused(Reason.UNKNOWN_SERVICE, retry_useful=True)
             return await state.router.call(context, body)
         if idempotent:
-            return await state.local_calls.run(context, body)
+            return await state.dispatcher.run_copy(context, body)
         return await self._call_under_key(context, body)
 
     async def _call_under_key(self, context: CallContext, body: bytes) -> Answer:
@@ -124,9 +125,11 @@
             key = IdempotencyKey.parse(context.idempotency_key)
         except InvalidKeyError as error:
             return refused(Reason.KEY_INVALID, text=str(error))
+        if context.dispatch_number and context.from_peer:
+            return await state.dispatcher.run_dispatch(context, body)
         if not state.ledger.is_home(key) and not context.from_peer:
             return await state.router.call(context, body)
-        answer = await state.ledger.run(context, body, state.local_calls.run)
+        answer = await state.ledger.run(context, body, state.dispatcher.run_under_key)
         if answer.retry_useful:
             return answer._replace(next_key=self._new_key())
         return answer
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -13,6 +13,7 @@
 from coltsfoottrack._internal.membership.registration import register, watch_members
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.outcome_service import OutcomeService
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.platform.exceptions import PlatformError
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import NodeSettings
@@ -30,7 +31,7 @@
         loop.add_signal_handler(signal, stopping.set)
     state = NodeState.from_config(settings)
     call_server = CallServer(state)
-    peer_server = Server([BackendService(state)])
+    peer_server = Server([BackendService(state), OutcomeService(state)])
     await peer_server.start(settings.address, settings.peer_port)
     await call_server.start()
     freeze()
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -10,21 +10,33 @@
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
+from coltsfoottrack._internal.ledger.dispatcher import Dispatcher
 from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.ledger.outcome_copies import CopySender, OutcomeCopies
+from coltsfoottrack._internal.ledger.wall_clock import WallClock
+from coltsfoottrack._internal.membership.backup import BackupChoice
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.node.local_calls import LocalCalls
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
 from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.routing.settling import RPC_ERRORS
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OutcomePeerStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     Envelope,
     Member,
     NodeSettings,
+    OutcomeRecord,
+    StoreOutcomeRequest,
 )
 
+STORE_TIMEOUT_SECONDS = 1.0
+
 
 class NodeState:
     """Everything that a node's servers and tasks share."""
@@ -39,7 +51,9 @@
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
         self.platform = PlatformClient.from_config(settings.platform_addresses)
-        self.backend = BackendLink(settings.cluster, self.clock)
+        self.wall_clock = WallClock()
+        self.registry = CallRegistry(self.checker, self.wall_clock.now_ms)
+        self.backend = BackendLink(settings.cluster, self.clock, self.registry)
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
@@ -53,7 +67,15 @@
             home_call_address=f"{settings.address}:{settings.call_port}",
             home_peer_address=f"{settings.address}:{settings.peer_port}",
             checker=self.checker,
+            wall_ms=self.wall_clock.now_ms,
+            choose_backup=BackupChoice(
+                self.members, settings.service, settings.failure_domain
+            ).choose,
+            on_finished=lambda key, answer: self.copy_sender.offer(key, answer),
         )
+        self.peers = PeerChannels()
+        self.outcome_copies = OutcomeCopies(self.wall_clock.now_ms)
+        self.copy_sender = CopySender(self.store_outcomes)
         self.router = Router(
             cluster=settings.cluster,
             members=self.members,
@@ -61,6 +83,15 @@
             clock=self.clock,
             ring=self.ring,
             random=Random(),
+            checker=self.checker,
+        )
+        self.dispatcher = Dispatcher(
+            self.registry,
+            self.local_calls.run,
+            self.router.choose,
+            self.router.exchange.send,
+            f"{settings.address}:{settings.call_port}",
+            self.checker,
         )
         self.member = Member(
             name=settings.name,
@@ -99,7 +130,21 @@
         self.members.merge(self.member)
         self.member_changed.set()
 
+    async def store_outcomes(self, address: str, records: list[OutcomeRecord]) -> bool:
+        """Sends copies of outcomes to a backup node; returns whether it took them."""
+        request = StoreOutcomeRequest(envelope=self.envelope(), records=records)
+        try:
+            await OutcomePeerStub(self.peers.channel(address)).StoreOutcome(
+                request, timeout=STORE_TIMEOUT_SECONDS
+            )
+        except RPC_ERRORS:
+            self.peers.discard(address)
+            return False
+        return True
+
     async def close(self) -> None:
         """Closes all outgoing connections."""
+        self.copy_sender.close()
+        self.peers.close()
         await self.router.close()
         await self.backend.close()
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -37,6 +37,11 @@
             "Retries sent, and retries that a bound forbade, by result.",
             registry=self.registry,
         )
+        self.settlements = Counter(
+            "coltsfoottrack_settlements_total",
+            "Calls that a peer asked about, by what this node knew of them.",
+            registry=self.registry,
+        )
         self.gauges: dict[str, Gauge] = {}
 
     def set_gauge(self, name: str, text: str, value: float) -> None:
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -1,38 +1,195 @@
 """One copy of a call sent to one node, and the truth about what became of it."""
 
+from asyncio import FIRST_COMPLETED, Task, create_task, sleep, wait
+from collections.abc import Callable
+from time import monotonic
+from typing import NamedTuple
+
 from coltsfoottrack._internal.calls.context import CallContext, read_answer
-from coltsfoottrack._internal.calls.exceptions import BadRequestError
+from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused, unknown
+from coltsfoottrack._internal.calls.outcome_records import CallState
+from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.membership.table import (
+    MembershipTable,
+    call_address,
+    peer_address,
+)
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
-from coltsfoottrack._internal.routing.transport import Transport
+from coltsfoottrack._internal.routing.settling import PeerQuestions, SettleQuestion
+from coltsfoottrack._internal.routing.transport import HttpReply, Transport
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import SettleRequest
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
+
+# One lost datagram of a handshake must not make an outcome unknown.
+SETTLE_ATTEMPTS = 2
+FIRST_POLL_SECONDS = 0.02
+# Lets a refusal that the node makes at the deadline arrive before this side gives up.
+ANSWER_GRACE_SECONDS = 0.05
+
+
+class SentCopy(NamedTuple):
+    """One copy that was sent, and when its sending began on the monotonic clock."""
+
+    context: CallContext
+    address: str
+    began: float
+    silence_seconds: float
 
 
 class Exchange:
     """Sends copies of calls to call addresses of nodes."""
 
-    def __init__(self, cluster: str, clock: HybridClock, transport: Transport) -> None:
+    def __init__(
+        self,
+        cluster: str,
+        clock: HybridClock,
+        transport: Transport,
+        members: MembershipTable,
+        policies: Callable[[], PolicyTable],
+        checker: InvariantChecker | None = None,
+        questions: SettleQuestion | None = None,
+    ) -> None:
         self.cluster = cluster
         self.clock = clock
         self.transport = transport
+        self.members = members
+        self.policies = policies
+        self.checker = InvariantChecker() if checker is None else checker
+        self.questions = PeerQuestions(cluster, clock) if questions is None else questions
+        self.silent_connections = 0
 
     async def send(self, context: CallContext, address: str, body: bytes) -> Answer:
         """Sends one copy and returns its answer.
 
-        ``copy_dispatched`` of the answer is False if this copy was certainly not run.
+        ``copy_dispatched`` of the answer is False if this copy was certainly not run. A call
+        without an answer for ``silence_check_ms`` is settled over a new connection: it is known
+        within that time plus 1 s whether the node runs it, never saw it or cannot be reached.
         """
+        policy = self.policies().policy(context.service, context.operation)
+        copy = SentCopy(
+            context, address, monotonic(), milliseconds_to_seconds(policy, "silence_check_ms")
+        )
+        task = create_task(self._send_copy(copy, body))
+        try:
+            answer = await self._follow(copy, task)
+            if answer.served_by:
+                return answer
+            # Made here, so no call below has spent anything.
+            return answer._replace(attempts_left=context.budget.retries)
+        finally:
+            # Closes the connection, which cancels an idempotent call at the other end.
+            task.cancel()
+
+    async def _send_copy(self, copy: SentCopy, body: bytes) -> HttpReply:
+        context = copy.context
         headers = context.headers(self.cluster, self.clock.tick())
         path = f"/v1/services/{context.service}/{context.operation}"
-        seconds = context.deadline.remaining_seconds()
+        seconds = context.deadline.remaining_seconds() + ANSWER_GRACE_SECONDS
+        return await self.transport.send("POST", copy.address, path, headers, body, seconds)
+
+    async def _follow(self, copy: SentCopy, task: Task[HttpReply]) -> Answer:
+        while True:
+            await wait((task,), timeout=copy.silence_seconds)
+            if task.done():
+                return await self._finished(copy, task)
+            settling = create_task(self._settle(copy))
+            try:
+                await wait((task, settling), return_when=FIRST_COMPLETED)
+                if not settling.done():
+                    return await self._finished(copy, task)
+            finally:
+                settling.cancel()
+            answer = settling.result()
+            if answer is not None:
+                self.silent_connections += 1
+                return answer
+
+    async def _finished(self, copy: SentCopy, task: Task[HttpReply]) -> Answer:
+        """Returns the answer once the copy's connection has given a reply or broken."""
+        context = copy.context
         try:
-            reply = await self.transport.send("POST", address, path, headers, body, seconds)
+            reply = task.result()
         except NotSentError:
-            if context.idempotency_key:
+            if context.idempotency_key and not context.dispatch_number:
                 return unknown(Reason.HOME_GONE, copy_dispatched=False)
             return refused(Reason.NO_NODE, retry_useful=True)
         except ConnectionLostError:
-            return unknown(Reason.CONNECTION_LOST)._replace(retry_useful=True)
+            return await self._after_loss(copy)
         try:
-            return read_answer(reply.status, reply.headers, reply.body)
+            answer = read_answer(reply.status, reply.headers, reply.body)
         except BadRequestError:
             return unknown(Reason.CONNECTION_LOST)
+        own = not answer.call_id or answer.call_id == context.call_id
+        detail = f"{context.call_id} got the answer to {answer.call_id}"
+        if not self.checker.check(own, Invariant.ANSWER_TO_ITS_CALLER, detail):
+            return unknown(Reason.CONNECTION_LOST)
+        return answer
+
+    async def _after_loss(self, copy: SentCopy) -> Answer:
+        """Settles a call under a key whose connection broke; others may simply be sent again."""
+        context = copy.context
+        if not context.idempotency_key:
+            return unknown(Reason.CONNECTION_LOST)._replace(retry_useful=True)
+        pause = FIRST_POLL_SECONDS
+        while not context.deadline.has_passed():
+            answer = await self._settle(copy)
+            if answer is not None:
+                return answer
+            await sleep(min(pause, max(0.0, context.deadline.remaining_seconds())))
+            pause = min(pause * 2, copy.silence_seconds)
+        return unknown(Reason.DEADLINE)
+
+    async def _settle(self, copy: SentCopy) -> Answer | None:
+        """Returns what became of a copy, None while it is running."""
+        context = copy.context
+        address = self._peer_address(copy)
+        if not address:
+            return unknown(Reason.SILENT)._replace(retry_useful=True)
+        for _ in range(SETTLE_ATTEMPTS):
+            request = SettleRequest(
+                call_id=context.call_id,
+                key=context.idempotency_key,
+                age_ms=int((monotonic() - copy.began) * 1000.0) + 1,
+                dispatch_number=context.dispatch_number,
+            )
+            try:
+                settlement = await self.questions.settle(address, request)
+            except ConnectionLostError:
+                continue
+            if settlement.state is CallState.RUNNING:
+                return None
+            if settlement.state is CallState.CLOSED:
+                return refused(Reason.SILENT, retry_useful=True)
+            if settlement.answer is not None:
+                return settlement.answer
+            return unknown(Reason.SILENT)._replace(retry_useful=True)
+        return await self.fetch_copy(context, unknown(Reason.SILENT)._replace(retry_useful=True))
+
+    async def fetch_copy(self, context: CallContext, otherwise: Answer) -> Answer:
+        """Returns the outcome that the backup node of a key holds, or the given answer."""
+        if not context.idempotency_key or context.dispatch_number:
+            return otherwise
+        try:
+            address = IdempotencyKey.parse(context.idempotency_key).backup_peer_address
+        except InvalidKeyError:
+            return otherwise
+        if not address:
+            return otherwise
+        found = await self.questions.fetch(address, context.idempotency_key)
+        return otherwise if found is None else found
+
+    def _peer_address(self, copy: SentCopy) -> str:
+        context = copy.context
+        if context.idempotency_key and not context.dispatch_number:
+            try:
+                return IdempotencyKey.parse(context.idempotency_key).home_peer_address
+            except InvalidKeyError:
+                return ""
+        for member in self.members.members.values():
+            if call_address(member) == copy.address:
+                return peer_address(member)
+        return ""
--- a/src/coltsfoottrack/_internal/routing/peer_channels.py
+++ b/src/coltsfoottrack/_internal/routing/peer_channels.py
@@ -10,6 +10,16 @@
 KEEPALIVE_TIMEOUT_SECONDS = 2.0
 
 
+def open_channel(address: str) -> Channel:
+    """Returns a channel to HOST:PORT that shares no connection; the caller closes it."""
+    host, _, port = address.rpartition(":")
+    configuration = Configuration(
+        _keepalive_time=KEEPALIVE_SECONDS,
+        _keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
+    )
+    return Channel(host, int(port), config=configuration)
+
+
 class PeerChannels:
     """Channels by peer address; the one used longest ago is closed when there are too many."""
 
@@ -20,12 +30,7 @@
         """Returns the channel to HOST:PORT; it connects at its first call."""
         channel = self.channels.pop(address, None)
         if channel is None:
-            host, _, port = address.rpartition(":")
-            configuration = Configuration(
-                _keepalive_time=KEEPALIVE_SECONDS,
-                _keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
-            )
-            channel = Channel(host, int(port), config=configuration)
+            channel = open_channel(address)
         self.channels[address] = channel
         if len(self.channels) > MAX_CHANNELS:
             _, oldest = self.channels.popitem(last=False)
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -11,11 +11,12 @@
     InvalidKeyError,
 )
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable, call_address
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.routing.exchange import Exchange
 from coltsfoottrack._internal.routing.keys import KeyPool
 from coltsfoottrack._internal.routing.levels import ReportedLevels
@@ -37,6 +38,7 @@
         clock: HybridClock,
         ring: EventRing,
         random: Random,
+        checker: InvariantChecker | None = None,
     ) -> None:
         self.cluster = cluster
         self.members = members
@@ -48,7 +50,7 @@
         self.levels = ReportedLevels()
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
-        self.exchange = Exchange(cluster, clock, self.transport)
+        self.exchange = Exchange(cluster, clock, self.transport, members, policies, checker)
         self.keys = KeyPool(cluster, clock, self.transport, self.choose)
 
     async def call(self, context: CallContext, body: bytes) -> Answer:
@@ -56,10 +58,16 @@
 
         A caller's own idempotency key is sent to its home and never replaced by another key.
         """
-        answer = await self._attempts(context, body)
+        uncertain: list[Answer] = []
+        answer = await self._attempts(context, body, uncertain)
+        if answer.outcome is Outcome.REFUSED and uncertain:
+            # An earlier attempt may have run, so the request cannot be called refused.
+            answer = unknown(answer.reason)
+        if context.idempotency_key and answer.reason is Reason.HOME_GONE:
+            answer = await self.exchange.fetch_copy(context, answer)
         return answer._replace(attempts_left=context.budget.retries)
 
-    async def _attempts(self, context: CallContext, body: bytes) -> Answer:
+    async def _attempts(self, context: CallContext, body: bytes, uncertain: list[Answer]) -> Answer:
         destination = f"{context.service}/{context.operation}"
         grant = self.policies().grant(context.service, context.operation)
         own_key = bool(context.idempotency_key)
@@ -81,6 +89,8 @@
             if not own_key and not grant.idempotent and not answer.copy_dispatched:
                 # This router sent the only copy, and it went nowhere.
                 answer = refused(answer.reason, retry_useful=True)
+            if answer.outcome is Outcome.UNKNOWN:
+                uncertain.append(answer)
             may_retry = answer.outcome is Outcome.REFUSED and not own_key
             if grant.idempotent and answer.outcome is Outcome.UNKNOWN:
                 may_retry = True
--- /dev/null
+++ b/src/coltsfoottrack/_internal/routing/settling.py
@@ -0,0 +1,82 @@
+"""Questions to other nodes about what became of a call."""
+
+from asyncio import timeout
+from typing import Protocol
+
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.outcome import Answer
+from coltsfoottrack._internal.calls.outcome_records import (
+    Settlement,
+    from_record,
+    read_settlement,
+)
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.routing.exceptions import ConnectionLostError
+from coltsfoottrack._internal.routing.peer_channels import open_channel
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OutcomePeerStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    Envelope,
+    FetchOutcomeRequest,
+    SettleRequest,
+)
+
+SETTLE_TIMEOUT_SECONDS = 0.5
+RPC_ERRORS = (OSError, GRPCError, ProtocolError, StreamTerminatedError, TimeoutError)
+
+
+class SettleQuestion(Protocol):
+    """Asks nodes about calls; tests replace it by an in-memory network."""
+
+    async def settle(self, address: str, request: SettleRequest) -> Settlement:
+        """Asks the node at a peer address; raises ConnectionLostError without a reply."""
+
+    async def fetch(self, address: str, key: str) -> Answer | None:
+        """Asks a backup node for the outcome of a key; None if it has none or gives no reply."""
+
+
+class PeerQuestions:
+    """Asks over a new connection each time, since the open ones may have gone silent."""
+
+    def __init__(self, cluster: str, clock: HybridClock) -> None:
+        self.cluster = cluster
+        self.clock = clock
+
+    def _envelope(self) -> Envelope:
+        return Envelope(
+            cluster=self.cluster,
+            protocol_version=PROTOCOL_VERSION,
+            event_clock=self.clock.tick(),
+        )
+
+    async def settle(self, address: str, request: SettleRequest) -> Settlement:
+        """Asks the node at a peer address what became of a call.
+
+        Raises ConnectionLostError if there is no reply within 0.5 s.
+        """
+        request.envelope.CopyFrom(self._envelope())
+        channel = open_channel(address)
+        try:
+            async with timeout(SETTLE_TIMEOUT_SECONDS):
+                reply = await OutcomePeerStub(channel).Settle(request)
+        except RPC_ERRORS as error:
+            raise ConnectionLostError(f"no reply to Settle from {address}: {error!r}") from error
+        finally:
+            channel.close()
+        self.clock.observe(reply.envelope.event_clock)
+        return read_settlement(reply.record)
+
+    async def fetch(self, address: str, key: str) -> Answer | None:
+        """Asks a backup node for the outcome of a key; None if it has none or gives no reply."""
+        request = FetchOutcomeRequest(envelope=self._envelope(), key=key)
+        channel = open_channel(address)
+        try:
+            async with timeout(SETTLE_TIMEOUT_SECONDS):
+                reply = await OutcomePeerStub(channel).FetchOutcome(request)
+        except RPC_ERRORS:
+            return None
+        finally:
+            channel.close()
+        self.clock.observe(reply.envelope.event_clock)
+        return from_record(reply.record) if reply.found else None
--- a/src/coltsfoottrack/_internal/routing/transport.py
+++ b/src/coltsfoottrack/_internal/routing/transport.py
@@ -1,5 +1,6 @@
 """Sending of one copy of a call to one address."""
 
+import socket
 from asyncio import timeout
 from typing import NamedTuple
 
@@ -18,9 +19,30 @@
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 KEEPALIVE_SECONDS = 30.0
+# The kernel probes an idle connection after 1 s and gives a silent one up after 3 s.
+TCP_KEEPALIVE_SECONDS = 1
+TCP_KEEPALIVE_PROBES = 3
+TCP_USER_TIMEOUT_MS = 3000
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+def open_socket(address_info: tuple) -> socket.socket:
+    """Opens a TCP socket with keepalive and user timeout set.
+
+    The user timeout also ends retransmission after the socket was closed, which bounds the time
+    for which a copy of a call may still arrive.
+    """
+    family, kind, protocol = address_info[:3]
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_SECONDS)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_SECONDS)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    return opened
+
+
 class HttpReply(NamedTuple):
     """A whole HTTP response."""
 
@@ -38,6 +60,7 @@
                 limit=0,
                 limit_per_host=max_connections_per_address,
                 keepalive_timeout=KEEPALIVE_SECONDS,
+                socket_factory=open_socket,
             ),
             cookie_jar=DummyCookieJar(),
             auto_decompress=False,
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -20,11 +20,13 @@
 
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    MONOTONIC_DEADLINE,
     PATH_LEVEL,
     CallContext,
     CallGrant,
     read_context,
 )
+from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome
 from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall
@@ -97,6 +99,9 @@
             context = read_context(self.settings.service, operation, request.headers, FULL_GRANT)
         except BadRequestError as error:
             return Response(status=400, text=str(error))
+        expires_at = request.headers.get(MONOTONIC_DEADLINE)
+        if expires_at is not None:
+            context = context._replace(deadline=Deadline(float(expires_at)))
         if self.present >= self.max_present or context.deadline.has_passed():
             return Response(status=503, headers={"Shed": "yes"})
         self.present += 1
