Add a stateful test of at most once over simulated nodes

Real ledger, registry, dispatcher, exchange, router and backend link on a simulated network with virtual time. A connect timeout now counts as not sent, and does not mark the backend server down.

--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -11,7 +11,11 @@
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.ledger.call_registry import CallRegistry
-from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.routing.exceptions import (
+    ConnectionLostError,
+    ConnectTimeoutError,
+    NotSentError,
+)
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
@@ -57,8 +61,9 @@
         path = f"/{context.operation}"
         try:
             reply = await self.transport.send("POST", self.address, path, headers, body, seconds)
-        except NotSentError:
-            self.address = ""
+        except NotSentError as error:
+            if not isinstance(error, ConnectTimeoutError):
+                self.address = ""
             self.registry.not_run(context.call_id)
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         except ConnectionLostError:
--- a/src/coltsfoottrack/_internal/routing/transport.py
+++ b/src/coltsfoottrack/_internal/routing/transport.py
@@ -9,13 +9,18 @@
     ClientError,
     ClientSession,
     ClientTimeout,
+    ConnectionTimeoutError,
     DummyCookieJar,
     TCPConnector,
 )
 from multidict import CIMultiDictProxy
 from yarl import URL
 
-from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.routing.exceptions import (
+    ConnectionLostError,
+    ConnectTimeoutError,
+    NotSentError,
+)
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 KEEPALIVE_SECONDS = 30.0
@@ -90,6 +95,8 @@
                 self.session.request(method, url, headers=headers, data=body) as response,
             ):
                 return HttpReply(response.status, response.headers, await response.read())
+        except ConnectionTimeoutError as error:
+            raise ConnectTimeoutError(f"no connection to {address} in time") from error
         except ClientConnectorError as error:
             raise NotSentError(f"no connection to {address}: {error}") from error
         except (ClientError, TimeoutError, OSError) as error:
--- /dev/null
+++ b/tests/unit/simulated_nodes.py
@@ -0,0 +1,363 @@
+"""Nodes with the real ledger, registry, dispatcher, exchange and router on a simulated network.
+
+Time is virtual: the event loop jumps to its next timer when nothing is ready.
+"""
+
+from asyncio import Event, Future, SelectorEventLoop, sleep, timeout
+from collections import Counter
+from random import Random
+from unittest.mock import patch
+
+from coltsfoottrack._internal.calls.context import (
+    CALL_ID,
+    IDEMPOTENCY_KEY,
+    MONOTONIC_DEADLINE,
+    REQUEST_ID,
+    CallContext,
+    answer_headers,
+    read_context,
+)
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome_records import (
+    from_record,
+    read_settlement,
+    settlement_record,
+)
+from coltsfoottrack._internal.configuration.policy import PolicyTable
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
+from coltsfoottrack._internal.ledger.dispatcher import Dispatcher
+from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
+from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.ledger.outcome_copies import CopySender, OutcomeCopies
+from coltsfoottrack._internal.membership.table import MembershipTable
+from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.node.outcome_service import settle
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.routing.transport import HttpReply
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    PRIORITY_CRITICAL,
+    FleetConfiguration,
+    Member,
+    OperationPolicy,
+)
+
+SERVICE = "stores"
+NAMES = ("a", "b", "c")
+# Longer than the deadline of any call, shorter than the registry's retention.
+LONGEST_DELAY = 20.0
+SETTLE_TIMEOUT = 0.5
+
+
+class VirtualLoop(SelectorEventLoop):
+    """An event loop whose clock jumps to the next timer."""
+
+    def __init__(self) -> None:
+        self.now = 1000.0
+        super().__init__()
+
+    def time(self) -> float:
+        return self.now
+
+    def _run_once(self) -> None:
+        if not self._ready:
+            due = [handle._when for handle in self._scheduled if not handle._cancelled]
+            self.now = max(self.now, min(due, default=self.now))
+        super()._run_once()
+
+
+class World:
+    """The network, the nodes, the backend servers, and what they did."""
+
+    def __init__(self, seed: int) -> None:
+        self.loop = VirtualLoop()
+        self.random = Random(seed)
+        self.fault_rate = 0.0
+        self.checker = InvariantChecker()
+        self.runs: Counter[str] = Counter()
+        self.runs_by_request: Counter[str] = Counter()
+        self.errors: list[Exception] = []
+        operations = [
+            OperationPolicy(service=SERVICE, operation="order", priority=PRIORITY_CRITICAL),
+            OperationPolicy(service=SERVICE, operation="lookup", idempotent=True),
+        ]
+        self.policies = PolicyTable(FleetConfiguration(operations=operations))
+        self.patches = []
+        for module in ("calls.deadline", "routing.exchange"):
+            patcher = patch(f"coltsfoottrack._internal.{module}.monotonic", self.loop.time)
+            patcher.start()
+            self.patches.append(patcher)
+        self.nodes: dict[str, SimulatedNode] = {}
+        for name in NAMES:
+            self.start_node(name)
+
+    def start_node(self, name: str) -> None:
+        async def build() -> SimulatedNode:
+            return SimulatedNode(self, name)
+
+        self.nodes[name] = self.loop.run_until_complete(build())
+
+    def advance(self, seconds: float) -> None:
+        self.loop.run_until_complete(sleep(seconds))
+
+    def close(self) -> None:
+        for task in self.tasks():
+            task.cancel()
+        self.advance(0)
+        for patcher in self.patches:
+            patcher.stop()
+        self.loop.close()
+
+    def tasks(self) -> set:
+        from asyncio import all_tasks
+
+        return all_tasks(self.loop)
+
+    def faulty(self) -> bool:
+        return self.random.random() < self.fault_rate
+
+    def delay(self) -> float:
+        if self.faulty():
+            return self.random.uniform(0.0, LONGEST_DELAY)
+        return 0.001
+
+
+class FakeTransport:
+    """Carries calls between nodes: drops, delays, duplicates, reorders, loses answers."""
+
+    def __init__(self, world: World, sender: "SimulatedNode | None") -> None:
+        self.world = world
+        self.sender = sender
+
+    async def send(self, _method, address, path, headers, body, seconds) -> HttpReply:
+        world = self.world
+        if self.sender is not None:
+            await self.sender.gate()
+        target = world.nodes[address.partition(":")[0]]
+        if target.dead or world.faulty():
+            raise NotSentError("connection refused")
+        reply: Future[HttpReply] = world.loop.create_future()
+        copies = 2 if world.faulty() else 1
+        if world.faulty():
+            copies = 0
+        handlers = []
+        for _ in range(copies):
+            arrival = self._arrive(target.name, path, dict(headers), body, reply)
+            handlers.append(world.loop.create_task(arrival))
+        if world.faulty():
+            world.loop.call_later(world.random.uniform(0.0, 0.5), lose, reply)
+        try:
+            async with timeout(seconds):
+                result = await reply
+        except TimeoutError as error:
+            raise ConnectionLostError("no answer in time") from error
+        finally:
+            if not reply.done() or reply.cancelled():
+                for handler in handlers:
+                    if world.random.random() < 0.5:
+                        handler.cancel()
+        if self.sender is not None:
+            await self.sender.gate()
+        return result
+
+    async def _arrive(self, name, path, headers, body, reply) -> None:
+        await sleep(self.world.delay())
+        node = self.world.nodes[name]
+        if node.dead:
+            return lose(reply)
+        await node.gate()
+        try:
+            answer = await node.serve(path, headers, body)
+        except Exception as error:
+            self.world.errors.append(error)
+            raise
+        await node.gate()
+        await sleep(self.world.delay())
+        if not self.world.faulty() and not reply.done():
+            reply.set_result(HttpReply(answer.status, answer_headers(answer, 0), answer.body))
+
+
+def lose(reply: Future) -> None:
+    if not reply.done():
+        reply.set_exception(ConnectionLostError("connection broke"))
+
+
+class FakeBackendTransport:
+    """The connection to the backend server; the server goes on when the node is gone."""
+
+    def __init__(self, world: World, node: "SimulatedNode") -> None:
+        self.world = world
+        self.node = node
+
+    async def send(self, _method, _address, _path, headers, body, seconds) -> HttpReply:
+        world = self.world
+        # A stop of the node between its last check and the first byte.
+        await self.node.gate()
+        if self.node.backend_down:
+            raise NotSentError("connection refused")
+        if world.loop.time() >= float(headers[MONOTONIC_DEADLINE]):
+            return HttpReply(503, {"Shed": "yes"}, b"")
+        world.runs[headers.get(IDEMPOTENCY_KEY, "")] += 1
+        world.runs_by_request[headers[REQUEST_ID]] += 1
+        await sleep(world.random.choice([0.01, 0.2, 1.5]))
+        if world.faulty():
+            raise ConnectionLostError("backend server crashed")
+        await self.node.gate()
+        return HttpReply(200, {}, headers[REQUEST_ID].encode() + b" " + body)
+
+
+class FakeQuestions:
+    """Settle and FetchOutcome over the simulated network."""
+
+    def __init__(self, world: World, sender: "SimulatedNode") -> None:
+        self.world = world
+        self.sender = sender
+
+    async def settle(self, address, request):
+        return read_settlement(await self._ask(address, settle, request, True))
+
+    async def fetch(self, address, key):
+        try:
+            record = await self._ask(address, lambda node, text: node.copies.find(text), key, False)
+        except ConnectionLostError:
+            return None
+        return None if record is None else from_record(record)
+
+    async def _ask(self, address, handle, request, is_settle):
+        await self.sender.gate()
+        reply = self.world.loop.create_future()
+        self.world.loop.create_task(self._arrive(address, handle, request, is_settle, reply))
+        try:
+            async with timeout(SETTLE_TIMEOUT):
+                return await reply
+        except TimeoutError as error:
+            raise ConnectionLostError("no reply") from error
+
+    async def _arrive(self, address, handle, request, is_settle, reply) -> None:
+        await sleep(self.world.delay())
+        node = self.world.nodes[address.partition(":")[0]]
+        if node.dead:
+            return
+        await node.gate()
+        try:
+            result = handle(node, request)
+        except Exception as error:
+            self.world.errors.append(error)
+            raise
+        if is_settle:
+            result = settlement_record(result)
+        if not self.world.faulty() and not reply.done():
+            reply.set_result(result)
+
+
+class SimulatedNode:
+    """One incarnation of a node with its backend server."""
+
+    def __init__(self, world: World, name: str) -> None:
+        self.world = world
+        self.name = name
+        self.dead = False
+        self.running = Event()
+        self.running.set()
+        self.backend_down = False
+        self.leaving = False
+        self.full = False
+        checker = world.checker
+        skew = world.random.uniform(-10.0, 10.0)
+
+        def wall_ms() -> int:
+            return int((world.loop.time() + skew) * 1000.0)
+
+        self.members = MembershipTable()
+        for other in NAMES:
+            self.see(other, True)
+        clock = HybridClock()
+        self.registry = CallRegistry(checker, wall_ms, world.loop.time, max_entries=8)
+        with patch("coltsfoottrack._internal.node.backend_link.Transport", self.backend_transport):
+            self.link = BackendLink("test", clock, self.registry)
+        self.link.address = "backend"
+        self.copies = OutcomeCopies(wall_ms)
+        self.sender = CopySender(self.store)
+        backup = NAMES[(NAMES.index(name) + 1) % len(NAMES)]
+        self.ledger = Ledger(
+            SERVICE, name, f"{name}:1", f"{name}:2", checker, wall_ms,
+            lambda: f"{backup}:2", self.sender.offer, max_records=6, max_answer_bytes=200,
+        )  # fmt: skip
+        with patch("coltsfoottrack._internal.routing.router.Transport", self.transport):
+            self.router = Router(
+                "test", self.members, lambda: world.policies, clock,
+                EventRing(name, clock), world.random, checker=checker,
+            )  # fmt: skip
+        self.router.exchange.questions = FakeQuestions(world, self)
+        self.dispatcher = Dispatcher(
+            self.registry, self.run_here, self.router.choose, self.router.exchange.send,
+            f"{name}:1", checker,
+        )  # fmt: skip
+
+    def transport(self) -> FakeTransport:
+        return FakeTransport(self.world, self)
+
+    def backend_transport(self) -> FakeBackendTransport:
+        return FakeBackendTransport(self.world, self)
+
+    def see(self, other: str, ready: bool) -> None:
+        """Sets what this node believes of another one."""
+        member = Member(name=other, service=SERVICE, address=other, call_port=1, peer_port=2)
+        member.status = MEMBER_STATUS_ALIVE
+        member.backend_ready = ready
+        self.members.members[f"{SERVICE}/{other}"] = member
+
+    async def gate(self) -> None:
+        """Holds a stopped process; a dead one never goes on."""
+        while self.dead or not self.running.is_set():
+            await (Event().wait() if self.dead else self.running.wait())
+
+    async def store(self, address: str, records: list) -> bool:
+        await self.gate()
+        if self.world.faulty():
+            return False
+        for record in records:
+            self.world.nodes[address.partition(":")[0]].copies.store(record)
+        return True
+
+    async def run_here(self, context: CallContext, body: bytes) -> Answer:
+        if self.leaving:
+            return refused(Reason.LEAVING, retry_useful=True)
+        if self.full:
+            return refused(Reason.OVERLOAD, retry_useful=True)
+        await sleep(self.world.random.choice([0.0, 0.3]))
+        await self.gate()
+        return await self.link.run(context, body)
+
+    async def serve(self, path: str, headers: dict[str, str], body: bytes) -> Answer:
+        """Does what the call server does with a call of the own service."""
+        operation = path.rsplit("/", 1)[1]
+        if operation.startswith("keys?"):
+            try:
+                keys = [self.ledger.issue(60_000) for _ in range(3)]
+            except KeysExhaustedError:
+                return refused(Reason.KEYS_EXHAUSTED)
+            return Answer(Outcome.DONE, body="\n".join(keys).encode())
+        grant = self.world.policies.grant(SERVICE, operation)
+        context = read_context(SERVICE, operation, headers, grant)
+        answer = await self._serve_call(context, body, grant.idempotent)
+        return answer._replace(call_id=headers.get(CALL_ID, ""))
+
+    async def _serve_call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
+        if idempotent:
+            if context.from_peer:
+                return await self.dispatcher.run_copy(context, body)
+            return await self.router.call(context, body)
+        if context.from_peer and context.dispatch_number:
+            return await self.dispatcher.run_dispatch(context, body)
+        own_key = context.idempotency_key
+        if not context.from_peer and (
+            not own_key or not self.ledger.is_home(IdempotencyKey.parse(own_key))
+        ):
+            return await self.router.call(context, body)
+        return await self.ledger.run(context, body, self.dispatcher.run_under_key)
--- /dev/null
+++ b/tests/unit/test_at_most_once.py
@@ -0,0 +1,164 @@
+"""At most once and truthful outcomes under random faults, over the real ledger and exchange."""
+
+from typing import NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from coltsfoottrack._internal.calls.context import (
+    CALL_ID,
+    DEADLINE_MS,
+    IDEMPOTENCY_KEY,
+    REQUEST_ID,
+    read_answer,
+)
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
+from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
+from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from tests.unit.simulated_nodes import NAMES, SERVICE, FakeTransport, World
+
+# These refuse one copy of a request and say nothing about the key.
+COPY_REFUSALS = (Reason.KEY_REUSED, Reason.KEY_INVALID)
+SETTLED_SECONDS = 120.0
+
+node_names = st.sampled_from(NAMES)
+
+
+class Told(NamedTuple):
+    """What a caller was told about one copy of its request."""
+
+    request_id: str
+    key: str
+    body: bytes
+    answer: Answer
+
+
+class OutcomesMachine(RuleBasedStateMachine):
+    """Guards against second runs, untrue refusals and foreign answers."""
+
+    @initialize(seed=st.integers(0, 2**32), fault_rate=st.sampled_from([0.0, 0.1, 0.3]))
+    def begin(self, seed: int, fault_rate: float) -> None:
+        self.world = World(seed)
+        self.world.fault_rate = fault_rate
+        self.told: list[Told] = []
+        self.sent: list[tuple[str, str, bytes]] = []
+        self.requests = 0
+
+    def _number(self) -> int:
+        self.requests += 1
+        return self.requests
+
+    async def _send(self, entry: str, operation: str, request: tuple, deadline_ms: int) -> None:
+        request_id, key, body = request
+        headers = {REQUEST_ID: request_id, DEADLINE_MS: str(deadline_ms), CALL_ID: "same"}
+        if key:
+            headers[IDEMPOTENCY_KEY] = key
+        transport = FakeTransport(self.world, None)
+        path = f"/v1/services/{SERVICE}/{operation}"
+        try:
+            reply = await transport.send("POST", f"{entry}:1", path, headers, body, 60.0)
+        except (NotSentError, ConnectionLostError):
+            return
+        answer = read_answer(reply.status, reply.headers, reply.body)
+        self.told.append(Told(request_id, key, body, answer))
+
+    def _start(self, entry: str, operation: str, request: tuple, deadline_ms: int) -> None:
+        self.world.loop.create_task(self._send(entry, operation, request, deadline_ms))
+
+    @rule(
+        home=node_names,
+        entries=st.lists(node_names, min_size=1, max_size=3),
+        lifetime_ms=st.sampled_from([3_000, 60_000]),
+        deadline_ms=st.sampled_from([300, 2000, 5000]),
+    )
+    def order_under_own_key(
+        self, home: str, entries: list[str], lifetime_ms: int, deadline_ms: int
+    ) -> None:
+        node = self.world.nodes[home]
+        if node.dead or not node.running.is_set():
+            return
+        try:
+            key = node.ledger.issue(lifetime_ms)
+        except KeysExhaustedError:
+            return
+        number = self._number()
+        request = (f"own-{number}", key, f"body {number}".encode())
+        self.sent.append(request)
+        for entry in entries:
+            self._start(entry, "order", request, deadline_ms)
+
+    @rule(entry=node_names, index=st.integers(0, 50))
+    def send_again(self, entry: str, index: int) -> None:
+        if self.sent:
+            self._start(entry, "order", self.sent[index % len(self.sent)], 1000)
+
+    @rule(entry=node_names, operation=st.sampled_from(["order", "lookup"]))
+    def call_without_key(self, entry: str, operation: str) -> None:
+        request = (f"{operation}-{self._number()}", "", b"body")
+        self._start(entry, operation, request, 2000)
+
+    @rule(name=node_names)
+    def kill(self, name: str) -> None:
+        self.world.nodes[name].dead = True
+
+    @rule(name=node_names)
+    def restart(self, name: str) -> None:
+        if self.world.nodes[name].dead:
+            self.world.start_node(name)
+
+    @rule(name=node_names, paused=st.booleans())
+    def pause(self, name: str, paused: bool) -> None:
+        running = self.world.nodes[name].running
+        running.clear() if paused else running.set()
+
+    @rule(
+        name=node_names,
+        fault=st.sampled_from(["leaving", "full", "backend_down"]),
+        on=st.booleans(),
+    )
+    def backend(self, name: str, fault: str, on: bool) -> None:
+        node = self.world.nodes[name]
+        setattr(node, fault, on)
+        if not on:
+            node.link.address = "backend"
+
+    @rule(name=node_names, other=node_names, ready=st.booleans())
+    def change_view(self, name: str, other: str, ready: bool) -> None:
+        self.world.nodes[name].see(other, ready)
+
+    @rule(seconds=st.sampled_from([0.01, 0.2, 1.0, 1.7, 6.0, 30.0, 70.0]))
+    def advance(self, seconds: float) -> None:
+        self.world.advance(seconds)
+
+    @invariant()
+    def told_the_truth(self) -> None:
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        for key, count in world.runs.items():
+            assert not key or count == 1, f"key ran {count} times"
+        for request_id, count in world.runs_by_request.items():
+            assert request_id.startswith("lookup") or count == 1, f"{request_id} ran {count} times"
+        for told in self.told:
+            runs = world.runs_by_request[told.request_id]
+            if told.answer.outcome is Outcome.REFUSED and told.answer.reason not in COPY_REFUSALS:
+                assert runs == 0, f"{told.request_id} ran though {told.answer}"
+            if told.answer.outcome is Outcome.DONE:
+                assert runs, f"{told.request_id} did not run"
+                assert told.answer.body == told.request_id.encode() + b" " + told.body, told
+        assert not world.errors, world.errors
+        assert not world.checker.violations, world.checker.violations
+
+    def teardown(self) -> None:
+        if not hasattr(self, "world"):
+            return
+        for node in self.world.nodes.values():
+            node.running.set()
+        self.world.advance(SETTLED_SECONDS)
+        self.told_the_truth()
+        self.world.close()
+
+
+OutcomesTest = OutcomesMachine.TestCase
+OutcomesTest.settings = settings(max_examples=60, stateful_step_count=30)
