--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -7,7 +7,11 @@
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome_records import CallState
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
 from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 
 
@@ -68,3 +72,68 @@
         context = context_with(make_ledger().issue(60_000))
         answer = await self.ledger.run(context, b"body", self.runner)
         self.assertEqual((answer.outcome, self.runs), (Outcome.UNKNOWN, 0))
+
+
+class ExpiryAndBoundsTest(IsolatedAsyncioTestCase):
+    """Guards against a run of a key whose record is gone, and against growing memory."""
+
+    def setUp(self) -> None:
+        self.now_ms = 1_000_000
+        self.runs = 0
+        self.ledger = Ledger(
+            "stores",
+            "stores/a",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            InvariantChecker(),
+            wall_ms=lambda: self.now_ms,
+            max_records=2,
+            max_answer_bytes=10,
+        )
+
+    async def runner(self, context: CallContext, body: bytes) -> Answer:
+        self.runs += 1
+        return Answer(Outcome.DONE, body=body)
+
+    async def run_key(self, key: str, body: bytes = b"body") -> Answer:
+        return await self.ledger.run(context_with(key), body, self.runner)
+
+    async def test_expired_key_is_refused_if_unused_and_unknown_if_used(self) -> None:
+        used, unused = self.ledger.issue(1000), self.ledger.issue(1000)
+        await self.run_key(used)
+        self.now_ms += 2000
+        self.ledger.forget_expired()
+        self.assertEqual((await self.run_key(used)).outcome, Outcome.UNKNOWN)
+        self.assertEqual((await self.run_key(unused)).outcome, Outcome.REFUSED)
+        self.assertEqual(self.runs, 1)
+
+    async def test_oldest_finished_record_makes_room_and_never_runs_again(self) -> None:
+        keys = [self.ledger.issue(60_000) for _ in range(4)]
+        for key in keys:
+            await self.run_key(key, b"")
+        answer = await self.run_key(keys[0], b"")
+        self.assertEqual((answer.reason, self.runs), (Reason.ANSWER_DROPPED, 4))
+        self.assertLessEqual(len(self.ledger.records), 2)
+
+    async def test_dropped_answer_is_never_told_as_done(self) -> None:
+        first, second = self.ledger.issue(60_000), self.ledger.issue(60_000)
+        await self.run_key(first, b"first..")
+        await self.run_key(second, b"second.")
+        self.assertEqual((await self.run_key(first, b"first..")).reason, Reason.ANSWER_DROPPED)
+        self.assertEqual((await self.run_key(second, b"second.")).body, b"second.")
+        self.assertLessEqual(self.ledger.answer_bytes, 10)
+
+    async def test_settled_key_that_was_never_used_is_closed(self) -> None:
+        key = self.ledger.issue(60_000)
+        self.assertIs(self.ledger.settle(key).state, CallState.CLOSED)
+        self.assertEqual((await self.run_key(key)).reason, Reason.CLOSED)
+        self.assertEqual(self.runs, 0)
+
+    async def test_call_whose_deadline_passed_during_a_stop_is_not_dispatched(self) -> None:
+        registry = CallRegistry(InvariantChecker(), lambda: 0)
+        link = BackendLink("demo", HybridClock(), registry)
+        self.addAsyncCleanup(link.close)
+        link.address = "127.0.0.1:1"
+        late = context_with("")._replace(deadline=Deadline.after_ms(-1))
+        answer = await registry.run(late, b"", link.run, keep=False)
+        self.assertEqual(answer.reason, Reason.DEADLINE)
