--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -23,6 +23,7 @@
 PRIORITY = "Priority"
 DEADLINE_MS = "Deadline-Ms"
 ATTEMPT_BUDGET = "Attempt-Budget"
+ATTEMPT_REPEATED = "Attempt-Repeated"
 SUSPECTED_CRASHES = "Suspected-Crashes"
 HOP_DEPTH = "Hop-Depth"
 DISPATCH_NUMBER = "Dispatch-Number"
@@ -97,6 +98,8 @@
         }
         if self.idempotency_key:
             headers[IDEMPOTENCY_KEY] = self.idempotency_key
+        if self.budget.repeated:
+            headers[ATTEMPT_REPEATED] = "yes"
         if self.suspected_crashes:
             headers[SUSPECTED_CRASHES] = str(self.suspected_crashes)
         if self.dispatch_number:
@@ -154,7 +157,7 @@
         request_id=request_id,
         call_id=call_id,
         deadline=Deadline.after_ms(deadline_ms),
-        budget=AttemptBudget(retries),
+        budget=AttemptBudget(retries, headers.get(ATTEMPT_REPEATED) == "yes"),
         priority=_granted_priority(headers, grant),
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
@@ -197,8 +200,6 @@
         headers[COPY_DISPATCHED] = "no"
     if answer.node_leaving:
         headers[NODE_LEAVING] = "yes"
-    if answer.call_id:
-        headers[CALL_ID] = answer.call_id
     return headers
 
 
@@ -228,5 +229,4 @@
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
         copy_dispatched=headers.get(COPY_DISPATCHED) != "no",
         node_leaving=headers.get(NODE_LEAVING) == "yes",
-        call_id=headers.get(CALL_ID, ""),
     )
--- a/src/coltsfoottrack/_internal/ledger/dispatcher.py
+++ b/src/coltsfoottrack/_internal/ledger/dispatcher.py
@@ -80,11 +80,11 @@
                 f"{context.request_id} handed over after it was {answer.outcome}",
             )
             dispatch = context._replace(call_id=new_call_id(), dispatch_number=number)
-            answer = await self.send(dispatch, address, body)
+            share = context.budget.lend()
+            answer = await self.send(dispatch._replace(budget=share), address, body)
+            context.budget.restore(min(answer.attempts_left, share.retries))
             self.counts[answer.outcome.value] += 1
-        if answer.outcome is Outcome.REFUSED:
-            answer = answer._replace(attempts_left=context.budget.retries)
-        return answer._replace(call_id="")
+        return answer._replace(attempts_left=context.budget.retries)
 
     def _may_hand_over(self, context: CallContext, answer: Answer) -> bool:
         if answer.outcome is not Outcome.REFUSED or context.deadline.has_passed():
--- a/src/coltsfoottrack/_internal/routing/exceptions.py
+++ b/src/coltsfoottrack/_internal/routing/exceptions.py
@@ -15,3 +15,7 @@
 
 class ConnectionLostError(RoutingError):
     """The connection broke after bytes of a call were sent; it may have been run."""
+
+
+class ForeignAnswerError(ConnectionLostError):
+    """A response names another call than the one that was sent; it was thrown away."""
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -5,7 +5,12 @@
 from time import monotonic
 from typing import NamedTuple
 
-from coltsfoottrack._internal.calls.context import CallContext, read_answer
+from coltsfoottrack._internal.calls.context import (
+    EVENT_CLOCK,
+    CallContext,
+    read_answer,
+    whole_number,
+)
 from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused, unknown
@@ -17,7 +22,6 @@
     call_address,
     peer_address,
 )
-from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.settling import PeerQuestions, SettleQuestion
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
@@ -50,7 +54,6 @@
         transport: Transport,
         members: MembershipTable,
         policies: Callable[[], PolicyTable],
-        checker: InvariantChecker | None = None,
         questions: SettleQuestion | None = None,
     ) -> None:
         self.cluster = cluster
@@ -58,7 +61,6 @@
         self.transport = transport
         self.members = members
         self.policies = policies
-        self.checker = InvariantChecker() if checker is None else checker
         self.questions = PeerQuestions(cluster, clock) if questions is None else questions
         self.silent_connections = 0
 
@@ -75,11 +77,7 @@
         )
         task = create_task(self._send_copy(copy, body))
         try:
-            answer = await self._follow(copy, task)
-            if answer.served_by:
-                return answer
-            # Made here, so no call below has spent anything.
-            return answer._replace(attempts_left=context.budget.retries)
+            return await self._follow(copy, task)
         finally:
             # Closes the connection, which cancels an idempotent call at the other end.
             task.cancel()
@@ -115,19 +113,17 @@
             reply = task.result()
         except NotSentError:
             if context.idempotency_key and not context.dispatch_number:
-                return unknown(Reason.HOME_GONE, copy_dispatched=False)
-            return refused(Reason.NO_NODE, retry_useful=True)
+                answer = unknown(Reason.HOME_GONE, copy_dispatched=False)
+            else:
+                answer = refused(Reason.NO_NODE, retry_useful=True)
+            return answer._replace(attempts_left=context.budget.retries)
         except ConnectionLostError:
             return await self._after_loss(copy)
         try:
-            answer = read_answer(reply.status, reply.headers, reply.body)
+            self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
+            return read_answer(reply.status, reply.headers, reply.body)
         except BadRequestError:
             return unknown(Reason.CONNECTION_LOST)
-        own = not answer.call_id or answer.call_id == context.call_id
-        detail = f"{context.call_id} got the answer to {answer.call_id}"
-        if not self.checker.check(own, Invariant.ANSWER_TO_ITS_CALLER, detail):
-            return unknown(Reason.CONNECTION_LOST)
-        return answer
 
     async def _after_loss(self, copy: SentCopy) -> Answer:
         """Settles a call under a key whose connection broke; others may simply be sent again."""
@@ -163,9 +159,10 @@
             if settlement.state is CallState.RUNNING:
                 return None
             if settlement.state is CallState.CLOSED:
-                return refused(Reason.SILENT, retry_useful=True)
+                answer = refused(Reason.SILENT, retry_useful=True)
+                return answer._replace(attempts_left=context.budget.retries)
             if settlement.answer is not None:
-                return settlement.answer
+                return _within_budget(settlement.answer, context)
             return unknown(Reason.SILENT)._replace(retry_useful=True)
         return await self.fetch_copy(context, unknown(Reason.SILENT)._replace(retry_useful=True))
 
@@ -180,7 +177,7 @@
         if not address:
             return otherwise
         found = await self.questions.fetch(address, context.idempotency_key)
-        return otherwise if found is None else found
+        return otherwise if found is None else _within_budget(found, context)
 
     def _peer_address(self, copy: SentCopy) -> str:
         context = copy.context
@@ -193,3 +190,8 @@
             if call_address(member) == copy.address:
                 return peer_address(member)
         return ""
+
+
+def _within_budget(answer: Answer, context: CallContext) -> Answer:
+    """Returns a recorded answer, which may be that of another copy with a larger budget."""
+    return answer._replace(attempts_left=min(answer.attempts_left, context.budget.retries))
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -20,6 +20,8 @@
 
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
+    CALL_ID,
+    EVENT_CLOCK,
     MONOTONIC_DEADLINE,
     PATH_LEVEL,
     CallContext,
@@ -36,7 +38,8 @@
 CRASH_MARK = b"crash"
 CRASH_EXIT_STATUS = 70
 COLD_START_FACTOR = 4.0
-DRAIN_ANNOUNCE_SECONDS = 1.5
+# The default grace time of the node and the second between two announcements.
+DRAIN_SECONDS = 4.2
 SHUTDOWN_SECONDS = 10.0
 # The node has capped what arrives here, so nothing is capped again.
 FULL_GRANT = CallGrant(
@@ -87,7 +90,13 @@
         )
 
     async def serve(self, request: BaseRequest) -> Response:
-        """Answers one HTTP request."""
+        """Answers one HTTP request and echoes its call identifier."""
+        response = await self._answer(request)
+        if CALL_ID in request.headers:
+            response.headers[CALL_ID] = request.headers[CALL_ID]
+        return response
+
+    async def _answer(self, request: BaseRequest) -> Response:
         if request.path == "/load":
             return self._load()
         if request.path == "/slow":
@@ -97,6 +106,7 @@
         operation = request.path.lstrip("/")
         try:
             context = read_context(self.settings.service, operation, request.headers, FULL_GRANT)
+            self.client.observe(request.headers)
         except BadRequestError as error:
             return Response(status=400, text=str(error))
         expires_at = request.headers.get(MONOTONIC_DEADLINE)
@@ -144,7 +154,10 @@
         return await self.client.call_all(context, calls)
 
     def _response(self, context: CallContext, body: bytes, answers: list[Answer]) -> Response:
-        headers = {ATTEMPTS_LEFT: str(context.budget.retries)}
+        headers = {
+            ATTEMPTS_LEFT: str(context.budget.retries),
+            EVENT_CLOCK: str(self.client.clock.tick()),
+        }
         levels = [max(answer.admission_level, answer.path_level) for answer in answers]
         headers[PATH_LEVEL] = str(max(levels, default=0))
         for answer in answers:
@@ -205,10 +218,11 @@
         background = [
             tasks.create_task(backend.client.announce_forever(backend.announcement)),
             tasks.create_task(backend.client.follow_routes()),
+            tasks.create_task(backend.client.report_events()),
         ]
         await stopping.wait()
         backend.announcement.leaving = True
-        await sleep(DRAIN_ANNOUNCE_SECONDS)
+        await sleep(DRAIN_SECONDS)
         await backend.idle.wait()
         for task in background:
             task.cancel()
--- a/tests/unit/simulated_nodes.py
+++ b/tests/unit/simulated_nodes.py
@@ -8,8 +8,8 @@
 from random import Random
 from unittest.mock import patch
 
+from coltsfoottrack._internal.admission.suspects import SuspectTable
 from coltsfoottrack._internal.calls.context import (
-    CALL_ID,
     IDEMPOTENCY_KEY,
     MONOTONIC_DEADLINE,
     REQUEST_ID,
@@ -186,6 +186,9 @@
 class FakeBackendTransport:
     """The connection to the backend server; the server goes on when the node is gone."""
 
+    async def close(self) -> None:
+        pass
+
     def __init__(self, world: World, node: "SimulatedNode") -> None:
         self.world = world
         self.node = node
@@ -274,8 +277,11 @@
             self.see(other, True)
         clock = HybridClock()
         self.registry = CallRegistry(checker, wall_ms, world.loop.time, max_entries=8)
-        with patch("coltsfoottrack._internal.node.backend_link.Transport", self.backend_transport):
-            self.link = BackendLink("test", clock, self.registry)
+        self.link = BackendLink(
+            "test", clock, SuspectTable(lambda: 600_000.0), self.backend_transport
+        )
+        self.link.registry = self.registry
+        self.link.refuses_connections = self.backend_refuses
         self.link.address = "backend"
         self.copies = OutcomeCopies(wall_ms)
         self.sender = CopySender(self.store)
@@ -295,9 +301,12 @@
             f"{name}:1", checker,
         )  # fmt: skip
 
-    def transport(self) -> FakeTransport:
+    def transport(self, _checker: InvariantChecker) -> FakeTransport:
         return FakeTransport(self.world, self)
 
+    async def backend_refuses(self, _address: str) -> bool:
+        return self.backend_down
+
     def backend_transport(self) -> FakeBackendTransport:
         return FakeBackendTransport(self.world, self)
 
@@ -342,7 +351,7 @@
         grant = self.world.policies.grant(SERVICE, operation)
         context = read_context(SERVICE, operation, headers, grant)
         answer = await self._serve_call(context, body, grant.idempotent)
-        return answer._replace(call_id=headers.get(CALL_ID, ""))
+        return answer._replace(attempts_left=context.budget.retries)
 
     async def _serve_call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
         if idempotent:
--- a/tests/unit/test_ledger.py
+++ b/tests/unit/test_ledger.py
@@ -3,6 +3,7 @@
 from asyncio import Event, gather
 from unittest import IsolatedAsyncioTestCase
 
+from coltsfoottrack._internal.admission.suspects import SuspectTable
 from coltsfoottrack._internal.calls.budget import AttemptBudget
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.deadline import Deadline
@@ -131,7 +132,8 @@
 
     async def test_call_whose_deadline_passed_during_a_stop_is_not_dispatched(self) -> None:
         registry = CallRegistry(InvariantChecker(), lambda: 0)
-        link = BackendLink("demo", HybridClock(), registry)
+        link = BackendLink("demo", HybridClock(), SuspectTable(lambda: 600_000.0))
+        link.registry = registry
         self.addAsyncCleanup(link.close)
         link.address = "127.0.0.1:1"
         late = context_with("")._replace(deadline=Deadline.after_ms(-1))
