--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -26,6 +26,10 @@
 ATTEMPT_REPEATED = "Attempt-Repeated"
 SUSPECTED_CRASHES = "Suspected-Crashes"
 HOP_DEPTH = "Hop-Depth"
+DISPATCH_NUMBER = "Dispatch-Number"
+# Only from a node to the backend server on the same instance: the deadline on the instance's
+# monotonic clock, in seconds.
+MONOTONIC_DEADLINE = "Monotonic-Deadline"
 EVENT_CLOCK = "Event-Clock"
 CLUSTER = "Cluster"
 PROTOCOL = "Protocol-Version"
@@ -61,6 +65,8 @@
     depth: int = 0
     # Rank of the caller's own request; a call below it is never ranked lower.
     from_peer: bool = False
+    # Above 0 in a copy that the home of its key handed to another node of the service.
+    dispatch_number: int = 0
 
     @property
     def rank(self) -> int:
@@ -96,6 +102,8 @@
             headers[ATTEMPT_REPEATED] = "yes"
         if self.suspected_crashes:
             headers[SUSPECTED_CRASHES] = str(self.suspected_crashes)
+        if self.dispatch_number:
+            headers[DISPATCH_NUMBER] = str(self.dispatch_number)
         return headers
 
 
@@ -156,6 +164,7 @@
         # Depth raises the rank within a priority, so a caller from outside has none.
         depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH) if CLUSTER in headers else 0,
         from_peer=CLUSTER in headers,
+        dispatch_number=whole_number(headers, DISPATCH_NUMBER, 0, 100),
     )
 
 
--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -37,6 +37,8 @@
     KEY_EXPIRED = "key_expired"
     KEYS_EXHAUSTED = "keys_exhausted"
     CLOSED = "closed"
+    DUPLICATE = "duplicate"
+    ANSWER_DROPPED = "answer_dropped"
     QUARANTINED = "quarantined"
     UNKNOWN_SERVICE = "unknown_service"
     BAD_REQUEST = "bad_request"
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -26,6 +26,7 @@
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
     EVENT_CLOCK,
+    MONOTONIC_DEADLINE,
     PATH_LEVEL,
     CallContext,
     whole_number,
@@ -33,8 +34,13 @@
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
 from coltsfoottrack._internal.ledger.ledger import request_digest
-from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.routing.exceptions import (
+    ConnectionLostError,
+    ConnectTimeoutError,
+    NotSentError,
+)
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
@@ -93,6 +99,7 @@
         self.on_down: Callable[[], None] = lambda: None
         self.refuses_new_work: Callable[[], bool] = lambda: False
         self.check_dispatch: Callable[[str], None] = lambda request_id: None
+        self.registry: CallRegistry | None = None
         self.report: ReportSuspects | None = None
         self.reports: set[Task[None]] = set()
         # Ends when the other nodes know of the newest crash.
@@ -164,6 +171,8 @@
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         if context.deadline.has_passed():
             return refused(Reason.DEADLINE)
+        if self.registry is not None and not self.registry.dispatching(context.call_id):
+            return refused(Reason.CLOSED)
         number = next(self.numbers)
         self.running[number] = call
         self.idle.clear()
@@ -177,6 +186,9 @@
     async def _send(self, context: CallContext, body: bytes, call: RunningCall) -> Answer:
         self.check_dispatch(context.request_id)
         headers = context.headers(self.cluster, self.clock.tick())
+        # The time left that is sent grows stale when this process is stopped before the bytes
+        # leave; the backend server is on the same instance and reads the same monotonic clock.
+        headers[MONOTONIC_DEADLINE] = f"{context.deadline.expires_at:.6f}"
         # The backend server may spend the budget until it answers, so none is left here.
         lent = context.budget.retries
         context.budget.retries = 0
@@ -185,9 +197,11 @@
         seconds = context.deadline.remaining_seconds()
         try:
             reply = await self.transport.send("POST", address, path, headers, body, seconds)
-        except NotSentError:
+        except NotSentError as error:
             context.budget.retries = lent
-            self._mark_down(address)
+            self._note_not_run(context)
+            if not isinstance(error, ConnectTimeoutError):
+                self._mark_down(address)
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         except ConnectionLostError:
             if context.deadline.has_passed():
@@ -198,10 +212,16 @@
         with suppress(BadRequestError):
             self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
         answer = _read_reply(reply, context, lent)
-        if answer.outcome is not Outcome.REFUSED:
+        if answer.outcome is Outcome.REFUSED:
+            self._note_not_run(context)
+        else:
             self._clear(call.digest)
         return answer
 
+    def _note_not_run(self, context: CallContext) -> None:
+        if self.registry is not None:
+            self.registry.not_run(context.call_id)
+
     def _mark_down(self, address: str) -> None:
         if self.address == address:
             self.address = ""
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -224,7 +224,7 @@
         if context.service != self.state.settings.service:
             return await self.state.router.call(context, body)
         if idempotent:
-            return await self.state.local_calls.run(context, body)
+            return await self.state.dispatcher.run_copy(context, body)
         return await self._call_under_key(context, body)
 
     def _refuse_unserved(self, service: str) -> Answer:
@@ -240,9 +240,11 @@
             key = IdempotencyKey.parse(context.idempotency_key)
         except InvalidKeyError as error:
             return refused(Reason.KEY_INVALID, text=str(error))
+        if context.dispatch_number and context.from_peer:
+            return await state.dispatcher.run_dispatch(context, body)
         if not state.ledger.is_home(key) and not context.from_peer:
             return await state.router.call(context, body)
-        answer = await state.ledger.run(context, body, state.local_calls.run)
+        answer = await state.ledger.run(context, body, state.dispatcher.run_under_key)
         if answer.retry_useful:
             return answer._replace(next_key=self._new_key())
         return answer
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -15,6 +15,7 @@
 from coltsfoottrack._internal.node.configuration_service import ConfigurationService
 from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.operator_service import OperatorService
+from coltsfoottrack._internal.node.outcome_service import OutcomeService
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.node.suspect_service import SuspectReporter, SuspectService
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import FleetConfiguration, NodeSettings
@@ -49,6 +50,7 @@
             MembershipService(state),
             ConfigurationService(state),
             SuspectService(state),
+            OutcomeService(state),
             OperatorService(state),
         ]
     )
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -65,6 +65,11 @@
             "Known members by status.",
             registry=self.registry,
         )
+        self.settlements = Counter(
+            "coltsfoottrack_settlements_total",
+            "Calls that a peer asked about, by what this node knew of them.",
+            registry=self.registry,
+        )
         self.gauges: dict[str, Gauge] = {}
         # Plain counts, copied to the collectors at each scrape: an increment of a collector takes
         # 4 to 5 us, one of these 0.2 us, and each call makes several.
