--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -67,7 +67,7 @@
             await sleep(0.01)
             return Answer(Outcome.DONE, body=body)
 
-        self.state.local_calls.run = run
+        self.state.dispatcher.run_here = run
         self.server = CallServer(self.state)
         await self.server.start()
 
