Remember budgets by Request-Id and what the request asks for

A backend server without the embedded client calls other services through its node under one Request-Id. By Request-Id alone its second call was charged as a retry and its fifth was answered budget_spent, though none was sent again.

Ruled out: service and operation only, because parallel calls of one operation differ in their bodies. A caller that changes the body gets a budget of its own.

--- a/src/coltsfoottrack/_internal/calls/budget.py
+++ b/src/coltsfoottrack/_internal/calls/budget.py
@@ -12,6 +12,10 @@
 MAX_KEYS_REMEMBERED = 32
 
 
+# Request-Id, and digest of service, operation and body.
+RequestName = tuple[str, bytes]
+
+
 class AttemptBudget:
     """The number of retries left for a call and for all calls below it.
 
@@ -110,16 +114,18 @@
 
 
 class RequestMemory:
-    """Budgets of requests by identifier, so that a caller that sends again gets no new budget.
+    """Budgets of requests, so that a caller that sends again gets no new budget.
 
-    Bounded to 10,000 requests; the one used longest ago is dropped first. A request is
+    A request is known by its Request-Id and the digest of what it asks for: a backend server
+    without the embedded client makes different calls under one Request-Id, and these are no
+    retries of each other. Bounded to 10,000 requests; the one used longest ago is dropped first. A request is
     remembered for 60 s after its last sending.
     """
 
     def __init__(self) -> None:
-        self.requests: OrderedDict[str, RememberedRequest] = OrderedDict()
+        self.requests: OrderedDict[RequestName, RememberedRequest] = OrderedDict()
 
-    def admit(self, request_id: str, retries: int, key: str) -> RememberedRequest | None:
+    def admit(self, name: RequestName, retries: int, key: str) -> RememberedRequest | None:
         """Counts a sending; returns None if it would exceed the budget of the request.
 
         A copy under a key that was sent before costs nothing: the home of the key runs it at most
@@ -128,10 +134,10 @@
         now = monotonic()
         while self.requests and next(iter(self.requests.values())).expires_at < now:
             self.requests.popitem(last=False)
-        remembered = self.requests.pop(request_id, None)
+        remembered = self.requests.pop(name, None)
         if remembered is None:
             remembered = RememberedRequest(retries, now)
-        self.requests[request_id] = remembered
+        self.requests[name] = remembered
         remembered.expires_at = now + MEMORY_SECONDS
         if len(self.requests) > MAX_REMEMBERED:
             self.requests.popitem(last=False)
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -24,6 +24,7 @@
 from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
+from coltsfoottrack._internal.ledger.ledger import request_digest
 from coltsfoottrack._internal.node.connections import (
     BoundedServer,
     ConnectionBounds,
@@ -196,7 +197,8 @@
         """Dispatches a call under the budget that is remembered for its Request-Id."""
         key = context.idempotency_key
         granted = context.budget.retries
-        sending = self.state.requests.admit(context.request_id, granted, key)
+        digest = request_digest(context.service, context.operation, body)
+        sending = self.state.requests.admit((context.request_id, digest), granted, key)
         if sending is None:
             # An earlier sending may have run, here or through another entry.
             return unknown(Reason.BUDGET_SPENT, copy_dispatched=False)
--- a/tests/unit/test_retry_bound.py
+++ b/tests/unit/test_retry_bound.py
@@ -291,16 +291,22 @@
     def test_sendings_share_one_budget(self) -> None:
         memory = RequestMemory()
         self.assertEqual(
-            [bool(memory.admit("r", 2, "")) for _ in range(5)], [True] * 3 + [False] * 2
+            [bool(memory.admit(("r", b""), 2, "")) for _ in range(5)], [True] * 3 + [False] * 2
         )
 
     def test_a_copy_under_the_same_key_costs_nothing(self) -> None:
         memory = RequestMemory()
-        self.assertTrue(all(memory.admit("r", 0, "key") for _ in range(5)))
-        self.assertIsNone(memory.admit("r", 0, "other key"))
+        self.assertTrue(all(memory.admit(("r", b""), 0, "key") for _ in range(5)))
+        self.assertIsNone(memory.admit(("r", b""), 0, "other key"))
+
+    def test_different_calls_under_one_request_id_are_not_retries(self) -> None:
+        """Guards against refused calls of backend servers without the embedded client."""
+        memory = RequestMemory()
+        for number in range(5):
+            self.assertIsNotNone(memory.admit(("r", bytes([number])), 0, ""))
 
     def test_memory_is_bounded(self) -> None:
         memory = RequestMemory()
         for number in range(10_050):
-            memory.admit(str(number), 1, "")
+            memory.admit((str(number), b""), 1, "")
         self.assertEqual(len(memory.requests), 10_000)
