--- a/src/coltsfoottrack/_internal/calls/budget.py
+++ b/src/coltsfoottrack/_internal/calls/budget.py
@@ -118,8 +118,8 @@
 
     A request is known by its Request-Id and the digest of what it asks for: a backend server
     without the embedded client makes different calls under one Request-Id, and these are no
-    retries of each other. Bounded to 10,000 requests; the one used longest ago is dropped first. A request is
-    remembered for 60 s after its last sending.
+    retries of each other. Bounded to 10,000 requests; the one used longest ago is dropped first.
+    A request is remembered for 60 s after its last sending.
     """
 
     def __init__(self) -> None:
