--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -3,7 +3,7 @@
 from coltsfoottrack._internal.experiment.measure_membership import measure_membership
 
 SIMULATED_SIZES = (4, 8, 16, 32, 64, 256, 1000)
-PROCESS_SIZES = (4, 8, 16, 32)
+PROCESS_SIZES = (4, 16, 64)
 
 
 class MeasureCommands:
