--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -7,6 +7,7 @@
     create_task,
     get_running_loop,
     open_connection,
+    shield,
     sleep,
     timeout,
 )
@@ -25,6 +26,7 @@
 from coltsfoottrack._internal.calls.context import (
     ATTEMPTS_LEFT,
     EVENT_CLOCK,
+    MONOTONIC_DEADLINE,
     PATH_LEVEL,
     CallContext,
     whole_number,
@@ -32,8 +34,13 @@
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
 from coltsfoottrack._internal.ledger.ledger import request_digest
-from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.routing.exceptions import (
+    ConnectionLostError,
+    ConnectTimeoutError,
+    NotSentError,
+)
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
@@ -92,8 +99,11 @@
         self.on_down: Callable[[], None] = lambda: None
         self.refuses_new_work: Callable[[], bool] = lambda: False
         self.check_dispatch: Callable[[str], None] = lambda request_id: None
+        self.registry: CallRegistry | None = None
         self.report: ReportSuspects | None = None
         self.reports: set[Task[None]] = set()
+        # Ends when the other nodes know of the newest crash.
+        self.reported: Task[None] | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -161,6 +171,8 @@
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         if context.deadline.has_passed():
             return refused(Reason.DEADLINE)
+        if self.registry is not None and not self.registry.dispatching(context.call_id):
+            return refused(Reason.CLOSED)
         number = next(self.numbers)
         self.running[number] = call
         self.idle.clear()
@@ -174,6 +186,9 @@
     async def _send(self, context: CallContext, body: bytes, call: RunningCall) -> Answer:
         self.check_dispatch(context.request_id)
         headers = context.headers(self.cluster, self.clock.tick())
+        # The time left that is sent grows stale when this process is stopped before the bytes
+        # leave; the backend server is on the same instance and reads the same monotonic clock.
+        headers[MONOTONIC_DEADLINE] = f"{context.deadline.expires_at:.6f}"
         # The backend server may spend the budget until it answers, so none is left here.
         lent = context.budget.retries
         context.budget.retries = 0
@@ -182,9 +197,11 @@
         seconds = context.deadline.remaining_seconds()
         try:
             reply = await self.transport.send("POST", address, path, headers, body, seconds)
-        except NotSentError:
+        except NotSentError as error:
             context.budget.retries = lent
-            self._mark_down(address)
+            self._note_not_run(context)
+            if not isinstance(error, ConnectTimeoutError):
+                self._mark_down(address)
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         except ConnectionLostError:
             if context.deadline.has_passed():
@@ -195,10 +212,16 @@
         with suppress(BadRequestError):
             self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
         answer = _read_reply(reply, context, lent)
-        if answer.outcome is not Outcome.REFUSED:
+        if answer.outcome is Outcome.REFUSED:
+            self._note_not_run(context)
+        else:
             self._clear(call.digest)
         return answer
 
+    def _note_not_run(self, context: CallContext) -> None:
+        if self.registry is not None:
+            self.registry.not_run(context.call_id)
+
     def _mark_down(self, address: str) -> None:
         if self.address == address:
             self.address = ""
@@ -209,13 +232,17 @@
         for pause in (0.0, SECOND_CHECK_SECONDS):
             await sleep(pause)
             if self.crashes != crashes_before:
-                return True
+                break
             if await self.refuses_connections(address):
                 break
         else:
             return False
         if self.crashes == crashes_before:
-            await self._note_crash(address)
+            self.crashes += 1
+            self.reported = create_task(self._spread(self._make_suspects(address)))
+        # Every request of the crash waits, not only the one that noticed it: its caller may
+        # send it again to another node at once.
+        await shield(self.reported)
         return True
 
     async def refuses_connections(self, address: str) -> bool:
@@ -231,8 +258,7 @@
         writer.close()
         return False
 
-    async def _note_crash(self, address: str) -> None:
-        self.crashes += 1
+    def _make_suspects(self, address: str) -> list[SuspectReport]:
         running: dict[bytes, int] = {}
         for call in self.running.values():
             running[call.digest] = max(call.known_crashes, running.get(call.digest, 0))
@@ -244,6 +270,9 @@
                 reports.append(report)
         logger.error("backend_crashed", address=address, suspects=len(reports))
         self._mark_down(address)
+        return reports
+
+    async def _spread(self, reports: list[SuspectReport]) -> None:
         broken = self.transport
         # No kept connection to the old process may be used for a new one at the same address.
         self.transport = self.new_transport()
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -11,9 +11,11 @@
 from coltsfoottrack._internal.node.admin_server import AdminServer
 from coltsfoottrack._internal.node.backend_service import BackendService
 from coltsfoottrack._internal.node.call_server import CallServer
+from coltsfoottrack._internal.node.change_events import ChangeRecorder
 from coltsfoottrack._internal.node.configuration_service import ConfigurationService
 from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.operator_service import OperatorService
+from coltsfoottrack._internal.node.outcome_service import OutcomeService
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.node.suspect_service import SuspectReporter, SuspectService
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import FleetConfiguration, NodeSettings
@@ -48,6 +50,7 @@
             MembershipService(state),
             ConfigurationService(state),
             SuspectService(state),
+            OutcomeService(state),
             OperatorService(state),
         ]
     )
@@ -62,6 +65,7 @@
             background = [
                 tasks.create_task(keep_running(state.cluster.run_socket)),
                 tasks.create_task(join_and_serve(state)),
+                tasks.create_task(ChangeRecorder(state).run()),
             ]
             await stopping.wait()
             await drain(state)
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -14,7 +14,12 @@
 from coltsfoottrack._internal.configuration.peers import GrpcConfigurationPeers
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.ledger.call_registry import CallRegistry
+from coltsfoottrack._internal.ledger.dispatcher import Dispatcher
 from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.ledger.outcome_copies import CopySender, OutcomeCopies
+from coltsfoottrack._internal.ledger.wall_clock import WallClock
+from coltsfoottrack._internal.membership.backup import BackupChoice
 from coltsfoottrack._internal.membership.cluster import ClusterMembership
 from coltsfoottrack._internal.membership.local import LocalMember, new_member
 from coltsfoottrack._internal.membership.messages import DatagramCodec
@@ -29,10 +34,19 @@
 from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.routing.settling import RPC_ERRORS
 from coltsfoottrack._internal.routing.transport import Transport
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, NodeSettings
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OutcomePeerStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    Envelope,
+    NodeSettings,
+    OutcomeRecord,
+    StoreOutcomeRequest,
+)
 from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
+STORE_TIMEOUT_SECONDS = 1.0
+
 
 class NodeState:
     """Everything that a node's servers and tasks share."""
@@ -59,6 +73,9 @@
             settings.cluster, self.clock, self.suspects, lambda: Transport(self.checker)
         )
         self.backend.on_down = self.publish_member
+        self.wall_clock = WallClock()
+        self.registry = CallRegistry(self.checker, self.wall_clock.now_ms)
+        self.backend.registry = self.registry
         self.channels = PeerChannels()
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
@@ -77,7 +94,14 @@
             home_call_address=f"{settings.address}:{advertised_call_port}",
             home_peer_address=f"{settings.address}:{settings.peer_port}",
             checker=self.checker,
+            wall_ms=self.wall_clock.now_ms,
+            choose_backup=BackupChoice(
+                self.members, settings.service, settings.failure_domain
+            ).choose,
+            on_finished=lambda key, answer: self.copy_sender.offer(key, answer),
         )
+        self.outcome_copies = OutcomeCopies(self.wall_clock.now_ms)
+        self.copy_sender = CopySender(self.store_outcomes)
         self.router = Router(
             cluster=settings.cluster,
             members=self.members,
@@ -87,6 +111,14 @@
             random=Random(),
             checker=self.checker,
         )
+        self.dispatcher = Dispatcher(
+            self.registry,
+            self.local_calls.run,
+            self.router.choose,
+            self.router.exchange.send,
+            self.ledger.home_call_address,
+            self.checker,
+        )
         self.requests = RequestMemory()
         self.local = LocalMember(new_member(settings, self.ledger.incarnation))
         self.member = self.local.member
@@ -158,8 +190,21 @@
             return "the backend server is leaving"
         return ""
 
+    async def store_outcomes(self, address: str, records: list[OutcomeRecord]) -> bool:
+        """Sends copies of outcomes to a backup node; returns whether it took them."""
+        request = StoreOutcomeRequest(envelope=self.envelope(), records=records)
+        try:
+            await OutcomePeerStub(self.channels.channel(address)).StoreOutcome(
+                request, timeout=STORE_TIMEOUT_SECONDS
+            )
+        except RPC_ERRORS:
+            self.channels.discard(address)
+            return False
+        return True
+
     async def close(self) -> None:
         """Closes all outgoing connections."""
+        self.copy_sender.close()
         await self.router.close()
         await self.backend.close()
         self.channels.close()
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -60,7 +60,7 @@
         self.levels = ReportedLevels()
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
-        self.exchange = Exchange(cluster, clock, self.transport)
+        self.exchange = Exchange(cluster, clock, self.transport, members, policies)
         self.keys = KeyPool(cluster, clock, self.transport, self.choose)
 
     async def call(self, context: CallContext, body: bytes) -> Answer:
@@ -79,6 +79,8 @@
         if answer.outcome is Outcome.REFUSED and history.may_have_run:
             # The last attempt was not run, but an earlier one may have been.
             answer = unknown(answer.reason)
+        if context.idempotency_key and answer.reason is Reason.HOME_GONE:
+            answer = await self.exchange.fetch_copy(context, answer)
         return answer._replace(attempts_left=context.budget.retries)
 
     async def _attempts(self, context: CallContext, body: bytes, history: CallHistory) -> Answer:
