--- a/src/coltsfoottrack/_internal/ledger/call_registry.py
+++ b/src/coltsfoottrack/_internal/ledger/call_registry.py
@@ -22,6 +22,8 @@
 # Time in which the process was stopped counts at most this much towards retention.
 LONGEST_STEP_SECONDS = 1.0
 
+LOST = unknown(Reason.CONNECTION_LOST)
+
 Runner = Callable[[CallContext, bytes], Awaitable[Answer]]
 
 
@@ -96,7 +98,7 @@
             return refused(Reason.OVERLOAD, retry_useful=True)
         entry = CallEntry(CallState.RUNNING)
         self.entries[call_id] = entry
-        answer = unknown(Reason.CONNECTION_LOST)
+        answer = LOST
         try:
             answer = await runner(context, body)
         except CancelledError:
--- a/src/coltsfoottrack/_internal/ledger/ledger.py
+++ b/src/coltsfoottrack/_internal/ledger/ledger.py
@@ -23,6 +23,8 @@
 # against the caller's own wait, which can only say "unknown".
 ANSWER_GRACE_SECONDS = 0.05
 
+LOST = unknown(Reason.CONNECTION_LOST)
+
 Runner = Callable[[CallContext, bytes], Awaitable[Answer]]
 FinishedHook = Callable[[IdempotencyKey, Answer], None]
 
@@ -227,7 +229,7 @@
             not record.dispatched, Invariant.AT_MOST_ONCE, f"{context.request_id} dispatched twice"
         )
         record.dispatched = True
-        answer = unknown(Reason.CONNECTION_LOST)
+        answer = LOST
         try:
             answer = await runner(context, body)
         finally:
--- a/src/coltsfoottrack/_internal/ledger/outcome_copies.py
+++ b/src/coltsfoottrack/_internal/ledger/outcome_copies.py
@@ -52,7 +52,7 @@
 
     def __init__(self, send: SendRecords) -> None:
         self.send = send
-        self.queue: deque[tuple[str, OutcomeRecord]] = deque()
+        self.queue: deque[tuple[IdempotencyKey, Answer]] = deque()
         self.queued_bytes = 0
         self.task: Task[None] | None = None
         self.counts: Counter[str] = Counter()
@@ -61,29 +61,30 @@
         """Queues the outcome of a key for its backup node."""
         if not key.backup_peer_address or answer.outcome not in (Outcome.DONE, Outcome.FAILED):
             return
-        record = to_record(answer, key.encode(), key.expires_at_ms)
-        if len(record.body) > MAX_BODY_BYTES:
-            record.body = b""
-            record.body_dropped = True
-        self.queue.append((key.backup_peer_address, record))
-        self.queued_bytes += len(record.body)
+        self.queue.append((key, answer))
+        self.queued_bytes += len(answer.body)
         while len(self.queue) > MAX_QUEUED or self.queued_bytes > MAX_QUEUED_BYTES:
             self._take()
             self.counts["dropped"] += 1
         if self.task is None or self.task.done():
             self.task = create_task(self._flush())
 
-    def _take(self) -> tuple[str, OutcomeRecord]:
-        address, record = self.queue.popleft()
-        self.queued_bytes -= len(record.body)
-        return address, record
+    def _take(self) -> tuple[IdempotencyKey, Answer]:
+        key, answer = self.queue.popleft()
+        self.queued_bytes -= len(answer.body)
+        return key, answer
 
     async def _flush(self) -> None:
         while self.queue:
             batches: dict[str, list[OutcomeRecord]] = {}
             for _ in range(min(BATCH, len(self.queue))):
-                address, record = self._take()
-                batches.setdefault(address, []).append(record)
+                key, answer = self._take()
+                # Built here, since encoding it would delay the answer to the caller.
+                record = to_record(answer, key.encode(), key.expires_at_ms)
+                if len(record.body) > MAX_BODY_BYTES:
+                    record.body = b""
+                    record.body_dropped = True
+                batches.setdefault(key.backup_peer_address, []).append(record)
             for address, records in batches.items():
                 sent = await self.send(address, records)
                 self.counts["sent" if sent else "lost"] += len(records)
