--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -81,6 +81,9 @@
         finally:
             # Closes the connection, which cancels an idempotent call at the other end.
             task.cancel()
+            if task.done() and not task.cancelled():
+                # Marks an error as seen that came together with the reply to Settle.
+                task.exception()
 
     async def _send_copy(self, copy: SentCopy, body: bytes) -> HttpReply:
         context = copy.context
