--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -113,7 +113,7 @@
         )
         self.dispatcher = Dispatcher(
             self.registry,
-            self.local_calls.run,
+            lambda context, body: self.local_calls.run(context, body),
             self.router.choose,
             self.router.exchange.send,
             self.ledger.home_call_address,
