Add the experiment command

Cause: the decisions under overload need figures before they change.

Goodput is now counted by finishing time, since requests that start in the trigger and finish after it raised it above capacity.

--- a/src/coltsfoottrack/_internal/admission/controller.py
+++ b/src/coltsfoottrack/_internal/admission/controller.py
@@ -29,6 +29,7 @@
         self.policy = policy
         self.queue = PriorityQueue()
         self.level = 0
+        self.decisions_off = False
         self.last_start_by_priority = [0.0, 0.0, 0.0]
 
     async def admit(self, context: CallContext) -> float:
@@ -37,6 +38,9 @@
         Raises NotAdmittedError if the call is turned away. After a return, the caller must
         call ``release`` exactly once.
         """
+        if self.decisions_off:
+            self.limiter.start()
+            return 0.0
         arrived = monotonic()
         if context.deadline.has_passed():
             raise NotAdmittedError(Reason.DEADLINE)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/experiment.py
@@ -0,0 +1,42 @@
+"""``coltsfoottrack experiment``: measures the decisions under overload on real processes."""
+
+from pathlib import Path
+
+from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
+from coltsfoottrack._internal.experiment.comparison import to_json, to_text
+from coltsfoottrack._internal.experiment.exceptions import ExperimentError
+from coltsfoottrack._internal.experiment.fleet import FleetVariant
+from coltsfoottrack._internal.experiment.scenarios import find_scenario
+from coltsfoottrack._internal.experiment.trial import run_trial
+
+
+def experiment(
+    scenario: str, against: str = "", output: str = "text", baseline: bool = True
+) -> None:
+    """Plays a scenario and prints goodput, recovery time, outcomes and wasted work.
+
+    Args:
+        scenario: slow, surge, retries, all, domain, cold or lying.
+        against: Directory of another checkout to measure as well.
+        output: text or json.
+        baseline: Also measure this checkout with its decisions off.
+    """
+    if output not in ("text", "json"):
+        raise CommandError(f"--output {output!r} is neither text nor json", EXIT_BAD_INPUT)
+    variants = [FleetVariant()]
+    if baseline:
+        variants.append(FleetVariant("decisions off", decisions_off=True))
+    if against:
+        source = Path(str(against)).resolve()
+        if not (source / "src" / "coltsfoottrack").is_dir():
+            raise CommandError(f"{source} holds no checkout of coltsfoottrack", EXIT_BAD_INPUT)
+        variants.append(FleetVariant(f"checkout {source}", source))
+    try:
+        chosen = find_scenario(str(scenario))
+        reports = [run_trial(chosen, variant) for variant in variants]
+    except ExperimentError as error:
+        raise CommandError(str(error), EXIT_BAD_INPUT) from error
+    print(to_json(chosen, reports) if output == "json" else to_text(chosen, reports))
+    violations = reports[0].check.violations + reports[0].violations_logged
+    if violations:
+        raise CommandError(f"{violations} invariant violations")
--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -5,12 +5,13 @@
 from fire import Fire
 
 from coltsfoottrack._internal.cli.commands.demo import demo
+from coltsfoottrack._internal.cli.commands.experiment import experiment
 from coltsfoottrack._internal.cli.commands.node import node
 from coltsfoottrack._internal.cli.commands.standin import StandInCommands
 from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
 from coltsfoottrack._internal.settings.exceptions import SettingsError
 
-COMMANDS = {"demo": demo, "node": node, "standin": StandInCommands}
+COMMANDS = {"demo": demo, "experiment": experiment, "node": node, "standin": StandInCommands}
 
 
 def main() -> None:
--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+from os import environ
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import AF_INET, SOCK_STREAM, socket
@@ -27,6 +28,14 @@
 POLL_SECONDS = 0.1
 
 
+class FleetVariant(NamedTuple):
+    """What is measured: this checkout or another one, with or without its decisions."""
+
+    name: str = "product"
+    source: Path | None = None
+    decisions_off: bool = False
+
+
 class NodePlace(NamedTuple):
     """One node and its backend server, with their ports."""
 
@@ -75,10 +84,15 @@
 class Fleet:
     """The processes of one experiment: platform stand-in, nodes and backend servers."""
 
-    def __init__(self, shape: FleetShape, directory: Path, cluster: str = "demo") -> None:
+    def __init__(
+        self, shape: FleetShape, directory: Path, variant: FleetVariant | None = None
+    ) -> None:
         self.shape = shape
         self.directory = directory
-        self.cluster = cluster
+        self.cluster = "demo"
+        self.variant = FleetVariant() if variant is None else variant
+        # Settings of the backend servers of a service beyond those of the shape.
+        self.backend_settings: dict[str, dict[str, int | float]] = {}
         self.processes: dict[str, Popen] = {}
         self.arguments: dict[str, list[str]] = {}
         self.places: list[NodePlace] = []
@@ -87,9 +101,11 @@
         self._place_all()
 
     @classmethod
-    def from_config(cls, shape: FleetShape, directory: Path) -> "Fleet":
+    def from_config(
+        cls, shape: FleetShape, directory: Path, variant: FleetVariant | None = None
+    ) -> "Fleet":
         """Builds a fleet; settings, logs and run logs go to the directory."""
-        return cls(shape, directory)
+        return cls(shape, directory, variant)
 
     @property
     def platform_address(self) -> str:
@@ -161,6 +177,8 @@
             "admin_port": place.admin_port,
             "platform_addresses": [self.platform_address],
         }
+        if self.variant.decisions_off:
+            settings["decisions_off"] = True
         self._spawn(place.node_process, ["node"], settings)
 
     def start_backend(self, place: NodePlace) -> None:
@@ -182,6 +200,9 @@
             "seed": place.backend_port,
             "run_log": str(self.run_log),
         }
+        settings.update(self.backend_settings.get(place.service, {}))
+        if self.variant.decisions_off:
+            settings["decisions_off"] = True
         self._spawn(place.backend_process, ["standin", "backend"], settings)
 
     def service_shape(self, name: str) -> ServiceShape:
@@ -271,5 +292,8 @@
     def _start(self, name: str) -> None:
         log = (self.directory / f"{name.replace('/', '-')}.log").open("ab")
         command = [sys.executable, "-m", "coltsfoottrack", *self.arguments[name]]
-        self.processes[name] = Popen(command, stdout=log, stderr=log)
+        environment = dict(environ)
+        if self.variant.source is not None:
+            environment["PYTHONPATH"] = str(self.variant.source / "src")
+        self.processes[name] = Popen(command, stdout=log, stderr=log, env=environment)
         log.close()
--- a/src/coltsfoottrack/_internal/experiment/load.py
+++ b/src/coltsfoottrack/_internal/experiment/load.py
@@ -18,6 +18,8 @@
 from coltsfoottrack._internal.routing.transport import Transport
 
 GRACE_SECONDS = 0.5
+RESEND_PATIENCE_SECONDS = 0.5
+MAX_SENDINGS = 5
 
 
 class RequestKind(NamedTuple):
@@ -36,6 +38,8 @@
     name: str
     seconds: float
     requests_per_second: float
+    # Times that a caller sends again at once after a refusal or no answer.
+    resends: int = 0
 
 
 class RequestResult(NamedTuple):
@@ -49,6 +53,9 @@
     answer: Answer
     on_time: bool
     wrong_answer: bool
+    resends: int = 0
+    # An earlier sending got no answer, so the request may have run before the last one.
+    earlier_unanswered: bool = False
 
 
 class LoadGenerator:
@@ -66,11 +73,14 @@
         self.sent = 0
         self.started = 0.0
 
-    async def play(self, phases: list[Phase]) -> list[RequestResult]:
-        """Plays the phases and returns the result of every request."""
+    async def play(self, phases: list[Phase], start_at: float | None = None) -> list[RequestResult]:
+        """Plays the phases and returns the result of every request.
+
+        ``start_at`` is a reading of ``perf_counter``, which on Linux is the same in all processes.
+        """
         transport = Transport()
         tasks: list[Task[None]] = []
-        self.started = perf_counter()
+        self.started = perf_counter() if start_at is None else start_at
         offset = 0.0
         for phase in phases:
             count = int(phase.seconds * phase.requests_per_second)
@@ -96,7 +106,21 @@
         request_id = f"load-{self.seed}-{self.sent}"
         body = f"order {self.sent}".encode()
         started = perf_counter()
-        answer = await self._send(transport, entry, kind, request_id, body)
+        answer = refused(Reason.NO_NODE)
+        resends = 0
+        earlier_unanswered = False
+        while True:
+            left = self.deadline_ms / 1000.0 - (perf_counter() - started)
+            answer = await self._try(transport, entry, kind, request_id, body, left, phase)
+            unanswered = answer.reason is Reason.CONNECTION_LOST
+            if answer.outcome is not Outcome.REFUSED and not (unanswered and kind.idempotent):
+                break
+            out_of_time = perf_counter() - started >= self.deadline_ms / 1000.0
+            if resends == phase.resends or out_of_time:
+                break
+            resends += 1
+            earlier_unanswered = earlier_unanswered or unanswered
+            entry = self.random.choice(self.entries)
         seconds = perf_counter() - started
         expected = request_id.encode() + b" " + body
         self.results.append(
@@ -106,29 +130,45 @@
                 request_id=request_id,
                 started=started - self.started,
                 seconds=seconds,
-                answer=answer,
+                answer=answer._replace(body=b""),
                 on_time=seconds * 1000.0 <= self.deadline_ms,
                 wrong_answer=answer.outcome is Outcome.DONE and answer.body != expected,
+                resends=resends,
+                earlier_unanswered=earlier_unanswered,
             )
         )
 
-    async def _send(
-        self, transport: Transport, entry: str, kind: RequestKind, request_id: str, body: bytes
+    async def _try(
+        self,
+        transport: Transport,
+        entry: str,
+        kind: RequestKind,
+        request_id: str,
+        body: bytes,
+        left: float,
+        phase: Phase,
     ) -> Answer:
-        """Sends a request; a non-idempotent one is sent again with the key it is told to use."""
-        headers = {REQUEST_ID: request_id, DEADLINE_MS: str(self.deadline_ms)}
+        """Sends a request once; a non-idempotent one again with the key it is told to use.
+
+        An entry node that takes no connection is replaced by another one, as a caller with
+        several addresses does.
+        """
+        headers = {REQUEST_ID: request_id, DEADLINE_MS: str(max(1, int(left * 1000.0)))}
         path = f"/v1/services/{kind.service}/{kind.operation}"
-        seconds = self.deadline_ms / 1000.0 + GRACE_SECONDS
+        seconds = left + GRACE_SECONDS
+        if phase.resends:
+            seconds = min(left, RESEND_PATIENCE_SECONDS)
         answer = refused(Reason.NO_NODE)
-        for _ in range(2):
+        for _ in range(MAX_SENDINGS):
             try:
                 reply = await transport.send("POST", entry, path, headers, body, seconds)
                 answer = read_answer(reply.status, reply.headers, reply.body)
             except NotSentError:
-                return refused(Reason.NO_NODE)
+                entry = self.random.choice(self.entries)
+                continue
             except (ConnectionLostError, BadRequestError):
                 return unknown(Reason.CONNECTION_LOST)
-            if answer.reason is not Reason.KEY_REQUIRED:
+            if answer.reason is not Reason.KEY_REQUIRED or IDEMPOTENCY_KEY in headers:
                 return answer
             headers[IDEMPOTENCY_KEY] = reply.headers.get(NEXT_KEY, "")
         return answer
--- a/src/coltsfoottrack/_internal/experiment/shapes.py
+++ b/src/coltsfoottrack/_internal/experiment/shapes.py
@@ -4,6 +4,7 @@
 
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     PRIORITY_CRITICAL,
+    PRIORITY_NORMAL,
     PRIORITY_SHEDDABLE,
     FleetConfiguration,
     OperationPolicy,
@@ -54,37 +55,44 @@
         return configuration
 
 
-def wheel_works() -> FleetShape:
-    """The Wheel Works with slots scaled down by 10, three services deep."""
+def wheel_works(time_factor: int = 1) -> FleetShape:
+    """The Wheel Works with slots scaled down by 10, three services deep.
+
+    ``time_factor`` lengthens the service times, which lowers the capacity in requests per second.
+    """
     lookup = OperationShape("lookup", PRIORITY_SHEDDABLE, True, ("fitments/fitting_lookup",))
+    availability = OperationShape(
+        "availability", PRIORITY_NORMAL, True, ("fitments/fitting_availability",)
+    )
     allocate = OperationShape("allocate", PRIORITY_CRITICAL, True, ("fitments/fitting",))
     return FleetShape(
         name="wheel-works",
         failure_domains=("east", "west", "south"),
         scale=10,
         services=(
-            ServiceShape("stores", 3, 8, 10, (lookup, allocate)),
+            ServiceShape("stores", 3, 8, 10 * time_factor, (lookup, availability, allocate)),
             ServiceShape(
                 "casting",
                 3,
                 8,
-                10,
+                10 * time_factor,
                 (OperationShape("order", PRIORITY_CRITICAL, False, ("stores/allocate",)),),
             ),
             ServiceShape(
                 "shipping",
                 3,
                 8,
-                10,
+                10 * time_factor,
                 (OperationShape("dispatch", PRIORITY_CRITICAL, False, ("stores/allocate",)),),
             ),
             ServiceShape(
                 "fitments",
                 3,
                 2,
-                20,
+                20 * time_factor,
                 (
                     OperationShape("fitting_lookup", PRIORITY_SHEDDABLE, True),
+                    OperationShape("fitting_availability", PRIORITY_NORMAL, True),
                     OperationShape("fitting", PRIORITY_CRITICAL, True),
                 ),
             ),
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/trial.py
@@ -0,0 +1,253 @@
+"""One scenario played against one variant of the product, and its figures."""
+
+from asyncio import run
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from json import loads
+from multiprocessing import get_context
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import perf_counter, sleep
+from typing import NamedTuple
+
+from coltsfoottrack._internal.experiment.capacity import capacity_per_second
+from coltsfoottrack._internal.experiment.fleet import Fleet, FleetVariant
+from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestResult
+from coltsfoottrack._internal.experiment.report import (
+    OutcomeRow,
+    RunCheck,
+    check_runs,
+    is_good,
+    outcome_rows,
+)
+from coltsfoottrack._internal.experiment.scenarios import (
+    COLD_START_MS,
+    DEEP_SERVICE,
+    LOST_DOMAIN,
+    LYING_SLOTS_FACTOR,
+    MIX,
+    NORMAL_LOAD_FACTOR,
+    Scenario,
+)
+from coltsfoottrack._internal.experiment.shapes import FleetShape, wheel_works
+
+SEED = 20261204
+DEADLINE_MS = 1000
+# Service times are doubled so that the load generator stays below half of the machine's cores.
+TIME_FACTOR = 2
+LOAD_PROCESSES = 3
+LEAD_SECONDS = 1.5
+BEFORE_SECONDS = 4.0
+DURING_SECONDS = 6.0
+AFTER_SECONDS = 5.0
+RECOVERY_STEP_SECONDS = 0.25
+RECOVERY_SPAN_SECONDS = 1.0
+RECOVERED_SHARE = 0.99
+
+
+class TrialReport(NamedTuple):
+    """Figures of one trial; rates in whole requests per second, times in seconds."""
+
+    variant: str
+    capacity: float
+    capacity_during: float
+    offered_before: float
+    offered_during: float
+    goodput_before: float
+    goodput_during: float
+    goodput_after: float
+    recovery: float | None
+    wasted_during: float
+    wasted_total: float
+    critical_lost: int
+    check: RunCheck
+    rows: list[OutcomeRow]
+    reasons: dict[str, int]
+    violations_logged: int
+
+    @property
+    def goodput_share(self) -> float:
+        """Goodput during the trigger as a share of what capacity and load allow."""
+        return self.goodput_during / min(self.capacity_during, self.offered_during)
+
+
+def run_trial(scenario: Scenario, variant: FleetVariant) -> TrialReport:
+    """Starts a fleet, plays the scenario and stops the fleet."""
+    shape = wheel_works(TIME_FACTOR)
+    with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
+        fleet = Fleet.from_config(shape, Path(directory), variant)
+        if scenario.lying_load and variant.source is None:
+            slots = fleet.service_shape(DEEP_SERVICE).slots
+            fleet.backend_settings[DEEP_SERVICE] = {
+                "announced_slots": slots * LYING_SLOTS_FACTOR,
+                "load_report_factor": 0,
+            }
+        phases = _phases(scenario, shape)
+        try:
+            fleet.start()
+            results = _play(scenario, fleet, phases)
+        finally:
+            fleet.stop()
+        return _report(scenario, variant, fleet, phases, results)
+
+
+def _phases(scenario: Scenario, shape: FleetShape) -> list[Phase]:
+    capacity = capacity_per_second(shape, MIX)
+    normal = capacity * NORMAL_LOAD_FACTOR
+    return [
+        Phase("before", BEFORE_SECONDS, normal),
+        Phase("during", DURING_SECONDS, capacity * scenario.load_factor, scenario.resends),
+        Phase("after", AFTER_SECONDS, normal),
+    ]
+
+
+def play_share(
+    entries: list[str], phases: list[Phase], seed: int, start_at: float
+) -> list[RequestResult]:
+    """Plays one process's share of the load; runs in a process of its own."""
+    return run(LoadGenerator(MIX, entries, DEADLINE_MS, seed).play(phases, start_at))
+
+
+def _play(scenario: Scenario, fleet: Fleet, phases: list[Phase]) -> list[RequestResult]:
+    entries = [place.call_address for place in fleet.places]
+    shares = []
+    for phase in phases:
+        rate = phase.requests_per_second / LOAD_PROCESSES
+        shares.append(phase._replace(requests_per_second=rate))
+    results: list[RequestResult] = []
+    with ProcessPoolExecutor(LOAD_PROCESSES, mp_context=get_context("spawn")) as pool:
+        start_at = perf_counter() + LEAD_SECONDS
+        pending = []
+        for index in range(LOAD_PROCESSES):
+            # Staggered, so that the processes do not send in step.
+            offset = index / phases[0].requests_per_second
+            pending.append(
+                pool.submit(play_share, entries, shares, SEED + index, start_at + offset)
+            )
+        _sleep_until(start_at + BEFORE_SECONDS)
+        _begin(scenario, fleet)
+        _sleep_until(start_at + BEFORE_SECONDS + DURING_SECONDS)
+        _end(scenario, fleet)
+        for share in pending:
+            results.extend(share.result())
+    return results
+
+
+def _sleep_until(moment: float) -> None:
+    sleep(max(0.0, moment - perf_counter()))
+
+
+def _begin(scenario: Scenario, fleet: Fleet) -> None:
+    if scenario.slow_factor != 1.0:
+        for place in fleet.places_of(DEEP_SERVICE):
+            fleet.slow_backend(place, scenario.slow_factor)
+    if scenario.lose_domain:
+        for place in fleet.places:
+            if place.failure_domain == LOST_DOMAIN:
+                fleet.kill(place.node_process)
+                fleet.kill(place.backend_process)
+    if scenario.cold_start:
+        fleet.backend_settings[DEEP_SERVICE] = {"cold_start_ms": COLD_START_MS}
+        for place in fleet.places_of(DEEP_SERVICE):
+            fleet.kill(place.node_process)
+            fleet.kill(place.backend_process)
+        for place in fleet.places_of(DEEP_SERVICE):
+            fleet.start_node(place)
+            fleet.start_backend(place)
+
+
+def _end(scenario: Scenario, fleet: Fleet) -> None:
+    if scenario.slow_factor != 1.0:
+        for place in fleet.places_of(DEEP_SERVICE):
+            fleet.slow_backend(place, 1.0)
+
+
+def _capacity_during(scenario: Scenario, shape: FleetShape) -> float:
+    slow = {DEEP_SERVICE: scenario.slow_factor}
+    return capacity_per_second(shape, MIX, slow, 1 if scenario.lose_domain else 0)
+
+
+def _report(
+    scenario: Scenario,
+    variant: FleetVariant,
+    fleet: Fleet,
+    phases: list[Phase],
+    results: list[RequestResult],
+) -> TrialReport:
+    before, during, after = phases
+    reasons: Counter[str] = Counter()
+    lost = 0
+    for result in results:
+        if result.answer.reason:
+            reasons[f"{result.answer.outcome}: {result.answer.reason}"] += 1
+        if result.kind.priority == "critical" and not is_good(result):
+            lost += 1
+    # A lost domain stays lost, so its recovery counts from the loss.
+    trigger_end = before.seconds + (0.0 if scenario.lose_domain else during.seconds)
+    wasted_during, wasted_total = _wasted(results, fleet.run_log, during.name)
+    logged = 0
+    for log in fleet.directory.glob("node-*.log"):
+        logged += log.read_text(encoding="utf-8", errors="replace").count("invariant_violated")
+    return TrialReport(
+        variant=variant.name,
+        capacity=capacity_per_second(fleet.shape, MIX),
+        capacity_during=_capacity_during(scenario, fleet.shape),
+        offered_before=before.requests_per_second,
+        offered_during=during.requests_per_second,
+        goodput_before=_finished_per_second(results, 0.0, before.seconds),
+        goodput_during=_finished_per_second(results, before.seconds, during.seconds),
+        goodput_after=_finished_per_second(results, before.seconds + during.seconds, after.seconds),
+        recovery=recovery_seconds(results, before.name, trigger_end),
+        wasted_during=wasted_during,
+        wasted_total=wasted_total,
+        critical_lost=lost,
+        check=check_runs(results, fleet.run_log),
+        rows=outcome_rows(results),
+        reasons=dict(reasons.most_common()),
+        violations_logged=logged,
+    )
+
+
+def _finished_per_second(results: list[RequestResult], start: float, seconds: float) -> float:
+    """Returns the requests per second that finished whole within a stretch of time."""
+    finished = 0
+    for result in results:
+        if is_good(result) and start <= result.started + result.seconds < start + seconds:
+            finished += 1
+    return finished / seconds
+
+
+def _wasted(results: list[RequestResult], run_log: Path, phase: str) -> tuple[float, float]:
+    """Returns the share of runs for requests that did not finish whole, in a phase and in all."""
+    good = {result.request_id: is_good(result) for result in results}
+    phases = {result.request_id: result.phase for result in results}
+    runs: Counter[tuple[bool, bool]] = Counter()
+    for line in run_log.read_text(encoding="utf-8").splitlines():
+        request_id = loads(line)["request_id"]
+        if request_id in good:
+            runs[(phases[request_id] == phase, good[request_id])] += 1
+    of_phase = runs[(True, True)] + runs[(True, False)]
+    lost = runs[(True, False)] + runs[(False, False)]
+    return runs[(True, False)] / max(1, of_phase), lost / max(1, runs.total())
+
+
+def recovery_seconds(
+    results: list[RequestResult], normal_phase: str, trigger_end: float
+) -> float | None:
+    """Returns the time after the trigger's end until 99% of the normal share is good again.
+
+    The share is taken over the requests that start in the second from that moment on, and has
+    to hold over all later ones too. None if it is never reached.
+    """
+    normal = [is_good(result) for result in results if result.phase == normal_phase]
+    needed = RECOVERED_SHARE * sum(normal) / max(1, len(normal))
+    later = sorted((r.started - trigger_end, is_good(r)) for r in results)
+    last = later[-1][0]
+    moment = 0.0
+    while moment + RECOVERY_SPAN_SECONDS <= last:
+        rest = [good for start, good in later if start >= moment]
+        span = [good for start, good in later if 0 <= start - moment < RECOVERY_SPAN_SECONDS]
+        if span and sum(span) >= needed * len(span) and sum(rest) >= needed * len(rest):
+            return moment
+        moment += RECOVERY_STEP_SECONDS
+    return None
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -62,6 +62,8 @@
             ring=self.ring,
             random=Random(),
         )
+        self.router.decisions_off = settings.decisions_off
+        self.admission.decisions_off = settings.decisions_off
         self.member = Member(
             name=settings.name,
             service=settings.service,
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -24,6 +24,8 @@
 
 BACKOFF_BASE_SECONDS = 0.005
 BACKOFF_MAXIMUM_SECONDS = 0.25
+# Retries of each layer in the measurement baseline without decisions.
+BASELINE_RETRIES = 3
 
 
 class Router:
@@ -44,6 +46,7 @@
         self.clock = clock
         self.ring = ring
         self.random = random
+        self.decisions_off = False
         self.transport = Transport()
         self.levels = ReportedLevels()
         self.outstanding: Counter[str] = Counter()
@@ -70,7 +73,7 @@
         while True:
             if context.deadline.has_passed():
                 return refused(Reason.DEADLINE)
-            if self.levels.refuses(destination, context.rank):
+            if not self.decisions_off and self.levels.refuses(destination, context.rank):
                 return refused(Reason.EARLY_REFUSAL)
             if not grant.idempotent and not own_key:
                 key = await self.keys.take(context, tried)
@@ -84,6 +87,14 @@
             may_retry = answer.outcome is Outcome.REFUSED and not own_key
             if grant.idempotent and answer.outcome is Outcome.UNKNOWN:
                 may_retry = True
+            if self.decisions_off and grant.idempotent:
+                may_retry = True
+            if self.decisions_off:
+                if attempt == BASELINE_RETRIES or answer.outcome is Outcome.DONE or not may_retry:
+                    return answer
+                attempt += 1
+                context = context._replace(call_id=new_call_id())
+                continue
             if not (may_retry and answer.retry_useful):
                 return answer
             if not (context.budget.retries and ratio.allow_retry() and context.budget.spend()):
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -76,12 +76,13 @@
             f"{settings.service}/{settings.name}",
             settings.node_peer_address,
         )
+        self.client.router.decisions_off = settings.decisions_off
         self.announcement = AnnounceRequest(
             service=settings.service,
             name=settings.name,
             address=settings.address,
             port=settings.port,
-            slots=self.slots,
+            slots=int(number_or_default(settings, "announced_slots")) or self.slots,
         )
 
     async def serve(self, request: BaseRequest) -> Response:
