Bound the queue by waiting time, keep started work, damp the level

Cause: the level swung between 340 and 430 at the slow service while its queue went from 0 to 4, so work already run above was refused below (7.1% wasted); and queues bounded by slots held requests for 0.5 s at each layer when it slowed.

Ruled out: demand estimate and capacity of the slow service were right (45/s measured, 50/s by shape). A limit of 3 was once kept for 2 slots on a sample of 8.

--- a/src/coltsfoottrack/_internal/admission/controller.py
+++ b/src/coltsfoottrack/_internal/admission/controller.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable
 from time import monotonic
 
-from coltsfoottrack._internal.admission.demand import PRIORITIES, DemandEstimate, lowest_rank
+from coltsfoottrack._internal.admission.demand import (
+    PRIORITIES,
+    RANKS_PER_PRIORITY,
+    DemandEstimate,
+    lowest_rank,
+)
 from coltsfoottrack._internal.admission.exceptions import NotAdmittedError
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
 from coltsfoottrack._internal.admission.queue import PriorityQueue, Waiter
@@ -18,11 +23,17 @@
 WINDOW_SECONDS = 0.1
 # Time in which the level corrects a queue that is too long or too short, and the least number of
 # service times for it; shorter times made the level swing with every single arrival.
-CORRECTION_SECONDS = 0.3
+CORRECTION_SECONDS = 0.6
 CORRECTION_SERVICE_TIMES = 4.0
-MINIMUM_QUEUE = 4
-QUEUE_PER_SLOT = 2.0
-TARGET_QUEUE_PER_SLOT = 0.5
+MINIMUM_QUEUE = 2
+QUEUE_PER_SLOT = 3.0
+TARGET_QUEUE_PER_SLOT = 1.0
+# Bounds the wait at one hop. Queues bounded by slots alone grew to 0.5 s at each layer when the
+# backend server slowed to a quarter, and callers with less patience had gone when it ran them.
+MAX_WAIT_SECONDS = 0.15
+# Buckets below the level, within its priority, that calls from deeper hops may be: refusing them
+# wastes what ran above, and the level moves by about this much from window to window.
+STARTED_WORK_RANKS = 32
 # Time kept back for a refusal to travel to the caller before the deadline.
 ANSWER_SECONDS = 0.01
 
@@ -68,7 +79,7 @@
         self.demand.record(context.priority, above_level)
         if self._is_hopeless(context):
             raise NotAdmittedError(Reason.DEADLINE)
-        if not above_level or context.priority < self.refused_priority:
+        if not self.admits(context) or context.priority < self.refused_priority:
             self._note_refusal(context.priority)
             raise NotAdmittedError(Reason.OVERLOAD)
         if self.limiter.has_room() and not self.queue.waiters:
@@ -102,10 +113,25 @@
         self.refused_priority = -1
         self._set_level(self._next_level())
 
+    def admits(self, context: CallContext) -> bool:
+        """Tells whether the level lets a call pass.
+
+        What the level admits at the entry it admits at every deeper hop too.
+        """
+        if not context.depth:
+            return context.rank >= self.level
+        lenient = max(0, self.level - STARTED_WORK_RANKS)
+        class_bottom = lowest_rank(max(0, self.level - 1) // RANKS_PER_PRIORITY)
+        return context.rank >= max(lenient, class_bottom)
+
     def max_queue_length(self) -> int:
         """Returns the number of waiters beyond which the lowest rank is evicted."""
-        by_slots = max(MINIMUM_QUEUE, int(QUEUE_PER_SLOT * self.limiter.effective_limit))
-        return min(by_slots, int(number_or_default(self.policy(), "max_queue_length")))
+        longest = QUEUE_PER_SLOT * self.limiter.effective_limit
+        capacity = self.limiter.capacity_per_second()
+        if capacity is not None:
+            longest = min(longest, capacity * MAX_WAIT_SECONDS)
+        configured = int(number_or_default(self.policy(), "max_queue_length"))
+        return min(configured, max(MINIMUM_QUEUE, int(longest)))
 
     def _next_level(self) -> int:
         capacity = self.limiter.capacity_per_second()
@@ -114,7 +140,8 @@
         policy = self.policy()
         slots = self.limiter.effective_limit
         target_delay = milliseconds_to_seconds(policy, "queue_delay_target_ms")
-        target = max(1.0, TARGET_QUEUE_PER_SLOT * slots, target_delay * capacity)
+        target = min(TARGET_QUEUE_PER_SLOT * slots, self.max_queue_length() / 2.0)
+        target = max(1.0, target, target_delay * capacity)
         if not self.level and len(self.queue) <= target:
             return 0
         service_seconds = slots / capacity
--- a/src/coltsfoottrack/_internal/admission/demand.py
+++ b/src/coltsfoottrack/_internal/admission/demand.py
@@ -8,7 +8,7 @@
 # Ranks are even at the entry and odd deeper down. Levels are always even, so that one request
 # is on the same side of a level at every layer.
 RANKS_PER_PRIORITY = RANK_BUCKETS * 2
-SMOOTHING_SECONDS = 0.4
+SMOOTHING_SECONDS = 0.6
 # Callers refuse early what lies below the level, so the demand of a class that is almost wholly
 # refused is remembered for some time instead of measured.
 HIDDEN_SHARE = 1.0 / 16.0
--- a/src/coltsfoottrack/_internal/admission/limiter.py
+++ b/src/coltsfoottrack/_internal/admission/limiter.py
@@ -7,8 +7,8 @@
 MINIMUM_LIMIT = 1.0
 SHED_FACTOR = 0.9
 SHED_INTERVAL_SECONDS = 0.25
-# Fewer completions than this give a throughput that is mostly noise.
-MINIMUM_SAMPLE = 8
+# With 8 completions a limit of 3 was kept for a backend server with 2 slots.
+MINIMUM_SAMPLE = 20
 STEP_SHARE = 0.1
 # A step is kept if throughput follows at least half of the change in the limit.
 FOLLOWED_SHARE = 0.5
