--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -93,6 +93,8 @@
         self.variant = FleetVariant() if variant is None else variant
         # Settings of the backend servers of a service beyond those of the shape.
         self.backend_settings: dict[str, dict[str, int | float]] = {}
+        # Ports of links in front of the nodes' call ports, by service and node name.
+        self.advertised_ports: dict[str, dict[str, int]] = {}
         self.processes: dict[str, Popen] = {}
         self.arguments: dict[str, list[str]] = {}
         self.places: list[NodePlace] = []
@@ -179,6 +181,8 @@
         }
         if self.variant.decisions_off:
             settings["decisions_off"] = True
+        if place.name in self.advertised_ports.get(place.service, {}):
+            settings["advertised_call_port"] = self.advertised_ports[place.service][place.name]
         self._spawn(place.node_process, ["node"], settings)
 
     def start_backend(self, place: NodePlace) -> None:
@@ -266,6 +270,13 @@
         """Starts a process that has ended again with the same settings."""
         self._start(name)
 
+    def kill_all(self) -> None:
+        """Ends all processes at once; for measurements that are over."""
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
     def stop(self) -> list[str]:
         """Stops all processes; returns those that had to be killed."""
         killed = []
--- a/src/coltsfoottrack/_internal/experiment/trial.py
+++ b/src/coltsfoottrack/_internal/experiment/trial.py
@@ -87,7 +87,7 @@
             fleet.start()
             results = _play(scenario, fleet, phases)
         finally:
-            fleet.stop()
+            fleet.kill_all()
         return _report(scenario, variant, fleet, phases, results)
 
 
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -1,5 +1,6 @@
 """Calls that the backend server beside this node is to run."""
 
+from collections.abc import Callable
 from time import monotonic
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
@@ -37,9 +38,12 @@
         # Levels below this node, as answers of the backend server reported them by operation.
         self.path_levels = ReportedLevels(ASK_BELOW_SECONDS)
         self.seen_starts = 0
+        self.refuses_new_work: Callable[[], bool] = lambda: False
 
     async def run(self, context: CallContext, body: bytes) -> Answer:
         """Returns the answer to a call, run at most once."""
+        if self.refuses_new_work():
+            return refused(Reason.LEAVING, retry_useful=True)
         if not self.backend.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         self._follow_backend()
@@ -48,17 +52,19 @@
             return self._refuse(context, Reason.EARLY_REFUSAL)
         answer = refused(Reason.BACKEND_SHED, retry_useful=True)
         for _ in range(1 if decisions_off else MAX_SENDINGS):
+            arrived = monotonic()
             try:
                 waited = await self.admission.admit(context)
             except NotAdmittedError as error:
-                return self._refuse(context, error.reason)
+                answer = self._refuse(context, error.reason)
+                return answer._replace(queued_ms=(monotonic() - arrived) * 1000.0)
             self.metrics.queue_delay.observe({}, waited)
-            answer = await self._run_admitted(context, body)
+            answer = await self._run_admitted(context, body, waited)
             if answer.reason is not Reason.BACKEND_SHED:
                 break
         return self._with_level(answer)
 
-    async def _run_admitted(self, context: CallContext, body: bytes) -> Answer:
+    async def _run_admitted(self, context: CallContext, body: bytes, waited: float) -> Answer:
         started = monotonic()
         shed = False
         service_seconds: float | None = None
@@ -75,14 +81,7 @@
             self.path_levels.record(context.operation, "backend", answer.path_level)
         seconds = monotonic() - started
         self.metrics.service_time.observe({}, seconds)
-        if answer.outcome is not Outcome.DONE:
-            self.ring.add_call(
-                answer.outcome.value,
-                context,
-                reason=answer.reason.value,
-                duration_ms=seconds * 1000.0,
-            )
-        return answer
+        return answer._replace(queued_ms=waited * 1000.0, running_ms=seconds * 1000.0)
 
     def _follow_backend(self) -> None:
         """Starts the limit over when the backend server has started anew."""
@@ -92,7 +91,6 @@
         self.admission.limiter.begin_cold(self.backend.slots)
 
     def _refuse(self, context: CallContext, reason: Reason) -> Answer:
-        self.ring.add_call("refused", context, reason=reason.value)
         answer = refused(reason, retry_useful=reason in RETRYABLE_REASONS)
         answer = answer._replace(
             retry_after_ms=RETRY_AFTER_MS,
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -1,29 +1,37 @@
 """The parts of one node, put together from its settings."""
 
-from asyncio import Event
 from random import Random
+from time import time
 from typing import Self
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
+from coltsfoottrack._internal.admission.suspects import SuspectTable
+from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.configuration.distribution import ConfigurationDistribution
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.configuration.peers import GrpcConfigurationPeers
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.ledger.ledger import Ledger
+from coltsfoottrack._internal.membership.cluster import ClusterMembership
+from coltsfoottrack._internal.membership.local import LocalMember, new_member
+from coltsfoottrack._internal.membership.messages import DatagramCodec
+from coltsfoottrack._internal.membership.registration import Registration
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.node.backend_link import BackendLink
+from coltsfoottrack._internal.node.drain import Drain
 from coltsfoottrack._internal.node.local_calls import LocalCalls
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
+from coltsfoottrack._internal.observability.refusals import RefusalRuns
 from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
-    MEMBER_STATUS_ALIVE,
-    Envelope,
-    Member,
-    NodeSettings,
-)
+from coltsfoottrack._internal.routing.transport import Transport
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Envelope, NodeSettings
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
 
 class NodeState:
@@ -31,26 +39,42 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
+        advertised_call_port = settings.advertised_call_port or settings.call_port
         self.name = f"{settings.service}/{settings.name}"
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
         self.metrics = NodeMetrics()
+        self.refusals = RefusalRuns()
+        self.started_ms = int(time() * 1000)
         self.checker = InvariantChecker()
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
         self.platform = PlatformClient.from_config(settings.platform_addresses)
-        self.backend = BackendLink(settings.cluster, self.clock)
+        self.suspects = SuspectTable(
+            lambda: number_or_default(
+                self.configuration.policies.policy(settings.service), "quarantine_ms"
+            )
+        )
+        self.backend = BackendLink(
+            settings.cluster, self.clock, self.suspects, lambda: Transport(self.checker)
+        )
+        self.backend.on_down = self.publish_member
+        self.channels = PeerChannels()
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
             self.checker,
             lambda: self.configuration.policies.policy(settings.service),
         )
+        self.drain = Drain(self._grace_seconds, self.checker)
         self.local_calls = LocalCalls(self.admission, self.backend, self.ring, self.metrics)
+        self.local_calls.refuses_new_work = self.drain.refuses_new_work
+        self.backend.refuses_new_work = self.drain.refuses_new_work
+        self.backend.check_dispatch = self.drain.check_dispatch
         self.ledger = Ledger(
             service=settings.service,
             home=self.name,
-            home_call_address=f"{settings.address}:{settings.call_port}",
+            home_call_address=f"{settings.address}:{advertised_call_port}",
             home_peer_address=f"{settings.address}:{settings.peer_port}",
             checker=self.checker,
         )
@@ -61,22 +85,39 @@
             clock=self.clock,
             ring=self.ring,
             random=Random(),
+            checker=self.checker,
         )
         self.router.decisions_off = settings.decisions_off
         self.admission.decisions_off = settings.decisions_off
-        self.member = Member(
-            name=settings.name,
-            service=settings.service,
-            failure_domain=settings.failure_domain,
-            region=settings.region,
-            address=settings.address,
-            call_port=settings.call_port,
-            peer_port=settings.peer_port,
-            incarnation=self.ledger.incarnation,
-            revision=1,
-            status=MEMBER_STATUS_ALIVE,
+        self.requests = RequestMemory()
+        self.local = LocalMember(new_member(settings, self.ledger.incarnation))
+        self.member = self.local.member
+        self.cluster = ClusterMembership(
+            local=self.local,
+            table=self.members,
+            codec=DatagramCodec(
+                settings.cluster,
+                self.name,
+                self.clock,
+                lambda: (self.configuration.generation, self.configuration.record.change_id),
+            ),
+            registration=Registration(self.platform, self.local, Random()),
+            channels=self.channels,
+            envelope=self.envelope,
+            seed_nodes=list(settings.seed_nodes),
+            random=Random(),
         )
-        self.member_changed = Event()
+        self.distribution = ConfigurationDistribution(
+            holder=self.configuration,
+            objects=self.platform,
+            peers=GrpcConfigurationPeers(self.channels, self.envelope),
+            table=self.members,
+            own=self.member,
+            random=Random(),
+            notify=self.cluster.detector.spread_now,
+        )
+        self.cluster.detector.on_generation = self.distribution.hear
+        self.ready = False
 
     @classmethod
     def from_config(cls, settings: NodeSettings) -> Self:
@@ -94,14 +135,33 @@
 
     def publish_member(self) -> None:
         """Makes a change of this node's own state known."""
-        if self.member.backend_ready == self.backend.is_ready:
-            return
-        self.member.backend_ready = self.backend.is_ready
-        self.member.revision += 1
-        self.members.merge(self.member)
-        self.member_changed.set()
+        self.drain.set_backend_leaving(self.backend.leaving)
+        if self.local.set_ready(self.ready and self.backend.is_ready):
+            self.cluster.publish()
+
+    def _grace_seconds(self) -> float:
+        policy = self.configuration.policies.policy(self.settings.service)
+        return milliseconds_to_seconds(policy, "drain_grace_ms")
+
+    def start_drain(self) -> None:
+        """Makes the node leave: it takes no new work, and calls in flight go on to their end."""
+        self.drain.start()
+        self.cluster.leave()
+
+    def not_ready_reason(self) -> str:
+        """Says why this node should get no calls yet; empty if it is ready."""
+        if self.drain.is_leaving:
+            return "the node is draining"
+        if not self.ready:
+            return "the node has not yet taken its configuration from the platform or a peer"
+        if not self.backend.address:
+            return "no backend server has announced itself"
+        if self.backend.leaving:
+            return "the backend server is leaving"
+        return ""
 
     async def close(self) -> None:
         """Closes all outgoing connections."""
         await self.router.close()
         await self.backend.close()
+        self.channels.close()
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -1,7 +1,7 @@
 """Choice of a node for a call, sending, and retries within the budget."""
 
 from asyncio import sleep
-from collections import Counter, defaultdict
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from time import monotonic
@@ -12,11 +12,12 @@
     InvalidKeyError,
 )
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable, call_address
+from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.routing.exchange import Exchange
 from coltsfoottrack._internal.routing.illness import IllAddresses
 from coltsfoottrack._internal.routing.keys import KeyPool
@@ -31,7 +32,6 @@
 
 BACKOFF_BASE_SECONDS = 0.005
 BACKOFF_MAXIMUM_SECONDS = 0.25
-LATENCY_WEIGHT = 0.1
 # Reasons that say more of the node than of the call.
 ILL_REASONS = (Reason.NO_NODE, Reason.HOME_GONE, Reason.BACKEND_DOWN, Reason.LEAVING)
 PRESENT_STATUSES = (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT)
@@ -39,6 +39,14 @@
 BASELINE_RETRIES = 3
 
 
+class CallHistory:
+    """What one call has led to so far."""
+
+    def __init__(self) -> None:
+        self.attempts = 0
+        self.may_have_run = False
+
+
 class Router:
     """Sends calls to nodes of other services; shared by nodes and the embedded client."""
 
@@ -50,6 +58,7 @@
         clock: HybridClock,
         ring: EventRing,
         random: Random,
+        checker: InvariantChecker,
     ) -> None:
         self.cluster = cluster
         self.members = members
@@ -58,10 +67,10 @@
         self.ring = ring
         self.random = random
         self.decisions_off = False
-        self.transport = Transport()
+        self.checker = checker
+        self.transport = Transport(checker)
         self.levels = ReportedLevels()
         self.ill = IllAddresses()
-        self.seconds_by_destination: defaultdict[str, float] = defaultdict(float)
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
         self.exchange = Exchange(cluster, clock, self.transport)
@@ -72,17 +81,26 @@
 
         A caller's own idempotency key is sent to its home and never replaced by another key.
         """
-        answer = await self._attempts(context, body)
+        given = context.budget.retries
+        history = CallHistory()
+        answer = await self._attempts(context, body, history)
+        self.checker.check(
+            self.decisions_off or history.attempts + context.budget.retries <= 1 + given,
+            Invariant.BOUNDED_RETRIES,
+            f"{context.request_id}: {history.attempts} attempts with {given} retries",
+        )
+        if answer.outcome is Outcome.REFUSED and history.may_have_run:
+            # The last attempt was not run, but an earlier one may have been.
+            answer = unknown(answer.reason)
         return answer._replace(attempts_left=context.budget.retries)
 
-    async def _attempts(self, context: CallContext, body: bytes) -> Answer:
+    async def _attempts(self, context: CallContext, body: bytes, history: CallHistory) -> Answer:
         destination = f"{context.service}/{context.operation}"
         grant = self.policies().grant(context.service, context.operation)
         own_key = bool(context.idempotency_key)
         ratio = self._ratio(context.service, destination)
         ratio.record_first_attempt()
         tried: set[str] = set()
-        attempt = 0
         while True:
             if context.deadline.has_passed():
                 return refused(Reason.DEADLINE)
@@ -93,64 +111,73 @@
                 if not key:
                     return refused(Reason.NO_NODE, retry_useful=True)
                 context = context._replace(idempotency_key=key)
-            answer = await self._one_attempt(context, body, tried)
+            started = monotonic()
+            answer = await self._one_attempt(context, body, tried, history)
+            if answer.outcome is Outcome.DONE:
+                ratio.times.record(monotonic() - started)
             if not own_key and not grant.idempotent and not answer.copy_dispatched:
                 # This router sent the only copy, and it went nowhere.
                 answer = refused(answer.reason, retry_useful=True)
             answer = self._with_level(answer, destination)
-            may_run_again = answer.outcome is Outcome.REFUSED and not own_key
-            if grant.idempotent and answer.outcome is Outcome.UNKNOWN:
-                may_run_again = True
+            may_retry = answer.outcome is Outcome.REFUSED and not own_key
+            if answer.outcome is Outcome.UNKNOWN:
+                history.may_have_run = True
+                context.budget.repeated = True
+                may_retry = grant.idempotent
             if self.decisions_off:
-                if grant.idempotent and answer.outcome is not Outcome.DONE:
-                    may_run_again = True
-                if not may_run_again or attempt == BASELINE_RETRIES:
+                unfinished = grant.idempotent and answer.outcome is not Outcome.DONE
+                if not (may_retry or unfinished) or history.attempts > BASELINE_RETRIES:
                     return answer
-            elif not may_run_again or not self._retry_is_useful(context, answer, destination):
+                context = context._replace(call_id=new_call_id())
+                continue
+            if not (may_retry and answer.retry_useful):
                 return answer
-            elif not (context.budget.retries and ratio.allow_retry() and context.budget.spend()):
+            if self.levels.level(destination) > context.rank:
+                # The nodes of the service judge alike, so another one would refuse it too.
+                return answer._replace(retry_useful=False)
+            if context.deadline.remaining_seconds() < ratio.times.median():
+                # A retry would probably not finish in time and be wasted work.
+                return answer._replace(retry_useful=False)
+            if not (context.budget.retries and ratio.allow_retry() and context.budget.spend()):
+                self.ring.add_call("retry_refused", context, reason=answer.reason.value)
                 return answer._replace(retry_useful=False)
-            else:
-                self.ring.add_call("retry", context, reason=answer.reason.value)
-                await sleep(self._backoff(attempt))
-            attempt += 1
-            context = context._replace(
-                call_id=new_call_id(), suspected_crashes=answer.suspected_crashes
-            )
-
-    def _retry_is_useful(self, context: CallContext, answer: Answer, destination: str) -> bool:
-        """Tells whether another node may take the call, and in the time that is left."""
-        if not answer.retry_useful:
-            return False
-        if self.levels.level(destination) > context.rank:
-            return False
-        return context.deadline.remaining_seconds() > self.seconds_by_destination[destination]
+            self.ring.add_call("retry", context, reason=answer.reason.value)
+            await sleep(self._backoff(history.attempts))
+            # A refusal by a node that knows less must not lose what an earlier one reported.
+            crashes = max(context.suspected_crashes, answer.suspected_crashes)
+            context = context._replace(call_id=new_call_id(), suspected_crashes=crashes)
 
     def _with_level(self, answer: Answer, destination: str) -> Answer:
         """Puts the level of all nodes of the destination in place of that of one node."""
         return answer._replace(admission_level=0, path_level=self.levels.level(destination))
 
-    async def _one_attempt(self, context: CallContext, body: bytes, tried: set[str]) -> Answer:
+    async def _one_attempt(
+        self, context: CallContext, body: bytes, tried: set[str], history: CallHistory
+    ) -> Answer:
         destination = f"{context.service}/{context.operation}"
         address = self._address(context, tried)
         if address is None:
             return refused(Reason.NO_NODE, retry_useful=True)
         tried.add(address)
         self.outstanding[address] += 1
-        started = monotonic()
+        share = context.budget.lend()
+        history.attempts += 1
         try:
-            answer = await self.exchange.send(context, address, body)
+            answer = await self.exchange.send(context._replace(budget=share), address, body)
         finally:
             self.outstanding[address] -= 1
         self.ill.record(address, answer.reason in ILL_REASONS)
-        if answer.outcome is Outcome.DONE:
-            mean = self.seconds_by_destination[destination]
-            seconds = monotonic() - started
-            self.seconds_by_destination[destination] += LATENCY_WEIGHT * (seconds - mean)
         if answer.served_by:
             level = max(answer.admission_level, answer.path_level)
             self.levels.record(destination, address, level)
-            context.budget.retries = min(context.budget.retries, answer.attempts_left)
+        if answer.node_leaving:
+            self.members.note_leaving(address)
+        returned = self.checker.check(
+            answer.attempts_left <= share.retries,
+            Invariant.BOUNDED_RETRIES,
+            f"{address} returned {answer.attempts_left} of {share.retries} retries",
+        )
+        context.budget.restore(answer.attempts_left if returned else 0)
         return answer
 
     def _address(self, context: CallContext, tried: set[str]) -> str | None:
