Test limiter, demand and levels; notice a silent server below its limit

Cause: capacity stayed at the last service times if a server went silent with one slot free; found by the new test, which passes with this change.

--- a/src/coltsfoottrack/_internal/admission/limiter.py
+++ b/src/coltsfoottrack/_internal/admission/limiter.py
@@ -118,9 +118,9 @@
             return None
         limit = self.effective_limit
         seconds = self.service_seconds
-        if self.in_flight >= limit:
+        if self.in_flight:
             silent = self.clock() - self.last_finish
-            seconds = max(seconds, silent * limit / LATE_INTERVALS)
+            seconds = max(seconds, silent * self.in_flight / LATE_INTERVALS)
         return limit / max(seconds, 1e-6)
 
     def _step_down(self, now: float) -> None:
--- /dev/null
+++ b/tests/unit/test_overload_parts.py
@@ -0,0 +1,132 @@
+"""Guards the measured parts of overload control: limit, demand, levels and choice of node."""
+
+from random import Random
+from unittest import TestCase
+
+from coltsfoottrack._internal.admission.demand import DemandEstimate, lowest_rank
+from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
+from coltsfoottrack._internal.routing.illness import AVOIDED_SECONDS, IllAddresses
+from coltsfoottrack._internal.routing.levels import ReportedLevels
+
+
+class Clock:
+    """A clock that a test advances."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+class SimulatedServer:
+    """A backend server with slots, always offered more than the limiter lets through."""
+
+    def __init__(self, limiter: ConcurrencyLimiter, clock: Clock, slots: int, queue: int) -> None:
+        self.limiter = limiter
+        self.clock = clock
+        self.slots = slots
+        self.present_limit = slots + queue
+        self.service_seconds = 0.04
+        self.random = Random(7)
+        self.present: list[float] = []
+        self.ends: list[float] = []
+        self.done = 0
+
+    def run(self, seconds: float) -> None:
+        until = self.clock.now + seconds
+        while self.clock.now < until:
+            self.clock.now += 0.001
+            while self.limiter.has_room():
+                self.limiter.start()
+                if len(self.present) + len(self.ends) >= self.present_limit:
+                    self.limiter.finish(True)
+                    break
+                self.present.append(self.clock.now)
+            for end in [end for end in self.ends if end <= self.clock.now]:
+                self.ends.remove(end)
+                self.done += 1
+                self.limiter.finish(False, self.service_seconds)
+            while self.present and len(self.ends) < self.slots:
+                self.present.pop(0)
+                spread = self.random.uniform(0.7, 1.3)
+                self.ends.append(self.clock.now + self.service_seconds * spread)
+
+
+class LimiterTest(TestCase):
+    """Fails if a false announcement or a slow server leaves the limit far from the real slots."""
+
+    def start(self, announced: int, slots: int) -> tuple[ConcurrencyLimiter, SimulatedServer]:
+        clock = Clock()
+        limiter = ConcurrencyLimiter(clock=clock)
+        limiter.begin_cold(announced)
+        return limiter, SimulatedServer(limiter, clock, slots, 4)
+
+    def test_too_many_announced_slots_end_within_what_the_server_holds(self) -> None:
+        limiter, server = self.start(announced=80, slots=8)
+        server.run(10.0)
+        self.assertLessEqual(limiter.effective_limit, 12)
+        self.assertGreaterEqual(server.done, 0.9 * 10.0 * 8 / 0.04)
+
+    def test_too_few_announced_slots_do_not_leave_the_server_idle(self) -> None:
+        limiter, server = self.start(announced=2, slots=8)
+        server.run(20.0)
+        self.assertGreaterEqual(limiter.effective_limit, 7)
+
+    def test_capacity_follows_a_server_that_stops_finishing(self) -> None:
+        limiter, server = self.start(announced=8, slots=8)
+        server.run(2.0)
+        before = limiter.capacity_per_second()
+        server.clock.now += 5.0
+        self.assertLess(limiter.capacity_per_second(), before / 10)
+
+
+class DemandTest(TestCase):
+    """Fails if demand that callers hold back is forgotten, which opens the level too far."""
+
+    def test_arrivals_above_the_level_tell_the_whole_demand(self) -> None:
+        demand = DemandEstimate()
+        for _ in range(100):
+            for _ in range(5):
+                demand.record(0, True)
+            # Half of the buckets are refused by callers and never arrive.
+            demand.close_window(0.1, 128)
+        self.assertAlmostEqual(demand.rates[0], 100.0, delta=1.0)
+
+    def test_level_keeps_priorities_apart(self) -> None:
+        demand = DemandEstimate()
+        demand.rates = [100.0, 50.0, 30.0]
+        self.assertEqual(demand.level_for(200.0, 0.01), 0)
+        self.assertTrue(lowest_rank(0) < demand.level_for(100.0, 0.01) < lowest_rank(1))
+        self.assertTrue(lowest_rank(1) < demand.level_for(50.0, 0.01) < lowest_rank(2))
+        self.assertGreater(demand.level_for(20.0, 0.01), lowest_rank(2))
+
+
+class ReportedLevelsTest(TestCase):
+    """Fails if early refusal sends a burst of calls to ask for the level, or never asks."""
+
+    def test_one_call_at_a_time_asks_again(self) -> None:
+        clock = Clock()
+        levels = ReportedLevels(0.25, clock)
+        levels.record("stores/lookup", "one", 200)
+        levels.record("stores/lookup", "two", 100)
+        self.assertEqual(levels.level("stores/lookup"), 150)
+        self.assertTrue(levels.refuses("stores/lookup", 148))
+        self.assertFalse(levels.refuses("stores/lookup", 150))
+        clock.now = 0.3
+        self.assertFalse(levels.refuses("stores/lookup", 0))
+        self.assertTrue(levels.refuses("stores/lookup", 0))
+        clock.now = 6.0
+        self.assertEqual(levels.level("stores/lookup"), 0)
+
+
+class IllAddressesTest(TestCase):
+    """Fails if a node that is well again stays avoided."""
+
+    def test_avoidance_ends(self) -> None:
+        clock = Clock()
+        ill = IllAddresses(clock)
+        ill.record("a", True)
+        self.assertTrue(ill.is_ill("a"))
+        clock.now = AVOIDED_SECONDS
+        self.assertFalse(ill.is_ill("a"))
