--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -134,10 +134,8 @@
         if answer.outcome is Outcome.DONE:
             if not context.deadline.has_passed():
                 state.metrics.count_good(priority, not context.depth and not context.from_peer)
-        elif answer.outcome is Outcome.REFUSED:
-            state.metrics.refusals.inc({"priority": priority, "reason": reason})
-            if answer.reason not in CALLER_REASONS:
-                state.refusals.count(priority, reason)
+        elif answer.outcome is Outcome.REFUSED and answer.reason not in CALLER_REASONS:
+            state.refusals.count(priority, reason)
         record_answer(state.ring, context, answer, started, self._backend_server(context))
 
     def _backend_server(self, context: CallContext) -> str:
@@ -226,7 +224,7 @@
         if context.service != self.state.settings.service:
             return await self.state.router.call(context, body)
         if idempotent:
-            return await self.state.local_calls.run(context, body)
+            return await self.state.dispatcher.run_copy(context, body)
         return await self._call_under_key(context, body)
 
     def _refuse_unserved(self, service: str) -> Answer:
@@ -242,9 +240,11 @@
             key = IdempotencyKey.parse(context.idempotency_key)
         except InvalidKeyError as error:
             return refused(Reason.KEY_INVALID, text=str(error))
+        if context.dispatch_number and context.from_peer:
+            return await state.dispatcher.run_dispatch(context, body)
         if not state.ledger.is_home(key) and not context.from_peer:
             return await state.router.call(context, body)
-        answer = await state.ledger.run(context, body, state.local_calls.run)
+        answer = await state.ledger.run(context, body, state.dispatcher.run_under_key)
         if answer.retry_useful:
             return answer._replace(next_key=self._new_key())
         return answer
--- a/src/coltsfoottrack/_internal/routing/transport.py
+++ b/src/coltsfoottrack/_internal/routing/transport.py
@@ -1,5 +1,6 @@
 """Sending of one copy of a call to one address."""
 
+import socket
 from asyncio import timeout
 from functools import lru_cache
 from typing import NamedTuple
@@ -9,6 +10,7 @@
     ClientError,
     ClientSession,
     ClientTimeout,
+    ConnectionTimeoutError,
     DummyCookieJar,
     TCPConnector,
 )
@@ -19,16 +21,38 @@
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 from coltsfoottrack._internal.routing.exceptions import (
     ConnectionLostError,
+    ConnectTimeoutError,
     ForeignAnswerError,
     NotSentError,
 )
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 KEEPALIVE_SECONDS = 30.0
+# The kernel probes an idle connection after 1 s and gives a silent one up after 3 s.
+TCP_KEEPALIVE_SECONDS = 1
+TCP_KEEPALIVE_PROBES = 3
+TCP_USER_TIMEOUT_MS = 3000
 MAX_ECHOING = 10_000
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+def open_socket(address_info: tuple) -> socket.socket:
+    """Opens a TCP socket with keepalive and user timeout set.
+
+    The user timeout also ends retransmission after the socket was closed, which bounds the time
+    for which a copy of a call may still arrive.
+    """
+    family, kind, protocol = address_info[:3]
+    opened = socket.socket(family, kind, protocol)
+    opened.setblocking(False)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_SECONDS)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_SECONDS)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+    return opened
+
+
 class HttpReply(NamedTuple):
     """A whole HTTP response."""
 
@@ -77,6 +101,8 @@
                 session.request(method, url, headers=headers, data=body) as response,
             ):
                 reply = HttpReply(response.status, response.headers, await response.read())
+        except ConnectionTimeoutError as error:
+            raise ConnectTimeoutError(f"no connection to {address} in time") from error
         except ClientConnectorError as error:
             raise NotSentError(f"no connection to {address}: {error}") from error
         except (ClientError, TimeoutError, OSError) as error:
@@ -112,7 +138,9 @@
 def _new_session(force_close: bool) -> ClientSession:
     keepalive = {} if force_close else {"keepalive_timeout": KEEPALIVE_SECONDS}
     return ClientSession(
-        connector=TCPConnector(limit=0, force_close=force_close, **keepalive),
+        connector=TCPConnector(
+            limit=0, force_close=force_close, socket_factory=open_socket, **keepalive
+        ),
         cookie_jar=DummyCookieJar(),
         auto_decompress=False,
         skip_auto_headers=AUTOMATIC_HEADERS,
