Leave old reports out of the mean level

Cause: reports kept for 5 s held the mean up after the surge, as single calls refresh one node at a time.

--- a/src/coltsfoottrack/_internal/routing/levels.py
+++ b/src/coltsfoottrack/_internal/routing/levels.py
@@ -7,6 +7,9 @@
 # Time after the last report at which one call is let through to ask again. With every level
 # forgotten after 0.5 s, the calls sent until the next answer ran for nothing: 264 of 3150 requests.
 ASK_AGAIN_SECONDS = 0.25
+# Reports older than the newest by more than this are left out of the mean. With all of 5 s in it,
+# single calls that ask again took longer than 5 s to bring the mean down after a surge.
+AGREEMENT_SECONDS = 0.4
 
 
 class ReportedLevels:
@@ -28,7 +31,7 @@
     def record(self, destination: str, source: str, level: int) -> None:
         """Remembers a level that a node or backend server reported for a destination."""
         now = self.clock()
-        self.levels.setdefault(destination, {})[source] = (level, now + MEMORY_SECONDS)
+        self.levels.setdefault(destination, {})[source] = (level, now)
         self.ask_at[destination] = now + self.ask_again_seconds
 
     def level(self, destination: str) -> int:
@@ -37,14 +40,16 @@
         if not sources:
             return 0
         now = self.clock()
-        fresh = []
-        for source, (level, expires_at) in list(sources.items()):
-            if expires_at <= now:
+        for source, (_, reported_at) in list(sources.items()):
+            if now - reported_at >= MEMORY_SECONDS:
                 del sources[source]
-                continue
-            fresh.append(level)
-        if not fresh:
+        if not sources:
             return 0
+        newest = max(reported_at for _, reported_at in sources.values())
+        fresh = []
+        for level, reported_at in sources.values():
+            if newest - reported_at <= AGREEMENT_SECONDS:
+                fresh.append(level)
         return sum(fresh) // len(fresh) // 2 * 2
 
     def refuses(self, destination: str, rank: int) -> bool:
--- a/tests/unit/test_overload_parts.py
+++ b/tests/unit/test_overload_parts.py
@@ -116,6 +116,11 @@
         clock.now = 0.3
         self.assertFalse(levels.refuses("stores/lookup", 0))
         self.assertTrue(levels.refuses("stores/lookup", 0))
+        # One answer tells of recovery; what the other node reported before it counts no more.
+        clock.now = 0.5
+        levels.record("stores/lookup", "one", 0)
+        self.assertEqual(levels.level("stores/lookup"), 0)
+        levels.record("stores/lookup", "two", 100)
         clock.now = 6.0
         self.assertEqual(levels.level("stores/lookup"), 0)
 
