--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -8,6 +8,7 @@
 from coltsfoottrack._internal.cli.commands.config import ConfigCommands
 from coltsfoottrack._internal.cli.commands.demo import demo
 from coltsfoottrack._internal.cli.commands.drain import drain
+from coltsfoottrack._internal.cli.commands.experiment import experiment
 from coltsfoottrack._internal.cli.commands.explain import explain
 from coltsfoottrack._internal.cli.commands.measure import MeasureCommands
 from coltsfoottrack._internal.cli.commands.node import node
@@ -33,6 +34,7 @@
     "reference": ReferenceCommands,
     "measure": MeasureCommands,
     "demo": demo,
+    "experiment": experiment,
 }
 HELP_FLAGS = ("--help", "-h")
 
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -86,6 +86,8 @@
         self.transport = new_transport()
         self.address = ""
         self.slots = 0
+        # Times that a backend server appeared after there was none.
+        self.starts = 0
         self.leaving = False
         self.alone_seconds = ALONE_SECONDS
         self.crashes = 0
@@ -112,6 +114,8 @@
 
     def announce(self, request: AnnounceRequest) -> None:
         """Takes over what the backend server says of itself."""
+        if not self.address:
+            self.starts += 1
         self.address = f"{request.address}:{request.port}"
         self.slots = request.slots
         self.leaving = request.leaving
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -111,9 +111,11 @@
             random=Random(),
             checker=self.checker,
         )
+        self.router.decisions_off = settings.decisions_off
+        self.admission.decisions_off = settings.decisions_off
         self.dispatcher = Dispatcher(
             self.registry,
-            self.local_calls.run,
+            lambda context, body: self.local_calls.run(context, body),
             self.router.choose,
             self.router.exchange.send,
             self.ledger.home_call_address,
