--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -6,6 +6,7 @@
 import sys
 from os import environ
 from pathlib import Path
+from random import SystemRandom
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import AF_INET, SOCK_STREAM, socket
 from subprocess import Popen, TimeoutExpired
@@ -23,6 +24,8 @@
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ConfigurationRecord
 
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
 STOP_SECONDS = 12.0
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
@@ -69,15 +72,21 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that nothing listens on."""
-    sockets = []
-    for _ in range(count):
-        probe = socket(AF_INET, SOCK_STREAM)
-        probe.bind((LOOPBACK, 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
+    """Returns loopback ports that nothing listens on.
+
+    They lie below the range from which the kernel takes ports for outgoing connections; one
+    from that range was taken between this check and the start of the process.
+    """
+    ports: list[int] = []
+    for port in SystemRandom().sample(range(FIRST_PORT, LAST_PORT + 1), LAST_PORT - FIRST_PORT):
+        if len(ports) == count:
+            break
+        with socket(AF_INET, SOCK_STREAM) as probe:
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
