--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -6,9 +6,9 @@
 import sys
 from os import environ
 from pathlib import Path
-from random import SystemRandom
+from random import sample
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
-from socket import AF_INET, SOCK_STREAM, socket
+from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from subprocess import Popen, TimeoutExpired
 from time import monotonic, sleep, time
 from typing import NamedTuple
@@ -24,8 +24,9 @@
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ConfigurationRecord
 
 LOOPBACK = "127.0.0.1"
-FIRST_PORT = 12_000
-LAST_PORT = 32_000
+LOWEST_PORT = 10_000
+# Start of the range of outgoing connections on Linux.
+LOWEST_EPHEMERAL_PORT = 32_768
 STOP_SECONDS = 12.0
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
@@ -72,21 +73,29 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that nothing listens on.
+    """Returns loopback ports that nothing listens on, for TCP and UDP.
 
-    They lie below the range from which the kernel takes ports for outgoing connections; one
-    from that range was taken between this check and the start of the process.
+    They lie below the range from which outgoing connections get theirs, which could otherwise take
+    one of them before its process has started.
     """
     ports: list[int] = []
-    for port in SystemRandom().sample(range(FIRST_PORT, LAST_PORT + 1), LAST_PORT - FIRST_PORT):
-        if len(ports) == count:
-            break
-        with socket(AF_INET, SOCK_STREAM) as probe:
+    sockets = []
+    candidates = sample(range(LOWEST_PORT, LOWEST_EPHEMERAL_PORT), 20 * count)
+    while len(ports) < count:
+        if not candidates:
+            raise ExperimentError(f"fewer than {count} ports are free")
+        port = candidates.pop()
+        for kind in (SOCK_STREAM, SOCK_DGRAM):
+            probe = socket(AF_INET, kind)
+            sockets.append(probe)
             try:
                 probe.bind((LOOPBACK, port))
             except OSError:
-                continue
-        ports.append(port)
+                break
+        else:
+            ports.append(port)
+    for probe in sockets:
+        probe.close()
     return ports
 
 
