Arm no timers for requests that arrive whole

Cause: three asyncio timers were set and cancelled for each call (header block, body, wait for a suspect), 0.12 ms of 2.7 ms in the profile of 1,500 calls. They are now set only when there is something to wait for; the tests of slow and silent connections pass unchanged.

--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -129,14 +129,19 @@
         try:
             if crashes:
                 return await self._run_on_probation(context, body, digest)
-            async with timeout(context.deadline.remaining_seconds()):
-                # Another suspect may have closed it again before this task went on.
-                while not self.open.is_set():
-                    await self.open.wait()
+            if not self.open.is_set():
+                await self._wait_until_open(context)
         except TimeoutError:
             return refused(Reason.DEADLINE)._replace(suspected_crashes=crashes)
         return await self._dispatch(context, body, RunningCall(digest, crashes))
 
+    async def _wait_until_open(self, context: CallContext) -> None:
+        """Waits while a suspect runs alone. Raises TimeoutError at the deadline."""
+        async with timeout(context.deadline.remaining_seconds()):
+            # Another suspect may have closed it again before this task went on.
+            while not self.open.is_set():
+                await self.open.wait()
+
     async def _run_on_probation(self, context: CallContext, body: bytes, digest: bytes) -> Answer:
         """Runs a suspect while no other suspect runs. Raises TimeoutError at the deadline."""
         async with timeout(context.deadline.remaining_seconds()):
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -154,6 +154,8 @@
             raise HTTPRequestEntityTooLarge(self.bounds.max_body_bytes, length)
 
     async def _read_body(self, request: BaseRequest) -> bytes:
+        if request.content.is_eof():
+            return await request.read()
         async with timeout(self.bounds.body_seconds):
             return await request.read()
 
--- a/src/coltsfoottrack/_internal/node/connections.py
+++ b/src/coltsfoottrack/_internal/node/connections.py
@@ -80,13 +80,13 @@
         if self._manager is None:
             return
         before = self._request_count
-        if self.header_timer is None and self._is_between_requests():
-            self._start_header_timer()
         super().data_received(data)
         if self._request_count != before:
             self._stop_header_timer()
             self.header_bytes = 0
             return
+        if self.header_timer is None and self._is_between_requests():
+            self._start_header_timer()
         if self.header_timer is None:
             return
         self.header_bytes += len(data)
