--- /dev/null
+++ b/src/coltsfoottrack/configuration.py
@@ -0,0 +1,21 @@
+"""The fleet configuration: for operators the store, for processes what is in force."""
+
+from coltsfoottrack._internal.configuration.exceptions import (
+    ConfigurationConflictError,
+    ConfigurationError,
+    InvalidConfigurationError,
+)
+from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
+from coltsfoottrack._internal.configuration.policy import PolicyTable
+from coltsfoottrack._internal.configuration.store import ConfigurationStore
+from coltsfoottrack._internal.configuration.validation import validate
+
+__all__ = [
+    "ConfigurationConflictError",
+    "ConfigurationError",
+    "ConfigurationHolder",
+    "ConfigurationStore",
+    "InvalidConfigurationError",
+    "PolicyTable",
+    "validate",
+]
--- /dev/null
+++ b/src/coltsfoottrack/events.py
@@ -0,0 +1,6 @@
+"""Event clock, and the bounded memory of a process's events."""
+
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.events.ring import EventRing
+
+__all__ = ["EventRing", "HybridClock"]
