Send keyed requests only to members, not to any address in a key

Cause: a key names its home's address, and only the home can verify the key. An outside caller could make up a key and so make a node send a request to any address; found in the read-through. Router and exchange now look the home and the backup up in the membership and answer unknown (home_gone, copy not dispatched) if they are not there.

The new test failed on the commit before (one connection was made) and passes now; the stateful test of at most once and the retry bound pass. A node whose view lacks the home answers unknown sooner than before.

--- a/src/coltsfoottrack/_internal/membership/table.py
+++ b/src/coltsfoottrack/_internal/membership/table.py
@@ -3,6 +3,7 @@
 from asyncio import Event
 from time import monotonic
 
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     MEMBER_STATUS_DEAD,
@@ -83,6 +84,21 @@
         staying = [member for member in found if not self._is_noted(call_address(member))]
         return staying or found
 
+    def home_of(self, key: IdempotencyKey) -> Member | None:
+        """Returns the member that a key names as its home, if it is known at that address.
+
+        A key comes from outside, and only its home can verify it. Without this check a made-up
+        key could make a node send a request to any address.
+        """
+        member = self.members.get(key.home)
+        if member is None or call_address(member) != key.home_call_address:
+            return None
+        return member
+
+    def has_peer_address(self, address: str) -> bool:
+        """Tells whether some known member has this address for peers."""
+        return any(peer_address(member) == address for member in self.members.values())
+
     def note_leaving(self, address: str) -> None:
         """Remembers that the node at a call address said in an answer that it leaves."""
         self.leaving_notes[address] = monotonic() + LEAVING_NOTE_SECONDS
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -177,7 +177,7 @@
             address = IdempotencyKey.parse(context.idempotency_key).backup_peer_address
         except InvalidKeyError:
             return otherwise
-        if not address:
+        if not self.members.has_peer_address(address):
             return otherwise
         found = await self.questions.fetch(address, context.idempotency_key)
         return otherwise if found is None else _within_budget(found, context)
@@ -186,9 +186,10 @@
         context = copy.context
         if context.idempotency_key and not context.dispatch_number:
             try:
-                return IdempotencyKey.parse(context.idempotency_key).home_peer_address
+                home = self.members.home_of(IdempotencyKey.parse(context.idempotency_key))
             except InvalidKeyError:
                 return ""
+            return "" if home is None else peer_address(home)
         for member in self.members.members.values():
             if call_address(member) == copy.address:
                 return peer_address(member)
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -8,9 +8,7 @@
 
 from coltsfoottrack._internal.calls.budget import RetryRatio
 from coltsfoottrack._internal.calls.context import CallContext
-from coltsfoottrack._internal.calls.exceptions import (
-    InvalidKeyError,
-)
+from coltsfoottrack._internal.calls.exceptions import InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.configuration.policy import PolicyTable
@@ -158,6 +156,9 @@
     ) -> Answer:
         destination = f"{context.service}/{context.operation}"
         address = self._address(context, tried)
+        if address is None and context.idempotency_key:
+            # An earlier copy may have reached the home, so this is not a refusal.
+            return unknown(Reason.HOME_GONE, copy_dispatched=False)
         if address is None:
             return refused(Reason.NO_NODE, retry_useful=True)
         tried.add(address)
@@ -187,9 +188,10 @@
         if not context.idempotency_key:
             return self.choose(context.service, tried)
         try:
-            return IdempotencyKey.parse(context.idempotency_key).home_call_address
+            home = self.members.home_of(IdempotencyKey.parse(context.idempotency_key))
         except InvalidKeyError:
             return None
+        return None if home is None else call_address(home)
 
     def choose(self, service: str, tried: set[str]) -> str | None:
         """Picks the less busy of two random nodes of a service, not yet tried if there are.
