Let only the home of a key say that a request was not run

Cause: found in the read-through. A caller that sends a key again to another node could be told refused by a node that had not asked the key's home: one that had just started (not_ready), was leaving, saw no node of the service, refused early for a reported level, had no time left, or could not read the request. Told that it was not run, the caller takes a new key, and the request runs twice if the first copy had run.

Such answers are now unknown with Copy-Dispatched: no and may be sent again under the same key; a level reported by the service no longer keeps a caller's own key from its home.

--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -122,3 +122,21 @@
         content_type="text/plain; charset=utf-8",
         copy_dispatched=copy_dispatched,
     )
+
+
+def without_asking_home(answer: Answer, idempotency_key: str) -> Answer:
+    """Corrects a refusal of a keyed request that was made without asking the key's home.
+
+    An earlier copy under the key may have run, so only the home may say that it was not. Sending
+    the same key again is safe and may bring the outcome.
+    """
+    if not idempotency_key or answer.outcome is not Outcome.REFUSED:
+        return answer
+    is_bad_input = answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    return answer._replace(
+        outcome=Outcome.UNKNOWN,
+        status=answer.status if is_bad_input else HTTPStatus.GATEWAY_TIMEOUT,
+        body=f"outcome unknown, this copy was not sent on: {answer.reason}".encode(),
+        retry_useful=True,
+        copy_dispatched=False,
+    )
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -11,6 +11,7 @@
     CALL_ID,
     CLUSTER,
     EVENT_CLOCK,
+    IDEMPOTENCY_KEY,
     PROTOCOL,
     PROTOCOL_VERSION,
     CallContext,
@@ -20,7 +21,14 @@
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, is_identifier
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
+from coltsfoottrack._internal.calls.outcome import (
+    Answer,
+    Outcome,
+    Reason,
+    refused,
+    unknown,
+    without_asking_home,
+)
 from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
@@ -48,6 +56,8 @@
         Reason.BAD_REQUEST,
     )
 )
+# Refusals for the form of a request, made before its key is read.
+INPUT_REASONS = frozenset((Reason.BAD_REQUEST, Reason.TOO_LARGE, Reason.WRONG_CLUSTER))
 
 
 class CallServer:
@@ -76,6 +86,8 @@
         drain = self.state.drain
         with drain.call():
             answer = await self._answer(request)
+        if answer.reason in INPUT_REASONS:
+            answer = without_asking_home(answer, request.headers.get(IDEMPOTENCY_KEY, ""))
         answer = answer._replace(served_by=self.state.name, node_leaving=drain.is_leaving)
         headers = answer_headers(answer, self.state.clock.tick())
         call_id = request.headers.get(CALL_ID)
@@ -175,16 +187,9 @@
             self.state.clock.observe(whole_number(headers, EVENT_CLOCK, 0, 2**63 - 1))
 
     async def _call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
-        state = self.state
-        if not state.ready:
-            return refused(Reason.NOT_READY, retry_useful=True)
-        if context.service != state.settings.service and state.drain.refuses_new_work():
-            return refused(Reason.LEAVING, retry_useful=True)
-        is_local = context.service == state.settings.service
-        if not is_local and context.from_peer:
-            return refused(Reason.UNKNOWN_SERVICE)
-        if not is_local and state.router.choose(context.service, set()) is None:
-            return self._refuse_unserved(context.service)
+        refusal = self._refusal_by_state(context)
+        if refusal is not None:
+            return refusal if idempotent else without_asking_home(refusal, context.idempotency_key)
         if not idempotent and not context.idempotency_key:
             return await self._require_key(context)
         if not context.from_peer:
@@ -193,6 +198,21 @@
         # Covers answers made here too, which would otherwise return nothing.
         return answer._replace(attempts_left=context.budget.retries)
 
+    def _refusal_by_state(self, context: CallContext) -> Answer | None:
+        """Returns the refusal of a call that this node can neither run nor send on at present."""
+        state = self.state
+        if not state.ready:
+            return refused(Reason.NOT_READY, retry_useful=True)
+        if context.service == state.settings.service:
+            return None
+        if state.drain.refuses_new_work():
+            return refused(Reason.LEAVING, retry_useful=True)
+        if context.from_peer:
+            return refused(Reason.UNKNOWN_SERVICE)
+        if state.router.choose(context.service, set()) is None:
+            return self._refuse_unserved(context.service)
+        return None
+
     async def _from_caller(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
         """Dispatches a call under the budget that is remembered for its Request-Id."""
         key = context.idempotency_key
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -10,7 +10,14 @@
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.exceptions import InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
+from coltsfoottrack._internal.calls.outcome import (
+    Answer,
+    Outcome,
+    Reason,
+    refused,
+    unknown,
+    without_asking_home,
+)
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
@@ -103,8 +110,11 @@
         tried: set[str] = set()
         while True:
             if context.deadline.has_passed():
-                return refused(Reason.DEADLINE)
-            if not self.decisions_off and self.levels.refuses(destination, context.rank):
+                own = context.idempotency_key if own_key else ""
+                return without_asking_home(refused(Reason.DEADLINE), own)
+            # A caller's own key goes to its home even then, which alone knows of earlier copies.
+            asks_levels = not (self.decisions_off or own_key)
+            if asks_levels and self.levels.refuses(destination, context.rank):
                 return self._with_level(refused(Reason.EARLY_REFUSAL), destination)
             if not grant.idempotent and not own_key:
                 key = await self.keys.take(context, tried)
--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -141,6 +141,18 @@
         self.assertIn(b"408", reply[:20])
         self.assertEqual((self.bad_requests("408"), self.seen), (1, []))
 
+    async def test_keyed_request_is_not_told_as_not_run_without_asking_its_home(self) -> None:
+        """Guards against a second run after a node that could not know said not run."""
+        self.state.ready = False
+        without_key = await self.exchange(post())
+        self.assertIn(b"Outcome: refused", without_key)
+        order = "/v1/services/stores/order"
+        for deadline in ("1000", "soon"):
+            data = post(path=order, Idempotency_Key="k", Deadline_Ms=deadline)
+            reply = await self.exchange(data)
+            self.assertIn(b"Outcome: unknown", reply)
+            self.assertIn(b"Copy-Dispatched: no", reply)
+
     async def test_sizes_are_bounded(self) -> None:
         chunked = f"POST {PATH} HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n"
         chunks = b"".join(b"200\r\n" + b"x" * 512 + b"\r\n" for _ in range(3)) + b"0\r\n\r\n"
--- /dev/null
+++ b/tests/unit/test_keys_away_from_home.py
@@ -0,0 +1,91 @@
+"""Keyed requests at a node that is not the home of their key."""
+
+from asyncio import StreamReader, StreamWriter, start_server
+from random import Random
+from unittest import IsolatedAsyncioTestCase
+
+from coltsfoottrack._internal.calls.budget import AttemptBudget
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
+from coltsfoottrack._internal.calls.outcome import Outcome, Reason
+from coltsfoottrack._internal.configuration.policy import PolicyTable
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.membership.table import MembershipTable
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.routing.router import Router
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    FleetConfiguration,
+    Member,
+)
+
+
+def keyed_context(address: str, deadline_ms: int = 500) -> CallContext:
+    key = IdempotencyKey("stores", "stores/a", address, address, 1, address, 1, 2**42, "x")
+    return CallContext(
+        service="stores",
+        operation="order",
+        request_id="r",
+        call_id="c",
+        deadline=Deadline.after_ms(deadline_ms),
+        budget=AttemptBudget(0),
+        idempotency_key=key.encode(),
+    )
+
+
+class KeyAwayFromHomeTest(IsolatedAsyncioTestCase):
+    """Guards against requests to made-up addresses, and against "not run" by one who can't know."""
+
+    async def asyncSetUp(self) -> None:
+        self.connections = 0
+        self.server = await start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        clock = HybridClock()
+        self.router = Router(
+            cluster="test",
+            members=MembershipTable(),
+            policies=lambda: PolicyTable(FleetConfiguration()),
+            clock=clock,
+            ring=EventRing("test", clock),
+            random=Random(1),
+            checker=InvariantChecker(),
+        )
+
+    async def asyncTearDown(self) -> None:
+        await self.router.close()
+        self.server.close()
+
+    async def accept(self, _reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        writer.close()
+
+    async def test_key_of_an_unknown_home_is_sent_nowhere(self) -> None:
+        answer = await self.router.call(keyed_context(f"127.0.0.1:{self.port}"), b"body")
+        self.assertEqual((answer.outcome, answer.reason), (Outcome.UNKNOWN, Reason.HOME_GONE))
+        self.assertFalse(answer.copy_dispatched)
+        self.assertEqual(self.connections, 0)
+
+    async def test_known_home_is_asked_even_when_its_service_sheds(self) -> None:
+        member = Member(
+            service="stores",
+            name="a",
+            address="127.0.0.1",
+            call_port=self.port,
+            status=MEMBER_STATUS_ALIVE,
+            backend_ready=True,
+        )
+        self.router.members.merge(member)
+        address = f"127.0.0.1:{self.port}"
+        # Two reports, as a refused call may now and then be let through to ask.
+        for _ in range(2):
+            self.router.levels.record("stores/order", address, 700)
+            answer = await self.router.call(keyed_context(address), b"body")
+            self.assertEqual(answer.outcome, Outcome.UNKNOWN)
+        self.assertEqual(self.connections, 2)
+
+    async def test_passed_deadline_is_not_told_as_not_run(self) -> None:
+        answer = await self.router.call(keyed_context("127.0.0.1:9", deadline_ms=0), b"body")
+        self.assertEqual((answer.outcome, answer.reason), (Outcome.UNKNOWN, Reason.DEADLINE))
+        self.assertFalse(answer.copy_dispatched)
