Say in one line that a port is taken

Cause: a node whose port was in use ended with a traceback; found in the read-through. ListenError was declared and never raised. The command now prints node, ports and cause, and ends with status 1; seen by hand with a taken call port.

--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -21,6 +21,7 @@
     ConfigurationError,
     InvalidConfigurationError,
 )
+from coltsfoottrack._internal.node.exceptions import ListenError
 from coltsfoottrack._internal.settings.exceptions import SettingsError
 
 COMMANDS = {
@@ -49,6 +50,8 @@
         _fail(str(error), EXIT_BAD_INPUT)
     except CommandError as error:
         _fail(f"coltsfoottrack: {error}", error.exit_status)
+    except ListenError as error:
+        _fail(f"coltsfoottrack: {error}", EXIT_FAILED)
     except InvalidConfigurationError as error:
         _fail(f"coltsfoottrack: refused, nothing was changed: {error}", EXIT_BAD_INPUT)
     except ConfigurationError as error:
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -13,6 +13,7 @@
 from coltsfoottrack._internal.node.call_server import CallServer
 from coltsfoottrack._internal.node.change_events import ChangeRecorder
 from coltsfoottrack._internal.node.configuration_service import ConfigurationService
+from coltsfoottrack._internal.node.exceptions import ListenError
 from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.operator_service import OperatorService
 from coltsfoottrack._internal.node.outcome_service import OutcomeService
@@ -32,6 +33,8 @@
 async def run_node(settings: NodeSettings) -> None:
     """Runs a node until SIGTERM or SIGINT, then drains it.
 
+    Raises ListenError if a port is taken or the address is not one of this instance.
+
     It ends by itself within the grace time, the longest deadline in force and 16 s (2 s margin,
     2 s for the platform, 10 s for callers that read their answers slowly, 2 s to close).
     """
@@ -54,10 +57,16 @@
             OperatorService(state),
         ]
     )
-    await state.cluster.open()
-    await peer_server.start(settings.address, settings.peer_port)
-    await call_server.start()
-    await admin_server.start()
+    try:
+        await state.cluster.open()
+        await peer_server.start(settings.address, settings.peer_port)
+        await call_server.start()
+        await admin_server.start()
+    except OSError as error:
+        raise ListenError(
+            f"node {state.name} cannot open call port {settings.call_port}, peer port "
+            f"{settings.peer_port} or admin port {settings.admin_port}: {error}"
+        ) from error
     freeze()
     logger.info("node_started", node=state.name, call_port=settings.call_port)
     try:
