--- a/src/coltsfoottrack/_internal/admission/controller.py
+++ b/src/coltsfoottrack/_internal/admission/controller.py
@@ -33,7 +33,7 @@
 MAX_WAIT_SECONDS = 0.2
 # Buckets below the level, within its priority, that calls from deeper hops may be: refusing them
 # wastes what ran above, and the level moves by about this much from window to window.
-STARTED_WORK_RANKS = 128
+STARTED_WORK_RANKS = 32
 # Time kept back for a refusal to travel to the caller before the deadline.
 ANSWER_SECONDS = 0.01
 
