--- a/src/coltsfoottrack/_internal/experiment/demo.py
+++ b/src/coltsfoottrack/_internal/experiment/demo.py
@@ -6,7 +6,13 @@
 from tempfile import TemporaryDirectory
 
 from coltsfoottrack._internal.experiment.fleet import Fleet
-from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestKind
+from coltsfoottrack._internal.experiment.load import (
+    LoadGenerator,
+    Phase,
+    RequestKind,
+    RequestResult,
+)
+from coltsfoottrack._internal.experiment.node_figures import read_node_figures
 from coltsfoottrack._internal.experiment.report import (
     check_runs,
     goodput,
@@ -49,8 +55,26 @@
         entries = [place.call_address for place in fleet.places]
         load = LoadGenerator(MIX, entries, DEADLINE_MS, SEED)
         results = run(load.play(PHASES))
+        figures = read_node_figures(fleet)
     finally:
         killed = fleet.stop()
+    _print_outcomes(results)
+    print("where the time went, mean of all calls that were admitted:")
+    for row in figures.waiting:
+        print(
+            f"  {row.service:9}{row.calls:6} calls, waited {row.mean_wait_ms:6.1f} ms for a slot, "
+            f"ran {row.mean_run_ms:6.1f} ms with the calls below"
+        )
+    check = check_runs(results, fleet.run_log)
+    print(
+        f"run twice: {check.run_twice}, run though refused: {check.run_though_refused}, "
+        f"wrong answers: {check.wrong_answers}, violations counted by nodes: "
+        f"{figures.violations}, processes that had to be killed: {len(killed)}"
+    )
+    return check.violations + figures.violations
+
+
+def _print_outcomes(results: list[RequestResult]) -> None:
     print(
         f"{'phase':8}{'priority':11}{'sent':>6}{'done':>6}{'late':>6}{'refused':>9}"
         f"{'failed':>8}{'unknown':>9}{'p50 ms':>8}{'p99 ms':>8}"
@@ -71,9 +95,3 @@
             reasons[f"{result.answer.outcome}: {result.answer.reason}"] += 1
     for reason, count in reasons.most_common():
         print(f"  {reason}: {count}")
-    check = check_runs(results, fleet.run_log)
-    print(
-        f"run twice: {check.run_twice}, run though refused: {check.run_though_refused}, "
-        f"wrong answers: {check.wrong_answers}, processes that had to be killed: {len(killed)}"
-    )
-    return check.violations
