Throw away held keys whose home has ended or that are old

A node keeps a batch of 20 keys for its callers; keys of a process that had since been killed, or that had expired while they were held, were still handed out and can only bring the outcome unknown.

Held keys are now checked against the membership (address, incarnation, serving) and thrown away after half of their life.

--- a/src/coltsfoottrack/_internal/routing/keys.py
+++ b/src/coltsfoottrack/_internal/routing/keys.py
@@ -1,53 +1,87 @@
 """Unused idempotency keys, fetched in batches from the nodes of a service."""
 
 from collections.abc import Callable
+from time import monotonic
+from typing import NamedTuple
 
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
+from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.membership.table import MembershipTable, is_serving
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.transport import Transport
+from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
 
 KEY_BATCH = 20
 FETCH_ATTEMPTS = 3
 FETCH_TIMEOUT_SECONDS = 1.0
 
 ChooseAddress = Callable[[str, set[str]], str | None]
+# The rest of a key's life is left for the caller to send it, and to ask for its outcome.
+HELD_SHARE_OF_LIFETIME = 0.5
+
+
+class HeldKey(NamedTuple):
+    """An unused key, and when it was fetched on the monotonic clock."""
+
+    text: str
+    fetched_at: float
 
 
 class KeyPool:
     """Keys by service. A key is handed out once."""
 
     def __init__(
-        self, cluster: str, clock: HybridClock, transport: Transport, choose: ChooseAddress
+        self,
+        cluster: str,
+        clock: HybridClock,
+        transport: Transport,
+        choose: ChooseAddress,
+        members: MembershipTable,
+        policies: Callable[[], PolicyTable],
     ) -> None:
         self.cluster = cluster
         self.clock = clock
         self.transport = transport
         self.choose = choose
-        self.keys: dict[str, list[str]] = {}
+        self.members = members
+        self.policies = policies
+        self.keys: dict[str, list[HeldKey]] = {}
 
     async def take(self, context: CallContext, tried: set[str] | None = None) -> str:
         """Returns an unused key of the service, or an empty text if no node gives one.
 
-        Keys of the addresses already tried are thrown away.
+        Keys of the addresses already tried are thrown away, and so are those that are old or
+        whose home process is gone, as they would only bring the outcome unknown.
         """
         tried = set() if tried is None else tried
         held = self.keys.setdefault(context.service, [])
         while held:
-            key = held.pop()
-            if IdempotencyKey.parse(key).home_call_address not in tried:
-                return key
+            held_key = held.pop()
+            if self._is_usable(held_key, context.service, tried):
+                return held_key.text
         for _ in range(FETCH_ATTEMPTS):
             address = self.choose(context.service, tried)
             if address is None:
                 return ""
-            held.extend(await self._fetch(context, address))
-            if held:
-                return held.pop()
+            fetched = await self._fetch(context, address)
+            if fetched:
+                held.extend(HeldKey(text, monotonic()) for text in fetched[1:])
+                return fetched[0]
             tried.add(address)
         return ""
 
+    def _is_usable(self, held_key: HeldKey, service: str, tried: set[str]) -> bool:
+        key = IdempotencyKey.parse(held_key.text)
+        home = self.members.home_of(key)
+        if home is None or home.incarnation != key.incarnation or not is_serving(home, service):
+            return False
+        lifetime = milliseconds_to_seconds(self.policies().policy(service), "key_lifetime_ms")
+        if monotonic() - held_key.fetched_at > lifetime * HELD_SHARE_OF_LIFETIME:
+            return False
+        return key.home_call_address not in tried
+
     async def _fetch(self, context: CallContext, address: str) -> list[str]:
         path = f"/v1/services/{context.service}/keys?count={KEY_BATCH}"
         headers = context.headers(self.cluster, self.clock.tick())
