--- a/src/coltsfoottrack/_internal/configuration/policy.py
+++ b/src/coltsfoottrack/_internal/configuration/policy.py
@@ -47,10 +47,6 @@
             self.cache[(service, operation)] = policy
         return policy
 
-    def is_known(self, service: str, operation: str) -> bool:
-        """Tells whether the configuration lists the operation."""
-        return (service, operation) in self.operations
-
     def grant(self, service: str, operation: str) -> CallGrant:
         """Returns what the operation is granted.
 
