Say what is wrong with a malformed keyed request; name test requests by index

The test made its Request-Ids from the last eight characters of the keys. A key is base64 text, and whether it ends in "=" depends on the digits of ports and counters in it. A Request-Id with "=" is malformed, so the entry node answered 400. The answer hid this: the correction of refusals for keyed requests replaced the text of the refusal by its reason and claimed that sending the same request again is of use.

Ruled out: connections to the home (the answers were served by the entry with status 400), load of the machine (the same verdict for all four requests of a run, done or unknown).

Conclusion: the test names its requests by index and shows the answers when it fails; the answer to a malformed keyed request keeps its detail and Retry-Useful: no, with a unit test that fails before.

--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -128,15 +128,17 @@
     """Corrects a refusal of a keyed request that was made without asking the key's home.
 
     An earlier copy under the key may have run, so only the home may say that it was not. Sending
-    the same key again is safe and may bring the outcome.
+    the same key again is safe and may bring the outcome, but not where the form of the request is
+    at fault: then the answer keeps saying what is wrong with it.
     """
     if not idempotency_key or answer.outcome is not Outcome.REFUSED:
         return answer
     is_bad_input = answer.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    detail = answer.body.decode("utf-8", "replace")
     return answer._replace(
         outcome=Outcome.UNKNOWN,
         status=answer.status if is_bad_input else HTTPStatus.GATEWAY_TIMEOUT,
-        body=f"outcome unknown, this copy was not sent on: {answer.reason}".encode(),
-        retry_useful=True,
+        body=f"outcome unknown, but this copy was not sent on ({detail})".encode(),
+        retry_useful=answer.retry_useful or not is_bad_input,
         copy_dispatched=False,
     )
--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -250,14 +250,27 @@
     def _wait_for_node(self, place: NodePlace, expiry: float) -> None:
         """Waits for a node and its backend server, which a node hands out keys without."""
         url = f"http://{LOOPBACK}:{place.admin_port}/ready"
+        problem = "no answer"
         while monotonic() < expiry:
+            for name in (place.node_process, place.backend_process):
+                if self.processes[name].poll() is not None:
+                    raise ExperimentError(f"{name} ended at its start: {self._last_log_line(name)}")
             try:
-                if self.http.request("GET", url, timeout=5.0).status == 200:
+                reply = self.http.request("GET", url, timeout=5.0)
+                if reply.status == 200:
                     return
-            except HTTPError:
-                pass
+                problem = reply.data.decode("utf-8", "replace")
+            except HTTPError as error:
+                problem = str(error)
             sleep(POLL_SECONDS)
-        raise ExperimentError(f"{place.node_process} is not ready")
+        raise ExperimentError(f"{place.node_process} is not ready: {problem}")
+
+    def _last_log_line(self, name: str) -> str:
+        lines = self._log_file(name).read_text(encoding="utf-8", errors="replace").splitlines()
+        return lines[-1] if lines else "no log"
+
+    def _log_file(self, name: str) -> Path:
+        return self.directory / f"{name.replace('/', '-')}.log"
 
     def _wait_for_service(self, place: NodePlace, service: ServiceShape, expiry: float) -> None:
         url = f"http://{place.call_address}/v1/services/{service.name}/readiness"
@@ -333,7 +346,7 @@
         self._start(name)
 
     def _start(self, name: str) -> None:
-        log = (self.directory / f"{name.replace('/', '-')}.log").open("ab")
+        log = self._log_file(name).open("ab")
         command = [sys.executable, "-m", "coltsfoottrack", *self.arguments[name]]
         environment = dict(environ)
         if self.variant.source is not None:
--- a/tests/functional/test_outcomes.py
+++ b/tests/functional/test_outcomes.py
@@ -109,7 +109,7 @@
                 for entry in (self.home, self.second, self.third, self.home):
                     copies.append(self.send(entry, key, f"concurrent-{index}"))
             answers = await gather(*copies)
-            self.assertEqual({answer.outcome for answer in answers}, {Outcome.DONE})
+            self.assertEqual({answer.outcome for answer in answers}, {Outcome.DONE}, answers)
             late = await self.send(self.third, keys[0], "concurrent-0")
             self.assertEqual(late.outcome, Outcome.DONE)
 
@@ -158,9 +158,10 @@
         async def scene() -> None:
             keys = await self.keys(4)
             await to_thread(self.fleet.kill, self.home.backend_process)
-            answers = await gather(
-                *(self.send(self.second, key, f"handed-{key[-8:]}") for key in keys)
-            )
-            self.assertEqual({answer.outcome for answer in answers}, {Outcome.DONE})
+            copies = []
+            for index, key in enumerate(keys):
+                copies.append(self.send(self.second, key, f"handed-{index}"))
+            answers = await gather(*copies)
+            self.assertEqual({answer.outcome for answer in answers}, {Outcome.DONE}, answers)
 
         self.play(scene)
--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -147,11 +147,15 @@
         without_key = await self.exchange(post())
         self.assertIn(b"Outcome: refused", without_key)
         order = "/v1/services/stores/order"
-        for deadline in ("1000", "soon"):
+        cases = (("1000", b"yes", b"not_ready"), ("soon", b"no", b"Deadline-Ms must be a whole"))
+        for deadline, retry_useful, detail in cases:
             data = post(path=order, Idempotency_Key="k", Deadline_Ms=deadline)
             reply = await self.exchange(data)
             self.assertIn(b"Outcome: unknown", reply)
             self.assertIn(b"Copy-Dispatched: no", reply)
+            # A malformed request stays malformed, and its caller must hear what is wrong.
+            self.assertIn(b"Retry-Useful: " + retry_useful, reply)
+            self.assertIn(detail, reply.partition(b"\r\n\r\n")[2])
 
     async def test_sizes_are_bounded(self) -> None:
         chunked = f"POST {PATH} HTTP/1.1\r\nHost: n\r\nTransfer-Encoding: chunked\r\n\r\n"
