Give each config command a module of its own

Ruled out: shared flag lists for set and diff, as fire builds the help from each signature.

No behaviour changes.

--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/config/diff.py
@@ -0,0 +1,93 @@
+"""``coltsfoottrack config diff``: what a change would alter, or has altered."""
+
+from asyncio import run
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.configuration_access import ConfigurationAccess
+from coltsfoottrack._internal.cli.configuration_edit import EditRequest, apply_edit
+from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, EXIT_UNREACHABLE, CommandError
+from coltsfoottrack._internal.cli.output import check_output, emit
+from coltsfoottrack._internal.configuration.difference import difference
+from coltsfoottrack._internal.configuration.exceptions import StoreUnavailableError
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ConfigurationRecord
+
+
+@SetParseFn(str)
+def diff_configuration(
+    *assignments: str,
+    exception: str = "",
+    service: str = "",
+    operation: str = "",
+    reason: str = "",
+    expires: str = "",
+    remove: str = "",
+    file: str = "",
+    before: str = "",
+    after: str = "",
+    node: str = "",
+    platform: str = "",
+    output: str = "text",
+) -> None:
+    """Shows what a change would alter, or the difference between two generations.
+
+    Args:
+        assignments: FIELD=VALUE pairs, as for set.
+        exception: Name of an exception, as for set.
+        service: Service of the exception.
+        operation: Operation of the exception.
+        reason: Written reason of the exception.
+        expires: Expiry of the exception.
+        remove: Name of an exception to remove.
+        file: YAML file with a whole configuration.
+        before: Generation to compare from, out of the history.
+        after: Generation to compare with; default is the newest.
+        node: Peer address HOST:PORT of any node; default is COLTSFOOTTRACK_NODE.
+        platform: Address HOST:PORT of the platform.
+        output: text or json.
+    """
+    check_output(output)
+    edit = EditRequest(assignments, exception, service, operation, reason, expires, remove, file)
+    if edit.is_empty == (not before):
+        raise CommandError(
+            "give either a change as for set, or --before GENERATION", EXIT_BAD_INPUT
+        )
+    run(_diff(edit, before, after, (node, platform), output))
+
+
+async def _diff(
+    edit: EditRequest, before: str, after: str, where: tuple[str, str], output: str
+) -> None:
+    access = await ConfigurationAccess.open(*where)
+    try:
+        if before:
+            old = await _generation(access, before)
+            new = await _generation(access, after) if after else (await access.newest()).record
+            changes = difference(old.configuration, new.configuration)
+        else:
+            old = (await access.newest()).record
+            changed = apply_edit(old.configuration, edit)
+            access.store.validate(changed)
+            changes = difference(old.configuration, changed)
+    finally:
+        access.close()
+    lines = [f"note: {note}" for note in access.fleet.notes]
+    lines.extend(change.line() for change in changes)
+    emit(
+        output,
+        {"notes": access.fleet.notes, "changes": [change._asdict() for change in changes]},
+        lines if changes else [*lines, "no difference"],
+    )
+
+
+async def _generation(access: ConfigurationAccess, text: str) -> ConfigurationRecord:
+    newest = (await access.newest()).record
+    if text == str(newest.generation):
+        return newest
+    try:
+        record = await access.generation(text)
+    except StoreUnavailableError as error:
+        raise CommandError(f"{error}; the history is only there", EXIT_UNREACHABLE) from error
+    if record is None:
+        raise CommandError(f"generation {text} is not in the history", EXIT_BAD_INPUT)
+    return record
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/config/get.py
@@ -0,0 +1,52 @@
+"""``coltsfoottrack config get``: the configuration in force."""
+
+from asyncio import run
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.configuration_access import (
+    ConfigurationAccess,
+    configuration_document,
+    record_document,
+)
+from coltsfoottrack._internal.cli.configuration_edit import configuration_yaml
+from coltsfoottrack._internal.cli.output import check_output, clock_time, emit
+
+
+@SetParseFn(str)
+def get_configuration(node: str = "", platform: str = "", output: str = "text") -> None:
+    """Shows the configuration, as YAML that ``config set --file`` accepts.
+
+    Args:
+        node: Peer address HOST:PORT of any node; default is COLTSFOOTTRACK_NODE.
+        platform: Address HOST:PORT of the platform.
+        output: text or json.
+    """
+    check_output(output)
+    run(_get(node, platform, output))
+
+
+async def _get(node: str, platform: str, output: str) -> None:
+    access = await ConfigurationAccess.open(node, platform)
+    try:
+        record, source = await access.newest()
+    finally:
+        access.close()
+    document = configuration_document(record.configuration)
+    moment = clock_time(record.written_at_ms)
+    lines = [f"# note: {note}" for note in access.fleet.notes]
+    lines.append(
+        f"# generation {record.generation}, change {record.change_id or '-'}, by "
+        f"{record.author or '-'} at {moment}, read from {source or 'nowhere'}"
+    )
+    lines.append(configuration_yaml(document))
+    emit(
+        output,
+        {
+            **record_document(record),
+            "source": source,
+            "notes": access.fleet.notes,
+            "configuration": document,
+        },
+        lines,
+    )
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/config/status.py
@@ -0,0 +1,54 @@
+"""``coltsfoottrack config status``: which nodes have confirmed the newest configuration."""
+
+from asyncio import run
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.configuration_access import ConfigurationAccess, record_document
+from coltsfoottrack._internal.cli.exceptions import EXIT_NOT_CONFIRMED, CommandError
+from coltsfoottrack._internal.cli.output import check_output, emit, since, table
+
+
+@SetParseFn(str)
+def configuration_status(node: str = "", platform: str = "", output: str = "text") -> None:
+    """Shows which nodes hold the newest configuration, and names those that do not.
+
+    Args:
+        node: Peer address HOST:PORT of any node; default is COLTSFOOTTRACK_NODE.
+        platform: Address HOST:PORT of the platform.
+        output: text or json.
+    """
+    check_output(output)
+    run(_status(node, platform, output))
+
+
+async def _status(node: str, platform: str, output: str) -> None:
+    access = await ConfigurationAccess.open(node, platform)
+    try:
+        record, source = await access.newest()
+        missing = await access.unconfirmed(record)
+    finally:
+        access.close()
+    lines = [f"note: {note}" for note in access.fleet.notes]
+    lines.append(
+        f"generation {record.generation} (change {record.change_id or '-'}) from {source}: "
+        f"{len(access.answers) - len(missing)} of {len(access.answers)} nodes confirm"
+    )
+    rows = []
+    for item in missing:
+        rows.append((item.node, item.generation, since(item.since_ms), item.problem))
+    if rows:
+        lines.extend(table(("NODE", "GENERATION", "IN FORCE SINCE", "PROBLEM"), rows))
+    emit(
+        output,
+        {
+            **record_document(record),
+            "source": source,
+            "notes": access.fleet.notes,
+            "nodes": len(access.answers),
+            "unconfirmed": [item._asdict() for item in missing],
+        },
+        lines,
+    )
+    if missing:
+        raise CommandError(f"{len(missing)} nodes have not confirmed", EXIT_NOT_CONFIRMED)
