Refuse to replace a configuration unseen; let a damaged object be replaced

When the stored object could not be read, the command failed with the advice to run the very command that had failed.

Ruled out: taking the generation from the comment in the file, as editors and tools drop comments.

Before: the functional test gets exit status 0 for a file without a base, where 2 is expected, and the damaged object stays. After: status 2 without a base, 3 with an old one; a damaged object is replaced on top of the newest generation that a node holds, under the damaged object's version.

--- a/src/coltsfoottrack/_internal/cli/configuration_access.py
+++ b/src/coltsfoottrack/_internal/cli/configuration_access.py
@@ -55,6 +55,7 @@
     def __init__(self, fleet: FleetAccess, answers: list[NodeAnswer]) -> None:
         self.fleet = fleet
         self.answers = answers
+        self.is_damaged = False
         platforms = fleet.platforms
         for answer in answers:
             if not platforms and answer.reply is not None:
@@ -77,7 +78,25 @@
                 EXIT_UNREACHABLE,
             ) from error
         except UnreadableConfigurationError as error:
-            raise CommandError(f"{error}; restore it with config set --file FILE") from error
+            raise CommandError(
+                f"{error}; restore it with config set --file FILE --base GENERATION, where config "
+                "get shows the generation that nodes hold"
+            ) from error
+
+    async def base_for_replacement(self) -> StoredConfiguration:
+        """Returns the base of a change that replaces the whole configuration.
+
+        If the stored object cannot be read, the base is the newest record that a node holds, and
+        the version is still that of the object, so that no other change is overwritten.
+        """
+        try:
+            return await self.store.read()
+        except UnreadableConfigurationError as error:
+            self.is_damaged = True
+            newest = await self.newest()
+            return StoredConfiguration(newest.record, error.version)
+        except StoreUnavailableError:
+            return await self.stored()
 
     async def newest(self) -> ReadRecord:
         """Returns the newest record: of the platform, or of a node that has a newer one."""
--- a/src/coltsfoottrack/_internal/cli/configuration_change.py
+++ b/src/coltsfoottrack/_internal/cli/configuration_change.py
@@ -36,22 +36,21 @@
 ) -> None:
     """Makes a change and says what became of it.
 
-    Raises CommandError with EXIT_CONFLICT if another operator was first, EXIT_NOT_CONFIRMED if
-    the change is stored but not confirmed by all, or if its effect is not certain.
+    A file that replaces everything needs a base, as it would undo what others changed since it
+    was made. Raises CommandError with EXIT_CONFLICT if another operator was first,
+    EXIT_NOT_CONFIRMED if the change is stored but not confirmed by all, or if its effect is not
+    certain.
     """
     wait_seconds = _read_wait(wait)
     access = await ConfigurationAccess.open(node, platform)
     try:
-        stored = await access.stored()
-        if base and base != str(stored.record.generation):
-            seen = await access.generation(base)
-            raise _conflict(stored.record, None if seen is None else seen.configuration)
+        stored = await _read_base(access, edit, base)
         changed = apply_edit(stored.record.configuration, edit)
         changes = difference(stored.record.configuration, changed)
         if output == "text":
             for change in changes:
                 print(change.line())
-        if not changes:
+        if not changes and not access.is_damaged:
             emit(output, {"changed": False, **record_document(stored.record)}, ["no difference"])
             return
         result = await _store(access, changed, stored)
@@ -63,6 +62,32 @@
     _report(result, changes, missing, wait_seconds, output)
 
 
+async def _read_base(
+    access: ConfigurationAccess, edit: EditRequest, base: str
+) -> StoredConfiguration:
+    """Returns what the change starts from, if that is what the operator has seen."""
+    if edit.file:
+        stored = await access.base_for_replacement()
+        _check_replacement(stored.record, base)
+    else:
+        stored = await access.stored()
+    if base and base != str(stored.record.generation):
+        seen = await access.generation(base)
+        raise _conflict(stored.record, None if seen is None else seen.configuration)
+    return stored
+
+
+def _check_replacement(present: ConfigurationRecord, base: str) -> None:
+    """Refuses to replace a configuration that the operator may not have seen."""
+    if base or not present.generation:
+        return
+    raise CommandError(
+        "--file replaces the whole configuration; give --base with the generation that the file "
+        f"was made from, as config get shows it; generation {present.generation} is the newest",
+        EXIT_BAD_INPUT,
+    )
+
+
 def _read_wait(wait: str) -> int:
     # Fire passes a flag without a value as True.
     if wait == "True":
--- a/src/coltsfoottrack/_internal/configuration/exceptions.py
+++ b/src/coltsfoottrack/_internal/configuration/exceptions.py
@@ -26,7 +26,12 @@
 
 
 class UnreadableConfigurationError(ConfigurationError):
-    """A stored configuration record cannot be decoded."""
+    """A stored configuration record cannot be decoded.
+
+    ``version`` is the version of the platform's object, 0 if the record came from elsewhere.
+    """
+
+    version = 0
 
 
 class ChangeUncertainError(ConfigurationError):
--- a/src/coltsfoottrack/_internal/configuration/store.py
+++ b/src/coltsfoottrack/_internal/configuration/store.py
@@ -130,7 +130,11 @@
             raise StoreUnavailableError(str(error)) from error
         if stored.content is None:
             return StoredConfiguration(ConfigurationRecord(), 0)
-        return StoredConfiguration(decode_record(stored.content), stored.version)
+        try:
+            return StoredConfiguration(decode_record(stored.content), stored.version)
+        except UnreadableConfigurationError as error:
+            error.version = stored.version
+            raise
 
     def validate(self, configuration: FleetConfiguration) -> None:
         """Raises InvalidConfigurationError, with all problems, for one that breaks a rule."""
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -17,8 +17,10 @@
 from urllib3 import PoolManager
 
 from coltsfoottrack._internal.cli.main import main
+from coltsfoottrack._internal.configuration.codec import CURRENT_PATH
 from coltsfoottrack._internal.experiment.fleet import Fleet, free_ports
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
+from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import PRIORITY_NORMAL
 
 SHAPE = FleetShape(
@@ -145,15 +147,39 @@
         shown = command("timeline", "--kind", "configuration")
         self.assertIn("in_force generation 2", shown.text)
         self.assertEqual(self.json("config", "status")["generation"], 3)
+        self.check_replacement()
         entries = self.json("config", "history")["history"]
-        self.assertEqual([entry["generation"] for entry in entries], [3, 2, 1])
+        self.assertEqual([entry["generation"] for entry in entries], [5, 4, 3, 2, 1])
+
+    def check_replacement(self) -> None:
+        """Guards against a file that undoes changes made since, and a damaged object that stays."""
+        file = Path(self.directory.name) / "fleet.yaml"
+        file.write_text(command("config", "get").text, encoding="utf-8")
+        replace = ("config", "set", "--file", str(file))
+        blind = command(*replace)
+        self.assertEqual(blind.status, 2)
+        self.assertIn("generation 3 is the newest", blind.error)
+        self.assertEqual(command(*replace, "--base", "2").status, 3)
+        file.write_text(
+            file.read_text(encoding="utf-8").replace("target_ms: 8", "target_ms: 7"),
+            encoding="utf-8",
+        )
+        self.assertEqual(command(*replace, "--base", "3", "--wait", "5").status, 0)
+        objects = PlatformClient.from_config([self.fleet.platform_address])
+        objects.put(CURRENT_PATH, b"damaged", objects.get(CURRENT_PATH).version)
+        damaged = command("config", "set", "queue_delay_target_ms=8")
+        self.assertEqual(damaged.status, 1)
+        self.assertIn("restore it with config set --file", damaged.error)
+        self.assertEqual(command(*replace, "--base", "3").status, 3)
+        restored = command(*replace, "--base", "4", "--wait", "5")
+        self.assertEqual((restored.status, restored.error), (0, ""))
 
     def check_platform_down(self) -> None:
         self.fleet.set_faults(down=True)
         platform = ("--platform", self.fleet.platform_address)
         shown = command("config", "get", *platform)
         self.assertIn("this answer comes from the nodes alone", shown.text)
-        self.assertIn("generation 3", shown.text)
+        self.assertIn("generation 5", shown.text)
         self.assertIn("nodes alone", command("status", *platform).text)
         failed = command("config", "set", "queue_delay_target_ms=10")
         self.assertEqual((failed.status, len(failed.error.splitlines())), (4, 1))
@@ -175,7 +201,7 @@
         waited = command("config", "set", "queue_delay_target_ms=9", "--wait", "1")
         self.assertEqual(waited.status, 5, waited.error)
         self.assertIn(f"not confirmed after 1 s by deep/{deep.name}", waited.error)
-        self.assertIn("generation 4", waited.text)
+        self.assertIn("generation 6", waited.text)
 
 
 class BadSettingsTest(TestCase):
