Type the status document and split it from its text form

Cause: status_report.py built and printed a document of nested dict[str, Any]; a reader could learn its fields only from the code that filled them, and status_lines held both tables in one function.

Ruled out: the protobuf reply as the document, as the fleet's part (services, what is shed, who has not confirmed) is worked out by the command.

Before and after: the same JSON and text, by the unit tests of the operator service.

Conclusion: status_document.py has a TypedDict for each part and builds it; status_report.py prints it.

--- a/src/coltsfoottrack/_internal/cli/commands/status.py
+++ b/src/coltsfoottrack/_internal/cli/commands/status.py
@@ -6,7 +6,8 @@
 
 from coltsfoottrack._internal.cli.fleet_access import FleetAccess
 from coltsfoottrack._internal.cli.output import check_output, emit
-from coltsfoottrack._internal.cli.status_report import build_status, status_lines
+from coltsfoottrack._internal.cli.status_document import build_status
+from coltsfoottrack._internal.cli.status_report import status_lines
 
 
 @SetParseFn(str)
--- a/src/coltsfoottrack/_internal/cli/output.py
+++ b/src/coltsfoottrack/_internal/cli/output.py
@@ -1,11 +1,10 @@
 """Text and JSON output of the commands."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import UTC, datetime, timedelta
 from json import dumps
 from re import compile as compile_pattern
 from time import time
-from typing import Any
 
 from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
 
@@ -23,7 +22,7 @@
     return output
 
 
-def emit(output: str, document: dict[str, Any], lines: Iterable[str]) -> None:
+def emit(output: str, document: Mapping[str, object], lines: Iterable[str]) -> None:
     """Prints a result in the form that was asked for."""
     if output == "json":
         print(dumps(document, indent=2, sort_keys=True))
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/status_document.py
@@ -0,0 +1,280 @@
+"""The state of a fleet as one document, as ``status --output json`` prints it."""
+
+from collections import Counter, defaultdict
+from typing import TypedDict
+
+from coltsfoottrack._internal.cli.fleet_access import FleetAccess, NodeAnswer
+from coltsfoottrack._internal.membership.table import member_id
+from coltsfoottrack._internal.observability.refusals import RUN_GAP_MS
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MemberStatus, StatusReply
+
+STATUS_PREFIX = "MEMBER_STATUS_"
+
+
+class RefusalDocument(TypedDict):
+    """Refusals of one priority for one reason at a node; ``now`` if they still go on."""
+
+    priority: str
+    reason: str
+    count: int
+    since_ms: int
+    last_ms: int
+    now: bool
+
+
+class ViolationDocument(TypedDict):
+    """Violations of one invariant at a node."""
+
+    invariant: str
+    count: int
+    since_ms: int
+
+
+class HeldConfigurationDocument(TypedDict):
+    """The configuration in force at a node, and why a newer one is not."""
+
+    generation: int
+    change_id: str
+    since_ms: int
+    problem: str
+
+
+class PlatformContactDocument(TypedDict):
+    """Whether a node reaches the platform, and since when that holds."""
+
+    reachable: bool
+    since_ms: int
+
+
+class RetriesDocument(TypedDict):
+    """Retries that a node sent, and those that its budgets refused."""
+
+    sent: int
+    refused: int
+
+
+class NodeDocument(TypedDict):
+    """One node that answered."""
+
+    name: str
+    address: str
+    service: str
+    failure_domain: str
+    region: str
+    state: str
+    not_ready: str
+    backend_ready: bool
+    announced_slots: int
+    limit: int
+    in_flight: int
+    queued: int
+    level: int
+    shedding_since_ms: int
+    refusals: list[RefusalDocument]
+    unknown_outcomes: int
+    good_calls: int
+    retries: RetriesDocument
+    open_keys: int
+    members: int
+    platform: PlatformContactDocument
+    configuration: HeldConfigurationDocument
+    violations: list[ViolationDocument]
+    started_ms: int
+    resident_bytes: int
+
+
+class ShedDocument(RefusalDocument):
+    """Refusals that go on now, with where."""
+
+    node: str
+    service: str
+
+
+class NodeViolationDocument(ViolationDocument):
+    """Violations of one invariant, with where."""
+
+    node: str
+
+
+class UnconfirmedDocument(HeldConfigurationDocument):
+    """A node without the newest configuration, and what it holds instead."""
+
+    node: str
+
+
+class UnreachableDocument(TypedDict):
+    """A node that did not answer, and what its peers say of it."""
+
+    address: str
+    name: str
+    problem: str
+    peers_say: str
+
+
+class ServiceDocument(TypedDict):
+    """The nodes of one service taken together."""
+
+    name: str
+    nodes: int
+    backend_servers_ready: int
+    limit: int
+    in_flight: int
+    queued: int
+    shedding_nodes: int
+    refused: dict[str, int]
+    unknown_outcomes: int
+
+
+class StatusDocument(TypedDict):
+    """The whole fleet."""
+
+    cluster: str
+    notes: list[str]
+    generation: int
+    services: list[ServiceDocument]
+    nodes: list[NodeDocument]
+    shed: list[ShedDocument]
+    unconfirmed: list[UnconfirmedDocument]
+    violations: list[NodeViolationDocument]
+    unreachable: list[UnreachableDocument]
+
+
+def build_status(access: FleetAccess, answers: list[NodeAnswer]) -> StatusDocument:
+    """Builds the document of ``status`` from the answers of all nodes."""
+    nodes = [_node(answer) for answer in answers if answer.reply is not None]
+    nodes.sort(key=lambda node: node["name"])
+    generation = max(node["configuration"]["generation"] for node in nodes)
+    shed: list[ShedDocument] = []
+    violations: list[NodeViolationDocument] = []
+    unconfirmed: list[UnconfirmedDocument] = []
+    for node in nodes:
+        for refusal in node["refusals"]:
+            if refusal["now"]:
+                shed.append({"node": node["name"], "service": node["service"], **refusal})
+        for violation in node["violations"]:
+            violations.append({"node": node["name"], **violation})
+        configuration = node["configuration"]
+        if configuration["generation"] < generation or configuration["problem"]:
+            unconfirmed.append({"node": node["name"], **configuration})
+    unreachable: list[UnreachableDocument] = []
+    for answer in answers:
+        if answer.reply is None:
+            unreachable.append(_unreachable(access, answer))
+    return {
+        "cluster": access.cluster,
+        "notes": access.notes,
+        "generation": generation,
+        "services": _services(nodes),
+        "nodes": nodes,
+        "shed": shed,
+        "unconfirmed": unconfirmed,
+        "violations": violations,
+        "unreachable": unreachable,
+    }
+
+
+def _node(answer: NodeAnswer) -> NodeDocument:
+    reply = answer.reply
+    return {
+        "name": member_id(reply.self),
+        "address": answer.address,
+        "service": reply.self.service,
+        "failure_domain": reply.self.failure_domain,
+        "region": reply.self.region,
+        "state": _state(reply),
+        "not_ready": reply.not_ready,
+        "backend_ready": reply.backend_ready,
+        "announced_slots": reply.announced_slots,
+        "limit": reply.concurrency_limit,
+        "in_flight": reply.in_flight,
+        "queued": reply.queued,
+        "level": reply.admission_level,
+        "shedding_since_ms": reply.shedding_since_ms,
+        "refusals": _refusals(reply),
+        "unknown_outcomes": reply.unknown_outcomes,
+        "good_calls": reply.good_calls,
+        "retries": {"sent": reply.retries_sent, "refused": reply.retries_refused},
+        "open_keys": reply.open_keys,
+        "members": len(reply.members),
+        "platform": {
+            "reachable": reply.platform_reachable,
+            "since_ms": reply.platform_since_ms,
+        },
+        "configuration": {
+            "generation": reply.configuration_generation,
+            "change_id": reply.configuration_change_id,
+            "since_ms": reply.configuration_since_ms,
+            "problem": reply.configuration_problem,
+        },
+        "violations": [
+            {"invariant": item.invariant, "count": item.count, "since_ms": item.since_ms}
+            for item in reply.violations_by_invariant
+        ],
+        "started_ms": reply.started_ms,
+        "resident_bytes": reply.resident_bytes,
+    }
+
+
+def _state(reply: StatusReply) -> str:
+    if reply.draining:
+        return "draining"
+    return "not ready" if reply.not_ready else "ready"
+
+
+def _refusals(reply: StatusReply) -> list[RefusalDocument]:
+    # The event clock of the reply is the node's own time; the command's clock may differ.
+    node_now_ms = reply.envelope.event_clock >> 16
+    found: list[RefusalDocument] = []
+    for run in reply.refusals:
+        found.append(
+            {
+                "priority": run.priority,
+                "reason": run.reason,
+                "count": run.count,
+                "since_ms": run.since_ms,
+                "last_ms": run.last_ms,
+                "now": node_now_ms - run.last_ms <= RUN_GAP_MS,
+            }
+        )
+    return found
+
+
+def _unreachable(access: FleetAccess, answer: NodeAnswer) -> UnreachableDocument:
+    member = access.members.get(answer.address)
+    status = "unknown"
+    if member is not None:
+        status = MemberStatus.Name(member.status).removeprefix(STATUS_PREFIX).lower()
+    return {
+        "address": answer.address,
+        "name": answer.name,
+        "problem": answer.problem,
+        "peers_say": status,
+    }
+
+
+def _services(nodes: list[NodeDocument]) -> list[ServiceDocument]:
+    by_name: dict[str, list[NodeDocument]] = defaultdict(list)
+    for node in nodes:
+        by_name[node["service"]].append(node)
+    services: list[ServiceDocument] = []
+    for name, group in sorted(by_name.items()):
+        refused: Counter[str] = Counter()
+        for node in group:
+            for refusal in node["refusals"]:
+                refused[refusal["priority"]] += refusal["count"]
+        services.append(
+            {
+                "name": name,
+                "nodes": len(group),
+                "backend_servers_ready": sum(
+                    node["backend_ready"] and not node["not_ready"] for node in group
+                ),
+                "limit": sum(node["limit"] for node in group),
+                "in_flight": sum(node["in_flight"] for node in group),
+                "queued": sum(node["queued"] for node in group),
+                "shedding_nodes": sum(bool(node["shedding_since_ms"]) for node in group),
+                "refused": dict(refused),
+                "unknown_outcomes": sum(node["unknown_outcomes"] for node in group),
+            }
+        )
+    return services
--- a/tests/unit/test_operator_service.py
+++ b/tests/unit/test_operator_service.py
@@ -8,7 +8,8 @@
 
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
 from coltsfoottrack._internal.cli.fleet_access import FleetAccess, NodeAnswer
-from coltsfoottrack._internal.cli.status_report import build_status, status_lines
+from coltsfoottrack._internal.cli.status_document import build_status
+from coltsfoottrack._internal.cli.status_report import status_lines
 from coltsfoottrack._internal.node.admin_server import refresh_gauges
 from coltsfoottrack._internal.node.backend_service import MAX_REPORTED_EVENTS, BackendService
 from coltsfoottrack._internal.node.change_events import ChangeRecorder
