--- a/Makefile
+++ b/Makefile
@@ -25,12 +25,12 @@
 	$(BIN)/python -m tests
 
 lint: install
-	$(BIN)/black --check --quiet src tests
-	$(BIN)/ruff check --quiet src tests
+	$(BIN)/black --check --quiet src tests examples
+	$(BIN)/ruff check --quiet src tests examples
 
 format: install
-	$(BIN)/black --quiet src tests
-	$(BIN)/ruff check --quiet --fix src tests
+	$(BIN)/black --quiet src tests examples
+	$(BIN)/ruff check --quiet --fix src tests examples
 
 schema: install
 	scripts/generate-schema
--- /dev/null
+++ b/src/coltsfoottrack/_internal/embedding/backend_session.py
@@ -0,0 +1,152 @@
+"""The side of a backend server that faces the node beside it."""
+
+from asyncio import Task, create_task, gather, sleep
+from collections.abc import Mapping
+from math import isfinite
+from types import TracebackType
+from typing import NamedTuple, Self
+
+from coltsfoottrack._internal.calls.context import (
+    ATTEMPTS_LEFT,
+    CALL_ID,
+    EVENT_CLOCK,
+    MONOTONIC_DEADLINE,
+    PATH_LEVEL,
+    CallContext,
+    CallGrant,
+    read_context,
+)
+from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.exceptions import BadRequestError
+from coltsfoottrack._internal.calls.outcome import Answer
+from coltsfoottrack._internal.routing.client import CallClient
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
+
+# With this header, a 503 tells the node that the request was not run.
+SHED_HEADER = "Shed"
+# The node sends no new work once it has heard that the backend server leaves: one interval
+# between two announcements, the grace time of the node's default, and a margin.
+DEFAULT_LEAVE_SECONDS = 4.2
+# The node has capped what arrives here, so nothing is capped again.
+FULL_GRANT = CallGrant(
+    priority=2,
+    idempotent=False,
+    default_deadline_ms=600_000,
+    max_deadline_ms=600_000,
+    attempt_budget=1000,
+)
+
+
+class BackendPlace(NamedTuple):
+    """Where a backend server is, and what it can take.
+
+    ``slots`` is the number of requests that it runs at once; the node takes it as the first
+    value of its limit and measures from there.
+    """
+
+    cluster: str
+    service: str
+    name: str
+    address: str
+    port: int
+    slots: int
+    node_peer_address: str
+
+
+class BackendSession:
+    """Announces a backend server to its node, and carries the context of each request.
+
+    An ``async with`` block starts it and closes it. Requests arrive by HTTP from the node at
+    ``address`` and ``port``, as POST to ``/OPERATION``; the backend server brings its own HTTP
+    server and uses this class to read and to answer them.
+    """
+
+    def __init__(self, place: BackendPlace) -> None:
+        self.place = place
+        self.client = CallClient.from_config(
+            place.cluster, f"{place.service}/{place.name}", place.node_peer_address
+        )
+        self.announcement = AnnounceRequest(
+            service=place.service,
+            name=place.name,
+            address=place.address,
+            port=place.port,
+            slots=place.slots,
+        )
+        self.tasks: list[Task[None]] = []
+
+    @classmethod
+    def from_config(cls, place: BackendPlace) -> Self:
+        """Builds a session; must run inside an event loop."""
+        return cls(place)
+
+    async def __aenter__(self) -> Self:
+        """Announces the backend server; from now on requests may arrive."""
+        self.tasks = [
+            create_task(self.client.announce_forever(self.announcement)),
+            create_task(self.client.follow_routes()),
+            create_task(self.client.report_events()),
+        ]
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops announcing, and closes all connections."""
+        for task in self.tasks:
+            task.cancel()
+        await gather(*self.tasks, return_exceptions=True)
+        await self.client.close()
+
+    async def leave(self, seconds: float = DEFAULT_LEAVE_SECONDS) -> None:
+        """Tells the node that the backend server leaves, and waits until no new work comes.
+
+        Requests that arrived before go on; the caller waits for them before it ends the process.
+        """
+        self.announcement.leaving = True
+        await sleep(seconds)
+
+    def read_request(self, operation: str, headers: Mapping[str, str]) -> CallContext:
+        """Returns the context of an arriving request, with its deadline and attempt budget.
+
+        Raises BadRequestError if a header is malformed. A request whose deadline has passed must
+        not be run: the node may have told its caller so already.
+        """
+        context = read_context(self.place.service, operation, headers, FULL_GRANT)
+        self.client.observe(headers)
+        text = headers.get(MONOTONIC_DEADLINE)
+        if text is None:
+            return context
+        # The node is on the same instance and reads the same monotonic clock.
+        return context._replace(deadline=Deadline(_read_seconds(text)))
+
+    def reply_headers(self, context: CallContext, answers: list[Answer]) -> dict[str, str]:
+        """Returns the headers of the response to a request that was run.
+
+        ``answers`` are those of the calls that it made. They hand back what is left of the
+        attempt budget and tell the levels below, so that callers can be refused before any work.
+        """
+        levels = [max(answer.admission_level, answer.path_level) for answer in answers]
+        return {
+            CALL_ID: context.call_id,
+            ATTEMPTS_LEFT: str(context.budget.retries),
+            EVENT_CLOCK: str(self.client.clock.tick()),
+            PATH_LEVEL: str(max(levels, default=0)),
+        }
+
+    def shed_headers(self, context: CallContext) -> dict[str, str]:
+        """Returns the headers of a 503 response to a request that was certainly not run."""
+        return {CALL_ID: context.call_id, SHED_HEADER: "yes"}
+
+
+def _read_seconds(text: str) -> float:
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise BadRequestError(f"{MONOTONIC_DEADLINE} must be a number of seconds") from error
+    if not isfinite(seconds):
+        raise BadRequestError(f"{MONOTONIC_DEADLINE} must be a finite number of seconds")
+    return seconds
--- a/tests/unit/test_public_modules.py
+++ b/tests/unit/test_public_modules.py
@@ -8,6 +8,7 @@
 
 PUBLIC = (
     "admission",
+    "backend",
     "budget",
     "client",
     "configuration",
