Check that every metric on the alerts page is served

Cause: nothing tied the page to the metrics, so a renamed metric would have silenced its alert. Ruled out: generating the page, as causes and remedies are written by hand. Before: no check. After: the functional test of the commands compares the names; it fails with a misspelt name on the page and passes with the page as it is, so no alert was dead. Conclusion: only the test changes.

--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -6,6 +6,7 @@
 from json import loads
 from os import environ
 from pathlib import Path
+from re import findall
 from socket import AF_INET, SOCK_STREAM, socket
 from subprocess import run as run_process
 from tempfile import TemporaryDirectory
@@ -34,6 +35,7 @@
         ServiceShape("deep", 1, 4, 300, (OperationShape("read", PRIORITY_NORMAL, True),)),
     ),
 )
+ALERTS = Path(__file__).parents[2] / "docs" / "alerts.md"
 GOOD_SETTINGS = """cluster: demo
 name: a
 service: stores
@@ -105,6 +107,10 @@
         metrics = self.http.request("GET", f"{address}/metrics").data.decode()
         self.assertIn("coltsfoottrack_configuration_generation 1", metrics)
         self.assertIn('coltsfoottrack_violations{invariant="at_most_once"} 0', metrics)
+        # An alert on a metric that does not exist never fires.
+        named = set(findall(r"coltsfoottrack_[a-z_]+", ALERTS.read_text(encoding="utf-8")))
+        served = set(findall(r"# TYPE (coltsfoottrack_[a-z_]+)", metrics))
+        self.assertEqual(named - served, set())
 
     def check_explain(self) -> None:
         """The deep service is slower than the deadline allows; the entry is not to blame."""
