Interleave the calls of measure path

Cause: direct calls and calls through a node ran in alternating blocks of 5 s from 16 urllib3 threads. A p99 of 750 calls in a block has 7 calls beyond it, other work on the machine met one path only, and the client's own threads competed for its interpreter lock.

--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -24,13 +24,15 @@
         """
         measure_membership(list(simulated), list(processes))
 
-    def path(self, rounds: int = ROUNDS) -> None:
+    def path(self, rounds: int = ROUNDS, source: str = "") -> None:
         """Measures what a node adds to a call, against a direct call in the same run.
 
         Args:
-            rounds: Number of pairs of blocks of 5 s each.
+            rounds: Number of rounds of 10 s, in which direct calls and calls through the node
+                take turns.
+            source: Source tree of another commit to measure; this one if empty.
         """
-        print_path_cost(rounds)
+        print_path_cost(rounds, source)
 
     def calls(self) -> None:
         """Measures what calls and idempotency keys cost a node, and prints the slopes."""
