Count service times and stages in plain histograms

Cause: two observations of aioprometheus histograms for each call took 55 us each under cProfile (4,000 observations 0.22 s at 200 calls/s), 4% of the node's time outside poll. They are now plain counts that a scrape copies to the collectors.

--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -58,7 +58,7 @@
             except NotAdmittedError as error:
                 answer = self._refuse(context, error.reason)
                 return answer._replace(queued_ms=(monotonic() - arrived) * 1000.0)
-            self.metrics.queue_delay.observe({}, waited)
+            self.metrics.queue_delay.observe(waited)
             answer = await self._run_admitted(context, body, waited)
             if answer.reason is not Reason.BACKEND_SHED:
                 break
@@ -80,7 +80,7 @@
         if answer.outcome in (Outcome.DONE, Outcome.FAILED):
             self.path_levels.record(context.operation, "backend", answer.path_level)
         seconds = monotonic() - started
-        self.metrics.service_time.observe({}, seconds)
+        self.metrics.service_time.observe(seconds)
         return answer._replace(queued_ms=waited * 1000.0, running_ms=seconds * 1000.0)
 
     def _follow_backend(self) -> None:
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -4,6 +4,12 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from coltsfoottrack._internal.observability.stages import (
+    STAGE_BUCKETS_SECONDS,
+    PlainHistogram,
+    StageTimes,
+)
+
 REFUSED = "refused"
 LATENCY_BUCKETS_SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
@@ -28,17 +34,19 @@
             "Refused calls by priority and reason.",
             registry=self.registry,
         )
-        self.queue_delay = Histogram(
-            "coltsfoottrack_queue_delay_seconds",
-            "Time that a call waited for a slot.",
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=self.registry,
+        self.queue_delay = PlainHistogram(LATENCY_BUCKETS_SECONDS)
+        self.service_time = PlainHistogram(LATENCY_BUCKETS_SECONDS)
+        self.stages = StageTimes()
+        self.queue_delay_samples = self._histogram(
+            "queue_delay_seconds", "Time that a call waited for a slot.", LATENCY_BUCKETS_SECONDS
         )
-        self.service_time = Histogram(
-            "coltsfoottrack_service_time_seconds",
+        self.service_time_samples = self._histogram(
+            "service_time_seconds",
             "Time that the backend server took for a call.",
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=self.registry,
+            LATENCY_BUCKETS_SECONDS,
+        )
+        self.stage_samples = self._histogram(
+            "stage_seconds", "Time of a call in each stage of the node.", STAGE_BUCKETS_SECONDS
         )
         self.bad_requests = Counter(
             "coltsfoottrack_bad_requests_total",
@@ -81,6 +89,9 @@
         """Number of calls done in time, of all priorities."""
         return sum(self.good_counts.values())
 
+    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
+        return Histogram(f"coltsfoottrack_{name}", text, buckets=buckets, registry=self.registry)
+
     def set_gauge(self, name: str, text: str, value: float) -> None:
         """Sets a gauge without labels, creating it at first use."""
         gauge = self.gauges.get(name)
@@ -93,6 +104,10 @@
         """Counts an answered call."""
         self.call_counts[(priority, outcome, reason)] += 1
 
+    def count_refused_connection(self, bound: str) -> None:
+        """Counts a connection that was closed by a bound."""
+        self.connections_refused.inc({"bound": bound})
+
     def count_good(self, priority: str, is_entry: bool) -> None:
         """Counts a call that was done in time; ``is_entry`` if no other service called it."""
         self.good_counts[(priority, "yes" if is_entry else "no")] += 1
@@ -106,3 +121,6 @@
                 self.refusals.set({"priority": priority, "reason": reason}, count)
         for (priority, entry), count in self.good_counts.items():
             self.good_calls.set({"priority": priority, "entry": entry}, count)
+        self.queue_delay.publish(self.queue_delay_samples, {})
+        self.service_time.publish(self.service_time_samples, {})
+        self.stages.publish(self.stage_samples)
