Drop idle connections to addresses that are never called again

Cause: ConnectionPool looked at an idle connection only when its address was called again, so the objects of connections that the peer had closed, and open ones past 30 s, were kept without a bound. Ruled out: a timer for each connection, which every call would have to move. Before: both new tests fail. After: they pass.

--- a/src/coltsfoottrack/_internal/routing/http_connection.py
+++ b/src/coltsfoottrack/_internal/routing/http_connection.py
@@ -3,7 +3,7 @@
 A general HTTP client adds about 0.4 ms to each call, most of the 1.4 ms that a node may add.
 """
 
-from asyncio import Future, Protocol, Transport, get_running_loop, timeout
+from asyncio import Future, Protocol, TimerHandle, Transport, get_running_loop, timeout
 from collections import deque
 from socket import IPPROTO_TCP, SO_KEEPALIVE, SOL_SOCKET, TCP_KEEPCNT, TCP_KEEPIDLE, TCP_KEEPINTVL
 from socket import TCP_USER_TIMEOUT as TCP_USER_TIMEOUT_OPTION
@@ -22,6 +22,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Below the time after which nodes and backend servers close idle connections.
 IDLE_SECONDS = 30.0
+# Connections that nobody takes any more are closed and dropped this long after that at most.
+SWEEP_SECONDS = 10.0
 # The kernel probes an idle connection after 1 s and gives a silent one up after 3 s.
 TCP_KEEPALIVE_SECONDS = 1
 TCP_KEEPALIVE_PROBES = 3
@@ -139,6 +141,8 @@
     def __init__(self) -> None:
         self.idle: dict[str, deque[HttpConnection]] = {}
         self.closed = False
+        # Set while there are idle connections, also to addresses that are never called again.
+        self.sweep_timer: TimerHandle | None = None
 
     async def exchange(self, address: str, request: bytes, keep: bool) -> HttpReply:
         """Sends a request on a kept connection, or on a new one.
@@ -156,8 +160,30 @@
                 connection.abort("not kept")
         if connection.is_usable():
             self.idle.setdefault(address, deque()).append(connection)
+            if self.sweep_timer is None:
+                self._plan_sweep()
         return reply
 
+    def _plan_sweep(self) -> None:
+        self.sweep_timer = get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
+
+    def _sweep(self) -> None:
+        """Drops connections that were closed or have been idle for too long."""
+        for address, waiting in list(self.idle.items()):
+            usable: deque[HttpConnection] = deque()
+            for connection in waiting:
+                if connection.is_usable():
+                    usable.append(connection)
+                else:
+                    connection.abort("idle for too long")
+            if usable:
+                self.idle[address] = usable
+            else:
+                del self.idle[address]
+        self.sweep_timer = None
+        if self.idle:
+            self._plan_sweep()
+
     def _take(self, address: str) -> HttpConnection | None:
         waiting = self.idle.get(address)
         while waiting:
@@ -184,6 +210,8 @@
     def close(self) -> None:
         """Closes all idle connections; those in use close when their request ends."""
         self.closed = True
+        if self.sweep_timer is not None:
+            self.sweep_timer.cancel()
         for waiting in self.idle.values():
             for connection in waiting:
                 connection.abort("pool closed")
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -2,6 +2,7 @@
 
 from asyncio import StreamReader, StreamWriter, sleep, start_server, wait_for
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.http_connection import ConnectionPool, encode_request
@@ -66,6 +67,28 @@
         await sleep(0.1)
         self.assertEqual(self.ended, 1)
 
+    async def test_idle_connections_are_dropped_without_another_call(self) -> None:
+        """Guards against connections kept for ever to addresses that are never called again."""
+        module = "coltsfoottrack._internal.routing.http_connection"
+        self.answers = [ANSWER, ANSWER]
+        with patch(f"{module}.SWEEP_SECONDS", 0.05), patch(f"{module}.IDLE_SECONDS", 0.15):
+            await self.exchange()
+            await sleep(0.1)
+            await self.exchange()
+            self.assertEqual((self.connections, len(self.pool.idle)), (1, 1))
+            await sleep(0.3)
+        self.assertEqual((self.pool.idle, self.pool.sweep_timer, self.ended), ({}, None, 1))
+
+    async def test_connection_closed_by_its_peer_is_dropped(self) -> None:
+        module = "coltsfoottrack._internal.routing.http_connection"
+        self.answers = [ANSWER]
+        with patch(f"{module}.SWEEP_SECONDS", 0.05):
+            await self.exchange()
+            for waiting in self.pool.idle.values():
+                waiting[0].transport.abort()
+            await sleep(0.1)
+        self.assertEqual(self.pool.idle, {})
+
     async def test_refused_connection_is_certainly_not_sent(self) -> None:
         self.server.close()
         await self.server.wait_closed()
