Choose the node of a forwarded call once

Cause: _refusal_by_state called Router.choose only to see whether there is a node, which built the list of addresses and drew two of them a second time. Now has_node asks the membership table. The new test counted 2 choices before and counts 1 now.

--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -201,7 +201,7 @@
             return refused(Reason.LEAVING, retry_useful=True)
         if context.from_peer:
             return refused(Reason.UNKNOWN_SERVICE)
-        if state.router.choose(context.service, set()) is None:
+        if not state.router.has_node(context.service):
             return self._refuse_unserved(context.service)
         return None
 
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -224,6 +224,12 @@
         pair = self.random.sample(candidates, min(2, len(candidates)))
         return min(pair, key=lambda address: self.outstanding[address])
 
+    def has_node(self, service: str) -> bool:
+        """Tells whether ``choose`` would find a node of a service, without choosing one."""
+        if self.members.serving(service):
+            return True
+        return not self.decisions_off and bool(self._present(service))
+
     def _present(self, service: str) -> list[Member]:
         """Returns the members of a service that are up, whatever is said of their health."""
         found = []
--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -6,16 +6,18 @@
 from random import Random
 from socket import AF_INET, SOCK_STREAM, socket
 from unittest import IsolatedAsyncioTestCase
+from unittest.mock import patch
 
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome
 from coltsfoottrack._internal.node.call_server import CallServer
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
     PRIORITY_NORMAL,
     ConfigurationRecord,
+    Member,
     NodeSettings,
-    OperationPolicy,
 )
 
 SEED = 20261204
@@ -52,11 +54,10 @@
         self.state = NodeState.from_config(settings)
         self.state.ready = True
         record = ConfigurationRecord(generation=1, change_id="c")
-        record.configuration.operations.append(
-            OperationPolicy(
-                service="stores", operation="lookup", priority=PRIORITY_NORMAL, idempotent=True
+        for service, operation in (("stores", "lookup"), ("supply", "stock")):
+            record.configuration.operations.add(
+                service=service, operation=operation, priority=PRIORITY_NORMAL, idempotent=True
             )
-        )
         record.configuration.defaults.max_deadline_ms = 4000
         record.configuration.defaults.attempt_budget = 2
         self.state.configuration.offer(record, "test")
@@ -195,6 +196,23 @@
             self.assertEqual(await self.status(post(path=path)), 404)
         self.assertEqual(self.seen, [])
 
+    async def test_node_of_a_forwarded_call_is_chosen_once(self) -> None:
+        """Guards against a choice that only asks whether there is a node."""
+        self.assertEqual(await self.status(post(path="/v1/services/supply/lookup")), 404)
+        member = Member(
+            service="supply",
+            name="b",
+            address="127.0.0.1",
+            call_port=free_port(),
+            backend_ready=True,
+            status=MEMBER_STATUS_ALIVE,
+        )
+        self.state.members.merge(member)
+        with patch.object(self.state.router, "choose", wraps=self.state.router.choose) as choose:
+            path = "/v1/services/supply/stock"
+            reply = await self.exchange(post(path=path, Attempt_Budget="0"))
+        self.assertEqual(choose.call_count, 1, reply)
+
     async def test_other_cluster_and_version_get_a_clear_error(self) -> None:
         reply = await self.exchange(post(Cluster="prod"))
         self.assertIn(b"for cluster 'prod', this is 'demo'", reply)
