--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -34,6 +34,10 @@
         """
         print_path_cost(rounds, source)
 
-    def calls(self) -> None:
-        """Measures what calls and idempotency keys cost a node, and prints the slopes."""
-        print_call_costs()
+    def calls(self, source: str = "") -> None:
+        """Measures what calls and idempotency keys cost a node, and prints the slopes.
+
+        Args:
+            source: Source tree of another commit to measure; this one if empty.
+        """
+        print_call_costs(source)
--- a/src/coltsfoottrack/_internal/experiment/measure_calls.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_calls.py
@@ -9,7 +9,7 @@
 from urllib3 import HTTPConnectionPool
 
 from coltsfoottrack._internal.calls.context import IDEMPOTENCY_KEY
-from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, FleetVariant
 from coltsfoottrack._internal.experiment.measure_path import (
     BODY,
     CLIENT_THREADS,
@@ -54,10 +54,14 @@
     return Fit(line.slope, line.intercept, max(errors))
 
 
-def print_call_costs() -> None:
-    """Measures one node beside one backend server and prints the slopes."""
+def print_call_costs(source: str = "") -> None:
+    """Measures one node beside one backend server and prints the slopes.
+
+    ``source`` is the source tree that the fleet runs, this one if empty.
+    """
+    variant = FleetVariant(source=Path(source) if source else None)
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
-        fleet = Fleet.from_config(single_service(), Path(directory))
+        fleet = Fleet.from_config(single_service(), Path(directory), variant)
         try:
             fleet.start()
             _print_rates(fleet)
--- a/src/coltsfoottrack/_internal/experiment/measure_path.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_path.py
@@ -14,6 +14,12 @@
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, FleetVariant
 from coltsfoottrack._internal.experiment.report import percentile
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
+from coltsfoottrack._internal.experiment.stage_figures import (
+    StageCounts,
+    print_stages,
+    read_stages,
+)
+from coltsfoottrack._internal.observability.stages import Stage
 from coltsfoottrack._internal.routing.http_connection import ConnectionPool, encode_request
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import PRIORITY_NORMAL
 
@@ -25,6 +31,7 @@
 ROUNDS = 4
 BODY = b"x" * 200
 OK_STATUS = 200
+CALL_SECONDS = 5.0
 
 
 class Destination(NamedTuple):
@@ -58,6 +65,9 @@
     # Over the calls of all rounds together.
     overall: list[PathFigures]
     added_overall: AddedCost
+    # What the node had counted at the start of the first round and at the end of the last.
+    stages_before: dict[Stage, StageCounts]
+    stages_after: dict[Stage, StageCounts]
 
 
 def single_service() -> FleetShape:
@@ -118,6 +128,7 @@
         "node": Destination(f"{LOOPBACK}:{place.call_port}", "/v1/services/stores/lookup"),
     }
     await interleaved(paths, WARM_UP_SECONDS)
+    stages_before = read_stages(fleet, place)
     figures: list[PathFigures] = []
     added: list[AddedCost] = []
     pooled: dict[str, list[float]] = {name: [] for name in paths}
@@ -130,7 +141,14 @@
         figures.extend(of_round.values())
         added.append(_added(of_round))
     overall = {name: _figures(name, found) for name, found in pooled.items()}
-    return PathCost(figures, added, list(overall.values()), _added(overall))
+    return PathCost(
+        figures,
+        added,
+        list(overall.values()),
+        _added(overall),
+        stages_before,
+        read_stages(fleet, place),
+    )
 
 
 async def interleaved(
@@ -160,7 +178,7 @@
 async def _call(pool: ConnectionPool, destination: Destination, latencies: list[float]) -> None:
     started = perf_counter()
     request = encode_request("POST", destination.address, destination.path, {}, BODY)
-    reply = await pool.exchange(destination.address, request, keep=True)
+    reply = await pool.exchange(destination.address, request, True, CALL_SECONDS)
     latencies.append((perf_counter() - started) * 1000.0)
     if reply.status != OK_STATUS:
         raise ExperimentError(f"{destination.address} answered {reply.status}")
@@ -193,6 +211,8 @@
     )
     print(f"added at p99: {cost.added_overall.p99_ms:.2f} ({min(tails):.2f} to {max(tails):.2f})")
 
+    print_stages(cost.stages_before, cost.stages_after)
+
 
 def _print_figures(figures: PathFigures) -> None:
     print(
