Count the stages of a call after its answer is sent

Cause: seven observations were made before the answer was written; the caller waited for them. The answer that every local call began with was built anew each time, and identifiers made here were checked like those from outside. Events are still recorded before the answer, because its Event-Clock must come after theirs. Ruled out: thresholds of the garbage collector.

--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -151,15 +151,18 @@
     request_id = headers.get(REQUEST_ID)
     if request_id is None:
         request_id = new_request_id()
-    check_identifier(request_id, REQUEST_ID)
+    else:
+        check_identifier(request_id, REQUEST_ID)
     call_id = headers.get(CALL_ID)
     if call_id is None:
         call_id = new_call_id()
-    check_identifier(call_id, CALL_ID)
+    else:
+        check_identifier(call_id, CALL_ID)
     deadline_ms = whole_number(
         headers, DEADLINE_MS, int(grant.default_deadline_ms), int(grant.max_deadline_ms)
     )
     retries = whole_number(headers, ATTEMPT_BUDGET, grant.attempt_budget, grant.attempt_budget)
+    from_peer = CLUSTER in headers
     return CallContext(
         service=service,
         operation=operation,
@@ -171,8 +174,8 @@
         idempotency_key=headers.get(IDEMPOTENCY_KEY, ""),
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
         # Depth raises the rank within a priority, so a caller from outside has none.
-        depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH) if CLUSTER in headers else 0,
-        from_peer=CLUSTER in headers,
+        depth=whole_number(headers, HOP_DEPTH, 0, MAX_DEPTH) if from_peer else 0,
+        from_peer=from_peer,
         dispatch_number=whole_number(headers, DISPATCH_NUMBER, 0, 100),
     )
 
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -1,6 +1,7 @@
 """The call port: HTTP/1.1 requests from callers, peers and embedded clients."""
 
 from asyncio import CancelledError
+from functools import partial
 from time import monotonic
 
 from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES
@@ -58,6 +59,17 @@
 INPUT_REASONS = frozenset((Reason.BAD_REQUEST, Reason.TOO_LARGE, Reason.WRONG_CLUSTER))
 
 
+class CallTimes:
+    """Monotonic times, in seconds, at which a call passed from one stage to the next."""
+
+    __slots__ = ("begun", "called", "read")
+
+    def __init__(self, begun: float) -> None:
+        self.begun = begun
+        self.read = begun
+        self.called = begun
+
+
 class CallServer:
     """Serves calls: those of the own service here, others by forwarding them."""
 
@@ -80,8 +92,9 @@
     async def serve(self, request: CallRequest) -> CallResponse:
         """Answers one HTTP request."""
         drain = self.state.drain
+        times = CallTimes(monotonic())
         with drain.call():
-            answer = await self._answer(request)
+            answer = await self._answer(request, times)
         if answer.reason in INPUT_REASONS:
             answer = without_asking_home(answer, request.headers.get(IDEMPOTENCY_KEY, ""))
         answer = answer._replace(served_by=self.state.name, node_leaving=drain.is_leaving)
@@ -90,13 +103,14 @@
         if call_id is not None and is_identifier(call_id):
             headers[CALL_ID] = call_id
         # A request on a connection that is kept open could meet the closing of the port.
-        return CallResponse(
-            int(answer.status), headers, answer.body, close=drain.node_since is not None
-        )
+        close = drain.node_since is not None
+        sent = None
+        if answer.running_ms:
+            sent = partial(self._count_stages, answer, times, monotonic())
+        return CallResponse(int(answer.status), headers, answer.body, close, sent)
 
-    async def _answer(self, request: CallRequest) -> Answer:
+    async def _answer(self, request: CallRequest, times: CallTimes) -> Answer:
         state = self.state
-        begun = monotonic()
         if request.problem is not None:
             return self._refuse_problem(request.problem)
         try:
@@ -111,28 +125,27 @@
         except BadRequestError as error:
             return self._refuse_input(400, refused(Reason.BAD_REQUEST, text=str(error)))
         started = request.received_at
-        read = monotonic()
+        times.read = monotonic()
         try:
             answer = await self._call(context, request.body, grant.idempotent)
         except CancelledError:
             record_cancelled(state.ring, context, started, self._backend_server(context))
             raise
-        called = monotonic()
+        times.called = monotonic()
         self._record(context, answer, started)
-        if answer.running_ms:
-            self._count_stages(answer, begun, read, called)
         return answer
 
-    def _count_stages(self, answer: Answer, begun: float, read: float, called: float) -> None:
+    def _count_stages(self, answer: Answer, times: CallTimes, ready: float) -> None:
         """Counts where the time of a call went that the backend server beside this node ran."""
         stages = self.state.metrics.stages
         queued_seconds = answer.queued_ms / 1000.0
         running_seconds = answer.running_ms / 1000.0
-        stages.add(Stage.CONTEXT, read - begun)
+        stages.add(Stage.CONTEXT, times.read - times.begun)
         stages.add(Stage.QUEUE, queued_seconds)
         stages.add(Stage.BACKEND, running_seconds)
-        stages.add(Stage.ADMISSION, called - read - queued_seconds - running_seconds)
-        stages.add(Stage.ANSWER, monotonic() - called)
+        waited_seconds = queued_seconds + running_seconds
+        stages.add(Stage.ADMISSION, times.called - times.read - waited_seconds)
+        stages.add(Stage.ANSWER, ready - times.called)
 
     def _refuse_problem(self, problem: InputProblem) -> Answer:
         """Refuses a request that the connection could not take in whole."""
--- a/src/coltsfoottrack/_internal/node/http_messages.py
+++ b/src/coltsfoottrack/_internal/node/http_messages.py
@@ -1,5 +1,6 @@
 """Requests and responses of the call port, as they are on the wire."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from time import time
 from typing import NamedTuple
@@ -79,12 +80,16 @@
 
 
 class CallResponse(NamedTuple):
-    """A response that is ready to be sent; ``close`` ends the connection after it."""
+    """A response that is ready to be sent; ``close`` ends the connection after it.
+
+    ``sent`` is called once it was handed to the kernel: work there does not delay the caller.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
     close: bool = False
+    sent: Callable[[], None] | None = None
 
 
 class DateHeader:
@@ -111,7 +116,7 @@
     Header values come from a parser or from this program; a line end in one is refused all the
     same, as it would start another header. Raises ValueError.
     """
-    status, headers, body, _ = response
+    status, headers, body = response.status, response.headers, response.body
     lines = [f"HTTP/1.1 {status} {STATUS_PHRASES.get(status, 'Unknown')}", f"Date: {date}"]
     if status not in BODILESS_STATUSES:
         lines.append(f"Content-Length: {len(body)}")
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -18,6 +18,7 @@
 # Asking whether a level below still holds costs a run of the backend server, which is wasted if
 # it does. Once a second is under 4% of the runs when a service at a quarter speed does 80/s.
 ASK_BELOW_SECONDS = 1.0
+SHED = refused(Reason.BACKEND_SHED, retry_useful=True)
 RETRYABLE_REASONS = (Reason.OVERLOAD, Reason.EVICTED, Reason.LEAVING, Reason.BACKEND_DOWN)
 
 
@@ -50,7 +51,7 @@
         decisions_off = self.admission.decisions_off
         if not decisions_off and self.path_levels.refuses(context.operation, context.rank):
             return self._refuse(context, Reason.EARLY_REFUSAL)
-        answer = refused(Reason.BACKEND_SHED, retry_useful=True)
+        answer = SHED
         for _ in range(1 if decisions_off else MAX_SENDINGS):
             arrived = monotonic()
             try:
