Leave answers of an earlier run out of the stages

Cause: the answer to a further copy under a key carries the times of the run that made it; taken off the time of the copy they made the admission stage negative. The new test fails without the guard.

--- a/src/coltsfoottrack/_internal/experiment/stage_figures.py
+++ b/src/coltsfoottrack/_internal/experiment/stage_figures.py
@@ -45,9 +45,14 @@
     """Reads the stages of a node; empty for a source tree that does not count them."""
     url = f"http://{LOOPBACK}:{place.admin_port}/metrics"
     reply = fleet.http.request("GET", url, timeout=5.0)
+    return parse_stages(reply.data.decode("utf-8"))
+
+
+def parse_stages(metrics: str) -> dict[Stage, StageCounts]:
+    """Reads the stages from the text of a node's metrics."""
     buckets: dict[Stage, dict[float, float]] = defaultdict(dict)
     sums: dict[Stage, float] = {}
-    for line in reply.data.decode("utf-8").splitlines():
+    for line in metrics.splitlines():
         sample = SAMPLE_PATTERN.fullmatch(line)
         if sample is None:
             continue
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -136,14 +136,20 @@
         return answer
 
     def _count_stages(self, answer: Answer, times: CallTimes, ready: float) -> None:
-        """Counts where the time of a call went that the backend server beside this node ran."""
+        """Counts where the time of a call went that the backend server beside this node ran.
+
+        The answer to a further copy under a key carries the times of the run that made it, which
+        are longer than the copy itself took; it is not counted.
+        """
         stages = self.state.metrics.stages
         queued_seconds = answer.queued_ms / 1000.0
         running_seconds = answer.running_ms / 1000.0
+        waited_seconds = queued_seconds + running_seconds
+        if waited_seconds > times.called - times.read:
+            return
         stages.add(Stage.CONTEXT, times.read - times.begun)
         stages.add(Stage.QUEUE, queued_seconds)
         stages.add(Stage.BACKEND, running_seconds)
-        waited_seconds = queued_seconds + running_seconds
         stages.add(Stage.ADMISSION, times.called - times.read - waited_seconds)
         stages.add(Stage.ANSWER, ready - times.called)
 
--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -12,6 +12,7 @@
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome
 from coltsfoottrack._internal.node.call_server import CallServer
 from coltsfoottrack._internal.node.state import NodeState
+from coltsfoottrack._internal.observability.stages import Stage
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     PRIORITY_NORMAL,
@@ -23,6 +24,7 @@
 SEED = 20261204
 RANDOM_CONNECTIONS = 400
 PATH = "/v1/services/stores/lookup"
+CALL_STAGES = (Stage.CONTEXT, Stage.ADMISSION, Stage.QUEUE, Stage.BACKEND, Stage.ANSWER)
 
 
 def free_port() -> int:
@@ -62,11 +64,12 @@
         record.configuration.defaults.attempt_budget = 2
         self.state.configuration.offer(record, "test")
         self.seen: list[CallContext] = []
+        self.running_ms = 0.0
 
         async def run(context: CallContext, body: bytes) -> Answer:
             self.seen.append(context)
             await sleep(0.01)
-            return Answer(Outcome.DONE, body=body)
+            return Answer(Outcome.DONE, body=body, running_ms=self.running_ms)
 
         self.state.dispatcher.run_here = run
         self.server = CallServer(self.state)
@@ -191,6 +194,17 @@
         self.assertEqual(self.bad_requests("400"), len(cases))
         self.assertEqual(self.seen, [])
 
+    async def test_stages_of_a_call_add_up(self) -> None:
+        """Guards against times of an earlier run, which would make a stage negative."""
+        for self.running_ms, calls in ((5.0, 1), (60_000.0, 1), (5.0, 2)):
+            self.assertEqual(await self.status(post()), 200)
+            histograms = self.state.metrics.stages.histograms
+            counted = {stage: sum(histograms[stage].counts) for stage in CALL_STAGES}
+            self.assertEqual(counted, dict.fromkeys(CALL_STAGES, calls))
+        total = sum(histograms[stage].sum for stage in CALL_STAGES)
+        self.assertGreaterEqual(total, 0.02)
+        self.assertGreaterEqual(histograms[Stage.ADMISSION].sum, 0.01)
+
     async def test_unknown_service_is_refused_with_404(self) -> None:
         for path in ("/v1/services/../lookup", "/v1/services/nowhere/lookup"):
             self.assertEqual(await self.status(post(path=path)), 404)
