Measure an earlier commit beside this one in measure path

Cause: with other jobs on the machine two runs of one tree differ more than two trees in one run. The processor time of each node is printed too.

--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -24,15 +24,15 @@
         """
         measure_membership(list(simulated), list(processes))
 
-    def path(self, rounds: int = ROUNDS, source: str = "") -> None:
+    def path(self, rounds: int = ROUNDS, earlier: str = "") -> None:
         """Measures what a node adds to a call, against a direct call in the same run.
 
         Args:
             rounds: Number of rounds of 10 s, in which direct calls and calls through the node
                 take turns.
-            source: Source tree of another commit to measure; this one if empty.
+            earlier: Source tree of another commit to measure beside this one; none if empty.
         """
-        print_path_cost(rounds, source)
+        print_path_cost(rounds, earlier)
 
     def calls(self, source: str = "") -> None:
         """Measures what calls and idempotency keys cost a node, and prints the slopes.
--- a/src/coltsfoottrack/_internal/experiment/measure_path.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_path.py
@@ -12,6 +12,7 @@
 
 from coltsfoottrack._internal.experiment.exceptions import ExperimentError
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, FleetVariant
+from coltsfoottrack._internal.experiment.process_usage import cpu_seconds
 from coltsfoottrack._internal.experiment.report import percentile
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
 from coltsfoottrack._internal.experiment.stage_figures import (
@@ -51,25 +52,32 @@
 
 
 class AddedCost(NamedTuple):
-    """What the node added in one round, in ms."""
+    """What a node added in one round or in all, in ms."""
 
     p50_ms: float
     p99_ms: float
 
 
-class PathCost(NamedTuple):
-    """All rounds of a measurement."""
+class TreeCost(NamedTuple):
+    """What the node of one source tree cost, in all rounds of a measurement."""
 
-    figures: list[PathFigures]
-    added: list[AddedCost]
-    # Over the calls of all rounds together.
-    overall: list[PathFigures]
-    added_overall: AddedCost
+    tree: str
+    rounds: list[AddedCost]
+    overall: AddedCost
+    # Processor time of the node for each call, with what it uses when idle.
+    cpu_ms: float
     # What the node had counted at the start of the first round and at the end of the last.
     stages_before: dict[Stage, StageCounts]
     stages_after: dict[Stage, StageCounts]
 
 
+class PathCost(NamedTuple):
+    """All rounds of a measurement; the last figures are those of all calls together."""
+
+    figures: list[list[PathFigures]]
+    trees: list[TreeCost]
+
+
 def single_service() -> FleetShape:
     """One service with one backend server that answers at once."""
     lookup = OperationShape("lookup", PRIORITY_NORMAL, True)
@@ -106,49 +114,66 @@
     return latencies
 
 
-def measure_path(rounds: int = ROUNDS, source: Path | None = None) -> PathCost:
-    """Measures direct calls and calls through a node, one after the other in the same run.
+def measure_path(rounds: int = ROUNDS, earlier: Path | None = None) -> PathCost:
+    """Measures direct calls and calls through a node, in turn, in the same run.
 
-    ``source`` is the source tree that the fleet runs, None for this one.
+    ``earlier`` is the source tree of another commit, which is measured beside this one: figures
+    of two runs differ more by the other work on the machine than by most changes.
     """
+    sources: dict[str, Path | None] = {"this": None}
+    if earlier is not None:
+        sources["earlier"] = earlier
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
-        variant = FleetVariant(source=source)
-        fleet = Fleet.from_config(single_service(), Path(directory), variant)
+        fleets = {}
+        for tree, source in sources.items():
+            variant = FleetVariant(source=source)
+            fleets[tree] = Fleet.from_config(single_service(), Path(directory) / tree, variant)
         try:
-            fleet.start()
-            return run(_measure(fleet, rounds))
+            for fleet in fleets.values():
+                fleet.start()
+            return run(_measure(fleets, rounds))
         finally:
-            fleet.stop()
+            for fleet in fleets.values():
+                fleet.stop()
 
 
-async def _measure(fleet: Fleet, rounds: int) -> PathCost:
-    place = fleet.places[0]
-    paths = {
-        "direct": Destination(f"{LOOPBACK}:{place.backend_port}", "/lookup"),
-        "node": Destination(f"{LOOPBACK}:{place.call_port}", "/v1/services/stores/lookup"),
-    }
+async def _measure(fleets: dict[str, Fleet], rounds: int) -> PathCost:
+    paths = {}
+    for tree, fleet in fleets.items():
+        place = fleet.places[0]
+        paths[f"direct {tree}"] = Destination(f"{LOOPBACK}:{place.backend_port}", "/lookup")
+        node = Destination(f"{LOOPBACK}:{place.call_port}", "/v1/services/stores/lookup")
+        paths[f"node {tree}"] = node
     await interleaved(paths, WARM_UP_SECONDS)
-    stages_before = read_stages(fleet, place)
-    figures: list[PathFigures] = []
-    added: list[AddedCost] = []
+    stages = {tree: read_stages(fleet, fleet.places[0]) for tree, fleet in fleets.items()}
+    cpu = {tree: _node_cpu_seconds(fleet) for tree, fleet in fleets.items()}
+    of_rounds = []
     pooled: dict[str, list[float]] = {name: [] for name in paths}
     for _ in range(rounds):
         latencies = await interleaved(paths, ROUND_SECONDS)
-        of_round = {}
+        of_rounds.append({name: _figures(name, found) for name, found in latencies.items()})
         for name, found in latencies.items():
-            of_round[name] = _figures(name, found)
             pooled[name].extend(found)
-        figures.extend(of_round.values())
-        added.append(_added(of_round))
     overall = {name: _figures(name, found) for name, found in pooled.items()}
-    return PathCost(
-        figures,
-        added,
-        list(overall.values()),
-        _added(overall),
-        stages_before,
-        read_stages(fleet, place),
-    )
+    trees = []
+    for tree, fleet in fleets.items():
+        used_seconds = _node_cpu_seconds(fleet) - cpu[tree]
+        trees.append(
+            TreeCost(
+                tree=tree,
+                rounds=[_added(figures, tree) for figures in of_rounds],
+                overall=_added(overall, tree),
+                cpu_ms=1000.0 * used_seconds / len(pooled[f"node {tree}"]),
+                stages_before=stages[tree],
+                stages_after=read_stages(fleet, fleet.places[0]),
+            )
+        )
+    figures = [list(of_round.values()) for of_round in (*of_rounds, overall)]
+    return PathCost(figures, trees)
+
+
+def _node_cpu_seconds(fleet: Fleet) -> float:
+    return cpu_seconds(fleet.processes[fleet.places[0].node_process].pid)
 
 
 async def interleaved(
@@ -190,32 +215,27 @@
     )
 
 
-def _added(figures: dict[str, PathFigures]) -> AddedCost:
-    node, direct = figures["node"], figures["direct"]
+def _added(figures: dict[str, PathFigures], tree: str) -> AddedCost:
+    node, direct = figures[f"node {tree}"], figures[f"direct {tree}"]
     return AddedCost(node.p50_ms - direct.p50_ms, node.p99_ms - direct.p99_ms)
 
 
-def print_path_cost(rounds: int, source: str = "") -> None:
+def print_path_cost(rounds: int, earlier: str = "") -> None:
     """Prints the figures of every round and the spread of what the node added."""
-    cost = measure_path(rounds, Path(source) if source else None)
-    print(f"{CALLS_PER_SECOND} calls/s on each path, in turn, ms")
-    for figures in cost.figures:
-        _print_figures(figures)
-    print("all rounds")
-    for figures in cost.overall:
-        _print_figures(figures)
-    medians = [added.p50_ms for added in cost.added]
-    tails = [added.p99_ms for added in cost.added]
-    print(
-        f"added at p50: {cost.added_overall.p50_ms:.2f} ({min(medians):.2f} to {max(medians):.2f})"
-    )
-    print(f"added at p99: {cost.added_overall.p99_ms:.2f} ({min(tails):.2f} to {max(tails):.2f})")
-
-    print_stages(cost.stages_before, cost.stages_after)
-
-
-def _print_figures(figures: PathFigures) -> None:
-    print(
-        f"{figures.path:8} {figures.calls:6} calls  p50 {figures.p50_ms:6.2f}  "
-        f"p99 {figures.p99_ms:6.2f}"
-    )
+    cost = measure_path(rounds, Path(earlier) if earlier else None)
+    print(f"{CALLS_PER_SECOND} calls/s on each path, in turn, ms; the last lines are all rounds")
+    for of_round in cost.figures:
+        for figures in of_round:
+            print(
+                f"{figures.path:15} {figures.calls:6} calls  p50 {figures.p50_ms:6.2f}  "
+                f"p99 {figures.p99_ms:6.2f}"
+            )
+    for tree in cost.trees:
+        print(f"node of {tree.tree} source tree")
+        medians = [added.p50_ms for added in tree.rounds]
+        tails = [added.p99_ms for added in tree.rounds]
+        overall = tree.overall
+        print(f"added at p50: {overall.p50_ms:.2f} ({min(medians):.2f} to {max(medians):.2f})")
+        print(f"added at p99: {overall.p99_ms:.2f} ({min(tails):.2f} to {max(tails):.2f})")
+        print(f"processor time: {tree.cpu_ms:.3f} ms per call, idle use included")
+        print_stages(tree.stages_before, tree.stages_after)
