--- a/src/coltsfoottrack/_internal/node/exceptions.py
+++ b/src/coltsfoottrack/_internal/node/exceptions.py
@@ -11,9 +11,5 @@
     """A port of the settings cannot be opened."""
 
 
-class HeadersTooLargeError(BadRequestError):
-    """The header fields of a request are larger than the settings accept."""
-
-
 class WrongClusterError(BadRequestError):
     """A request is for another cluster or speaks another protocol version."""
--- a/tests/unit/test_http_port.py
+++ b/tests/unit/test_http_port.py
@@ -10,7 +10,9 @@
     sleep,
     wait_for,
 )
+from collections.abc import Callable
 from logging import disable
+from time import monotonic
 from unittest import IsolatedAsyncioTestCase
 
 from coltsfoottrack._internal.node.connections import ConnectionBounds
@@ -26,6 +28,8 @@
     first_byte_seconds=0.3,
     body_seconds=0.3,
 )
+# More than the buffers of two sockets hold.
+HUGE_BYTES = 64 * 1024 * 1024
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -65,6 +69,8 @@
             raise ValueError("fault of the handler")
         if request.body == b"split":
             return CallResponse(200, {"Reason": "a\r\nOutcome: done"}, b"")
+        if request.body == b"huge":
+            return CallResponse(200, {}, bytes(HUGE_BYTES))
         status = int(request.body) if request.body.isdigit() else 200
         return CallResponse(status, {"X": "y"}, request.body)
 
@@ -87,6 +93,13 @@
             writer.close()
         return received
 
+    async def until(self, holds: Callable[[], bool]) -> None:
+        for _ in range(500):
+            if holds():
+                return
+            await sleep(0.01)
+        self.fail("the condition did not come about within 5 s")
+
     async def test_requests_sent_ahead_are_answered_in_order(self) -> None:
         bodies = [f"b{number}".encode() for number in range(30)]
         received = await self.exchange(b"".join(post(body) for body in bodies))
@@ -183,6 +196,29 @@
             self.assertEqual(await wait_for(reader.read(), 1.0), b"")
             writer.close()
 
+    async def test_idle_callers_and_those_that_do_not_read_are_cut_off(self) -> None:
+        """Guards against connections held for ever by a caller that does nothing."""
+        idle_reader, idle_writer = await self.connect()
+        idle_writer.write(post(b"a"))
+        await idle_reader.readuntil(b"\r\n\r\na")
+        _, stalled_writer = await self.connect()
+        stalled_writer.write(post(b"huge"))
+        await self.until(lambda: b"huge" in self.seen)
+        self.gate.clear()
+        busy_reader, busy_writer = await self.connect()
+        busy_writer.write(post(b"b"))
+        await self.until(lambda: b"b" in self.seen)
+        self.port._close_idle(0.0)
+        self.assertEqual(self.port.open_connections, 3)
+        # As the sweep does it once the time of an idle connection is over.
+        self.port._close_idle(monotonic() + 1.0)
+        await self.until(lambda: self.port.open_connections == 1)
+        self.assertEqual(await wait_for(idle_reader.read(), 1.0), b"")
+        self.gate.set()
+        self.assertIn(b"200", await wait_for(busy_reader.read(100), 1.0))
+        for writer in (idle_writer, stalled_writer, busy_writer):
+            writer.close()
+
     async def test_fault_of_the_handler_is_answered(self) -> None:
         for body in (b"fail", b"split"):
             received = await self.exchange(post(body))
