--- a/src/coltsfoottrack/_internal/experiment/measure_path.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_path.py
@@ -12,7 +12,7 @@
 
 from coltsfoottrack._internal.experiment.exceptions import ExperimentError
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, FleetVariant
-from coltsfoottrack._internal.experiment.process_usage import cpu_seconds
+from coltsfoottrack._internal.experiment.process_usage import cpu_seconds, resident_bytes
 from coltsfoottrack._internal.experiment.report import percentile
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
 from coltsfoottrack._internal.experiment.stage_figures import (
@@ -32,6 +32,7 @@
 ROUNDS = 4
 BODY = b"x" * 200
 OK_STATUS = 200
+MEGABYTE = 1024 * 1024
 CALL_SECONDS = 5.0
 
 
@@ -66,6 +67,7 @@
     overall: AddedCost
     # Processor time of the node for each call, with what it uses when idle.
     cpu_ms: float
+    resident_mb: float
     # What the node had counted at the start of the first round and at the end of the last.
     stages_before: dict[Stage, StageCounts]
     stages_after: dict[Stage, StageCounts]
@@ -146,7 +148,7 @@
         paths[f"node {tree}"] = node
     await interleaved(paths, WARM_UP_SECONDS)
     stages = {tree: read_stages(fleet, fleet.places[0]) for tree, fleet in fleets.items()}
-    cpu = {tree: _node_cpu_seconds(fleet) for tree, fleet in fleets.items()}
+    cpu = {tree: cpu_seconds(_node_pid(fleet)) for tree, fleet in fleets.items()}
     of_rounds = []
     pooled: dict[str, list[float]] = {name: [] for name in paths}
     for _ in range(rounds):
@@ -157,13 +159,14 @@
     overall = {name: _figures(name, found) for name, found in pooled.items()}
     trees = []
     for tree, fleet in fleets.items():
-        used_seconds = _node_cpu_seconds(fleet) - cpu[tree]
+        used_seconds = cpu_seconds(_node_pid(fleet)) - cpu[tree]
         trees.append(
             TreeCost(
                 tree=tree,
                 rounds=[_added(figures, tree) for figures in of_rounds],
                 overall=_added(overall, tree),
                 cpu_ms=1000.0 * used_seconds / len(pooled[f"node {tree}"]),
+                resident_mb=resident_bytes(_node_pid(fleet)) / MEGABYTE,
                 stages_before=stages[tree],
                 stages_after=read_stages(fleet, fleet.places[0]),
             )
@@ -172,8 +175,8 @@
     return PathCost(figures, trees)
 
 
-def _node_cpu_seconds(fleet: Fleet) -> float:
-    return cpu_seconds(fleet.processes[fleet.places[0].node_process].pid)
+def _node_pid(fleet: Fleet) -> int:
+    return fleet.processes[fleet.places[0].node_process].pid
 
 
 async def interleaved(
@@ -238,4 +241,5 @@
         print(f"added at p50: {overall.p50_ms:.2f} ({min(medians):.2f} to {max(medians):.2f})")
         print(f"added at p99: {overall.p99_ms:.2f} ({min(tails):.2f} to {max(tails):.2f})")
         print(f"processor time: {tree.cpu_ms:.3f} ms per call, idle use included")
+        print(f"memory at the end: {tree.resident_mb:.1f} MB resident")
         print_stages(tree.stages_before, tree.stages_after)
