Serve waiting calls of one priority by deadline, not by bucket

Cause: the queue served the highest rank first, also within a priority. A critical call of a low bucket was overtaken by every other critical one. Eviction still takes the lowest rank.

--- a/src/coltsfoottrack/_internal/admission/controller.py
+++ b/src/coltsfoottrack/_internal/admission/controller.py
@@ -215,7 +215,7 @@
 
     def _serve_queue(self) -> None:
         while self.limiter.has_room():
-            waiter = self.queue.pop_highest()
+            waiter = self.queue.pop_next()
             if waiter is None:
                 self.limiter.idle_slot()
                 return
