Hold calls back at the entry by what the services below can take

In a trace, 104 of 160 such calls of normal priority were evicted or refused there: its 3 nodes finish 12 calls/s each, so their levels moved between 340 and 590 from window to window, the mean that `stores` got was older still, and all 8 slots of each `stores` node kept 24 runs in flight for 6 slots below. Asking again whether a level holds cost runs too.

Change: a node limits the runs in flight of operations that wait or are refused below (PathGate). The limit follows the share of a run that is spent waiting below, which answers now carry (Queued-Ms); it settles just above what runs there. Calls beyond it wait or are refused before they run, by a level that the node sets from its own arrivals. A call for which other services have run is no longer refused by a level, only by a full queue or after a refusal of a higher priority in the same window; the levels below are no longer used by nodes.

--- a/src/coltsfoottrack/_internal/admission/controller.py
+++ b/src/coltsfoottrack/_internal/admission/controller.py
@@ -7,7 +7,6 @@
 
 from coltsfoottrack._internal.admission.demand import (
     PRIORITIES,
-    RANKS_PER_PRIORITY,
     DemandEstimate,
     lowest_rank,
 )
@@ -31,9 +30,6 @@
 # Bounds the wait at one hop. Queues bounded by slots alone grew to 0.5 s at each layer when the
 # backend server slowed to a quarter, and callers with less patience had gone when it ran them.
 MAX_WAIT_SECONDS = 0.2
-# Buckets below the level, within its priority, that calls from deeper hops may be: refusing them
-# wastes what ran above, and the level moves by about this much from window to window.
-STARTED_WORK_RANKS = 32
 # Time kept back for a refusal to travel to the caller before the deadline.
 ANSWER_SECONDS = 0.01
 
@@ -91,6 +87,17 @@
         await self._wait(waiter)
         return self.clock() - arrived
 
+    def admit_started(self, context: CallContext) -> None:
+        """Starts a call for which other services have already run, whatever the limit.
+
+        Raises NotAdmittedError if a higher priority was refused for overload in this window.
+        """
+        self.close_window(self.clock())
+        self.demand.record(context.priority, True)
+        if context.priority < self.refused_priority:
+            raise NotAdmittedError(Reason.OVERLOAD)
+        self._start(context)
+
     def release(self, shed: bool = False, seconds: float | None = None) -> None:
         """Gives back a slot.
 
@@ -119,13 +126,10 @@
     def admits(self, context: CallContext) -> bool:
         """Tells whether the level lets a call pass.
 
-        What the level admits at the entry it admits at every deeper hop too.
+        The level holds for calls at the entry. Other services have already run for a deeper one,
+        so it is refused only by a full queue or after a refusal of a higher priority.
         """
-        if not context.depth:
-            return context.rank >= self.level
-        lenient = max(0, self.level - STARTED_WORK_RANKS)
-        class_bottom = lowest_rank(max(0, self.level - 1) // RANKS_PER_PRIORITY)
-        return context.rank >= max(lenient, class_bottom)
+        return bool(context.depth) or context.rank >= self.level
 
     def max_queue_length(self) -> int:
         """Returns the number of waiters beyond which the lowest rank is evicted."""
@@ -156,10 +160,15 @@
         self.level = level
         for priority in reversed(range(1, PRIORITIES)):
             if level > lowest_rank(priority):
-                # Part of this priority is refused, so nothing below it may start.
-                self._evict_below(priority)
+                # Part of this priority is refused, so nothing below it is admitted at the entry.
+                self._evict_entries_below(priority)
                 return
 
+    def _evict_entries_below(self, priority: int) -> None:
+        for waiter in list(self.queue.waiters):
+            if waiter.context.priority < priority and not waiter.context.depth:
+                self._evict(waiter)
+
     def _evict_below(self, priority: int) -> None:
         lowest = self.queue.lowest()
         while lowest is not None and lowest.context.priority < priority:
--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -41,6 +41,8 @@
 ATTEMPTS_LEFT = "Attempts-Left"
 ADMISSION_LEVEL = "Admission-Level"
 PATH_LEVEL = "Path-Level"
+# Time that a call and its slowest call further down waited for slots, in ms.
+QUEUED_MS = "Queued-Ms"
 NEXT_KEY = "Next-Idempotency-Key"
 SERVED_BY = "Served-By"
 COPY_DISPATCHED = "Copy-Dispatched"
@@ -194,6 +196,7 @@
         ATTEMPTS_LEFT: str(answer.attempts_left),
         ADMISSION_LEVEL: str(answer.admission_level),
         PATH_LEVEL: str(answer.path_level),
+        QUEUED_MS: str(int(answer.queued_ms + answer.path_queued_ms)),
         SERVED_BY: answer.served_by,
         EVENT_CLOCK: str(event_clock),
         "Content-Type": answer.content_type,
@@ -234,6 +237,7 @@
         attempts_left=whole_number(headers, ATTEMPTS_LEFT, 0, 1_000),
         admission_level=whole_number(headers, ADMISSION_LEVEL, 0, 10_000),
         path_level=whole_number(headers, PATH_LEVEL, 0, 10_000),
+        path_queued_ms=whole_number(headers, QUEUED_MS, 0, 3_600_000),
         next_key=headers.get(NEXT_KEY, ""),
         served_by=headers.get(SERVED_BY, ""),
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -86,6 +86,8 @@
     # Time that the call waited for a slot, and that the backend server took, in ms.
     queued_ms: float = 0.0
     running_ms: float = 0.0
+    # Time that the slowest of its calls spent waiting for slots at all hops further down, in ms.
+    path_queued_ms: float = 0.0
 
 
 def refused(reason: Reason, retry_useful: bool = False, text: str = "") -> Answer:
--- a/src/coltsfoottrack/_internal/node/admin_server.py
+++ b/src/coltsfoottrack/_internal/node/admin_server.py
@@ -74,6 +74,15 @@
     metrics.set_gauge("in_flight", "Calls running now.", state.limiter.in_flight)
     metrics.set_gauge("queued", "Calls waiting for a slot.", len(state.admission.queue))
     metrics.set_gauge("admission_level", "Least rank admitted.", state.admission.level)
+    gate = state.local_calls.gate
+    metrics.set_gauge(
+        "path_limit",
+        "Runs in flight that services further down can take; 0 if none is short of capacity.",
+        int(gate.limiter.limit) if gate.is_active() else 0,
+    )
+    metrics.set_gauge(
+        "path_held", "Calls held back for services further down.", len(gate.controller.queue)
+    )
     metrics.set_gauge(
         "configuration_generation",
         "Configuration generation in force.",
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -28,6 +28,7 @@
     EVENT_CLOCK,
     MONOTONIC_DEADLINE,
     PATH_LEVEL,
+    QUEUED_MS,
     CallContext,
     whole_number,
 )
@@ -321,15 +322,18 @@
     try:
         attempts_left = whole_number(reply.headers, ATTEMPTS_LEFT, lent, lent)
         path_level = whole_number(reply.headers, PATH_LEVEL, 0, 10_000)
+        path_queued_ms = whole_number(reply.headers, QUEUED_MS, 0, 3_600_000)
     except BadRequestError:
-        attempts_left, path_level = 0, 0
+        attempts_left, path_level, path_queued_ms = 0, 0, 0
     if reply.status == 503 and SHED_HEADER in reply.headers:
         context.budget.retries = lent
         return refused(Reason.BACKEND_SHED, retry_useful=True)
     context.budget.retries = attempts_left
     if reply.status >= 500:
         answer = failed(Reason.BACKEND_ERROR, reply.body, content_type)
-        return answer._replace(path_level=path_level, attempts_left=attempts_left)
+        return answer._replace(
+            path_level=path_level, attempts_left=attempts_left, path_queued_ms=path_queued_ms
+        )
     return Answer(
         outcome=Outcome.DONE,
         status=reply.status,
@@ -337,4 +341,5 @@
         content_type=content_type,
         path_level=path_level,
         attempts_left=attempts_left,
+        path_queued_ms=path_queued_ms,
     )
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -5,19 +5,16 @@
 
 from coltsfoottrack._internal.admission.controller import AdmissionController
 from coltsfoottrack._internal.admission.exceptions import NotAdmittedError
+from coltsfoottrack._internal.admission.path_gate import PathGate, PathReport
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
-from coltsfoottrack._internal.routing.levels import ReportedLevels
 
 # Sendings to a backend server that turned a call away without running it.
 MAX_SENDINGS = 3
 RETRY_AFTER_MS = 500
-# Asking whether a level below still holds costs a run of the backend server, which is wasted if
-# it does. Once a second is under 4% of the runs when a service at a quarter speed does 80/s.
-ASK_BELOW_SECONDS = 1.0
 RETRYABLE_REASONS = (Reason.OVERLOAD, Reason.EVICTED, Reason.LEAVING, Reason.BACKEND_DOWN)
 
 
@@ -35,8 +32,7 @@
         self.backend = backend
         self.ring = ring
         self.metrics = metrics
-        # Levels below this node, as answers of the backend server reported them by operation.
-        self.path_levels = ReportedLevels(ASK_BELOW_SECONDS)
+        self.gate = PathGate(admission.checker, admission.policy)
         self.seen_starts = 0
         self.refuses_new_work: Callable[[], bool] = lambda: False
 
@@ -47,11 +43,30 @@
         if not self.backend.address:
             return refused(Reason.BACKEND_DOWN, retry_useful=True)
         self._follow_backend()
-        decisions_off = self.admission.decisions_off
-        if not decisions_off and self.path_levels.refuses(context.operation, context.rank):
-            return self._refuse(context, Reason.EARLY_REFUSAL)
+        if self.admission.decisions_off:
+            return await self._run_admitted(context, body, await self.admission.admit(context))
+        arrived = monotonic()
+        try:
+            call = await self.gate.enter(context)
+        except NotAdmittedError as error:
+            # Only the reason tells that the capacity is missing further down.
+            is_level = error.reason is Reason.OVERLOAD
+            answer = self._refuse(context, Reason.EARLY_REFUSAL if is_level else error.reason)
+            return answer._replace(queued_ms=(monotonic() - arrived) * 1000.0)
+        held_ms = (monotonic() - arrived) * 1000.0
+        report = None
+        try:
+            answer = await self._run_gated(context, body)
+            report = _path_report(answer)
+        finally:
+            self.gate.leave(call, report)
+        answer = answer._replace(queued_ms=answer.queued_ms + held_ms)
+        return self._with_level(context, answer)
+
+    async def _run_gated(self, context: CallContext, body: bytes) -> Answer:
+        """Runs a call that the services below can take."""
         answer = refused(Reason.BACKEND_SHED, retry_useful=True)
-        for _ in range(1 if decisions_off else MAX_SENDINGS):
+        for _ in range(MAX_SENDINGS):
             arrived = monotonic()
             try:
                 waited = await self.admission.admit(context)
@@ -62,7 +77,7 @@
             answer = await self._run_admitted(context, body, waited)
             if answer.reason is not Reason.BACKEND_SHED:
                 break
-        return self._with_level(answer)
+        return answer
 
     async def _run_admitted(self, context: CallContext, body: bytes, waited: float) -> Answer:
         started = monotonic()
@@ -77,8 +92,6 @@
                 service_seconds = monotonic() - started
         finally:
             self.admission.release(shed, service_seconds)
-        if answer.outcome in (Outcome.DONE, Outcome.FAILED):
-            self.path_levels.record(context.operation, "backend", answer.path_level)
         seconds = monotonic() - started
         self.metrics.service_time.observe({}, seconds)
         return answer._replace(queued_ms=waited * 1000.0, running_ms=seconds * 1000.0)
@@ -93,11 +106,19 @@
     def _refuse(self, context: CallContext, reason: Reason) -> Answer:
         answer = refused(reason, retry_useful=reason in RETRYABLE_REASONS)
         answer = answer._replace(
-            retry_after_ms=RETRY_AFTER_MS,
-            attempts_left=context.budget.retries,
-            path_level=self.path_levels.level(context.operation),
+            retry_after_ms=RETRY_AFTER_MS, attempts_left=context.budget.retries
         )
-        return self._with_level(answer)
+        return self._with_level(context, answer)
+
+    def _with_level(self, context: CallContext, answer: Answer) -> Answer:
+        return answer._replace(
+            admission_level=self.admission.level, path_level=self.gate.level(context.operation)
+        )
+
 
-    def _with_level(self, answer: Answer) -> Answer:
-        return answer._replace(admission_level=self.admission.level)
+def _path_report(answer: Answer) -> PathReport | None:
+    """Returns what a run showed of the services below, None if it did not run to its end."""
+    if answer.outcome not in (Outcome.DONE, Outcome.FAILED):
+        return None
+    is_refused = answer.outcome is Outcome.FAILED and answer.path_level > 0
+    return PathReport(answer.path_queued_ms / 1000.0, answer.running_ms / 1000.0, is_refused)
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -113,7 +113,9 @@
                 own = context.idempotency_key if own_key else ""
                 return without_asking_home(refused(Reason.DEADLINE), own)
             # A caller's own key goes to its home even then, which alone knows of earlier copies.
-            asks_levels = not (self.decisions_off or own_key)
+            # A call of a run goes to its node, which alone knows how much it may admit for it; what
+            # answers reported is older, and a refusal would waste the run.
+            asks_levels = not (self.decisions_off or own_key or context.depth)
             if asks_levels and self.levels.refuses(destination, context.rank):
                 return self._with_level(refused(Reason.EARLY_REFUSAL), destination)
             if not grant.idempotent and not own_key:
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -24,6 +24,7 @@
     EVENT_CLOCK,
     MONOTONIC_DEADLINE,
     PATH_LEVEL,
+    QUEUED_MS,
     CallContext,
     CallGrant,
     read_context,
@@ -161,6 +162,8 @@
         }
         levels = [max(answer.admission_level, answer.path_level) for answer in answers]
         headers[PATH_LEVEL] = str(max(levels, default=0))
+        waits = [answer.queued_ms + answer.path_queued_ms for answer in answers]
+        headers[QUEUED_MS] = str(int(max(waits, default=0.0)))
         for answer in answers:
             if answer.outcome is Outcome.DONE:
                 continue
--- /dev/null
+++ b/tests/unit/test_path_gate.py
@@ -0,0 +1,203 @@
+"""Guards the gate that holds calls back before they run for nothing."""
+
+from asyncio import CancelledError, create_task, sleep
+from unittest import IsolatedAsyncioTestCase, TestCase
+
+from coltsfoottrack._internal.admission.controller import AdmissionController
+from coltsfoottrack._internal.admission.exceptions import NotAdmittedError
+from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
+from coltsfoottrack._internal.admission.path_gate import (
+    MEMORY_SECONDS,
+    REFUSAL_MEMORY_SECONDS,
+    PathGate,
+    PathLimiter,
+    PathReport,
+)
+from coltsfoottrack._internal.calls.budget import AttemptBudget
+from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed
+from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.node.local_calls import LocalCalls
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.observability.metrics import NodeMetrics
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import OverloadPolicy
+
+NORMAL, CRITICAL = 1, 2
+FREE_RUN = PathReport(0.0, 0.25, False)
+REFUSED_RUN = PathReport(0.0, 0.05, True)
+
+
+class Clock:
+    """A clock that a test advances."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def context(priority: int = NORMAL, depth: int = 0, operation: str = "lookup") -> CallContext:
+    return CallContext(
+        service="stores",
+        operation=operation,
+        request_id=f"request-{priority}-{depth}",
+        call_id="call",
+        deadline=Deadline.after_ms(60_000),
+        budget=AttemptBudget(0),
+        priority=priority,
+        depth=depth,
+    )
+
+
+class PathLimiterTest(TestCase):
+    """Fails if the limit fills the queue of a slow service, or leaves its slots free."""
+
+    def run_closed_loop(self, limiter: PathLimiter, slots: int, service_seconds: float) -> float:
+        """Runs as many calls as the limit lets through, and returns the limit that results."""
+        for _ in range(300):
+            while limiter.has_room():
+                limiter.start()
+            waiting = max(0, limiter.in_flight - slots)
+            waited = waiting * service_seconds / slots
+            limiter.follow(PathReport(waited, waited + service_seconds, False))
+            limiter.finish(False, waited + service_seconds)
+        return limiter.limit
+
+    def test_limit_settles_just_above_what_runs_below(self) -> None:
+        limiter = PathLimiter(initial_limit=24)
+        for slots, service_seconds in ((2, 0.16), (8, 0.16), (2, 0.16), (12, 0.04)):
+            with self.subTest(slots=slots):
+                limit = self.run_closed_loop(limiter, slots, service_seconds)
+                waiting = max(1.0, 0.03 * limit / service_seconds)
+                self.assertGreaterEqual(limit, slots)
+                self.assertLessEqual(limit, slots + waiting + 2.0)
+
+    def test_limit_comes_down_to_what_is_used(self) -> None:
+        limiter = PathLimiter(initial_limit=8)
+        for _ in range(200):
+            limiter.start()
+            limiter.follow(FREE_RUN)
+            limiter.finish(False, 0.25)
+        self.assertGreaterEqual(limiter.limit, 2.0)
+        self.assertLess(limiter.limit, 2.5)
+
+
+class PathGateTest(IsolatedAsyncioTestCase):
+    """Fails if runs start that the services below refuse, or important calls wait for others."""
+
+    def setUp(self) -> None:
+        self.clock = Clock()
+        self.checker = InvariantChecker()
+        self.gate = PathGate(self.checker, OverloadPolicy, self.clock)
+
+    async def refuse_one(self, operation: str = "lookup") -> None:
+        call = await self.gate.enter(context(operation=operation))
+        self.gate.leave(call, REFUSED_RUN)
+
+    async def is_held(self, call: CallContext) -> bool:
+        task = create_task(self.gate.enter(call))
+        await sleep(0)
+        if task.done():
+            task.exception()
+            return False
+        task.cancel()
+        with self.assertRaises(CancelledError):
+            await task
+        return True
+
+    async def test_runs_in_flight_are_counted_once_an_operation_is_refused_below(self) -> None:
+        calls = [await self.gate.enter(context()) for _ in range(5)]
+        self.assertEqual(self.gate.limiter.in_flight, 0)
+        await self.refuse_one()
+        self.assertEqual(self.gate.limiter.in_flight, 5)
+        self.assertTrue(await self.is_held(context()))
+        for call in calls:
+            self.gate.leave(call, None)
+        self.assertEqual(self.gate.limiter.in_flight, 0)
+        self.assertFalse(self.gate.running)
+
+    async def test_other_operations_pass_freely(self) -> None:
+        for _ in range(5):
+            await self.gate.enter(context())
+        await self.refuse_one()
+        self.assertFalse(await self.is_held(context(operation="audit")))
+        self.assertEqual(self.gate.level("audit"), 0)
+
+    async def test_calls_for_which_others_have_run_are_not_held(self) -> None:
+        for _ in range(5):
+            await self.gate.enter(context())
+        await self.refuse_one()
+        self.assertTrue(await self.is_held(context()))
+        self.assertFalse(await self.is_held(context(depth=1)))
+        self.assertEqual(self.gate.limiter.in_flight, 6)
+
+    async def test_critical_calls_are_held_only_after_a_refusal_below(self) -> None:
+        for _ in range(5):
+            await self.gate.enter(context(CRITICAL))
+        await self.refuse_one()
+        self.assertTrue(await self.is_held(context(CRITICAL)))
+        self.clock.now = REFUSAL_MEMORY_SECONDS
+        self.assertTrue(await self.is_held(context()))
+        self.assertFalse(await self.is_held(context(CRITICAL)))
+
+    async def test_gate_opens_when_nothing_waits_below_any_more(self) -> None:
+        for _ in range(5):
+            await self.gate.enter(context())
+        await self.refuse_one()
+        self.clock.now = MEMORY_SECONDS
+        self.assertFalse(await self.is_held(context()))
+        self.assertFalse(self.gate.is_active())
+
+
+class StartedCallTest(IsolatedAsyncioTestCase):
+    """Fails if a call that is not held starts after a more important one was refused."""
+
+    async def test_lower_priority_is_refused_in_a_window_that_refused_a_higher_one(self) -> None:
+        clock, checker = Clock(), InvariantChecker()
+        admission = AdmissionController(
+            ConcurrencyLimiter(clock=clock), checker, OverloadPolicy, clock
+        )
+        admission.level = 768
+        with self.assertRaises(NotAdmittedError):
+            await admission.admit(context(CRITICAL))
+        with self.assertRaises(NotAdmittedError):
+            admission.admit_started(context(NORMAL, depth=1))
+        admission.admit_started(context(CRITICAL, depth=1))
+        self.assertEqual(checker.total(), 0)
+
+
+class RefusedBelowBackend:
+    """A backend server whose calls are all refused by the service below."""
+
+    address, starts, slots = "backend", 1, 8
+
+    def __init__(self) -> None:
+        self.runs = 0
+
+    async def run(self, call: CallContext, body: bytes) -> Answer:
+        self.runs += 1
+        await sleep(0.01)
+        return failed(Reason.BACKEND_ERROR)._replace(path_level=400)
+
+
+class LocalCallsTest(IsolatedAsyncioTestCase):
+    """Fails if a node goes on to run calls that are refused below, or does not say why not."""
+
+    async def test_calls_are_refused_before_they_run(self) -> None:
+        backend = RefusedBelowBackend()
+        admission = AdmissionController(ConcurrencyLimiter(8), InvariantChecker(), OverloadPolicy)
+        calls = LocalCalls(admission, backend, EventRing("n", HybridClock()), NodeMetrics())
+        tasks = []
+        for _ in range(200):
+            # Four times what 8 slots run, and all of it in vain.
+            tasks.extend(create_task(calls.run(context(), b"")) for _ in range(3))
+            await sleep(0.001)
+        answers = [await task for task in tasks]
+        self.assertLess(backend.runs, len(answers) / 4)
+        refusals = [answer for answer in answers if answer.outcome is Outcome.REFUSED]
+        self.assertEqual(len(refusals), len(answers) - backend.runs)
+        self.assertIn(Reason.EARLY_REFUSAL, {answer.reason for answer in refusals})
+        self.assertEqual(calls.gate.limiter.in_flight, 0)
