--- a/src/coltsfoottrack/_internal/admission/limiter.py
+++ b/src/coltsfoottrack/_internal/admission/limiter.py
@@ -105,15 +105,8 @@
         self._climb(now)
 
     def idle_slot(self) -> None:
-        """Ends the throughput sample, as a slot stays free and throughput follows the demand.
-
-        A trial that cannot be judged is taken back: a limit of 3 for a backend server with 2 slots
-        stayed in force for seconds, and important calls waited behind others in its own queue.
-        """
+        """Ends the throughput sample, as a slot stays free and throughput follows the demand."""
         self.sample_start = None
-        if self.trial_from is not None:
-            self.limit = self.trial_from
-            self.trial_from = None
 
     def capacity_per_second(self) -> float | None:
         """Returns the requests per second that the limit carries, None before the first one.
