Report what goodput was possible in cold, and what is certain of lost requests

The share of full capacity said little about the scenario cold, in which a service is gone for 1.0 to 1.5 s and then runs at a quarter of its speed. The experiment now watches when each restarted node serves and when its backend server listens, and integrates the capacity over the trigger: nothing while a place is gone, the capacity at a quarter until its cold time is over.

Lost critical requests are divided by what is certain of them: never dispatched (Copy-Dispatched: no), finished and told when their key is sent again, run with a lost outcome, and in doubt. The load program's sending of one request moves to a module of its own and behaves as before.

Ruled out: deriving the return from the run log, since it shows when work arrived and not when it could have.

--- a/src/coltsfoottrack/_internal/experiment/comparison.py
+++ b/src/coltsfoottrack/_internal/experiment/comparison.py
@@ -13,7 +13,9 @@
         fields = report._asdict()
         fields["goodput_share"] = report.goodput_share
         fields["check"] = report.check._asdict()
+        fields["returns"] = [place._asdict() for place in report.returns]
         fields["rows"] = [row._asdict() for row in report.rows]
+        fields["lost"] = [row._asdict() for row in report.lost]
         trials.append(fields)
     return dumps({"scenario": scenario.name, "summary": scenario.summary, "trials": trials})
 
@@ -26,10 +28,24 @@
     return "\n".join(lines)
 
 
+def _outage_lines(report: TrialReport) -> list[str]:
+    if report.possible_during is None:
+        return []
+    back = []
+    for place in report.returns:
+        back.append("never" if place.ready is None else f"{place.ready:.2f} s")
+    share = report.goodput_during / max(report.possible_during, 0.1)
+    return [
+        f"nodes of the restarted service served again after {', '.join(back)}; possible until the "
+        f"end of the trigger {report.possible_during:.1f}/s, reached {share:.1%} of it"
+    ]
+
+
 def _trial_lines(report: TrialReport) -> list[str]:
     recovery = "not reached" if report.recovery is None else f"{report.recovery:.2f} s"
     lines = [
         f"== {report.variant}",
+        *_outage_lines(report),
         f"capacity {report.capacity:.1f}/s, during the trigger {report.capacity_during:.1f}/s; "
         f"offered {report.offered_before:.1f}/s, during {report.offered_during:.1f}/s",
         f"goodput before {report.goodput_before:.1f}/s, during {report.goodput_during:.1f}/s "
@@ -46,6 +62,8 @@
         )
     for reason, count in report.reasons.items():
         lines.append(f"  {reason}: {count}")
+    for row in report.lost:
+        lines.append(f"  critical requests lost, {row.kind}, told {row.told}: {row.count}")
     check = report.check
     lines.append(
         f"run twice {check.run_twice}, run though refused {check.run_though_refused}, wrong "
--- a/src/coltsfoottrack/_internal/experiment/load.py
+++ b/src/coltsfoottrack/_internal/experiment/load.py
@@ -5,21 +5,12 @@
 from time import perf_counter
 from typing import NamedTuple
 
-from coltsfoottrack._internal.calls.context import (
-    DEADLINE_MS,
-    IDEMPOTENCY_KEY,
-    NEXT_KEY,
-    REQUEST_ID,
-    read_answer,
-)
-from coltsfoottrack._internal.calls.exceptions import BadRequestError
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
-from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
+from coltsfoottrack._internal.experiment.sending import Sending
 from coltsfoottrack._internal.routing.transport import Transport
 
 GRACE_SECONDS = 0.5
 RESEND_PATIENCE_SECONDS = 0.5
-MAX_SENDINGS = 5
 
 
 class RequestKind(NamedTuple):
@@ -56,6 +47,10 @@
     resends: int = 0
     # An earlier sending got no answer, so the request may have run before the last one.
     earlier_unanswered: bool = False
+    body: bytes = b""
+    # The last key that was sent, and whether a copy under it may have run.
+    key: str = ""
+    may_have_run: bool = True
 
 
 class LoadGenerator:
@@ -105,13 +100,17 @@
         self.sent += 1
         request_id = f"load-{self.seed}-{self.sent}"
         body = f"order {self.sent}".encode()
+        path = f"/v1/services/{kind.service}/{kind.operation}"
         started = perf_counter()
-        answer = refused(Reason.NO_NODE)
         resends = 0
         earlier_unanswered = False
         while True:
             left = self.deadline_ms / 1000.0 - (perf_counter() - started)
-            answer = await self._try(transport, entry, kind, request_id, body, left, phase)
+            patience = left + GRACE_SECONDS
+            if phase.resends:
+                patience = min(left, RESEND_PATIENCE_SECONDS)
+            sending = Sending(transport, self.entries, self.random)
+            answer = await sending.send(entry, path, request_id, body, left, patience)
             unanswered = answer.reason is Reason.CONNECTION_LOST
             if answer.outcome is not Outcome.REFUSED and not (unanswered and kind.idempotent):
                 break
@@ -135,40 +134,8 @@
                 wrong_answer=answer.outcome is Outcome.DONE and answer.body != expected,
                 resends=resends,
                 earlier_unanswered=earlier_unanswered,
+                body=body,
+                key=sending.key,
+                may_have_run=sending.may_have_run,
             )
         )
-
-    async def _try(
-        self,
-        transport: Transport,
-        entry: str,
-        kind: RequestKind,
-        request_id: str,
-        body: bytes,
-        left: float,
-        phase: Phase,
-    ) -> Answer:
-        """Sends a request once; a non-idempotent one again with the key it is told to use.
-
-        An entry node that takes no connection is replaced by another one, as a caller with
-        several addresses does.
-        """
-        headers = {REQUEST_ID: request_id, DEADLINE_MS: str(max(1, int(left * 1000.0)))}
-        path = f"/v1/services/{kind.service}/{kind.operation}"
-        seconds = left + GRACE_SECONDS
-        if phase.resends:
-            seconds = min(left, RESEND_PATIENCE_SECONDS)
-        answer = refused(Reason.NO_NODE)
-        for _ in range(MAX_SENDINGS):
-            try:
-                reply = await transport.send("POST", entry, path, headers, body, seconds)
-                answer = read_answer(reply.status, reply.headers, reply.body)
-            except NotSentError:
-                entry = self.random.choice(self.entries)
-                continue
-            except (ConnectionLostError, BadRequestError):
-                return unknown(Reason.CONNECTION_LOST)
-            if answer.reason is not Reason.KEY_REQUIRED or IDEMPOTENCY_KEY in headers:
-                return answer
-            headers[IDEMPOTENCY_KEY] = reply.headers.get(NEXT_KEY, "")
-        return answer
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/outage.py
@@ -0,0 +1,87 @@
+"""What goodput was possible while a service was gone and then cold."""
+
+from socket import create_connection
+from time import perf_counter, sleep
+from typing import NamedTuple
+
+from urllib3 import PoolManager
+from urllib3.exceptions import HTTPError
+
+from coltsfoottrack._internal.experiment.capacity import capacity_per_second
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, NodePlace
+from coltsfoottrack._internal.experiment.load import RequestKind
+from coltsfoottrack._internal.experiment.shapes import FleetShape
+from coltsfoottrack._internal.standins.backend import COLD_START_FACTOR
+
+POLL_SECONDS = 0.01
+WATCH_SECONDS = 5.0
+STEP_SECONDS = 0.01
+
+
+class PlaceReturn(NamedTuple):
+    """When one place came back, in seconds since the trigger; None for what never happened."""
+
+    # The backend server listens; its cold time counts from here.
+    started: float | None
+    # The node serves and has a backend server.
+    ready: float | None
+
+
+def watch_returns(places: list[NodePlace], trigger: float) -> list[PlaceReturn]:
+    """Waits until restarted places serve again; ``trigger`` is a reading of ``perf_counter``."""
+    http = PoolManager(retries=False, timeout=1.0)
+    started: dict[str, float] = {}
+    ready: dict[str, float] = {}
+    while len(ready) < len(places) and perf_counter() - trigger < WATCH_SECONDS:
+        for place in places:
+            if place.name not in started and _listens(place.backend_port):
+                started[place.name] = perf_counter() - trigger
+            if place.name not in ready and _is_ready(http, place.admin_port):
+                ready[place.name] = perf_counter() - trigger
+        sleep(POLL_SECONDS)
+    return [PlaceReturn(started.get(place.name), ready.get(place.name)) for place in places]
+
+
+def _listens(port: int) -> bool:
+    try:
+        create_connection((LOOPBACK, port), timeout=1.0).close()
+    except OSError:
+        return False
+    return True
+
+
+def _is_ready(http: PoolManager, port: int) -> bool:
+    try:
+        return http.request("GET", f"http://{LOOPBACK}:{port}/ready").status == 200
+    except HTTPError:
+        return False
+
+
+def possible_goodput(
+    shape: FleetShape,
+    mix: list[RequestKind],
+    service: str,
+    returns: list[PlaceReturn],
+    cold_seconds: float,
+    seconds: float,
+    offered: float,
+) -> float:
+    """Returns the mean goodput that load and capacity allowed in the time after the trigger.
+
+    A place carries nothing until it is ready, its share of the capacity of a cold service until
+    its cold time is over, and then its share of the full capacity. Every request of the mix is
+    taken to need the service. Work that waited from one moment to the next is left out.
+    """
+    warm = capacity_per_second(shape, mix) / len(returns)
+    cold = capacity_per_second(shape, mix, {service: COLD_START_FACTOR}) / len(returns)
+    total = 0.0
+    steps = round(seconds / STEP_SECONDS)
+    for step in range(steps):
+        moment = step * STEP_SECONDS
+        capacity = 0.0
+        for place in returns:
+            if place.started is None or place.ready is None or moment < place.ready:
+                continue
+            capacity += cold if moment < place.started + cold_seconds else warm
+        total += min(offered, capacity)
+    return total / steps
--- a/src/coltsfoottrack/_internal/experiment/trial.py
+++ b/src/coltsfoottrack/_internal/experiment/trial.py
@@ -10,9 +10,21 @@
 from time import perf_counter, sleep
 from typing import NamedTuple
 
+from coltsfoottrack._internal.calls.outcome import Outcome
 from coltsfoottrack._internal.experiment.capacity import capacity_per_second
 from coltsfoottrack._internal.experiment.fleet import Fleet, FleetVariant
 from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestResult
+from coltsfoottrack._internal.experiment.lost import (
+    LostRow,
+    ask_again,
+    lost_critical,
+    lost_rows,
+)
+from coltsfoottrack._internal.experiment.outage import (
+    PlaceReturn,
+    possible_goodput,
+    watch_returns,
+)
 from coltsfoottrack._internal.experiment.report import (
     OutcomeRow,
     RunCheck,
@@ -64,6 +76,11 @@
     rows: list[OutcomeRow]
     reasons: dict[str, int]
     violations_logged: int
+    lost: list[LostRow]
+    # Mean goodput that was possible while a service was gone and cold, None in other scenarios.
+    possible_during: float | None = None
+    # Seconds from the trigger until each place of that service served again.
+    returns: tuple[PlaceReturn, ...] = ()
 
     @property
     def goodput_share(self) -> float:
@@ -85,10 +102,23 @@
         phases = _phases(scenario, shape)
         try:
             fleet.start()
-            results = _play(scenario, fleet, phases)
+            results, returns = _play(scenario, fleet, phases)
+            asked = ask_again(results, fleet.places[0].call_address)
         finally:
             fleet.kill_all()
-        return _report(scenario, variant, fleet, phases, results)
+        report = _report(scenario, variant, fleet, phases, results, asked)
+    if not returns:
+        return report
+    possible = possible_goodput(
+        shape,
+        MIX,
+        DEEP_SERVICE,
+        returns,
+        COLD_START_MS / 1000.0,
+        DURING_SECONDS,
+        report.offered_during,
+    )
+    return report._replace(possible_during=possible, returns=tuple(returns))
 
 
 def _phases(scenario: Scenario, shape: FleetShape) -> list[Phase]:
@@ -108,7 +138,10 @@
     return run(LoadGenerator(MIX, entries, DEADLINE_MS, seed).play(phases, start_at))
 
 
-def _play(scenario: Scenario, fleet: Fleet, phases: list[Phase]) -> list[RequestResult]:
+def _play(
+    scenario: Scenario, fleet: Fleet, phases: list[Phase]
+) -> tuple[list[RequestResult], list[PlaceReturn]]:
+    """Returns the results, and when the places that the scenario restarts served again."""
     entries = [place.call_address for place in fleet.places]
     shares = []
     for phase in phases:
@@ -125,19 +158,19 @@
                 pool.submit(play_share, entries, shares, SEED + index, start_at + offset)
             )
         _sleep_until(start_at + BEFORE_SECONDS)
-        _begin(scenario, fleet)
+        returns = _begin(scenario, fleet)
         _sleep_until(start_at + BEFORE_SECONDS + DURING_SECONDS)
         _end(scenario, fleet)
         for share in pending:
             results.extend(share.result())
-    return results
+    return results, returns
 
 
 def _sleep_until(moment: float) -> None:
     sleep(max(0.0, moment - perf_counter()))
 
 
-def _begin(scenario: Scenario, fleet: Fleet) -> None:
+def _begin(scenario: Scenario, fleet: Fleet) -> list[PlaceReturn]:
     if scenario.slow_factor != 1.0:
         for place in fleet.places_of(DEEP_SERVICE):
             fleet.slow_backend(place, scenario.slow_factor)
@@ -146,14 +179,17 @@
             if place.failure_domain == LOST_DOMAIN:
                 fleet.kill(place.node_process)
                 fleet.kill(place.backend_process)
-    if scenario.cold_start:
-        fleet.backend_settings[DEEP_SERVICE] = {"cold_start_ms": COLD_START_MS}
-        for place in fleet.places_of(DEEP_SERVICE):
-            fleet.kill(place.node_process)
-            fleet.kill(place.backend_process)
-        for place in fleet.places_of(DEEP_SERVICE):
-            fleet.start_node(place)
-            fleet.start_backend(place)
+    if not scenario.cold_start:
+        return []
+    trigger = perf_counter()
+    fleet.backend_settings[DEEP_SERVICE] = {"cold_start_ms": COLD_START_MS}
+    for place in fleet.places_of(DEEP_SERVICE):
+        fleet.kill(place.node_process)
+        fleet.kill(place.backend_process)
+    for place in fleet.places_of(DEEP_SERVICE):
+        fleet.start_node(place)
+        fleet.start_backend(place)
+    return watch_returns(fleet.places_of(DEEP_SERVICE), trigger)
 
 
 def _end(scenario: Scenario, fleet: Fleet) -> None:
@@ -173,15 +209,13 @@
     fleet: Fleet,
     phases: list[Phase],
     results: list[RequestResult],
+    asked: dict[str, Outcome],
 ) -> TrialReport:
     before, during, after = phases
     reasons: Counter[str] = Counter()
-    lost = 0
     for result in results:
         if result.answer.reason:
             reasons[f"{result.answer.outcome}: {result.answer.reason}"] += 1
-        if result.kind.priority == "critical" and not is_good(result):
-            lost += 1
     # A lost domain stays lost, so its recovery counts from the loss.
     trigger_end = before.seconds + (0.0 if scenario.lose_domain else during.seconds)
     wasted_during, wasted_total = _wasted(results, fleet.run_log, during.name)
@@ -200,11 +234,12 @@
         recovery=recovery_seconds(results, before.name, trigger_end),
         wasted_during=wasted_during,
         wasted_total=wasted_total,
-        critical_lost=lost,
+        critical_lost=len(lost_critical(results)),
         check=check_runs(results, fleet.run_log),
         rows=outcome_rows(results),
         reasons=dict(reasons.most_common()),
         violations_logged=logged,
+        lost=lost_rows(results, asked, fleet.run_log),
     )
 
 
