Refuse early what is certain to need a service without a working node

While a service was gone, the services above it ran and their deep call was then refused: nothing told the entry. Answers now name the absent service (Absent-Service) and the services that a finished call has used (Used-Services). A node refuses a call with reason service_absent when membership, refused connections or answers show that no node of a service takes work, and when the operation is certain to need it: it failed for its absence, and the last three or more finished calls all used it, or the node below said so. An operation that finished without the service is never refused. One call at a time finds out whether the service is back; a member that becomes ready ends the absence at once. Until the service has answered again, calls other than critical ones go one at a time, as a cold service has no measure yet from which it could set a level.

Ruled out: waiting for the service at the entry, which would hold a slot for each request and hide the refusal; forgetting absence after 1 s without news, which lets every call run once a second.

--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.calls.identifiers import (
     RANK_BUCKETS,
     check_identifier,
+    is_identifier,
     new_call_id,
     new_request_id,
     rank_bucket,
@@ -45,8 +46,11 @@
 SERVED_BY = "Served-By"
 COPY_DISPATCHED = "Copy-Dispatched"
 NODE_LEAVING = "Node-Leaving"
+ABSENT_SERVICE = "Absent-Service"
+USED_SERVICES = "Used-Services"
 
 MAX_DEPTH = 32
+MAX_USED_SERVICES = 64
 # Each hop is told a deadline sooner by this, so that its refusal is back before the sender's own
 # deadline; with equal deadlines every layer timed out at once and callers learned nothing.
 ANSWER_MARGIN_MS = 10.0
@@ -210,6 +214,10 @@
         headers[COPY_DISPATCHED] = "no"
     if answer.node_leaving:
         headers[NODE_LEAVING] = "yes"
+    if answer.absent_service:
+        headers[ABSENT_SERVICE] = answer.absent_service
+    if answer.used_services:
+        headers[USED_SERVICES] = ",".join(sorted(answer.used_services))
     return headers
 
 
@@ -239,4 +247,23 @@
         suspected_crashes=whole_number(headers, SUSPECTED_CRASHES, 0, 100),
         copy_dispatched=headers.get(COPY_DISPATCHED) != "no",
         node_leaving=headers.get(NODE_LEAVING) == "yes",
+        absent_service=absent_service(headers),
+        used_services=used_services(headers),
     )
+
+
+def absent_service(headers: Mapping[str, str]) -> str:
+    """Returns the absent service that an answer names, empty if none or malformed."""
+    name = headers.get(ABSENT_SERVICE, "")
+    return name if is_identifier(name) else ""
+
+
+def used_services(headers: Mapping[str, str]) -> frozenset[str]:
+    """Returns the services that a finished call has used.
+
+    A missing or malformed list counts as empty, which claims nothing as needed.
+    """
+    names = frozenset(headers.get(USED_SERVICES, "").split(","))
+    if len(names) > MAX_USED_SERVICES or not all(is_identifier(name) for name in names):
+        return frozenset()
+    return names
--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -45,6 +45,7 @@
     TOO_LARGE = "too_large"
     WRONG_CLUSTER = "wrong_cluster"
     EARLY_REFUSAL = "early_refusal"
+    SERVICE_ABSENT = "service_absent"
     NOT_READY = "not_ready"
     BUDGET_SPENT = "budget_spent"
 
@@ -83,6 +84,10 @@
     # False only when this copy of the call was certainly not sent on to where it could run.
     copy_dispatched: bool = True
     node_leaving: bool = False
+    # Service without a node that takes work, for which the call was refused or failed.
+    absent_service: str = ""
+    # Services below that a finished call has used.
+    used_services: frozenset[str] = frozenset()
     # Time that the call waited for a slot, and that the backend server took, in ms.
     queued_ms: float = 0.0
     running_ms: float = 0.0
--- a/src/coltsfoottrack/_internal/events/explain.py
+++ b/src/coltsfoottrack/_internal/events/explain.py
@@ -8,6 +8,7 @@
 REASON_TEXTS = {
     "overload": "the node's queue was full of work at least as important",
     "evicted": "more important work took its place in the queue",
+    "service_absent": "no node of a service that it needs took work, so it was refused early",
     "early_refusal": "the services below were shedding this priority, so it was refused early",
     "deadline": "its deadline passed before it could be answered",
     "backend_shed": "the backend server turned it away",
--- a/src/coltsfoottrack/_internal/membership/table.py
+++ b/src/coltsfoottrack/_internal/membership/table.py
@@ -52,6 +52,8 @@
         self.serving_cache: dict[str, list[Member]] = {}
         # Call addresses of nodes whose answers said that they leave, with the time of expiry.
         self.leaving_notes: dict[str, float] = {}
+        # Monotonic time at which this process learned that a member serves, by member name.
+        self.ready_since: dict[str, float] = {}
 
     def merge(self, update: Member) -> bool:
         """Takes over an update if it is newer; returns whether it was."""
@@ -62,6 +64,8 @@
         member = Member()
         member.CopyFrom(update)
         self.members[key] = member
+        if is_serving(member, member.service) and not _served_before(known, member):
+            self.ready_since[key] = monotonic()
         self.leaving_notes.pop(call_address(member), None)
         self._notify(update.service)
         return True
@@ -70,6 +74,7 @@
         """Forgets a member."""
         member = self.members.pop(key, None)
         if member is not None:
+            self.ready_since.pop(key, None)
             self._notify(member.service)
 
     def serving(self, service: str) -> list[Member]:
@@ -125,6 +130,13 @@
     return member.status in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT)
 
 
+def _served_before(known: Member | None, member: Member) -> bool:
+    """Tells whether the same process of a member was known to serve already."""
+    if known is None or process_order(known) != process_order(member):
+        return False
+    return is_serving(known, known.service)
+
+
 def process_order(member: Member) -> tuple[int, int]:
     """Returns what orders the processes of one name; the greater one replaces the other."""
     return (member.start_order, member.incarnation)
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -29,6 +29,8 @@
     MONOTONIC_DEADLINE,
     PATH_LEVEL,
     CallContext,
+    absent_service,
+    used_services,
     whole_number,
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
@@ -329,7 +331,11 @@
     context.budget.retries = attempts_left
     if reply.status >= 500:
         answer = failed(Reason.BACKEND_ERROR, reply.body, content_type)
-        return answer._replace(path_level=path_level, attempts_left=attempts_left)
+        return answer._replace(
+            path_level=path_level,
+            attempts_left=attempts_left,
+            absent_service=absent_service(reply.headers),
+        )
     return Answer(
         outcome=Outcome.DONE,
         status=reply.status,
@@ -337,4 +343,5 @@
         content_type=content_type,
         path_level=path_level,
         attempts_left=attempts_left,
+        used_services=used_services(reply.headers),
     )
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -10,6 +10,7 @@
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
+from coltsfoottrack._internal.routing.absence import AbsentServices
 from coltsfoottrack._internal.routing.levels import ReportedLevels
 
 # Sendings to a backend server that turned a call away without running it.
@@ -37,6 +38,8 @@
         self.metrics = metrics
         # Levels below this node, as answers of the backend server reported them by operation.
         self.path_levels = ReportedLevels(ASK_BELOW_SECONDS)
+        # What is known of services below this node; None in parts that are used without a router.
+        self.absence: AbsentServices | None = None
         self.seen_starts = 0
         self.refuses_new_work: Callable[[], bool] = lambda: False
 
@@ -50,6 +53,12 @@
         decisions_off = self.admission.decisions_off
         if not decisions_off and self.path_levels.refuses(context.operation, context.rank):
             return self._refuse(context, Reason.EARLY_REFUSAL)
+        if not decisions_off and self.absence is not None:
+            absent = self.absence.refuse_operation(
+                f"{context.service}/{context.operation}", context.priority
+            )
+            if absent is not None:
+                return self._with_level(absent._replace(attempts_left=context.budget.retries))
         answer = refused(Reason.BACKEND_SHED, retry_useful=True)
         for _ in range(1 if decisions_off else MAX_SENDINGS):
             arrived = monotonic()
@@ -79,6 +88,9 @@
             self.admission.release(shed, service_seconds)
         if answer.outcome in (Outcome.DONE, Outcome.FAILED):
             self.path_levels.record(context.operation, "backend", answer.path_level)
+            if self.absence is not None:
+                destination = f"{context.service}/{context.operation}"
+                self.absence.record_answer(destination, answer, started)
         seconds = monotonic() - started
         self.metrics.service_time.observe({}, seconds)
         return answer._replace(queued_ms=waited * 1000.0, running_ms=seconds * 1000.0)
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -111,6 +111,7 @@
             random=Random(),
             checker=self.checker,
         )
+        self.local_calls.absence = self.router.absence
         self.router.decisions_off = settings.decisions_off
         self.admission.decisions_off = settings.decisions_off
         self.dispatcher = Dispatcher(
--- a/src/coltsfoottrack/_internal/routing/client.py
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -11,13 +11,16 @@
 
 from coltsfoottrack._internal.calls.budget import AttemptBudget
 from coltsfoottrack._internal.calls.context import (
+    ABSENT_SERVICE,
     EVENT_CLOCK,
+    PATH_LEVEL,
     PROTOCOL_VERSION,
+    USED_SERVICES,
     CallContext,
     whole_number,
 )
 from coltsfoottrack._internal.calls.identifiers import new_call_id
-from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
 from coltsfoottrack._internal.events.clock import HybridClock
@@ -49,6 +52,28 @@
     body: bytes
 
 
+def path_headers(calls: list[OutgoingCall], answers: list[Answer]) -> dict[str, str]:
+    """Returns the headers with which a backend server reports on the calls of a run.
+
+    They belong on its response, whether the run finished or failed. A call that did not finish
+    names no used service, so a run that does without it shows that it can.
+    """
+    level = 0
+    used: set[str] = set()
+    absent = ""
+    for call, answer in zip(calls, answers, strict=True):
+        level = max(level, answer.admission_level, answer.path_level)
+        if answer.outcome is Outcome.DONE:
+            used |= answer.used_services | {call.service}
+        absent = absent or answer.absent_service
+    headers = {PATH_LEVEL: str(level)}
+    if used:
+        headers[USED_SERVICES] = ",".join(sorted(used))
+    if absent:
+        headers[ABSENT_SERVICE] = absent
+    return headers
+
+
 class CallClient:
     """Announces a backend server to its node and makes calls for it.
 
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -23,6 +23,7 @@
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable, call_address
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+from coltsfoottrack._internal.routing.absence import AbsentServices, absent_refusal
 from coltsfoottrack._internal.routing.exchange import Exchange
 from coltsfoottrack._internal.routing.illness import IllAddresses
 from coltsfoottrack._internal.routing.keys import KeyPool
@@ -76,6 +77,7 @@
         self.transport = Transport(checker)
         self.levels = ReportedLevels()
         self.ill = IllAddresses()
+        self.absence = AbsentServices(members)
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
         self.exchange = Exchange(cluster, clock, self.transport, members, policies)
@@ -116,6 +118,10 @@
             asks_levels = not (self.decisions_off or own_key)
             if asks_levels and self.levels.refuses(destination, context.rank):
                 return self._with_level(refused(Reason.EARLY_REFUSAL), destination)
+            if asks_levels:
+                absent = self._refuse_absent(context, destination)
+                if absent is not None:
+                    return absent
             if not grant.idempotent and not own_key:
                 key = await self.keys.take(context, tried)
                 if not key:
@@ -140,8 +146,13 @@
                     return answer
                 context = context._replace(call_id=new_call_id())
                 continue
+            if answer.reason is Reason.SERVICE_ABSENT:
+                # The other nodes know the same, so the call is tried again by its caller only.
+                return answer
             if not (may_retry and answer.retry_useful):
                 return answer
+            if self.absence.is_absent(context.service):
+                return self._with_level(absent_refusal(context.service), destination)
             if self.levels.level(destination) > context.rank:
                 # The nodes of the service judge alike, so another one would refuse it too.
                 return answer._replace(retry_useful=False)
@@ -157,6 +168,13 @@
             crashes = max(context.suspected_crashes, answer.suspected_crashes)
             context = context._replace(call_id=new_call_id(), suspected_crashes=crashes)
 
+    def _refuse_absent(self, context: CallContext, destination: str) -> Answer | None:
+        """Returns the refusal of a call whose service, or one certainly needed below, is absent."""
+        answer = self.absence.refuse_direct(context.service)
+        if answer is None:
+            answer = self.absence.refuse_operation(destination, context.priority)
+        return None if answer is None else self._with_level(answer, destination)
+
     def _with_level(self, answer: Answer, destination: str) -> Answer:
         """Puts the level of all nodes of the destination in place of that of one node."""
         return answer._replace(admission_level=0, path_level=self.levels.level(destination))
@@ -175,11 +193,14 @@
         self.outstanding[address] += 1
         share = context.budget.lend()
         history.attempts += 1
+        began = monotonic()
         try:
             answer = await self.exchange.send(context._replace(budget=share), address, body)
         finally:
             self.outstanding[address] -= 1
         self.ill.record(address, answer.reason in ILL_REASONS)
+        self.absence.record_member(context.service, address, answer, began)
+        self.absence.record_answer(destination, answer, began)
         if answer.served_by:
             level = max(answer.admission_level, answer.path_level)
             self.levels.record(destination, address, level)
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -23,7 +23,6 @@
     CALL_ID,
     EVENT_CLOCK,
     MONOTONIC_DEADLINE,
-    PATH_LEVEL,
     CallContext,
     CallGrant,
     read_context,
@@ -31,7 +30,7 @@
 from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome
-from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall
+from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall, path_headers
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest, BackendSettings
 from coltsfoottrack._internal.settings.rules import number_or_default
 
@@ -136,31 +135,33 @@
         try:
             async with timeout(context.deadline.remaining_seconds()):
                 await sleep(self._service_time())
-                answers = await self._call_others(context, body)
+                calls = self._calls_below(context, body)
+                answers = await self.client.call_all(context, calls) if calls else []
         except TimeoutError:
             return Response(status=504, text="deadline passed while running")
         finally:
             self.running -= 1
             self.samples.append(LoadSample(monotonic(), self.running))
-        return self._response(context, body, answers)
+        return self._response(context, body, calls, answers)
 
-    async def _call_others(self, context: CallContext, body: bytes) -> list[Answer]:
+    def _calls_below(self, context: CallContext, body: bytes) -> list[OutgoingCall]:
         operation = self.operations.get(context.operation)
-        if operation is None or not operation.calls:
+        if operation is None:
             return []
         calls = []
         for target in operation.calls:
             service, _, name = target.partition("/")
             calls.append(OutgoingCall(service, name, body))
-        return await self.client.call_all(context, calls)
+        return calls
 
-    def _response(self, context: CallContext, body: bytes, answers: list[Answer]) -> Response:
+    def _response(
+        self, context: CallContext, body: bytes, calls: list[OutgoingCall], answers: list[Answer]
+    ) -> Response:
         headers = {
             ATTEMPTS_LEFT: str(context.budget.retries),
             EVENT_CLOCK: str(self.client.clock.tick()),
         }
-        levels = [max(answer.admission_level, answer.path_level) for answer in answers]
-        headers[PATH_LEVEL] = str(max(levels, default=0))
+        headers.update(path_headers(calls, answers))
         for answer in answers:
             if answer.outcome is Outcome.DONE:
                 continue
--- a/src/coltsfoottrack/client.py
+++ b/src/coltsfoottrack/client.py
@@ -2,6 +2,14 @@
 
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
-from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall
+from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall, path_headers
 
-__all__ = ["Answer", "CallClient", "CallContext", "Outcome", "OutgoingCall", "Reason"]
+__all__ = [
+    "Answer",
+    "CallClient",
+    "CallContext",
+    "Outcome",
+    "OutgoingCall",
+    "Reason",
+    "path_headers",
+]
--- /dev/null
+++ b/tests/unit/test_absence.py
@@ -0,0 +1,137 @@
+"""Services without a node that takes work, and calls that are certain to need them."""
+
+from unittest import TestCase
+
+from coltsfoottrack._internal.calls.context import answer_headers, read_answer
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused
+from coltsfoottrack._internal.membership.table import MembershipTable
+from coltsfoottrack._internal.routing.absence import (
+    CERTAIN_CALLS,
+    PROBE_BELOW_SECONDS,
+    AbsentServices,
+    absent_refusal,
+)
+from coltsfoottrack._internal.routing.client import OutgoingCall, path_headers
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MEMBER_STATUS_ALIVE, Member
+
+LOOKUP = "stores/lookup"
+DONE = Answer(Outcome.DONE, used_services=frozenset(("fitments",)))
+BROKEN = failed(Reason.BACKEND_ERROR)._replace(absent_service="fitments")
+CRITICAL = 2
+
+
+class AbsentServicesTest(TestCase):
+    """Guards against runs wasted above an absent service, and refusals of calls it can spare."""
+
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.members = MembershipTable()
+        self.absence = AbsentServices(self.members, lambda: self.now)
+        for port in (1, 2):
+            self.merge(port, 1)
+
+    def merge(self, port: int, incarnation: int, ready: bool = True) -> None:
+        member = Member(
+            service="fitments",
+            name=str(port),
+            address="a",
+            call_port=port,
+            incarnation=incarnation,
+            start_order=incarnation,
+            revision=int(ready),
+            status=MEMBER_STATUS_ALIVE,
+            backend_ready=ready,
+        )
+        self.members.merge(member)
+        if ready:
+            self.members.ready_since[f"fitments/{port}"] = self.now
+
+    def learn(self, *answers: Answer) -> None:
+        for answer in answers:
+            self.absence.record_answer(LOOKUP, answer, self.now)
+
+    def refusals(self, count: int, priority: int = 0) -> int:
+        answers = [self.absence.refuse_operation(LOOKUP, priority) for _ in range(count)]
+        return len([answer for answer in answers if answer is not None])
+
+    def test_refuses_only_what_always_needed_the_service(self) -> None:
+        self.learn(*[DONE] * CERTAIN_CALLS, BROKEN)
+        self.assertEqual(self.refusals(10, CRITICAL), 10)
+        refusal = self.absence.refuse_operation(LOOKUP, 0)
+        self.assertEqual(
+            (refusal.outcome, refusal.reason, refusal.retry_useful, refusal.absent_service),
+            (Outcome.REFUSED, Reason.SERVICE_ABSENT, True, "fitments"),
+        )
+        self.assertIsNone(self.absence.refuse_operation("stores/other", 0))
+
+    def test_operation_that_finished_without_the_service_is_not_refused(self) -> None:
+        without = Answer(Outcome.DONE)
+        for answers in (
+            [DONE] * CERTAIN_CALLS + [without, BROKEN],
+            [DONE] * CERTAIN_CALLS + [BROKEN, without],
+            [BROKEN],
+            [without, absent_refusal("fitments")],
+        ):
+            self.absence.needs.clear()
+            self.learn(*answers)
+            self.assertEqual(self.refusals(10), 0, answers)
+
+    def test_one_probe_at_a_time(self) -> None:
+        self.learn(*[DONE] * CERTAIN_CALLS, BROKEN)
+        for _ in range(3):
+            self.now += PROBE_BELOW_SECONDS
+            self.assertEqual(self.refusals(10), 9)
+            self.learn(BROKEN)
+        self.now += PROBE_BELOW_SECONDS
+        self.assertEqual(self.refusals(1), 0)
+        self.learn(DONE)
+        self.assertEqual(self.refusals(10), 0)
+
+    def test_return_by_membership_admits_critical_calls_and_one_other(self) -> None:
+        self.learn(*[DONE] * CERTAIN_CALLS, BROKEN)
+        began = self.now
+        self.now += 0.5
+        self.merge(1, 2, ready=False)
+        self.assertEqual(self.refusals(10), 10)
+        self.now += 0.5
+        self.merge(1, 2)
+        self.assertEqual(self.refusals(10, CRITICAL), 0)
+        self.assertEqual(self.refusals(10), 9)
+        # An answer to a call from before the return changes nothing.
+        self.absence.record_answer(LOOKUP, BROKEN, began)
+        self.assertEqual(self.refusals(10, CRITICAL), 0)
+        self.learn(DONE)
+        self.assertEqual(self.refusals(10), 0)
+
+    def test_direct_evidence_needs_every_member(self) -> None:
+        gone = refused(Reason.NO_NODE)
+        self.absence.record_member("fitments", "a:1", gone, self.now)
+        self.assertIsNone(self.absence.refuse_direct("fitments"))
+        self.absence.record_member("fitments", "a:2", gone, self.now)
+        self.assertIsNotNone(self.absence.refuse_direct("fitments"))
+        shed = refused(Reason.OVERLOAD)._replace(served_by="fitments/2")
+        self.absence.record_member("fitments", "a:2", shed, self.now)
+        self.assertIsNone(self.absence.refuse_direct("fitments"))
+
+    def test_answers_outweigh_membership_that_shows_no_serving_node(self) -> None:
+        for port in (1, 2):
+            self.merge(port, 2, ready=False)
+        self.assertIsNotNone(self.absence.refuse_direct("fitments"))
+        self.absence.record_member(
+            "fitments", "a:1", DONE._replace(served_by="fitments/1"), self.now
+        )
+        self.assertIsNone(self.absence.refuse_direct("fitments"))
+        self.assertIsNone(self.absence.refuse_direct("unheard-of"))
+
+    def test_headers_carry_absence_and_use(self) -> None:
+        calls = [OutgoingCall("fitments", "a", b""), OutgoingCall("paint", "b", b"")]
+        headers = path_headers(calls, [DONE, absent_refusal("paint")])
+        self.assertEqual(headers["Used-Services"], "fitments")
+        self.assertEqual(headers["Absent-Service"], "paint")
+        told = read_answer(200, answer_headers(DONE, 0), b"")
+        self.assertEqual(told.used_services, DONE.used_services)
+        told = read_answer(503, answer_headers(absent_refusal("paint"), 0), b"")
+        self.assertEqual((told.absent_service, told.retry_after_ms), ("paint", 1000))
+        spoilt = {**headers, "Outcome": "done", "Used-Services": "a,b c", "Absent-Service": "x y"}
+        told = read_answer(200, spoilt, b"")
+        self.assertEqual((told.used_services, told.absent_service), (frozenset(), ""))
