Let a cold limit grow only while the backend server does not queue

begin_cold added one slot per completion up to the announced slots, also when service times had long begun to rise. It now grows while the smoothed service time is below 1.5 times its least value since the start, and what it has reached after 5 s becomes the limit from which trials go on. The unit test plays a server that announces 80 slots and has 24: the old rule had 96 requests in flight, the new one stays below 72.

Ruled out: a threshold of 2, which also reached 96 in that test, and single service times, which vary by more than that in service.

--- a/src/coltsfoottrack/_internal/admission/limiter.py
+++ b/src/coltsfoottrack/_internal/admission/limiter.py
@@ -16,6 +16,10 @@
 SMOOTHING_WEIGHT = 0.2
 COLD_START_SHARE = 0.25
 COLD_START_SECONDS = 5.0
+# A cold limit grows only while the smoothed service time is below this multiple of its least value
+# since the start; above it the backend server queues. Service times that vary by 30% either way
+# move the smoothed value by about 6%.
+COLD_SLOWDOWN = 1.5
 # Completion intervals without a completion after which the backend server counts as slower.
 LATE_INTERVALS = 3.0
 
@@ -44,6 +48,7 @@
         self.last_finish = clock()
         self.cold_cap: float | None = None
         self.cold_until = 0.0
+        self.cold_best_seconds: float | None = None
         self.last_shed = float("-inf")
         self.hold_until = 0.0
         self.trial_from: float | None = None
@@ -69,6 +74,7 @@
         self.service_seconds = None
         self.cold_cap = max(MINIMUM_LIMIT, self.limit * COLD_START_SHARE)
         self.cold_until = self.clock() + COLD_START_SECONDS
+        self.cold_best_seconds = None
         self.trial_from = None
         self.sample_start = None
 
@@ -101,7 +107,7 @@
             self.service_seconds = seconds
         else:
             self.service_seconds += SMOOTHING_WEIGHT * (seconds - self.service_seconds)
-        self._warm_up(now)
+        self._warm_up(now, self.service_seconds)
         self._climb(now)
 
     def idle_slot(self) -> None:
@@ -132,10 +138,17 @@
         self.trial_from = None
         self.sample_start = None
 
-    def _warm_up(self, now: float) -> None:
+    def _warm_up(self, now: float, seconds: float) -> None:
         if self.cold_cap is None:
             return
-        self.cold_cap += 1.0
+        if self.cold_best_seconds is None or seconds < self.cold_best_seconds:
+            self.cold_best_seconds = seconds
+        queues = seconds > COLD_SLOWDOWN * self.cold_best_seconds
+        if not queues:
+            self.cold_cap += 1.0
+        elif now >= self.cold_until:
+            # What was carried so far is the measured limit, from which the trials go on.
+            self.limit = min(self.limit, self.cold_cap)
         if self.cold_cap >= self.limit or now >= self.cold_until:
             self.cold_cap = None
 
--- a/tests/unit/test_absence.py
+++ b/tests/unit/test_absence.py
@@ -2,6 +2,7 @@
 
 from unittest import TestCase
 
+from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
 from coltsfoottrack._internal.calls.context import answer_headers, read_answer
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused
 from coltsfoottrack._internal.membership.table import MembershipTable
@@ -135,3 +136,24 @@
         spoilt = {**headers, "Outcome": "done", "Used-Services": "a,b c", "Absent-Service": "x y"}
         told = read_answer(200, spoilt, b"")
         self.assertEqual((told.used_services, told.absent_service), (frozenset(), ""))
+
+
+class ColdLimitTest(TestCase):
+    """Guards against a cold limit that grows past what the backend server carries."""
+
+    def test_cold_limit_stops_where_service_times_rise(self) -> None:
+        now = 0.0
+        limiter = ConcurrencyLimiter(clock=lambda: now)
+        limiter.begin_cold(80)
+        real_slots = 24
+        highest = 0
+        for _ in range(10):
+            batch = limiter.effective_limit
+            highest = max(highest, batch)
+            for _ in range(batch):
+                limiter.start()
+            seconds = 0.1 * max(1.0, batch / real_slots)
+            now += seconds
+            for _ in range(batch):
+                limiter.finish(False, seconds)
+        self.assertLess(highest, 3 * real_slots)
