Replace keys that were lost with their home, and ask the backup in one more case

- A node hands out no key of a home that was seen to take no work since it became ready.
- The load program's caller gives up a key of which every copy was certainly not dispatched and takes a new one.
It never sends the old key again, so no copy exists that the old home, paused or cut off, could run later.
- After a lost connection it sends the same key again through another entry, which brings the outcome, also from the backup, or the first run.
A request whose connection broke before a key was sent never ran.
- Settle that meets another process at the home's address asks the backup before the outcome is unknown.

Ruled out: a next key on an unknown answer, as a caller that takes it without knowing its own earlier copies would run the request twice; a new key after a lost connection with a key sent, for the same reason.

Functional test with real processes: 20 orders after the home was killed, all done and run once.

--- a/src/coltsfoottrack/_internal/experiment/load.py
+++ b/src/coltsfoottrack/_internal/experiment/load.py
@@ -109,7 +109,7 @@
             patience = left + GRACE_SECONDS
             if phase.resends:
                 patience = min(left, RESEND_PATIENCE_SECONDS)
-            sending = Sending(transport, self.entries, self.random)
+            sending = Sending(transport, self.entries, self.random, kind.idempotent)
             answer = await sending.send(entry, path, request_id, body, left, patience)
             unanswered = answer.reason is Reason.CONNECTION_LOST
             if answer.outcome is not Outcome.REFUSED and not (unanswered and kind.idempotent):
--- a/src/coltsfoottrack/_internal/experiment/sending.py
+++ b/src/coltsfoottrack/_internal/experiment/sending.py
@@ -1,6 +1,7 @@
 """One sending of a request by a caller of the load program, with the key that it needs."""
 
 from random import Random
+from time import perf_counter
 
 from coltsfoottrack._internal.calls.context import (
     DEADLINE_MS,
@@ -10,24 +11,31 @@
     read_answer,
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
-from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused, unknown
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.transport import Transport
 
 MAX_SENDINGS = 5
+# Reasons of unknown outcomes, with Copy-Dispatched: no, that end when another key is used.
+LOST_KEY_REASONS = (Reason.HOME_GONE, Reason.NO_NODE, Reason.NOT_READY, Reason.LEAVING)
 
 
 class Sending:
     """Sends a request once; a non-idempotent one again with the key it is told to use.
 
-    An entry node that takes no connection is replaced by another one, as a caller with several
-    addresses does.
+    A key whose copies were all certainly not dispatched is replaced by a new one. After a lost
+    connection the same key is sent again, which brings the outcome or the first run. An entry
+    node that takes no connection is replaced by another one, as a caller with several addresses
+    does.
     """
 
-    def __init__(self, transport: Transport, entries: list[str], random: Random) -> None:
+    def __init__(
+        self, transport: Transport, entries: list[str], random: Random, idempotent: bool
+    ) -> None:
         self.transport = transport
         self.entries = entries
         self.random = random
+        self.idempotent = idempotent
         self.key = ""
         # Whether a copy under the present key may have been sent on to where it runs.
         self.may_have_run = False
@@ -40,21 +48,48 @@
         ``patience`` is how long the caller waits for one answer.
         """
         answer = refused(Reason.NO_NODE)
+        began = perf_counter()
         for _ in range(MAX_SENDINGS):
-            headers = {REQUEST_ID: request_id, DEADLINE_MS: str(max(1, int(left * 1000.0)))}
+            elapsed = perf_counter() - began
+            if elapsed >= min(left, patience):
+                break
+            left_ms = max(1, int((left - elapsed) * 1000.0))
+            headers = {REQUEST_ID: request_id, DEADLINE_MS: str(left_ms)}
             if self.key:
                 headers[IDEMPOTENCY_KEY] = self.key
             try:
-                reply = await self.transport.send("POST", entry, path, headers, body, patience)
+                reply = await self.transport.send(
+                    "POST", entry, path, headers, body, patience - elapsed
+                )
                 answer = read_answer(reply.status, reply.headers, reply.body)
             except NotSentError:
                 entry = self.random.choice(self.entries)
                 continue
             except (ConnectionLostError, BadRequestError):
-                self.may_have_run = True
-                return unknown(Reason.CONNECTION_LOST)
-            if answer.reason is not Reason.KEY_REQUIRED or self.key:
-                self.may_have_run = self.may_have_run or answer.copy_dispatched
+                answer = unknown(Reason.CONNECTION_LOST)
+                if self.idempotent:
+                    return answer
+                # A request without a key never runs, and a key runs once however often it is sent.
+                self.may_have_run = self.may_have_run or bool(self.key)
+                entry = self.random.choice(self.entries)
+                continue
+            if answer.reason is Reason.KEY_REQUIRED:
+                self.key = reply.headers.get(NEXT_KEY, "")
+                if not self.key:
+                    entry = self.random.choice(self.entries)
+                continue
+            self.may_have_run = self.may_have_run or answer.copy_dispatched
+            if not self._needs_new_key(answer):
                 return answer
-            self.key = reply.headers.get(NEXT_KEY, "")
+            self.key = ""
+            entry = self.random.choice(self.entries)
         return answer
+
+    def _needs_new_key(self, answer: Answer) -> bool:
+        """Tells whether the key is lost with its home and certainly no copy was dispatched.
+
+        A key that is given up is never sent again, so nothing is left that its home could run.
+        """
+        if not self.key or self.may_have_run or answer.outcome is not Outcome.UNKNOWN:
+            return False
+        return answer.reason in LOST_KEY_REASONS
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -146,8 +146,9 @@
         """Returns what became of a copy, None while it is running."""
         context = copy.context
         address = self._peer_address(copy)
+        lost = unknown(Reason.SILENT)._replace(retry_useful=True)
         if not address:
-            return unknown(Reason.SILENT)._replace(retry_useful=True)
+            return await self.fetch_copy(context, lost)
         for _ in range(SETTLE_ATTEMPTS):
             request = SettleRequest(
                 call_id=context.call_id,
@@ -166,8 +167,9 @@
                 return answer._replace(attempts_left=context.budget.retries)
             if settlement.answer is not None:
                 return _within_budget(settlement.answer, context)
-            return unknown(Reason.SILENT)._replace(retry_useful=True)
-        return await self.fetch_copy(context, unknown(Reason.SILENT)._replace(retry_useful=True))
+            # Another process at the home's address knows nothing of the key, the backup may.
+            break
+        return await self.fetch_copy(context, lost)
 
     async def fetch_copy(self, context: CallContext, otherwise: Answer) -> Answer:
         """Returns the outcome that the backup node of a key holds, or the given answer."""
--- a/src/coltsfoottrack/_internal/routing/keys.py
+++ b/src/coltsfoottrack/_internal/routing/keys.py
@@ -8,7 +8,7 @@
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
-from coltsfoottrack._internal.membership.table import MembershipTable, is_serving
+from coltsfoottrack._internal.membership.table import MembershipTable, is_serving, member_id
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.transport import Transport
 from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds
@@ -40,6 +40,7 @@
         choose: ChooseAddress,
         members: MembershipTable,
         policies: Callable[[], PolicyTable],
+        is_away: Callable[[str], bool] = lambda _name: False,
     ) -> None:
         self.cluster = cluster
         self.clock = clock
@@ -47,13 +48,15 @@
         self.choose = choose
         self.members = members
         self.policies = policies
+        self.is_away = is_away
         self.keys: dict[str, list[HeldKey]] = {}
 
     async def take(self, context: CallContext, tried: set[str] | None = None) -> str:
         """Returns an unused key of the service, or an empty text if no node gives one.
 
         Keys of the addresses already tried are thrown away, and so are those that are old or
-        whose home process is gone, as they would only bring the outcome unknown.
+        whose home process is gone or was seen to take no work, as they would only bring the
+        outcome unknown.
         """
         tried = set() if tried is None else tried
         held = self.keys.setdefault(context.service, [])
@@ -77,6 +80,8 @@
         home = self.members.home_of(key)
         if home is None or home.incarnation != key.incarnation or not is_serving(home, service):
             return False
+        if self.is_away(member_id(home)):
+            return False
         lifetime = milliseconds_to_seconds(self.policies().policy(service), "key_lifetime_ms")
         if monotonic() - held_key.fetched_at > lifetime * HELD_SHARE_OF_LIFETIME:
             return False
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -81,7 +81,15 @@
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
         self.exchange = Exchange(cluster, clock, self.transport, members, policies)
-        self.keys = KeyPool(cluster, clock, self.transport, self.choose, members, policies)
+        self.keys = KeyPool(
+            cluster,
+            clock,
+            self.transport,
+            self.choose,
+            members,
+            policies,
+            self.absence.is_away,
+        )
 
     async def call(self, context: CallContext, body: bytes) -> Answer:
         """Makes a call and returns its answer, with what is left of the attempt budget.
--- /dev/null
+++ b/tests/functional/test_absence.py
@@ -0,0 +1,129 @@
+"""A service, or the home of a key, that is gone: refusals and outcomes with real processes."""
+
+from asyncio import gather, run, sleep, to_thread
+from collections import Counter
+from json import loads
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from coltsfoottrack._internal.calls.context import DEADLINE_MS, REQUEST_ID, read_answer
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
+from coltsfoottrack._internal.experiment.fleet import Fleet
+from coltsfoottrack._internal.experiment.sending import Sending
+from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
+from coltsfoottrack._internal.routing.absence import CERTAIN_CALLS
+from coltsfoottrack._internal.routing.transport import Transport
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import PRIORITY_CRITICAL, PRIORITY_NORMAL
+
+DOMAINS = ("east", "west", "south")
+LOOKUP = OperationShape("lookup", PRIORITY_NORMAL, True, ("fitments/fitting",))
+COUNT = OperationShape("count", PRIORITY_NORMAL, True)
+ORDER = OperationShape("order", PRIORITY_CRITICAL, False)
+FITTING = OperationShape("fitting", PRIORITY_NORMAL, True)
+SHAPE = FleetShape(
+    name="absence",
+    failure_domains=DOMAINS,
+    scale=1,
+    services=(
+        ServiceShape("stores", 3, 8, 10, (LOOKUP, COUNT, ORDER)),
+        ServiceShape("fitments", 3, 8, 10, (FITTING,)),
+    ),
+)
+REQUESTS = 60
+WARM_UP = 12 * CERTAIN_CALLS
+RETURN_SECONDS = 15
+
+
+class AbsenceTest(TestCase):
+    """Guards against wasted runs above a service that is gone, and keys lost with their home."""
+
+    def setUp(self) -> None:
+        directory = TemporaryDirectory(prefix="coltsfoottrack-")
+        self.addCleanup(directory.cleanup)
+        self.fleet = Fleet.from_config(SHAPE, Path(directory.name))
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        self.entries = [place.call_address for place in self.fleet.places_of("stores")]
+        self.random = Random(1)
+        self.sent = 0
+
+    async def call(self, operation: str) -> Answer:
+        self.sent += 1
+        headers = {REQUEST_ID: f"call-{operation}-{self.sent}", DEADLINE_MS: "1000"}
+        entry = self.random.choice(self.entries)
+        path = f"/v1/services/stores/{operation}"
+        reply = await self.transport.send("POST", entry, path, headers, b"", 2.0)
+        return read_answer(reply.status, reply.headers, reply.body)
+
+    def runs(self, service: str, operation: str) -> Counter[str]:
+        found: Counter[str] = Counter()
+        for line in self.fleet.run_log.read_text(encoding="utf-8").splitlines():
+            entry = loads(line)
+            if (entry["service"], entry["operation"]) == (service, operation):
+                found[entry["request_id"]] += 1
+        return found
+
+    def test_entry_refuses_while_the_service_below_is_gone(self) -> None:
+        async def scene() -> None:
+            self.transport = Transport()
+            await gather(*(self.call("lookup") for _ in range(WARM_UP)))
+            for place in self.fleet.places_of("fitments"):
+                await to_thread(self.fleet.kill, place.node_process)
+                await to_thread(self.fleet.kill, place.backend_process)
+            for _ in range(4):
+                await self.call("lookup")
+            before = self.runs("stores", "lookup").total()
+            answers = [await self.call("lookup") for _ in range(REQUESTS)]
+            refusals = [answer for answer in answers if answer.outcome is Outcome.REFUSED]
+            wasted = self.runs("stores", "lookup").total() - before
+            # The rest are probes: at most one a second for each of the three nodes, and the runs
+            # from which each node learns that the operation needs the service.
+            self.assertGreaterEqual(len(refusals), REQUESTS - 6)
+            self.assertLessEqual(wasted, 6)
+            for answer in refusals:
+                self.assertEqual(answer.reason, Reason.SERVICE_ABSENT)
+                self.assertEqual((answer.absent_service, answer.retry_useful), ("fitments", True))
+            without = [await self.call("count") for _ in range(10)]
+            self.assertEqual({answer.outcome for answer in without}, {Outcome.DONE})
+            for place in self.fleet.places_of("fitments"):
+                self.fleet.restart(place.node_process)
+                self.fleet.restart(place.backend_process)
+            await self.wait_until_back()
+            await self.transport.close()
+
+        run(scene())
+
+    async def wait_until_back(self) -> None:
+        done = 0
+        for _ in range(RETURN_SECONDS * 10):
+            answer = await self.call("lookup")
+            done = done + 1 if answer.outcome is Outcome.DONE else 0
+            if done == 10:
+                return
+            await sleep(0.1)
+        self.fail(f"lookups are still refused: {answer}")
+
+    def test_caller_replaces_keys_that_were_lost_with_their_home(self) -> None:
+        async def order(name: str) -> tuple[Answer, Sending]:
+            sending = Sending(self.transport, self.entries[1:], self.random, idempotent=False)
+            entry = self.random.choice(self.entries[1:])
+            path = "/v1/services/stores/order"
+            return await sending.send(entry, path, name, name.encode(), 2.0, 2.0), sending
+
+        async def scene() -> None:
+            self.transport = Transport()
+            await gather(*(order(f"before-{index}") for index in range(20)))
+            place = self.fleet.places_of("stores")[0]
+            await to_thread(self.fleet.kill, place.node_process)
+            await to_thread(self.fleet.kill, place.backend_process)
+            told = await gather(*(order(f"after-{index}") for index in range(20)))
+            runs = self.runs("stores", "order")
+            self.assertLessEqual(max(runs.values()), 1, runs)
+            for index, (answer, _) in enumerate(told):
+                self.assertEqual(answer.outcome, Outcome.DONE, answer)
+                self.assertEqual(runs[f"after-{index}"], 1)
+            await self.transport.close()
+
+        run(scene())
--- a/tests/unit/test_key_pool.py
+++ b/tests/unit/test_key_pool.py
@@ -79,3 +79,8 @@
         held = self.pool.keys["stores"]
         self.pool.keys["stores"] = [HeldKey(key.text, monotonic() - 200.0) for key in held]
         self.assertGreater((await self.take()).number, KEY_BATCH)
+
+    async def test_keys_of_a_home_that_was_seen_away_are_thrown_away(self) -> None:
+        await self.take()
+        self.pool.is_away = lambda name: name == "stores/a"
+        self.assertGreater((await self.take()).number, KEY_BATCH)
--- a/tests/unit/test_keys_away_from_home.py
+++ b/tests/unit/test_keys_away_from_home.py
@@ -8,7 +8,8 @@
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
-from coltsfoottrack._internal.calls.outcome import Outcome, Reason
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
+from coltsfoottrack._internal.calls.outcome_records import CallState, Settlement
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
@@ -35,6 +36,22 @@
     )
 
 
+class ScriptedQuestions:
+    """Answers Settle and the request for a copy in place of a home and a backup."""
+
+    def __init__(self, settlement: Settlement, copy: Answer | None) -> None:
+        self.settlement = settlement
+        self.copy = copy
+
+    async def settle(self, _address: str, _request: object) -> Settlement:
+        """Answers as the home."""
+        return self.settlement
+
+    async def fetch(self, _address: str, _key: str) -> Answer | None:
+        """Answers as the backup."""
+        return self.copy
+
+
 class KeyAwayFromHomeTest(IsolatedAsyncioTestCase):
     """Guards against requests to made-up addresses, and against "not run" by one who can't know."""
 
@@ -89,3 +106,21 @@
         answer = await self.router.call(keyed_context("127.0.0.1:9", deadline_ms=0), b"body")
         self.assertEqual((answer.outcome, answer.reason), (Outcome.UNKNOWN, Reason.DEADLINE))
         self.assertFalse(answer.copy_dispatched)
+
+    async def test_backup_is_asked_when_another_process_answers_for_the_home(self) -> None:
+        # The process that took the home's address knows nothing of the key.
+        finished = Answer(Outcome.DONE, body=b"whole")
+        questions = ScriptedQuestions(Settlement(CallState.UNCERTAIN), finished)
+        self.router.exchange.questions = questions
+        member = Member(
+            service="stores",
+            name="a",
+            address="127.0.0.1",
+            call_port=self.port,
+            peer_port=self.port,
+            status=MEMBER_STATUS_ALIVE,
+            backend_ready=True,
+        )
+        self.router.members.merge(member)
+        answer = await self.router.call(keyed_context(f"127.0.0.1:{self.port}"), b"body")
+        self.assertEqual((answer.outcome, answer.body), (Outcome.DONE, b"whole"))
