--- a/src/coltsfoottrack/_internal/cli/commands/experiment.py
+++ b/src/coltsfoottrack/_internal/cli/commands/experiment.py
@@ -4,6 +4,7 @@
 
 from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
 from coltsfoottrack._internal.experiment.comparison import to_json, to_text
+from coltsfoottrack._internal.experiment.deployments import WHEEL_WORKS, find_deployment
 from coltsfoottrack._internal.experiment.exceptions import ExperimentError
 from coltsfoottrack._internal.experiment.fleet import FleetVariant
 from coltsfoottrack._internal.experiment.scenarios import find_scenario
@@ -11,7 +12,11 @@
 
 
 def experiment(
-    scenario: str, against: str = "", output: str = "text", baseline: bool = True
+    scenario: str,
+    against: str = "",
+    output: str = "text",
+    baseline: bool = True,
+    deployment: str = WHEEL_WORKS.name,
 ) -> None:
     """Plays a scenario and prints goodput, recovery time, outcomes and wasted work.
 
@@ -20,6 +25,7 @@
         against: Directory of another checkout to measure as well.
         output: text or json.
         baseline: Also measure this checkout with its decisions off.
+        deployment: wheel-works or nadrau.
     """
     if output not in ("text", "json"):
         raise CommandError(f"--output {output!r} is neither text nor json", EXIT_BAD_INPUT)
@@ -33,7 +39,8 @@
         variants.append(FleetVariant(f"checkout {source}", source))
     try:
         chosen = find_scenario(str(scenario))
-        reports = [run_trial(chosen, variant) for variant in variants]
+        place = find_deployment(str(deployment))
+        reports = [run_trial(chosen, variant, place) for variant in variants]
     except ExperimentError as error:
         raise CommandError(str(error), EXIT_BAD_INPUT) from error
     print(to_json(chosen, reports) if output == "json" else to_text(chosen, reports))
--- a/src/coltsfoottrack/_internal/experiment/demo.py
+++ b/src/coltsfoottrack/_internal/experiment/demo.py
@@ -5,11 +5,11 @@
 from pathlib import Path
 from tempfile import TemporaryDirectory
 
+from coltsfoottrack._internal.experiment.deployments import WHEEL_WORKS, Deployment
 from coltsfoottrack._internal.experiment.fleet import Fleet
 from coltsfoottrack._internal.experiment.load import (
     LoadGenerator,
     Phase,
-    RequestKind,
     RequestResult,
 )
 from coltsfoottrack._internal.experiment.node_figures import read_node_figures
@@ -19,31 +19,25 @@
     outcome_rows,
     recovery_seconds,
 )
-from coltsfoottrack._internal.experiment.shapes import wheel_works
 
 SEED = 20261204
 DEADLINE_MS = 1000
-CAPACITY_PER_SECOND = 300
+# 300/s is the capacity of both deployments by their shape.
 PHASES = [
     Phase("before", 5.0, 150),
-    Phase("surge", 6.0, 3 * CAPACITY_PER_SECOND),
+    Phase("surge", 6.0, 900),
     Phase("after", 6.0, 150),
 ]
-MIX = [
-    RequestKind("stores", "lookup", "sheddable", True, 0.8),
-    RequestKind("casting", "order", "critical", False, 0.1),
-    RequestKind("shipping", "dispatch", "critical", False, 0.1),
-]
 
 
-def run_demo() -> int:
+def run_demo(deployment: Deployment = WHEEL_WORKS) -> int:
     """Runs the demonstration and prints its figures; returns the number of violations."""
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
-        return _run_in(Path(directory))
+        return _run_in(Path(directory), deployment)
 
 
-def _run_in(directory: Path) -> int:
-    shape = wheel_works()
+def _run_in(directory: Path, deployment: Deployment) -> int:
+    shape = deployment.shape(1)
     fleet = Fleet.from_config(shape, directory)
     total = sum(service.backend_servers for service in shape.services)
     print(
@@ -53,7 +47,7 @@
     try:
         fleet.start()
         entries = [place.call_address for place in fleet.places]
-        load = LoadGenerator(MIX, entries, DEADLINE_MS, SEED)
+        load = LoadGenerator(deployment.demo_mix, entries, DEADLINE_MS, SEED)
         results = run(load.play(PHASES))
         figures = read_node_figures(fleet)
     finally:
--- a/src/coltsfoottrack/_internal/experiment/scenarios.py
+++ b/src/coltsfoottrack/_internal/experiment/scenarios.py
@@ -3,10 +3,7 @@
 from typing import NamedTuple
 
 from coltsfoottrack._internal.experiment.exceptions import ExperimentError
-from coltsfoottrack._internal.experiment.load import RequestKind
 
-DEEP_SERVICE = "fitments"
-LOST_DOMAIN = "south"
 SLOW_FACTOR = 4.0
 SURGE_FACTOR = 3.0
 # Hard retries need refusals to start from, so their trigger is a load just above capacity.
@@ -17,13 +14,6 @@
 # The announcement names ten times the real slots, and the load endpoint reports no load.
 LYING_SLOTS_FACTOR = 10
 
-MIX = [
-    RequestKind("stores", "lookup", "sheddable", True, 0.64),
-    RequestKind("stores", "availability", "normal", True, 0.30),
-    RequestKind("casting", "order", "critical", False, 0.03),
-    RequestKind("shipping", "dispatch", "critical", False, 0.03),
-]
-
 
 class Scenario(NamedTuple):
     """One trigger: what changes when it starts, and is undone when it ends."""
--- a/src/coltsfoottrack/_internal/experiment/shapes.py
+++ b/src/coltsfoottrack/_internal/experiment/shapes.py
@@ -98,3 +98,38 @@
             ),
         ),
     )
+
+
+def nadrau(time_factor: int = 1) -> FleetShape:
+    """Nadrau with slots scaled down by 10, three services deep.
+
+    The sizes are those of the deployment; operations and service times are chosen after its three
+    kinds of work that must take effect once, and equal those of the Wheel Works in depth.
+    """
+    stock = OperationShape("stock", PRIORITY_SHEDDABLE, True, ("tracer/trace_stock",))
+    status = OperationShape("status", PRIORITY_NORMAL, True, ("tracer/trace_status",))
+    confirm = OperationShape("confirm", PRIORITY_CRITICAL, False, ("supply/reserve",))
+    reserve = OperationShape("reserve", PRIORITY_CRITICAL, True, ("tracer/trace",))
+    reorder = OperationShape("reorder", PRIORITY_CRITICAL, False, ("tracer/trace",))
+    release = OperationShape("release", PRIORITY_CRITICAL, False, ("tracer/trace",))
+    return FleetShape(
+        name="nadrau",
+        failure_domains=("lautoka", "nadi", "ba"),
+        scale=10,
+        services=(
+            ServiceShape("storefront", 4, 7, 10 * time_factor, (stock, status, confirm)),
+            ServiceShape("supply", 3, 9, 10 * time_factor, (reserve, reorder)),
+            ServiceShape("dyehouse", 3, 9, 10 * time_factor, (release,)),
+            ServiceShape(
+                "tracer",
+                3,
+                2,
+                20 * time_factor,
+                (
+                    OperationShape("trace_stock", PRIORITY_SHEDDABLE, True),
+                    OperationShape("trace_status", PRIORITY_NORMAL, True),
+                    OperationShape("trace", PRIORITY_CRITICAL, True),
+                ),
+            ),
+        ),
+    )
--- a/src/coltsfoottrack/_internal/experiment/trial.py
+++ b/src/coltsfoottrack/_internal/experiment/trial.py
@@ -12,8 +12,14 @@
 
 from coltsfoottrack._internal.calls.outcome import Outcome
 from coltsfoottrack._internal.experiment.capacity import capacity_per_second
+from coltsfoottrack._internal.experiment.deployments import WHEEL_WORKS, Deployment
 from coltsfoottrack._internal.experiment.fleet import Fleet, FleetVariant
-from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestResult
+from coltsfoottrack._internal.experiment.load import (
+    LoadGenerator,
+    Phase,
+    RequestKind,
+    RequestResult,
+)
 from coltsfoottrack._internal.experiment.lost import (
     LostRow,
     ask_again,
@@ -34,14 +40,11 @@
 )
 from coltsfoottrack._internal.experiment.scenarios import (
     COLD_START_MS,
-    DEEP_SERVICE,
-    LOST_DOMAIN,
     LYING_SLOTS_FACTOR,
-    MIX,
     NORMAL_LOAD_FACTOR,
     Scenario,
 )
-from coltsfoottrack._internal.experiment.shapes import FleetShape, wheel_works
+from coltsfoottrack._internal.experiment.shapes import FleetShape
 
 SEED = 20261204
 DEADLINE_MS = 1000
@@ -88,31 +91,33 @@
         return self.goodput_during / min(self.capacity_during, self.offered_during)
 
 
-def run_trial(scenario: Scenario, variant: FleetVariant) -> TrialReport:
+def run_trial(
+    scenario: Scenario, variant: FleetVariant, deployment: Deployment = WHEEL_WORKS
+) -> TrialReport:
     """Starts a fleet, plays the scenario and stops the fleet."""
-    shape = wheel_works(TIME_FACTOR)
+    shape = deployment.shape(TIME_FACTOR)
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
         fleet = Fleet.from_config(shape, Path(directory), variant)
         if scenario.lying_load and variant.source is None:
-            slots = fleet.service_shape(DEEP_SERVICE).slots
-            fleet.backend_settings[DEEP_SERVICE] = {
+            slots = fleet.service_shape(deployment.deep_service).slots
+            fleet.backend_settings[deployment.deep_service] = {
                 "announced_slots": slots * LYING_SLOTS_FACTOR,
                 "load_report_factor": 0,
             }
-        phases = _phases(scenario, shape)
+        phases = _phases(scenario, shape, deployment.mix)
         try:
             fleet.start()
-            results, returns = _play(scenario, fleet, phases)
+            results, returns = _play(scenario, fleet, phases, deployment)
             asked = ask_again(results, fleet.places[0].call_address)
         finally:
             fleet.kill_all()
-        report = _report(scenario, variant, fleet, phases, results, asked)
+        report = _report(scenario, variant, fleet, phases, results, asked, deployment)
     if not returns:
         return report
     possible = possible_goodput(
         shape,
-        MIX,
-        DEEP_SERVICE,
+        deployment.mix,
+        deployment.deep_service,
         returns,
         COLD_START_MS / 1000.0,
         DURING_SECONDS,
@@ -121,8 +126,8 @@
     return report._replace(possible_during=possible, returns=tuple(returns))
 
 
-def _phases(scenario: Scenario, shape: FleetShape) -> list[Phase]:
-    capacity = capacity_per_second(shape, MIX)
+def _phases(scenario: Scenario, shape: FleetShape, mix: list[RequestKind]) -> list[Phase]:
+    capacity = capacity_per_second(shape, mix)
     normal = capacity * NORMAL_LOAD_FACTOR
     return [
         Phase("before", BEFORE_SECONDS, normal),
@@ -132,14 +137,14 @@
 
 
 def play_share(
-    entries: list[str], phases: list[Phase], seed: int, start_at: float
+    mix: list[RequestKind], entries: list[str], phases: list[Phase], seed: int, start_at: float
 ) -> list[RequestResult]:
     """Plays one process's share of the load; runs in a process of its own."""
-    return run(LoadGenerator(MIX, entries, DEADLINE_MS, seed).play(phases, start_at))
+    return run(LoadGenerator(mix, entries, DEADLINE_MS, seed).play(phases, start_at))
 
 
 def _play(
-    scenario: Scenario, fleet: Fleet, phases: list[Phase]
+    scenario: Scenario, fleet: Fleet, phases: list[Phase], deployment: Deployment
 ) -> tuple[list[RequestResult], list[PlaceReturn]]:
     """Returns the results, and when the places that the scenario restarts served again."""
     entries = [place.call_address for place in fleet.places]
@@ -155,12 +160,14 @@
             # Staggered, so that the processes do not send in step.
             offset = index / phases[0].requests_per_second
             pending.append(
-                pool.submit(play_share, entries, shares, SEED + index, start_at + offset)
+                pool.submit(
+                    play_share, deployment.mix, entries, shares, SEED + index, start_at + offset
+                )
             )
         _sleep_until(start_at + BEFORE_SECONDS)
-        returns = _begin(scenario, fleet)
+        returns = _begin(scenario, fleet, deployment)
         _sleep_until(start_at + BEFORE_SECONDS + DURING_SECONDS)
-        _end(scenario, fleet)
+        _end(scenario, fleet, deployment.deep_service)
         for share in pending:
             results.extend(share.result())
     return results, returns
@@ -170,37 +177,37 @@
     sleep(max(0.0, moment - perf_counter()))
 
 
-def _begin(scenario: Scenario, fleet: Fleet) -> list[PlaceReturn]:
+def _begin(scenario: Scenario, fleet: Fleet, deployment: Deployment) -> list[PlaceReturn]:
     if scenario.slow_factor != 1.0:
-        for place in fleet.places_of(DEEP_SERVICE):
+        for place in fleet.places_of(deployment.deep_service):
             fleet.slow_backend(place, scenario.slow_factor)
     if scenario.lose_domain:
         for place in fleet.places:
-            if place.failure_domain == LOST_DOMAIN:
+            if place.failure_domain == deployment.lost_domain:
                 fleet.kill(place.node_process)
                 fleet.kill(place.backend_process)
     if not scenario.cold_start:
         return []
     trigger = perf_counter()
-    fleet.backend_settings[DEEP_SERVICE] = {"cold_start_ms": COLD_START_MS}
-    for place in fleet.places_of(DEEP_SERVICE):
+    fleet.backend_settings[deployment.deep_service] = {"cold_start_ms": COLD_START_MS}
+    for place in fleet.places_of(deployment.deep_service):
         fleet.kill(place.node_process)
         fleet.kill(place.backend_process)
-    for place in fleet.places_of(DEEP_SERVICE):
+    for place in fleet.places_of(deployment.deep_service):
         fleet.start_node(place)
         fleet.start_backend(place)
-    return watch_returns(fleet.places_of(DEEP_SERVICE), trigger)
+    return watch_returns(fleet.places_of(deployment.deep_service), trigger)
 
 
-def _end(scenario: Scenario, fleet: Fleet) -> None:
+def _end(scenario: Scenario, fleet: Fleet, deep_service: str) -> None:
     if scenario.slow_factor != 1.0:
-        for place in fleet.places_of(DEEP_SERVICE):
+        for place in fleet.places_of(deep_service):
             fleet.slow_backend(place, 1.0)
 
 
-def _capacity_during(scenario: Scenario, shape: FleetShape) -> float:
-    slow = {DEEP_SERVICE: scenario.slow_factor}
-    return capacity_per_second(shape, MIX, slow, 1 if scenario.lose_domain else 0)
+def _capacity_during(scenario: Scenario, shape: FleetShape, deployment: Deployment) -> float:
+    slow = {deployment.deep_service: scenario.slow_factor}
+    return capacity_per_second(shape, deployment.mix, slow, 1 if scenario.lose_domain else 0)
 
 
 def _report(
@@ -210,6 +217,7 @@
     phases: list[Phase],
     results: list[RequestResult],
     asked: dict[str, Outcome],
+    deployment: Deployment,
 ) -> TrialReport:
     before, during, after = phases
     reasons: Counter[str] = Counter()
@@ -224,8 +232,8 @@
         logged += log.read_text(encoding="utf-8", errors="replace").count("invariant_violated")
     return TrialReport(
         variant=variant.name,
-        capacity=capacity_per_second(fleet.shape, MIX),
-        capacity_during=_capacity_during(scenario, fleet.shape),
+        capacity=capacity_per_second(fleet.shape, deployment.mix),
+        capacity_during=_capacity_during(scenario, fleet.shape, deployment),
         offered_before=before.requests_per_second,
         offered_during=during.requests_per_second,
         goodput_before=_finished_per_second(results, 0.0, before.seconds),
