Learn which services are needed only from answers that name them

Answers that were settled or fetched from a backup carry no Used-Services. One of them counted as a finished call without any service and switched the early refusal of its operation off for good. The unit test fails without the check. Found by reading; no run showed it.

--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -208,8 +208,9 @@
             self.outstanding[address] -= 1
         self.ill.record(address, answer.reason in ILL_REASONS)
         self.absence.record_member(context.service, address, answer, began)
-        self.absence.record_answer(destination, answer, began)
         if answer.served_by:
+            # Settled answers and copies do not carry the services that the call has used.
+            self.absence.record_answer(destination, answer, began)
             level = max(answer.admission_level, answer.path_level)
             self.levels.record(destination, address, level)
         if answer.node_leaving:
--- a/tests/unit/test_keys_away_from_home.py
+++ b/tests/unit/test_keys_away_from_home.py
@@ -124,3 +124,5 @@
         self.router.members.merge(member)
         answer = await self.router.call(keyed_context(f"127.0.0.1:{self.port}"), b"body")
         self.assertEqual((answer.outcome, answer.body), (Outcome.DONE, b"whole"))
+        # A copy names no used services, which would count as having done without them.
+        self.assertNotIn("stores/order", self.router.absence.needs)
