Take a member for absent only on its own word or a refused connection

A home that was full and could hand a request to no other node answers no_node. It was then taken for absent, and keys of it were thrown away until its next answer. Now no_node and home_gone count only where the sender itself found no connection. Found by reading; the unit test fails without the change at the answer of the full home.

--- a/src/coltsfoottrack/_internal/routing/absence.py
+++ b/src/coltsfoottrack/_internal/routing/absence.py
@@ -27,8 +27,8 @@
 # were wasted, as a cold service has no measure yet from which it could set a level.
 RETURN_SECONDS = 2.0
 CRITICAL = 2
-# Reasons for which a node of a service itself says, or its address shows, that it takes no work.
-AWAY_REASONS = (Reason.NO_NODE, Reason.BACKEND_DOWN, Reason.LEAVING, Reason.NOT_READY)
+# Reasons with which a node says that it takes no work.
+AWAY_REASONS = (Reason.BACKEND_DOWN, Reason.LEAVING, Reason.NOT_READY)
 # An answer of a service that membership shows without a serving node outweighs it for this long.
 ANSWERED_SECONDS = 1.0
 
@@ -170,10 +170,10 @@
         """
         away = answer.reason in AWAY_REASONS
         if not answer.served_by:
-            # A copy under a key that found no connection; other losses show nothing.
-            away = away or (answer.reason is Reason.HOME_GONE and not answer.copy_dispatched)
-            if not away:
+            if answer.copy_dispatched or answer.reason not in (Reason.NO_NODE, Reason.HOME_GONE):
+                # Only a refused connection shows that the member is away, a lost one does not.
                 return
+            away = True
         serving = self.members.serving(service)
         if away:
             self.answered_at.pop(service, None)
--- a/tests/unit/test_absence.py
+++ b/tests/unit/test_absence.py
@@ -4,7 +4,7 @@
 
 from coltsfoottrack._internal.admission.limiter import ConcurrencyLimiter
 from coltsfoottrack._internal.calls.context import answer_headers, read_answer
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.routing.absence import (
     CERTAIN_CALLS,
@@ -110,6 +110,14 @@
         self.assertIsNone(self.absence.refuse_direct("fitments"))
         self.absence.record_member("fitments", "a:2", gone, self.now)
         self.assertIsNotNone(self.absence.refuse_direct("fitments"))
+        for lost in (unknown(Reason.CONNECTION_LOST), unknown(Reason.SILENT)):
+            self.absence.record_member("fitments", "a:2", lost, self.now)
+        self.assertIsNotNone(self.absence.refuse_direct("fitments"))
+        # The node was full and could hand the request to no other one.
+        handed = gone._replace(served_by="fitments/1")
+        self.absence.record_member("fitments", "a:1", handed, self.now)
+        self.assertIsNone(self.absence.refuse_direct("fitments"))
+        self.absence.record_member("fitments", "a:1", gone, self.now)
         shed = refused(Reason.OVERLOAD)._replace(served_by="fitments/2")
         self.absence.record_member("fitments", "a:2", shed, self.now)
         self.assertIsNone(self.absence.refuse_direct("fitments"))
