--- a/examples/embedded_backend.py
+++ b/examples/embedded_backend.py
@@ -29,14 +29,13 @@
             return Response(status=400, text=str(error))
         if context.deadline.has_passed():
             return Response(status=503, headers=self.session.shed_headers(context))
+        call = OutgoingCall("fitments", "lookup", body)
         try:
             async with timeout(context.deadline.remaining_seconds()):
-                answer = await self.session.client.call(
-                    context, OutgoingCall("fitments", "lookup", body)
-                )
+                answer = await self.session.client.call(context, call)
         except TimeoutError:
-            return Response(status=504, headers=self.session.reply_headers(context, []))
-        headers = self.session.reply_headers(context, [answer])
+            return Response(status=504, headers=self.session.reply_headers(context, [], []))
+        headers = self.session.reply_headers(context, [call], [answer])
         if answer.outcome is not Outcome.DONE:
             return Response(status=502, text=f"fitments: {answer.outcome}", headers=headers)
         return Response(body=b"stores has " + answer.body, headers=headers)
--- a/src/coltsfoottrack/_internal/embedding/backend_session.py
+++ b/src/coltsfoottrack/_internal/embedding/backend_session.py
@@ -11,7 +11,6 @@
     CALL_ID,
     EVENT_CLOCK,
     MONOTONIC_DEADLINE,
-    PATH_LEVEL,
     CallContext,
     CallGrant,
     read_context,
@@ -19,7 +18,7 @@
 from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer
-from coltsfoottrack._internal.routing.client import CallClient
+from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall, path_headers
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
 # With this header, a 503 tells the node that the request was not run.
@@ -123,19 +122,20 @@
         # The node is on the same instance and reads the same monotonic clock.
         return context._replace(deadline=Deadline(_read_seconds(text)))
 
-    def reply_headers(self, context: CallContext, answers: list[Answer]) -> dict[str, str]:
+    def reply_headers(
+        self, context: CallContext, calls: list[OutgoingCall], answers: list[Answer]
+    ) -> dict[str, str]:
         """Returns the headers of the response to a request that was run.
 
-        ``answers`` are those of the calls that it made. They hand back what is left of the
-        attempt budget and tell the levels below, so that callers can be refused before any work.
+        ``calls`` are those that it made, with their answers. The headers hand back what is left
+        of the attempt budget and tell what the calls met below, so that callers can be refused
+        before any work.
         """
-        levels = [max(answer.admission_level, answer.path_level) for answer in answers]
-        return {
-            CALL_ID: context.call_id,
-            ATTEMPTS_LEFT: str(context.budget.retries),
-            EVENT_CLOCK: str(self.client.clock.tick()),
-            PATH_LEVEL: str(max(levels, default=0)),
-        }
+        headers = path_headers(calls, answers)
+        headers[CALL_ID] = context.call_id
+        headers[ATTEMPTS_LEFT] = str(context.budget.retries)
+        headers[EVENT_CLOCK] = str(self.client.clock.tick())
+        return headers
 
     def shed_headers(self, context: CallContext) -> dict[str, str]:
         """Returns the headers of a 503 response to a request that was certainly not run."""
--- a/src/coltsfoottrack/_internal/experiment/trial.py
+++ b/src/coltsfoottrack/_internal/experiment/trial.py
@@ -10,9 +10,27 @@
 from time import perf_counter, sleep
 from typing import NamedTuple
 
+from coltsfoottrack._internal.calls.outcome import Outcome
 from coltsfoottrack._internal.experiment.capacity import capacity_per_second
+from coltsfoottrack._internal.experiment.deployments import WHEEL_WORKS, Deployment
 from coltsfoottrack._internal.experiment.fleet import Fleet, FleetVariant
-from coltsfoottrack._internal.experiment.load import LoadGenerator, Phase, RequestResult
+from coltsfoottrack._internal.experiment.load import (
+    LoadGenerator,
+    Phase,
+    RequestKind,
+    RequestResult,
+)
+from coltsfoottrack._internal.experiment.lost import (
+    LostRow,
+    ask_again,
+    lost_critical,
+    lost_rows,
+)
+from coltsfoottrack._internal.experiment.outage import (
+    PlaceReturn,
+    possible_goodput,
+    watch_returns,
+)
 from coltsfoottrack._internal.experiment.report import (
     OutcomeRow,
     RunCheck,
@@ -22,14 +40,11 @@
 )
 from coltsfoottrack._internal.experiment.scenarios import (
     COLD_START_MS,
-    DEEP_SERVICE,
-    LOST_DOMAIN,
     LYING_SLOTS_FACTOR,
-    MIX,
     NORMAL_LOAD_FACTOR,
     Scenario,
 )
-from coltsfoottrack._internal.experiment.shapes import FleetShape, wheel_works
+from coltsfoottrack._internal.experiment.shapes import FleetShape
 
 SEED = 20261204
 DEADLINE_MS = 1000
@@ -64,6 +79,11 @@
     rows: list[OutcomeRow]
     reasons: dict[str, int]
     violations_logged: int
+    lost: list[LostRow]
+    # Mean goodput that was possible while a service was gone and cold, None in other scenarios.
+    possible_during: float | None = None
+    # Seconds from the trigger until each place of that service served again.
+    returns: tuple[PlaceReturn, ...] = ()
 
     @property
     def goodput_share(self) -> float:
@@ -71,28 +91,43 @@
         return self.goodput_during / min(self.capacity_during, self.offered_during)
 
 
-def run_trial(scenario: Scenario, variant: FleetVariant) -> TrialReport:
+def run_trial(
+    scenario: Scenario, variant: FleetVariant, deployment: Deployment = WHEEL_WORKS
+) -> TrialReport:
     """Starts a fleet, plays the scenario and stops the fleet."""
-    shape = wheel_works(TIME_FACTOR)
+    shape = deployment.shape(TIME_FACTOR)
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
         fleet = Fleet.from_config(shape, Path(directory), variant)
         if scenario.lying_load and variant.source is None:
-            slots = fleet.service_shape(DEEP_SERVICE).slots
-            fleet.backend_settings[DEEP_SERVICE] = {
+            slots = fleet.service_shape(deployment.deep_service).slots
+            fleet.backend_settings[deployment.deep_service] = {
                 "announced_slots": slots * LYING_SLOTS_FACTOR,
                 "load_report_factor": 0,
             }
-        phases = _phases(scenario, shape)
+        phases = _phases(scenario, shape, deployment.mix)
         try:
             fleet.start()
-            results = _play(scenario, fleet, phases)
+            results, returns = _play(scenario, fleet, phases, deployment)
+            asked = ask_again(results, fleet.places[0].call_address)
         finally:
             fleet.kill_all()
-        return _report(scenario, variant, fleet, phases, results)
+        report = _report(scenario, variant, fleet, phases, results, asked, deployment)
+    if not returns:
+        return report
+    possible = possible_goodput(
+        shape,
+        deployment.mix,
+        deployment.deep_service,
+        returns,
+        COLD_START_MS / 1000.0,
+        DURING_SECONDS,
+        report.offered_during,
+    )
+    return report._replace(possible_during=possible, returns=tuple(returns))
 
 
-def _phases(scenario: Scenario, shape: FleetShape) -> list[Phase]:
-    capacity = capacity_per_second(shape, MIX)
+def _phases(scenario: Scenario, shape: FleetShape, mix: list[RequestKind]) -> list[Phase]:
+    capacity = capacity_per_second(shape, mix)
     normal = capacity * NORMAL_LOAD_FACTOR
     return [
         Phase("before", BEFORE_SECONDS, normal),
@@ -102,13 +137,16 @@
 
 
 def play_share(
-    entries: list[str], phases: list[Phase], seed: int, start_at: float
+    mix: list[RequestKind], entries: list[str], phases: list[Phase], seed: int, start_at: float
 ) -> list[RequestResult]:
     """Plays one process's share of the load; runs in a process of its own."""
-    return run(LoadGenerator(MIX, entries, DEADLINE_MS, seed).play(phases, start_at))
+    return run(LoadGenerator(mix, entries, DEADLINE_MS, seed).play(phases, start_at))
 
 
-def _play(scenario: Scenario, fleet: Fleet, phases: list[Phase]) -> list[RequestResult]:
+def _play(
+    scenario: Scenario, fleet: Fleet, phases: list[Phase], deployment: Deployment
+) -> tuple[list[RequestResult], list[PlaceReturn]]:
+    """Returns the results, and when the places that the scenario restarts served again."""
     entries = [place.call_address for place in fleet.places]
     shares = []
     for phase in phases:
@@ -122,49 +160,54 @@
             # Staggered, so that the processes do not send in step.
             offset = index / phases[0].requests_per_second
             pending.append(
-                pool.submit(play_share, entries, shares, SEED + index, start_at + offset)
+                pool.submit(
+                    play_share, deployment.mix, entries, shares, SEED + index, start_at + offset
+                )
             )
         _sleep_until(start_at + BEFORE_SECONDS)
-        _begin(scenario, fleet)
+        returns = _begin(scenario, fleet, deployment)
         _sleep_until(start_at + BEFORE_SECONDS + DURING_SECONDS)
-        _end(scenario, fleet)
+        _end(scenario, fleet, deployment.deep_service)
         for share in pending:
             results.extend(share.result())
-    return results
+    return results, returns
 
 
 def _sleep_until(moment: float) -> None:
     sleep(max(0.0, moment - perf_counter()))
 
 
-def _begin(scenario: Scenario, fleet: Fleet) -> None:
+def _begin(scenario: Scenario, fleet: Fleet, deployment: Deployment) -> list[PlaceReturn]:
     if scenario.slow_factor != 1.0:
-        for place in fleet.places_of(DEEP_SERVICE):
+        for place in fleet.places_of(deployment.deep_service):
             fleet.slow_backend(place, scenario.slow_factor)
     if scenario.lose_domain:
         for place in fleet.places:
-            if place.failure_domain == LOST_DOMAIN:
+            if place.failure_domain == deployment.lost_domain:
                 fleet.kill(place.node_process)
                 fleet.kill(place.backend_process)
-    if scenario.cold_start:
-        fleet.backend_settings[DEEP_SERVICE] = {"cold_start_ms": COLD_START_MS}
-        for place in fleet.places_of(DEEP_SERVICE):
-            fleet.kill(place.node_process)
-            fleet.kill(place.backend_process)
-        for place in fleet.places_of(DEEP_SERVICE):
-            fleet.start_node(place)
-            fleet.start_backend(place)
-
-
-def _end(scenario: Scenario, fleet: Fleet) -> None:
+    if not scenario.cold_start:
+        return []
+    trigger = perf_counter()
+    fleet.backend_settings[deployment.deep_service] = {"cold_start_ms": COLD_START_MS}
+    for place in fleet.places_of(deployment.deep_service):
+        fleet.kill(place.node_process)
+        fleet.kill(place.backend_process)
+    for place in fleet.places_of(deployment.deep_service):
+        fleet.start_node(place)
+        fleet.start_backend(place)
+    return watch_returns(fleet.places_of(deployment.deep_service), trigger)
+
+
+def _end(scenario: Scenario, fleet: Fleet, deep_service: str) -> None:
     if scenario.slow_factor != 1.0:
-        for place in fleet.places_of(DEEP_SERVICE):
+        for place in fleet.places_of(deep_service):
             fleet.slow_backend(place, 1.0)
 
 
-def _capacity_during(scenario: Scenario, shape: FleetShape) -> float:
-    slow = {DEEP_SERVICE: scenario.slow_factor}
-    return capacity_per_second(shape, MIX, slow, 1 if scenario.lose_domain else 0)
+def _capacity_during(scenario: Scenario, shape: FleetShape, deployment: Deployment) -> float:
+    slow = {deployment.deep_service: scenario.slow_factor}
+    return capacity_per_second(shape, deployment.mix, slow, 1 if scenario.lose_domain else 0)
 
 
 def _report(
@@ -173,15 +216,14 @@
     fleet: Fleet,
     phases: list[Phase],
     results: list[RequestResult],
+    asked: dict[str, Outcome],
+    deployment: Deployment,
 ) -> TrialReport:
     before, during, after = phases
     reasons: Counter[str] = Counter()
-    lost = 0
     for result in results:
         if result.answer.reason:
             reasons[f"{result.answer.outcome}: {result.answer.reason}"] += 1
-        if result.kind.priority == "critical" and not is_good(result):
-            lost += 1
     # A lost domain stays lost, so its recovery counts from the loss.
     trigger_end = before.seconds + (0.0 if scenario.lose_domain else during.seconds)
     wasted_during, wasted_total = _wasted(results, fleet.run_log, during.name)
@@ -190,8 +232,8 @@
         logged += log.read_text(encoding="utf-8", errors="replace").count("invariant_violated")
     return TrialReport(
         variant=variant.name,
-        capacity=capacity_per_second(fleet.shape, MIX),
-        capacity_during=_capacity_during(scenario, fleet.shape),
+        capacity=capacity_per_second(fleet.shape, deployment.mix),
+        capacity_during=_capacity_during(scenario, fleet.shape, deployment),
         offered_before=before.requests_per_second,
         offered_during=during.requests_per_second,
         goodput_before=_finished_per_second(results, 0.0, before.seconds),
@@ -200,11 +242,12 @@
         recovery=recovery_seconds(results, before.name, trigger_end),
         wasted_during=wasted_during,
         wasted_total=wasted_total,
-        critical_lost=lost,
+        critical_lost=len(lost_critical(results)),
         check=check_runs(results, fleet.run_log),
         rows=outcome_rows(results),
         reasons=dict(reasons.most_common()),
         violations_logged=logged,
+        lost=lost_rows(results, asked, fleet.run_log),
     )
 
 
--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -30,6 +30,8 @@
     PATH_LEVEL,
     QUEUED_MS,
     CallContext,
+    absent_service,
+    used_services,
     whole_number,
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
@@ -347,7 +349,10 @@
     if reply.status >= 500:
         answer = failed(Reason.BACKEND_ERROR, reply.body, content_type)
         return answer._replace(
-            path_level=path_level, attempts_left=attempts_left, path_queued_ms=path_queued_ms
+            path_level=path_level,
+            attempts_left=attempts_left,
+            path_queued_ms=path_queued_ms,
+            absent_service=absent_service(reply.headers),
         )
     return Answer(
         outcome=Outcome.DONE,
@@ -357,4 +362,5 @@
         path_level=path_level,
         attempts_left=attempts_left,
         path_queued_ms=path_queued_ms,
+        used_services=used_services(reply.headers),
     )
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -11,6 +11,7 @@
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
+from coltsfoottrack._internal.routing.absence import AbsentServices
 
 # Sendings to a backend server that turned a call away without running it.
 MAX_SENDINGS = 3
@@ -34,6 +35,8 @@
         self.ring = ring
         self.metrics = metrics
         self.gate = PathGate(admission.checker, admission.policy)
+        # What is known of services below this node; None in parts that are used without a router.
+        self.absence: AbsentServices | None = None
         self.seen_starts = 0
         self.refuses_new_work: Callable[[], bool] = lambda: False
 
@@ -46,6 +49,12 @@
         self._follow_backend()
         if self.admission.decisions_off:
             return await self._run_admitted(context, body, await self.admission.admit(context))
+        if self.absence is not None:
+            destination = f"{context.service}/{context.operation}"
+            absent = self.absence.refuse_operation(destination, context.priority)
+            if absent is not None:
+                absent = absent._replace(attempts_left=context.budget.retries)
+                return self._with_level(context, absent)
         arrived = monotonic()
         try:
             call = await self.gate.enter(context)
@@ -93,6 +102,9 @@
                 service_seconds = monotonic() - started
         finally:
             self.admission.release(shed, service_seconds)
+        if self.absence is not None and answer.outcome in (Outcome.DONE, Outcome.FAILED):
+            destination = f"{context.service}/{context.operation}"
+            self.absence.record_answer(destination, answer, started)
         seconds = monotonic() - started
         self.metrics.service_time.observe(seconds)
         return answer._replace(queued_ms=waited * 1000.0, running_ms=seconds * 1000.0)
