Measure regions that lose each other and meet again, in simulated time

`coltsfoottrack measure partition` runs the real detector of every node and the exchanges of MembershipPeer.Sync in simulated time, cuts the regions apart for 120 s, lets them meet again, and counts what each node sends in each second, with the headers of IP and UDP. Cutting the regions apart is the loss of half of the nodes at once as each side sees it.

--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -2,10 +2,12 @@
 
 from coltsfoottrack._internal.experiment.measure_calls import print_call_costs
 from coltsfoottrack._internal.experiment.measure_membership import measure_membership
+from coltsfoottrack._internal.experiment.measure_partition import print_partition
 from coltsfoottrack._internal.experiment.measure_path import ROUNDS, print_path_cost
 
 SIMULATED_SIZES = (4, 8, 16, 32, 64, 256, 1000)
 PROCESS_SIZES = (4, 16, 64)
+PARTITION_SIZES = (12, 100, 400, 1000)
 
 
 class MeasureCommands:
@@ -24,6 +26,14 @@
         """
         measure_membership(list(simulated), list(processes))
 
+    def partition(self, sizes: tuple[int, ...] = PARTITION_SIZES) -> None:
+        """Measures a region lost and two regions that meet again, in simulated time.
+
+        Args:
+            sizes: Sizes of the fleet.
+        """
+        print_partition(list(sizes))
+
     def path(self, rounds: int = ROUNDS) -> None:
         """Measures what a node adds to a call, against a direct call in the same run.
 
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/measure_partition.py
@@ -0,0 +1,191 @@
+"""Control traffic and agreement when regions lose each other and meet again, in simulated time.
+
+Every node runs its real detector and its exchanges with other nodes. Losing the other region is
+the loss of half of the nodes at once, as each side sees it.
+"""
+
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple
+
+from structlog import configure
+from structlog.processors import JSONRenderer
+from structlog.testing import LogCapture
+
+from coltsfoottrack._internal.experiment.simulated_fleet import SimulatedFleet, SimulatedNode
+from coltsfoottrack._internal.membership.cluster import (
+    REUNION_INTERVAL_SECONDS,
+    SYNC_INTERVAL_SECONDS,
+)
+from coltsfoottrack._internal.membership.sync import (
+    BUCKETS,
+    bucket_digests,
+    differing_buckets,
+    members_of,
+)
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_ALIVE,
+    MEMBER_STATUS_DEAD,
+    Member,
+)
+
+SEED = 20261204
+# IPv4 and UDP headers.
+HEADER_BYTES = 28
+# HTTP/2 and TCP/IP parts of one gRPC message; the exact size hardly matters beside the members.
+RPC_BYTES = 300
+FIRST_SECONDS = 5
+APART_SECONDS = 120
+MET_SECONDS = 60
+LONGEST_SECONDS = 400
+# Windows of traffic, in seconds.
+LONG_WINDOW = 10
+
+
+class PhaseFigures(NamedTuple):
+    """Traffic of a phase, in bytes per second sent by a node, and when all views were right."""
+
+    agreed_seconds: float | None
+    mean: float
+    busiest_second: float
+    worst_second: float
+    worst_window: float
+
+
+class PartitionFleet(SimulatedFleet):
+    """A fleet whose nodes also synchronise, with the bytes that each sent in each second."""
+
+    def __init__(self, size: int, seed: int) -> None:
+        super().__init__(size, seed)
+        self.random = Random(seed)
+        self.exchanged = {node.name: 0 for node in self.nodes.values()}
+        self.reunited: dict[str, str] = {}
+        self.next_reunion = dict.fromkeys(self.exchanged, 0.0)
+        self.next_sync = {}
+        for node in self.nodes.values():
+            self.next_sync[node.name] = self.random.uniform(0.0, SYNC_INTERVAL_SECONDS)
+            node.detector.on_reunion = self._note_reunion(node)
+        self.seconds: list[list[int]] = []
+        self.sent_before = [0] * size
+
+    def _note_reunion(self, node: SimulatedNode) -> Callable[[Member], None]:
+        def note(member: Member) -> None:
+            self.reunited[node.name] = f"{member.service}/{member.name}"
+
+        return note
+
+    def step(self) -> None:
+        """Lets one step pass, with the exchanges that are due."""
+        super().step()
+        for node in self.nodes.values():
+            if node.name in self.reunited and self.now >= self.next_reunion[node.name]:
+                wait = REUNION_INTERVAL_SECONDS * self.random.uniform(0.5, 1.5)
+                self.next_reunion[node.name] = self.now + wait
+                self._synchronise(node, self.by_name[self.reunited.pop(node.name)])
+            if self.now >= self.next_sync[node.name]:
+                wait = SYNC_INTERVAL_SECONDS * self.random.uniform(0.8, 1.2)
+                self.next_sync[node.name] = self.now + wait
+                others = []
+                for key, member in node.table.members.items():
+                    if member.status != MEMBER_STATUS_DEAD and key != node.name:
+                        others.append(key)
+                if others:
+                    self._synchronise(node, self.by_name[self.random.choice(others)])
+
+    def _synchronise(self, one: SimulatedNode, other: SimulatedNode) -> None:
+        """Does what MembershipPeer.Sync does."""
+        if not self.passes(one.address, other):
+            return
+        buckets = differing_buckets(other.table, bucket_digests(one.table))
+        reply = [Member.FromString(m.SerializeToString()) for m in members_of(other.table, buckets)]
+        own = members_of(one.table, buckets)
+        self.exchanged[one.name] += 2 * RPC_BYTES + 8 * BUCKETS + _size(own)
+        self.exchanged[other.name] += 2 * RPC_BYTES + _size(reply)
+        other.detector.apply_all([one.local.member, *own])
+        one.detector.apply_all(reply)
+
+    def run_phase(self, seconds: int, is_over: Callable[[], bool]) -> PhaseFigures:
+        """Runs until the views are right and for the rest of the time, at most LONGEST_SECONDS."""
+        self._count_second()
+        self.seconds.clear()
+        agreed = None
+        while len(self.seconds) < seconds or (
+            agreed is None and len(self.seconds) < LONGEST_SECONDS
+        ):
+            self.run(1.0)
+            self._count_second()
+            if agreed is None and is_over():
+                agreed = float(len(self.seconds))
+        sent = self.seconds
+        nodes = range(len(sent[0]))
+        windows = []
+        for end in range(LONG_WINDOW, len(sent) + 1):
+            rows = sent[end - LONG_WINDOW : end]
+            windows.append(max(sum(row[node] for row in rows) for node in nodes) / LONG_WINDOW)
+        return PhaseFigures(
+            agreed_seconds=agreed,
+            mean=sum(map(sum, sent)) / len(sent) / len(nodes),
+            busiest_second=max(sum(row) / len(nodes) for row in sent),
+            worst_second=max(max(row) for row in sent),
+            worst_window=max(windows),
+        )
+
+    def _count_second(self) -> None:
+        totals = []
+        for node in self.nodes.values():
+            counts = node.detector.counts
+            datagrams = counts["sent_bytes"] + HEADER_BYTES * counts["sent"]
+            totals.append(datagrams + self.exchanged[node.name])
+        self.seconds.append([now - old for now, old in zip(totals, self.sent_before, strict=True)])
+        self.sent_before = totals
+
+    def sees_partition(self) -> bool:
+        """Tells whether each node holds the other region for dead and its own for alive."""
+        for node in self.nodes.values():
+            for key, member in node.table.members.items():
+                status = MEMBER_STATUS_ALIVE
+                if self.by_name[key].region != node.region:
+                    status = MEMBER_STATUS_DEAD
+                if member.status != status:
+                    return False
+        return True
+
+    def agrees(self) -> bool:
+        """Tells whether each node holds all others for alive."""
+        for node in self.nodes.values():
+            for member in node.table.members.values():
+                if member.status != MEMBER_STATUS_ALIVE:
+                    return False
+        return True
+
+
+def _size(members: list[Member]) -> int:
+    return sum(member.ByteSize() + 3 for member in members)
+
+
+def simulate_partition(size: int, seed: int = SEED) -> tuple[PhaseFigures, PhaseFigures]:
+    """Measures a region lost and the regions meeting again at one size of the fleet."""
+    fleet = PartitionFleet(size, seed)
+    fleet.run(FIRST_SECONDS)
+    fleet.apart = True
+    lost = fleet.run_phase(APART_SECONDS, fleet.sees_partition)
+    fleet.apart = False
+    return lost, fleet.run_phase(MET_SECONDS, fleet.agrees)
+
+
+def print_partition(sizes: list[int]) -> None:
+    """Prints the figures of both phases at each size."""
+    configure(processors=[LogCapture(), JSONRenderer()])
+    print("bytes per second sent by a node, simulated time; windows of 1 s and 10 s")
+    print(
+        f"{'nodes':>6} {'phase':10}{'agreed s':>10}{'mean':>8}{'mean, busiest s':>17}"
+        f"{'worst node, 1 s':>17}{'worst node, 10 s':>18}"
+    )
+    for size in sizes:
+        for phase, row in zip(("lost", "met again"), simulate_partition(size), strict=True):
+            agreed = "never" if row.agreed_seconds is None else f"{row.agreed_seconds:.0f}"
+            print(
+                f"{size:6} {phase:10}{agreed:>10}{row.mean:8.0f}{row.busiest_second:17.0f}"
+                f"{row.worst_second:17.0f}{row.worst_window:18.0f}",
+                flush=True,
+            )
--- a/src/coltsfoottrack/_internal/experiment/simulated_fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/simulated_fleet.py
@@ -44,6 +44,7 @@
         self.local.joined = True
         self.name = member_id(member)
         self.address: Address = (member.address, member.peer_port)
+        self.region = member.region
         self.holder = ConfigurationHolder(InvariantChecker())
         self.table = MembershipTable()
         self.announced = ("", 0)
@@ -78,6 +79,8 @@
         self.fetches = 0
         self.in_transit: list[tuple[Address, Address, bytes]] = []
         self.nodes: dict[Address, SimulatedNode] = {}
+        # True while the regions cannot reach each other.
+        self.apart = False
         self.by_name: dict[str, SimulatedNode] = {}
         entries = [simulated_member(index) for index in range(size)]
         known = {member_id(entry): entry for entry in entries}
@@ -101,7 +104,7 @@
         began = process_time()
         for source, target, content in arriving:
             node = self.nodes.get(target)
-            if node is not None:
+            if node is not None and self.passes(source, node):
                 node.detector.receive(content, source)
         for node in self.nodes.values():
             node.detector.advance(self.now)
@@ -115,6 +118,11 @@
             node.holder.offer(holder.holder.record, sender)
             node.detector.spread_now()
 
+    def passes(self, source: Address, target: SimulatedNode) -> bool:
+        """Tells whether what a node sends reaches another one."""
+        sender = self.nodes.get(source)
+        return not self.apart or sender is None or sender.region == target.region
+
     def total(self, counter: str) -> int:
         """Returns the sum of a counter over all nodes."""
         return sum(node.detector.counts[counter] for node in self.nodes.values())
