Measure what copies of outcomes take on the wire

`coltsfoottrack measure copies` starts two nodes with backend servers in two failure domains, sends keyed calls to one of them, reads the bytes and segments of its connections to the other from the kernel, and then asks the backup about every key. `--source` measures another checkout.

When all nodes are alike, a node sends the sum: its own copies and the replies to those of others.

Ruled out: loopback counters, as other measurements share the interface.

--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -1,6 +1,11 @@
 """``coltsfoottrack measure``: repeatable measurements on this machine."""
 
 from coltsfoottrack._internal.experiment.measure_calls import print_call_costs
+from coltsfoottrack._internal.experiment.measure_copies import (
+    BLOCK_SECONDS,
+    RATES,
+    print_copy_costs,
+)
 from coltsfoottrack._internal.experiment.measure_membership import measure_membership
 from coltsfoottrack._internal.experiment.measure_partition import print_partition
 from coltsfoottrack._internal.experiment.measure_path import ROUNDS, print_path_cost
@@ -34,6 +39,18 @@
         """
         print_partition(list(sizes))
 
+    def copies(
+        self, rates: tuple[int, ...] = RATES, seconds: float = BLOCK_SECONDS, source: str = ""
+    ) -> None:
+        """Measures what copies of finished outcomes cost, and what a backup node can tell.
+
+        Args:
+            rates: Keyed calls per second at the home node.
+            seconds: Length of the block at each rate.
+            source: Directory of another checkout to measure instead of this one.
+        """
+        print_copy_costs(list(rates), seconds, source)
+
     def path(self, rounds: int = ROUNDS) -> None:
         """Measures what a node adds to a call, against a direct call in the same run.
 
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/measure_copies.py
@@ -0,0 +1,154 @@
+"""What copies of finished outcomes cost: bytes on the wire, and what the backup node can tell.
+
+Two real nodes in two failure domains; all calls go to one of them, so the other is its backup.
+"""
+
+from asyncio import run
+from collections import Counter, deque
+from pathlib import Path
+from random import Random
+from tempfile import TemporaryDirectory
+from time import sleep
+from typing import NamedTuple
+
+from urllib3 import HTTPConnectionPool
+
+from coltsfoottrack._internal.calls.context import IDEMPOTENCY_KEY, PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.outcome_records import from_record
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, FleetVariant, NodePlace
+from coltsfoottrack._internal.experiment.measure_path import CLIENT_THREADS, open_loop
+from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
+from coltsfoottrack._internal.experiment.socket_bytes import tcp_counts
+from coltsfoottrack._internal.routing.peer_channels import open_channel
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OutcomePeerStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    PRIORITY_NORMAL,
+    Envelope,
+    FetchOutcomeRequest,
+)
+
+SEED = 20261204
+RATES = (5, 15, 50, 150)
+BLOCK_SECONDS = 20.0
+SETTLE_SECONDS = 3.0
+# The stand-in answers with the body and 32 bytes.
+ANSWER_BYTES = 200
+ECHO_BYTES = 32
+
+
+class CopyFigures(NamedTuple):
+    """Cost at one rate; bytes of both directions of the connection to the backup."""
+
+    calls_per_second: int
+    kind: str
+    bytes_sent_per_second: float
+    bytes_received_per_second: float
+    # Share of the keys by what the backup tells of them.
+    told: dict[str, float]
+
+
+def confirmation(random: Random) -> bytes:
+    """Returns the body of an order as JSON, most of which is alike from one to the next."""
+    text = (
+        f'{{"order":"{random.getrandbits(48):012x}","line":{random.randrange(40)},"item":'
+        f'"wheel-{random.randrange(900)}","quantity":{random.randrange(1, 200)},"status":'
+        f'"accepted","due":"2026-12-{random.randrange(1, 29):02}","note":"'
+    )
+    return (text.ljust(ANSWER_BYTES - ECHO_BYTES - 2, "-") + '"}').encode()
+
+
+def noise(random: Random) -> bytes:
+    """Returns a body that no compression makes smaller."""
+    return random.randbytes(ANSWER_BYTES - ECHO_BYTES)
+
+
+BODIES = {"json": confirmation, "random": noise}
+
+
+def two_nodes() -> FleetShape:
+    """One service with two backend servers in two failure domains."""
+    order = OperationShape("order", PRIORITY_NORMAL, False)
+    service = ServiceShape("stores", 2, 80, 0, (order,))
+    return FleetShape("pair", ("east", "west"), (service,), 1)
+
+
+def print_copy_costs(rates: list[int], seconds: float, source: str) -> None:
+    """Measures each rate with both kinds of answers."""
+    variant = FleetVariant("other", Path(source)) if source else None
+    print(f"answers of {ANSWER_BYTES} bytes, blocks of {seconds:.0f} s, seed {SEED}")
+    print(f"{'keyed/s':>8} {'answers':8}{'sent B/s':>10}{'received B/s':>14}{'sum B/s':>9}  told")
+    for kind in BODIES:
+        for rate in rates:
+            figures = measure_copies(rate, kind, seconds, variant)
+            total = figures.bytes_sent_per_second + figures.bytes_received_per_second
+            told = ", ".join(f"{name} {share:.1%}" for name, share in figures.told.items())
+            print(
+                f"{rate:8} {kind:8}{figures.bytes_sent_per_second:10.0f}"
+                f"{figures.bytes_received_per_second:14.0f}{total:9.0f}  {told}",
+                flush=True,
+            )
+
+
+def measure_copies(
+    rate: int, kind: str, seconds: float, variant: FleetVariant | None = None
+) -> CopyFigures:
+    """Measures one rate of keyed calls with new processes."""
+    with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
+        fleet = Fleet.from_config(two_nodes(), Path(directory), variant)
+        try:
+            fleet.start()
+            return _measure(fleet, rate, kind, seconds)
+        finally:
+            fleet.stop()
+
+
+def _measure(fleet: Fleet, rate: int, kind: str, seconds: float) -> CopyFigures:
+    home, backup = fleet.places
+    random = Random(f"{SEED}/{rate}/{kind}")
+    bodies = [BODIES[kind](random) for _ in range(int(rate * seconds))]
+    pool = HTTPConnectionPool(LOOPBACK, home.call_port, maxsize=CLIENT_THREADS)
+    keys = _new_keys(pool, len(bodies))
+    waiting = deque(zip(keys, bodies, strict=True))
+
+    def call() -> None:
+        key, body = waiting.popleft()
+        pool.request("POST", "/v1/services/stores/order", body=body, headers={IDEMPOTENCY_KEY: key})
+
+    pid = fleet.processes[home.node_process].pid
+    before = tcp_counts(pid, backup.peer_port)
+    open_loop(call, seconds, rate)
+    sleep(SETTLE_SECONDS)
+    after = tcp_counts(pid, backup.peer_port)
+    told = run(_ask(backup, fleet.cluster, keys))
+    return CopyFigures(
+        calls_per_second=rate,
+        kind=kind,
+        bytes_sent_per_second=(after.sent - before.sent) / seconds,
+        bytes_received_per_second=(after.received - before.received) / seconds,
+        told={name: count / len(keys) for name, count in sorted(told.items())},
+    )
+
+
+def _new_keys(pool: HTTPConnectionPool, count: int) -> list[str]:
+    keys: list[str] = []
+    while len(keys) < count:
+        reply = pool.request("POST", f"/v1/services/stores/keys?count={min(500, count)}")
+        keys.extend(reply.data.decode("ascii").split())
+    return keys[:count]
+
+
+async def _ask(backup: NodePlace, cluster: str, keys: list[str]) -> Counter[str]:
+    """Asks the backup for each key, as a node does after the home has ended."""
+    told: Counter[str] = Counter()
+    channel = open_channel(backup.peer_address)
+    try:
+        for key in keys:
+            request = FetchOutcomeRequest(
+                envelope=Envelope(cluster=cluster, protocol_version=PROTOCOL_VERSION), key=key
+            )
+            reply = await OutcomePeerStub(channel).FetchOutcome(request)
+            answer = from_record(reply.record)
+            told[f"{answer.outcome} {answer.reason}".strip() if reply.found else "nothing"] += 1
+    finally:
+        channel.close()
+    return told
