Pace the first start of a fleet on an empty platform

Cause: the wait before a node writes its object was spread by the number of known members. On an empty platform that is 0, so 1,000 nodes wrote at once, and each also listed the members, read the configuration and watched it at once.

A node now waits up to 1.5 s before its first listing. If fewer than 100 members are listed it takes a random place in the 12.5 s that 1,000 nodes need, waits 1 s, counts the members written since its first listing (that is a sample of the whole fleet), and draws its wait anew from that. It watches the configuration only once it is registered.

Ruled out: a setting with the size of the fleet (its default would not hold for a large fleet); a fixed wait of 12.5 s for everybody (a fleet of 3 would start in 12 s); relying on 429 (the store is used by others too).

--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -9,9 +9,12 @@
 from coltsfoottrack._internal.experiment.measure_membership import measure_membership
 from coltsfoottrack._internal.experiment.measure_partition import print_partition
 from coltsfoottrack._internal.experiment.measure_path import ROUNDS, print_path_cost
+from coltsfoottrack._internal.experiment.measure_start import print_starts
 
 SIMULATED_SIZES = (4, 8, 16, 32, 64, 256, 1000)
 PROCESS_SIZES = (4, 16, 64)
+START_SIZES = (3, 10, 30, 100, 300, 1000)
+START_PROCESSES = (8, 16, 32, 64)
 PARTITION_SIZES = (12, 100, 400, 1000)
 
 
@@ -39,6 +42,21 @@
         """
         print_partition(list(sizes))
 
+    def start(
+        self,
+        simulated: tuple[int, ...] = START_SIZES,
+        processes: tuple[int, ...] = START_PROCESSES,
+        source: str = "",
+    ) -> None:
+        """Measures the platform calls of a fleet that starts at once on an empty platform.
+
+        Args:
+            simulated: Sizes with simulated time.
+            processes: Numbers of real node processes; an empty list starts none.
+            source: Directory of another checkout whose processes to start instead.
+        """
+        print_starts(list(simulated), list(processes), source)
+
     def copies(
         self, rates: tuple[int, ...] = RATES, seconds: float = BLOCK_SECONDS, source: str = ""
     ) -> None:
--- a/src/coltsfoottrack/_internal/membership/cluster.py
+++ b/src/coltsfoottrack/_internal/membership/cluster.py
@@ -66,6 +66,9 @@
         self.detector = FailureDetector(local, table, codec, random, self.socket.send, monotonic())
         self.socket.detector = self.detector
         self.detector.on_reunion = self._note_reunion
+        self.registered = Event()
+        # Set once a peer was reached or others can find this node in the platform.
+        self.connected = Event()
         self.reunion = Event()
         self.reunited = ""
 
@@ -83,6 +86,7 @@
 
         Tries until one of them answers. The node is not alone if others are registered.
         """
+        await self.registration.wait_to_read()
         while True:
             if await self._meet():
                 break
@@ -90,13 +94,19 @@
         await self._register()
 
     async def _register(self) -> None:
-        if not await self.registration.register(len(self.table.members)):
+        plan = await self.registration.plan(len(self.table.members))
+        if plan.listed and not self.connected.is_set():
+            await self._meet_listed(plan.listed)
+        await sleep(plan.wait_seconds)
+        if not await self.registration.register(plan.nodes):
             self.detector.on_replaced()
             return
         # Of two nodes that start together, the one that lists later sees the other.
         if len(self.others()) < JOIN_PEERS:
             await self._meet()
         self.local.joined = True
+        self.registered.set()
+        self.connected.set()
         logger.info("member_registered", member=member_id(self.local.member))
 
     async def _meet(self) -> bool:
@@ -108,6 +118,11 @@
             listed = await self.registration.registered()
         except PlatformError:
             pass
+        return await self._meet_listed(listed)
+
+    async def _meet_listed(self, listed: list[Member] | None) -> bool:
+        addresses = list(self.seed_nodes)
+        own = peer_address(self.local.member)
         candidates = [peer_address(member) for member in listed or []]
         candidates = [address for address in candidates if address != own]
         for member in listed or []:
@@ -119,6 +134,7 @@
         for address in addresses:
             if address != own and await self.sync_with(address):
                 reached += 1
+                self.connected.set()
             if reached >= 2:
                 return True
         if not reached and listed:
@@ -197,7 +213,9 @@
                 pass
             if monotonic() - checked >= OBJECT_CHECK_SECONDS:
                 checked = monotonic()
-                await self.registration.register(len(self.table.members))
+                nodes = len(self.table.members)
+                await sleep(self.registration.jitter_seconds(nodes))
+                await self.registration.register(nodes)
 
     def is_cleaner(self) -> bool:
         """Tells whether this node is the one that cleans up: the first alive one by name."""
--- a/src/coltsfoottrack/_internal/membership/registration.py
+++ b/src/coltsfoottrack/_internal/membership/registration.py
@@ -8,7 +8,9 @@
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from random import Random
+from typing import Any, NamedTuple
 
 from google.protobuf.message import DecodeError
 from structlog import get_logger
@@ -28,6 +30,16 @@
 MEMBERS_PREFIX = "members/"
 # Below the platform's several hundred a second and the limit of 100 that the design sets.
 WRITES_PER_SECOND = 80.0
+# The largest fleet that may start at once on an empty platform.
+LARGEST_FLEET = 1000
+# First listings are spread over this time, as the platform takes 2,000 reads a second.
+FIRST_READ_SECONDS = 1.5
+# How long a node that knows few others watches how many of them write, before it writes itself.
+OBSERVED_SECONDS = 1.0
+# From this number on, the members that were listed tell how many may start together.
+ENOUGH_LISTED = 100
+# Added to a count of events: with none seen, at most this many were to be expected (95%).
+RULE_OF_THREE = 3
 SHORTEST_RETRY_SECONDS = 0.5
 DEREGISTER_SECONDS = 2.0
 MAX_DELETIONS_PER_ROUND = 50
@@ -56,14 +68,37 @@
     return member if is_plausible(member) else None
 
 
+class WritePlan(NamedTuple):
+    """When to write the own object."""
+
+    wait_seconds: float
+    # How many nodes may be starting together.
+    nodes: int
+    # Members listed meanwhile.
+    listed: list[Member]
+
+
 class Registration:
     """Writes, checks and deletes member objects."""
 
-    def __init__(self, client: PlatformClient, local: LocalMember, random: Random) -> None:
+    def __init__(
+        self,
+        client: PlatformClient,
+        local: LocalMember,
+        random: Random,
+        call: Callable[..., Awaitable[Any]] = in_thread,
+    ) -> None:
         self.client = client
+        # Makes a blocking call to the platform.
+        self.call = call
         self.local = local
         self.random = random
         self.version = 0
+        # Store revision and number of members at the first listing that was answered.
+        self.first_revision: int | None = None
+        self.first_listed = 0
+        # Members written between the first and the last listing.
+        self.written_since_first = 0
         self.counts: Counter[str] = Counter()
 
     def jitter_seconds(self, nodes: int) -> float:
@@ -73,17 +108,51 @@
     async def registered(self) -> list[Member]:
         """Returns the registered members. Raises PlatformError."""
         self.counts["reads"] += 1
-        listed = await in_thread(self.client.list, MEMBERS_PREFIX)
+        listed = await self.call(self.client.list, MEMBERS_PREFIX)
+        if self.first_revision is None:
+            self.first_revision = listed.revision
+            self.first_listed = len(listed.objects)
+        self.written_since_first = 0
+        for stored in listed.objects:
+            if stored.version > self.first_revision:
+                self.written_since_first += 1
         found = [decode_member(stored) for stored in listed.objects]
         return [member for member in found if member is not None]
 
+    async def wait_to_read(self) -> None:
+        """Waits for a random time before the first listing of a process."""
+        await sleep(self.random.uniform(0.0, FIRST_READ_SECONDS))
+
+    async def plan(self, known: int) -> WritePlan:
+        """Finds out how long this node waits before it writes; takes up to OBSERVED_SECONDS.
+
+        Nobody knows on an empty platform how many nodes start. Each node therefore takes a random
+        place in the time that the largest fleet needs. After a second it counts the members
+        written since its first listing. That is a sample of the whole, from which it shortens its
+        wait: a small fleet registers within a second or two, a large one keeps to the full time.
+        """
+        nodes = max(known, self.first_listed)
+        if nodes >= ENOUGH_LISTED or self.first_revision is None:
+            return WritePlan(self.jitter_seconds(nodes), nodes, [])
+        longest = LARGEST_FLEET / WRITES_PER_SECOND
+        place = self.random.uniform(0.0, longest)
+        if place < OBSERVED_SECONDS:
+            return WritePlan(place, LARGEST_FLEET, [])
+        await sleep(OBSERVED_SECONDS)
+        try:
+            listed = await self.registered()
+        except PlatformError:
+            return WritePlan(place - OBSERVED_SECONDS, LARGEST_FLEET, [])
+        share = OBSERVED_SECONDS / longest
+        nodes = min(LARGEST_FLEET, round((self.written_since_first + RULE_OF_THREE) / share))
+        return WritePlan(self.jitter_seconds(nodes), nodes, listed)
+
     async def register(self, nodes: int) -> bool:
         """Writes the own object, trying until the platform takes it.
 
-        ``nodes`` is the number of nodes that may start together. Returns False if a later process
+        ``nodes`` is the number of nodes that may write together. Returns False if a later process
         of the same name is registered.
         """
-        await sleep(self.jitter_seconds(nodes))
         while True:
             try:
                 return await self._register_once()
@@ -98,7 +167,7 @@
         version = 0
         self.counts["reads"] += 1
         try:
-            stored = await in_thread(self.client.get, path)
+            stored = await self.call(self.client.get, path)
         except ObjectNotFoundError:
             stored = None
         known = None if stored is None else decode_member(stored)
@@ -114,7 +183,7 @@
                 return False
         self.counts["writes"] += 1
         content = encode_member(self.local.member)
-        self.version = await in_thread(self.client.put, path, content, version)
+        self.version = await self.call(self.client.put, path, content, version)
         return True
 
     async def deregister(self, leaving: int) -> bool:
@@ -129,7 +198,7 @@
         self.counts["writes"] += 1
         path = member_path(self.local.member)
         try:
-            await wait_for(in_thread(self.client.delete, path, self.version), DEREGISTER_SECONDS)
+            await wait_for(self.call(self.client.delete, path, self.version), DEREGISTER_SECONDS)
         except (PlatformError, TimeoutError):
             return False
         return True
@@ -141,7 +210,7 @@
         """
         gone = {member_id(member): process_order(member) for member in dead}
         self.counts["reads"] += 1
-        listed = await in_thread(self.client.list, MEMBERS_PREFIX)
+        listed = await self.call(self.client.list, MEMBERS_PREFIX)
         deleted = 0
         for stored in listed.objects:
             if deleted >= MAX_DELETIONS_PER_ROUND:
@@ -153,7 +222,7 @@
                     continue
             self.counts["writes"] += 1
             try:
-                await in_thread(self.client.delete, stored.path, stored.version)
+                await self.call(self.client.delete, stored.path, stored.version)
             except PlatformError:
                 continue
             deleted += 1
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -2,6 +2,7 @@
 
 from asyncio import Event, TaskGroup, get_running_loop, sleep, wait_for
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from gc import freeze
 from signal import SIGINT, SIGTERM
 
@@ -26,6 +27,8 @@
 DRAIN_MARGIN_SECONDS = 2.0
 CLOSE_SECONDS = 2.0
 RESTART_SECONDS = 1.0
+# As long as the registrations of the largest mass start take.
+REGISTRATION_SECONDS = 15.0
 
 logger = get_logger(__name__)
 
@@ -35,8 +38,9 @@
 
     Raises ListenError if a port is taken or the address is not one of this instance.
 
-    It ends by itself within the grace time, the longest deadline in force and 16 s (2 s margin,
-    2 s for the platform, 10 s for callers that read their answers slowly, 2 s to close).
+    It ends by itself within the grace time, the longest deadline in force and 18 s (2 s margin,
+    2 s for the platform, 10 s for callers that read their answers slowly, 2 s to close, 2 s for
+    copies of outcomes).
     """
     stopping = Event()
     loop = get_running_loop()
@@ -94,20 +98,38 @@
 
 async def join_and_serve(state: NodeState) -> None:
     """Joins, takes the newest configuration, opens for calls, and keeps all of it up to date."""
+
+    async def watch() -> None:
+        await watch_when_registered(state)
+
     async with TaskGroup() as tasks:
         tasks.create_task(keep_running(state.cluster.join))
         tasks.create_task(keep_running(state.distribution.fetch_announced))
         tasks.create_task(keep_running(state.distribution.pass_on))
         tasks.create_task(keep_running(state.cluster.follow_reunions))
         await keep_running(state.distribution.load_until_ready)
+        # A node that no other knows would miss changes while the platform is down.
+        with suppress(TimeoutError):
+            await wait_for(state.cluster.connected.wait(), REGISTRATION_SECONDS)
         state.ready = True
         state.publish_member()
         logger.info("node_ready", node=state.name, generation=state.configuration.generation)
-        tasks.create_task(keep_running(state.distribution.watch))
+        tasks.create_task(keep_running(watch))
         tasks.create_task(keep_running(state.cluster.keep_synchronised))
         tasks.create_task(keep_running(state.cluster.check_objects))
 
 
+async def watch_when_registered(state: NodeState) -> None:
+    """Watches the configuration once this node knows others, or cannot register for long.
+
+    A node that knows no other holds itself for a watcher. In a mass start all of them would
+    watch at once; the configuration has just been read, so nothing is missed by waiting.
+    """
+    with suppress(TimeoutError):
+        await wait_for(state.cluster.registered.wait(), REGISTRATION_SECONDS)
+    await state.distribution.watch()
+
+
 async def keep_running(task: Callable[[], Awaitable[None]]) -> None:
     """Runs a background task to its end, again after an error that it did not expect.
 
--- a/tests/unit/simulated_nodes.py
+++ b/tests/unit/simulated_nodes.py
@@ -3,7 +3,7 @@
 Time is virtual: the event loop jumps to its next timer when nothing is ready.
 """
 
-from asyncio import Event, Future, SelectorEventLoop, all_tasks, sleep, timeout
+from asyncio import Event, Future, all_tasks, sleep, timeout
 from collections import Counter
 from random import Random
 from unittest.mock import patch
@@ -27,6 +27,7 @@
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
+from coltsfoottrack._internal.experiment.virtual_time import VirtualLoop
 from coltsfoottrack._internal.ledger.call_registry import CallRegistry
 from coltsfoottrack._internal.ledger.dispatcher import Dispatcher
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
@@ -54,23 +55,6 @@
 SETTLE_TIMEOUT = 0.5
 
 
-class VirtualLoop(SelectorEventLoop):
-    """An event loop whose clock jumps to the next timer."""
-
-    def __init__(self) -> None:
-        self.now = 1000.0
-        super().__init__()
-
-    def time(self) -> float:
-        return self.now
-
-    def _run_once(self) -> None:
-        if not self._ready:
-            due = [handle._when for handle in self._scheduled if not handle._cancelled]
-            self.now = max(self.now, min(due, default=self.now))
-        super()._run_once()
-
-
 class World:
     """The network, the nodes, the backend servers, and what they did."""
 
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -6,6 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from coltsfoottrack._internal.experiment.measure_partition import simulate_partition
+from coltsfoottrack._internal.experiment.measure_start import simulate_start
 from coltsfoottrack._internal.membership.local import LocalMember
 from coltsfoottrack._internal.membership.registration import (
     Registration,
@@ -366,6 +368,14 @@
         self.assertIn(member_path(restarted), platform.objects)
         self.assertNotIn(member_path(dead), platform.objects)
 
+    def test_mass_start_on_an_empty_platform_is_paced(self) -> None:
+        """Guards against 1,000 nodes that write at once because none is registered yet."""
+        for seed in (SEED, SEED + 1):
+            figures = simulate_start(1000, seed)
+            self.assertLessEqual(figures.writes_in_busiest_second, 300)
+            self.assertLessEqual(figures.reads_in_busiest_second, 2000)
+        self.assertLess(simulate_start(3, SEED).seconds, 5.0)
+
     def test_mass_restart_stays_below_the_write_rate(self) -> None:
         """Guards against 1,000 nodes that write their objects within a few seconds."""
         random = Random(SEED)
