Keep membership traffic below 2 KB/s when regions part and meet again

Cause: each node sent three datagrams of up to 600 bytes every 200 ms while there was news, each change 12 to 16 times in 120 bytes, and exchanged its whole table with a node that came back.

- A change of a process that the receiver knows takes about 20 bytes (digest, revision, status).
- Datagrams with changes have a budget of 900 bytes/s; probes and exchanges are counted against it.
Own entry and leaving members go first, whatever the budget.
- With 50 or more changes waiting, one that comes in again counts as sent (feedback, Demers 1987).
After a reunion nodes wait 5 to 15 s and choose among those that came back.
- An ack corrects a claim of death that was refuted before; formerly a node that missed the refutation could ask for ever and learn nothing.
A member whose death is in doubt is probed next.

--- a/src/coltsfoottrack/_internal/experiment/measure_partition.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_partition.py
@@ -14,13 +14,15 @@
 
 from coltsfoottrack._internal.experiment.simulated_fleet import SimulatedFleet, SimulatedNode
 from coltsfoottrack._internal.membership.cluster import (
-    REUNION_INTERVAL_SECONDS,
+    REUNION_BUCKETS,
+    REUNION_SYNC_SECONDS,
+    SYNC_BUCKETS,
     SYNC_INTERVAL_SECONDS,
 )
 from coltsfoottrack._internal.membership.sync import (
     BUCKETS,
     bucket_digests,
-    differing_buckets,
+    exchanged_buckets,
     members_of,
 )
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
@@ -60,6 +62,7 @@
         self.random = Random(seed)
         self.exchanged = {node.name: 0 for node in self.nodes.values()}
         self.reunited: dict[str, str] = {}
+        self.heard = dict.fromkeys(self.exchanged, 0)
         self.next_reunion = dict.fromkeys(self.exchanged, 0.0)
         self.next_sync = {}
         for node in self.nodes.values():
@@ -70,7 +73,12 @@
 
     def _note_reunion(self, node: SimulatedNode) -> Callable[[Member], None]:
         def note(member: Member) -> None:
-            self.reunited[node.name] = f"{member.service}/{member.name}"
+            heard = self.heard[node.name] = self.heard[node.name] + 1
+            if heard == 1:
+                wait = REUNION_SYNC_SECONDS * self.random.uniform(0.5, 1.5)
+                self.next_reunion[node.name] = self.now + wait
+            if self.random.random() * heard < 1.0:
+                self.reunited[node.name] = f"{member.service}/{member.name}"
 
         return note
 
@@ -79,9 +87,9 @@
         super().step()
         for node in self.nodes.values():
             if node.name in self.reunited and self.now >= self.next_reunion[node.name]:
-                wait = REUNION_INTERVAL_SECONDS * self.random.uniform(0.5, 1.5)
-                self.next_reunion[node.name] = self.now + wait
-                self._synchronise(node, self.by_name[self.reunited.pop(node.name)])
+                self.heard[node.name] = 0
+                other = self.by_name[self.reunited.pop(node.name)]
+                self._synchronise(node, other, REUNION_BUCKETS)
             if self.now >= self.next_sync[node.name]:
                 wait = SYNC_INTERVAL_SECONDS * self.random.uniform(0.8, 1.2)
                 self.next_sync[node.name] = self.now + wait
@@ -90,17 +98,27 @@
                     if member.status != MEMBER_STATUS_DEAD and key != node.name:
                         others.append(key)
                 if others:
-                    self._synchronise(node, self.by_name[self.random.choice(others)])
+                    other = self.by_name[self.random.choice(others)]
+                    self._synchronise(node, other, SYNC_BUCKETS)
 
-    def _synchronise(self, one: SimulatedNode, other: SimulatedNode) -> None:
+    def _synchronise(self, one: SimulatedNode, other: SimulatedNode, most: int) -> None:
         """Does what MembershipPeer.Sync does."""
         if not self.passes(one.address, other):
             return
-        buckets = differing_buckets(other.table, bucket_digests(one.table))
+        buckets = []
+        if other.detector.spreader.room() > 0:
+            digests = bucket_digests(one.table)
+            buckets = exchanged_buckets(other.table, digests, most, self.random)
         reply = [Member.FromString(m.SerializeToString()) for m in members_of(other.table, buckets)]
         own = members_of(one.table, buckets)
-        self.exchanged[one.name] += 2 * RPC_BYTES + 8 * BUCKETS + _size(own)
-        self.exchanged[other.name] += 2 * RPC_BYTES + _size(reply)
+        # Without members of the own side there is no second call.
+        calls = 2 if own else 1
+        asked = calls * RPC_BYTES + 8 * BUCKETS + _size(own)
+        answered = calls * RPC_BYTES + _size(reply)
+        self.exchanged[one.name] += asked
+        self.exchanged[other.name] += answered
+        one.detector.spreader.charge(asked)
+        other.detector.spreader.charge(answered)
         other.detector.apply_all([one.local.member, *own])
         one.detector.apply_all(reply)
 
--- a/src/coltsfoottrack/_internal/experiment/simulated_fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/simulated_fleet.py
@@ -83,11 +83,14 @@
         self.apart = False
         self.by_name: dict[str, SimulatedNode] = {}
         entries = [simulated_member(index) for index in range(size)]
-        known = {member_id(entry): entry for entry in entries}
+        known = MembershipTable()
+        for entry in entries:
+            known.merge(entry)
         for index, entry in enumerate(entries):
             own = Member.FromString(entry.SerializeToString())
             node = SimulatedNode(self, own, Random(f"{seed}/{index}"))
-            node.table.members = dict(known)
+            node.table.members = dict(known.members)
+            node.table.processes = dict(known.processes)
             node.detector.updates.pending.clear()
             self.nodes[node.address] = node
             self.by_name[node.name] = node
--- a/src/coltsfoottrack/_internal/membership/cluster.py
+++ b/src/coltsfoottrack/_internal/membership/cluster.py
@@ -32,6 +32,15 @@
 JOIN_PEERS = 5
 JOIN_RETRY_SECONDS = 1.0
 REUNION_INTERVAL_SECONDS = 5.0
+# Long enough for many members to have come back, among which the nodes choose.
+REUNION_SYNC_SECONDS = 10.0
+# Buckets of members exchanged at most, about 1.8 KB each way for each of them with 1,000 members.
+# After a partition all of them differ, and the gossip brings most of that.
+SYNC_BUCKETS = 2
+REUNION_BUCKETS = 1
+# A node that has just joined, perhaps with many others, exchanges all that differs.
+FULL_SYNCS = 2
+FIRST_SYNC_SECONDS = 20.0
 # Own object checked, dead nodes' objects deleted.
 OBJECT_CHECK_SECONDS = 600.0
 CLEAN_INTERVAL_SECONDS = 60.0
@@ -70,7 +79,10 @@
         # Set once a peer was reached or others can find this node in the platform.
         self.connected = Event()
         self.reunion = Event()
+        # Exchanges with random peers so far.
+        self.rounds = 0
         self.reunited = ""
+        self.reunited_count = 0
 
     async def open(self) -> None:
         """Binds the UDP socket. Raises OSError if the port is taken."""
@@ -111,8 +123,6 @@
 
     async def _meet(self) -> bool:
         """Synchronises with some known nodes; returns whether this node is now in the cluster."""
-        addresses = list(self.seed_nodes)
-        own = peer_address(self.local.member)
         listed: list[Member] | None = None
         try:
             listed = await self.registration.registered()
@@ -150,20 +160,26 @@
                 found.append(member)
         return found
 
-    async def sync_with(self, address: str) -> bool:
-        """Exchanges the whole membership with a node; returns whether it answered."""
+    async def sync_with(self, address: str, max_buckets: int = 0) -> bool:
+        """Exchanges the membership with a node, all of it if ``max_buckets`` is 0.
+
+        Returns whether it answered.
+        """
         stub = MembershipPeerStub(self.channels.channel(address))
         request = SyncRequest(
             envelope=self.envelope(),
             members=[self.local.member],
             digests=bucket_digests(self.table),
+            max_buckets=max_buckets,
         )
         try:
             reply = await stub.Sync(request, timeout=SYNC_TIMEOUT_SECONDS)
             own = members_of(self.table, list(reply.differing_buckets))
             self.detector.apply_all(list(reply.members))
+            self.detector.spreader.charge(request.ByteSize())
             if own:
                 request = SyncRequest(envelope=self.envelope(), members=own)
+                self.detector.spreader.charge(request.ByteSize())
                 await stub.Sync(request, timeout=SYNC_TIMEOUT_SECONDS)
         except RPC_ERRORS:
             return False
@@ -181,13 +197,25 @@
                 await sleep(REUNION_INTERVAL_SECONDS * self.random.uniform(0.5, 1.5))
                 await self._meet()
                 continue
-            await sleep(SYNC_INTERVAL_SECONDS * self.random.uniform(0.8, 1.2))
+            is_new = self.is_new()
+            interval = FIRST_SYNC_SECONDS if is_new else SYNC_INTERVAL_SECONDS
+            await sleep(interval * self.random.uniform(0.8, 1.2))
             others = self.others()
             if others:
-                await self.sync_with(peer_address(self.random.choice(others)))
+                address = peer_address(self.random.choice(others))
+                await self.sync_with(address, 0 if is_new else SYNC_BUCKETS)
+                self.rounds += 1
+
+    def is_new(self) -> bool:
+        """Tells whether this node has just joined, so that its exchanges are full ones."""
+        return self.rounds < FULL_SYNCS
 
     def _note_reunion(self, member: Member) -> None:
-        self.reunited = peer_address(member)
+        # One at random of all that came back since the last exchange. Hundreds of nodes hear of
+        # the same member at once, and must not all turn to it.
+        self.reunited_count += 1
+        if self.random.random() * self.reunited_count < 1.0:
+            self.reunited = peer_address(member)
         self.reunion.set()
 
     async def follow_reunions(self) -> None:
@@ -197,9 +225,10 @@
         """
         while True:
             await self.reunion.wait()
+            await sleep(REUNION_SYNC_SECONDS * self.random.uniform(0.5, 1.5))
             self.reunion.clear()
-            await self.sync_with(self.reunited)
-            await sleep(REUNION_INTERVAL_SECONDS * self.random.uniform(0.5, 1.5))
+            self.reunited_count = 0
+            await self.sync_with(self.reunited, 0 if self.is_new() else REUNION_BUCKETS)
 
     async def check_objects(self) -> None:
         """Rewrites the own object when it is missing and cleans up those of dead nodes."""
--- a/src/coltsfoottrack/_internal/membership/detector.py
+++ b/src/coltsfoottrack/_internal/membership/detector.py
@@ -15,7 +15,7 @@
 
 from structlog import get_logger
 
-from coltsfoottrack._internal.membership.choice import names_of_others, pick_members
+from coltsfoottrack._internal.membership.choice import names_of_others
 from coltsfoottrack._internal.membership.exceptions import (
     ForeignMessageError,
     MalformedMessageError,
@@ -25,15 +25,14 @@
     Address,
     DatagramCodec,
     is_plausible,
-    udp_address,
 )
+from coltsfoottrack._internal.membership.spreading import Spreader
 from coltsfoottrack._internal.membership.table import (
     MembershipTable,
     member_id,
     process_order,
     supersedes,
 )
-from coltsfoottrack._internal.membership.updates import MAX_UPDATE_BYTES, UpdateQueue
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     MEMBER_STATUS_DEAD,
@@ -54,8 +53,6 @@
 SUSPICION_SECONDS = 3.0
 MAX_HEALTH = 8
 GOSSIP_INTERVAL_SECONDS = 0.2
-GOSSIP_FANOUT = 3
-URGENT_FANOUT = 8
 # The others tell theirs too, and each dead member is probed, so the rest is reached soon after.
 CLAIMS_PER_SYNC = 10
 DEAD_KEPT_SECONDS = 3600.0
@@ -93,9 +90,9 @@
         self.table = table
         self.codec = codec
         self.random = random
-        self.send = send
-        self.updates = UpdateQueue()
-        self.counts: Counter[str] = Counter()
+        self.spreader = Spreader(self.name, table, codec, random, send, now)
+        self.updates = self.spreader.updates
+        self.counts: Counter[str] = self.spreader.counts
         self.health = 0
         self.on_generation: Callable[[str, int, str], None] = lambda name, number, change: None
         self.on_reunion: Callable[[Member], None] = lambda member: None
@@ -110,6 +107,8 @@
         self.round: list[str] = []
         self.last_advance = now
         self.stalled_seconds = 0.0
+        # Set while a datagram is handled whose sender holds an outdated claim of this node.
+        self.correction: Member | None = None
         self.time = now
         self._after(random.uniform(0.0, PROBE_INTERVAL_SECONDS), self._probe_round)
         self._after(random.uniform(0.0, GOSSIP_INTERVAL_SECONDS), self._gossip)
@@ -131,6 +130,7 @@
             self.counts["stalls"] += 1
             self._change_health(1)
         self.time = now - self.stalled_seconds
+        self.spreader.advance(self.time)
         while self.timers and self.timers[0][0] <= self.time:
             _, _, action, arguments = heappop(self.timers)
             action(*arguments)
@@ -153,7 +153,7 @@
             return
         sequence = next(self.sequences)
         self.probes[sequence] = Probe(member_id(target))
-        self._send(target, ping=ProbePing(sequence=sequence, target=member_id(target)))
+        self.spreader.send(target, ping=ProbePing(sequence=sequence, target=member_id(target)))
         self._after(DIRECT_TIMEOUT_SECONDS * scale, self._probe_indirectly, sequence)
         self._after(interval, self._end_probe, sequence)
 
@@ -171,11 +171,11 @@
         probe = self.probes[sequence]
         if probe.acked:
             return
-        helpers = self._pick(INDIRECT_PROBES, probe.target)
+        helpers = self.spreader.pick(INDIRECT_PROBES, probe.target)
         probe.helpers = len(helpers)
         for helper in helpers:
             request = ProbeRequest(sequence=sequence, target=probe.target)
-            self._send(helper, probe_request=request)
+            self.spreader.send(helper, probe_request=request)
 
     def _end_probe(self, sequence: int) -> None:
         probe = self.probes.pop(sequence)
@@ -237,7 +237,7 @@
         member = self.table.members.get(self.random.choice(list(self.dead_since)))
         if member is not None:
             target = member_id(member)
-            self._send(member, ping=ProbePing(sequence=next(self.sequences), target=target))
+            self.spreader.send(member, ping=ProbePing(sequence=next(self.sequences), target=target))
 
     # ---------------------------------------------------------- spreading
 
@@ -250,8 +250,10 @@
         known = self.table.members.get(key)
         if known is None and update.status == MEMBER_STATUS_DEAD:
             return False
+        is_known = known is not None and process_order(known) == process_order(update)
         was_dead = known is not None and known.status == MEMBER_STATUS_DEAD
         if not self.table.merge(update):
+            self.updates.hear(update)
             return False
         if update.status == MEMBER_STATUS_DEAD:
             self.dead_since[key] = self.time
@@ -260,7 +262,7 @@
         if update.status == MEMBER_STATUS_SUSPECT:
             self._start_suspicion(update)
         if known is not None or spread_unknown:
-            self.updates.add(update)
+            self.updates.add(update, is_known)
         if was_dead and update.status != MEMBER_STATUS_DEAD:
             self.on_reunion(update)
         return True
@@ -291,36 +293,36 @@
                 continue
             self.apply(member, spread_unknown=False)
         for member in self.random.sample(doubted, min(len(doubted), CLAIMS_PER_SYNC)):
-            self.counts["sent"] += 1
-            content = self.codec.encode([member])
-            self.counts["sent_bytes"] += len(content)
-            self.send(udp_address(member), content)
+            # A member that is dead indeed is found out now, not at its turn in a long round.
+            self.round.append(member_id(member))
+            self.spreader.tell(member)
 
     def _answer_claim(self, claim: Member) -> None:
         if self.local.answer_to(claim):
             if claim.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
                 self.counts["refuted"] += 1
                 self._change_health(1)
-            self.spread(self.local.member)
+            # Whoever claims something of this process knows it.
+            is_same = process_order(claim) == process_order(self.local.member)
+            self.spread(self.local.member, is_same)
+        elif claim.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
+            # Refuted before, which the sender has missed.
+            self.correction = self.local.member
         if self.local.replaced:
             self.on_replaced()
 
-    def spread(self, member: Member) -> None:
+    def spread(self, member: Member, known: bool = False) -> None:
         """Takes over a change of the own entry and queues it for the others."""
         self.table.merge(member)
-        self.updates.add(member)
+        self.updates.add(member, known, own=True)
 
     def spread_now(self) -> None:
         """Sends the waiting changes to some peers at once."""
-        for member in self._pick(URGENT_FANOUT):
-            self._send(member)
+        self.spreader.spread_now()
 
     def _gossip(self) -> None:
         self._after(GOSSIP_INTERVAL_SECONDS, self._gossip)
-        if not self.updates.pending:
-            return
-        for member in self._pick(GOSSIP_FANOUT):
-            self._send(member)
+        self.spreader.gossip()
 
     # ---------------------------------------------------------- datagrams
 
@@ -336,8 +338,16 @@
         except MalformedMessageError:
             self.counts["malformed"] += 1
             return
+        self.correction = None
         for update in datagram.updates:
             self.apply(update)
+        for change in datagram.changes:
+            changed = self.table.changed_member(change)
+            if changed is not None:
+                self.apply(changed)
+            elif datagram.sender in self.table.members:
+                # The sender knows a member that this node does not.
+                self.on_reunion(self.table.members[datagram.sender])
         self.on_generation(
             datagram.sender, datagram.configuration_generation, datagram.configuration_change_id
         )
@@ -347,7 +357,7 @@
         kind = datagram.WhichOneof("body")
         if kind == "ping" and datagram.ping.target == self.name:
             ack = ProbeAck(sequence=datagram.ping.sequence)
-            self._send_to(source, datagram.sender, ack=ack)
+            self.spreader.send_to(source, datagram.sender, self.correction, ack=ack)
         elif kind == "ack":
             self._handle_ack(datagram.ack.sequence, datagram.sender)
         elif kind == "nack":
@@ -363,7 +373,7 @@
             probe.acked = True
         relay = self.relays.pop(sequence, None)
         if relay is not None:
-            self._send_to(relay[0], "", ack=ProbeAck(sequence=relay[1]))
+            self.spreader.send_to(relay[0], "", ack=ProbeAck(sequence=relay[1]))
 
     def _relay(self, request: ProbeRequest, source: Address) -> None:
         target = self.table.members.get(request.target)
@@ -371,30 +381,10 @@
             return
         sequence = next(self.sequences)
         self.relays[sequence] = (source, request.sequence)
-        self._send(target, ping=ProbePing(sequence=sequence, target=request.target))
+        self.spreader.send(target, ping=ProbePing(sequence=sequence, target=request.target))
         self._after(NACK_SECONDS, self._end_relay, sequence)
 
     def _end_relay(self, sequence: int) -> None:
         relay = self.relays.pop(sequence, None)
         if relay is not None:
-            self._send_to(relay[0], "", nack=ProbeNack(sequence=relay[1]))
-
-    def _send(self, member: Member, **body: object) -> None:
-        self._send_to(udp_address(member), member_id(member), **body)
-
-    def _send_to(self, address: Address, receiver: str, **body: object) -> None:
-        """Sends a datagram; a suspected or dead receiver learns of that first, to refute it."""
-        updates = []
-        room = MAX_UPDATE_BYTES
-        known = self.table.members.get(receiver)
-        if known is not None and known.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
-            updates.append(known)
-            room -= known.ByteSize()
-        updates.extend(self.updates.take(len(self.table.members), room))
-        content = self.codec.encode(updates, **body)
-        self.counts["sent"] += 1
-        self.counts["sent_bytes"] += len(content)
-        self.send(address, content)
-
-    def _pick(self, number: int, *leave_out: str) -> list[Member]:
-        return pick_members(self.table, self.random, number, {self.name, *leave_out})
+            self.spreader.send_to(relay[0], "", nack=ProbeNack(sequence=relay[1]))
--- a/src/coltsfoottrack/_internal/membership/messages.py
+++ b/src/coltsfoottrack/_internal/membership/messages.py
@@ -11,7 +11,12 @@
     ForeignMessageError,
     MalformedMessageError,
 )
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Datagram, Member, MemberStatus
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    Datagram,
+    Member,
+    MemberChange,
+    MemberStatus,
+)
 
 Address = tuple[str, int]
 
@@ -59,8 +64,8 @@
         self.clock = clock
         self.configuration = configuration
 
-    def encode(self, updates: list[Member], **body: object) -> bytes:
-        """Returns a datagram with updates and at most one body, named as in the schema."""
+    def encode(self, updates: list[Member], changes: list[MemberChange], **body: object) -> bytes:
+        """Returns a datagram with news and at most one body, named as in the schema."""
         generation, change_id = self.configuration()
         return Datagram(
             cluster=self.cluster,
@@ -68,6 +73,7 @@
             sender=self.sender,
             event_clock=self.clock.tick(),
             updates=updates,
+            changes=changes,
             configuration_generation=generation,
             configuration_change_id=change_id,
             **body,
@@ -90,5 +96,8 @@
         for update in datagram.updates:
             if not is_plausible(update):
                 raise MalformedMessageError("update with an unusable field")
+        for change in datagram.changes:
+            if change.status not in STATUSES or change.revision >= MAX_COUNTER:
+                raise MalformedMessageError("change with an unusable field")
         self.clock.observe(datagram.event_clock)
         return datagram
--- /dev/null
+++ b/src/coltsfoottrack/_internal/membership/spreading.py
@@ -0,0 +1,128 @@
+"""Sending of datagrams with the changes that they carry, within a budget of bytes per second."""
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+from coltsfoottrack._internal.calls.token_bucket import TokenBucket
+from coltsfoottrack._internal.membership.choice import pick_members
+from coltsfoottrack._internal.membership.messages import Address, DatagramCodec, udp_address
+from coltsfoottrack._internal.membership.table import MembershipTable, member_id
+from coltsfoottrack._internal.membership.updates import CROWD, MAX_UPDATE_BYTES, UpdateQueue
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_SUSPECT,
+    Member,
+)
+
+# A node may spend 2,000 bytes/s in all. Probes and exchanges with peers go on when the budget is
+# spent; with them the busiest node sends up to 1.6 times this rate (`measure partition`).
+BYTES_PER_SECOND = 900.0
+BURST_BYTES = 700.0
+# Exchanges with peers delay changes by about 3 s at most, no more than a suspicion lasts.
+MAX_DEBT_BYTES = 2500.0
+# IPv4 and UDP headers.
+HEADER_BYTES = 28
+# Budget without which no datagram of changes is sent.
+LEAST_BYTES = 500
+LEAST_URGENT_BYTES = 100
+# Room for the own entry and a few changes.
+URGENT_ROOM_BYTES = 200
+GOSSIP_FANOUT = 3
+URGENT_FANOUT = 8
+
+
+class Spreader:
+    """Sends datagrams and fills them with changes that wait."""
+
+    def __init__(
+        self,
+        name: str,
+        table: MembershipTable,
+        codec: DatagramCodec,
+        random: Random,
+        send: Callable[[Address, bytes], None],
+        now: float,
+    ) -> None:
+        self.name = name
+        self.table = table
+        self.codec = codec
+        self.random = random
+        self.transmit = send
+        self.updates = UpdateQueue()
+        self.counts: Counter[str] = Counter()
+        self.bucket = TokenBucket(BYTES_PER_SECOND, BURST_BYTES, now)
+        self.time = now
+
+    def advance(self, now: float) -> None:
+        """Takes over the time."""
+        self.time = now
+
+    def charge(self, content_bytes: int) -> None:
+        """Counts bytes of an exchange with a peer against the budget of datagrams."""
+        available = self.bucket.available(self.time)
+        self.bucket.take(min(content_bytes, max(0.0, available + MAX_DEBT_BYTES)))
+
+    def room(self) -> float:
+        """Returns how many bytes the budget leaves now."""
+        return self.bucket.available(self.time)
+
+    def is_crowded(self) -> bool:
+        """Tells whether so many changes wait that other traffic should hold back."""
+        return len(self.updates.pending) >= CROWD
+
+    def spread_now(self) -> None:
+        """Sends the waiting changes to some peers at once, whatever the budget."""
+        for member in self.pick(URGENT_FANOUT):
+            self.send_to(udp_address(member), member_id(member), least_room=URGENT_ROOM_BYTES)
+
+    def gossip(self) -> None:
+        """Sends waiting changes to a few peers, as far as the budget goes."""
+        if not self.updates.pending:
+            return
+        # Behind a backlog, fuller datagrams less often: each costs about 110 bytes by itself.
+        least = LEAST_URGENT_BYTES if self.updates.is_urgent() else LEAST_BYTES
+        for member in self.pick(GOSSIP_FANOUT):
+            if self.room() < least:
+                return
+            self.send(member)
+
+    def tell(self, claim: Member) -> None:
+        """Tells a member what is claimed of it, unless the budget is spent."""
+        if self.room() > 0:
+            self._transmit(udp_address(claim), self.codec.encode([claim], []))
+
+    def send(self, member: Member, **body: object) -> None:
+        """Sends a datagram to a member."""
+        self.send_to(udp_address(member), member_id(member), **body)
+
+    def send_to(
+        self,
+        address: Address,
+        receiver: str,
+        correction: Member | None = None,
+        least_room: int = 0,
+        **body: object,
+    ) -> None:
+        """Sends a datagram; a suspected or dead receiver learns of that first, to refute it.
+
+        ``correction`` and ``least_room`` bytes of changes go with it whatever the budget.
+        """
+        claims = [] if correction is None else [correction]
+        room = max(least_room, min(MAX_UPDATE_BYTES, int(self.room())))
+        known = self.table.members.get(receiver)
+        if known is not None and known.status in (MEMBER_STATUS_SUSPECT, MEMBER_STATUS_DEAD):
+            claims.append(known)
+        room -= sum(claim.ByteSize() for claim in claims)
+        taken = self.updates.take(len(self.table.members), room)
+        self._transmit(address, self.codec.encode([*claims, *taken.members], taken.changes, **body))
+
+    def _transmit(self, address: Address, content: bytes) -> None:
+        self.counts["sent"] += 1
+        self.counts["sent_bytes"] += len(content)
+        self.bucket.take(len(content) + HEADER_BYTES)
+        self.transmit(address, content)
+
+    def pick(self, number: int, *leave_out: str) -> list[Member]:
+        """Picks other members at random."""
+        return pick_members(self.table, self.random, number, {self.name, *leave_out})
--- a/src/coltsfoottrack/_internal/membership/sync.py
+++ b/src/coltsfoottrack/_internal/membership/sync.py
@@ -1,11 +1,12 @@
 """Full exchange of the membership between two nodes, by digests of buckets of members.
 
 Two nodes that agree exchange 64 digests and no member; after a change they exchange only the
-buckets that differ. A full table of 1,000 members every 60 s would take over the 2 KB/s that a
-node may spend.
+buckets that differ, a few at a time unless one of them is joining. A full table of 1,000 members
+every 60 s would take over the 2 KB/s that a node may spend.
 """
 
 from hashlib import blake2b
+from random import Random
 from zlib import crc32
 
 from coltsfoottrack._internal.membership.table import MembershipTable
@@ -46,6 +47,16 @@
     return [index for index in range(BUCKETS) if own[index] != digests[index]]
 
 
+def exchanged_buckets(
+    table: MembershipTable, digests: list[int], most: int, random: Random
+) -> list[int]:
+    """Returns the differing buckets to exchange now, at most a number of them unless that is 0."""
+    differing = differing_buckets(table, digests)
+    if not most or len(differing) <= most:
+        return differing
+    return sorted(random.sample(differing, most))
+
+
 def members_of(table: MembershipTable, buckets: list[int]) -> list[Member]:
     """Returns the members of some buckets, dead ones too."""
     wanted = set(buckets)
--- a/src/coltsfoottrack/_internal/membership/table.py
+++ b/src/coltsfoottrack/_internal/membership/table.py
@@ -1,6 +1,7 @@
 """The members of the cluster as one process knows them."""
 
 from asyncio import Event
+from hashlib import blake2b
 from time import monotonic
 
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
@@ -10,6 +11,7 @@
     MEMBER_STATUS_LEAVING,
     MEMBER_STATUS_SUSPECT,
     Member,
+    MemberChange,
 )
 
 STATUS_STRENGTH = {
@@ -48,6 +50,8 @@
 
     def __init__(self) -> None:
         self.members: dict[str, Member] = {}
+        # Names by the digest of the process.
+        self.processes: dict[int, str] = {}
         self.changed = Event()
         self.serving_cache: dict[str, list[Member]] = {}
         # Call addresses of nodes whose answers said that they leave, with the time of expiry.
@@ -61,6 +65,10 @@
             return False
         member = Member()
         member.CopyFrom(update)
+        if known is None or process_order(known) != process_order(member):
+            if known is not None:
+                self.processes.pop(process_digest(known), None)
+            self.processes[process_digest(member)] = key
         self.members[key] = member
         self.leaving_notes.pop(call_address(member), None)
         self._notify(update.service)
@@ -70,8 +78,21 @@
         """Forgets a member."""
         member = self.members.pop(key, None)
         if member is not None:
+            self.processes.pop(process_digest(member), None)
             self._notify(member.service)
 
+    def changed_member(self, change: MemberChange) -> Member | None:
+        """Returns the entry that a change leads to, None if its process is not known here."""
+        known = self.members.get(self.processes.get(change.process, ""))
+        if known is None:
+            return None
+        member = Member()
+        member.CopyFrom(known)
+        member.revision = change.revision
+        member.status = change.status
+        member.backend_ready = change.backend_ready
+        return member
+
     def serving(self, service: str) -> list[Member]:
         """Returns the members of a service that may get new work; the list is shared."""
         found = self.serving_cache.get(service)
@@ -130,6 +151,12 @@
     return (member.start_order, member.incarnation)
 
 
+def process_digest(member: Member) -> int:
+    """Returns a digest that names one process of a member."""
+    text = f"{member_id(member)} {member.start_order} {member.incarnation}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
 def supersedes(update: Member, known: Member) -> bool:
     """Tells whether an update is newer than what is known of the same member."""
     if process_order(update) != process_order(known):
--- a/src/coltsfoottrack/_internal/membership/updates.py
+++ b/src/coltsfoottrack/_internal/membership/updates.py
@@ -1,14 +1,25 @@
 """Changes of members that wait to be piggybacked on datagrams."""
 
 from math import ceil, log10
+from typing import NamedTuple
 
-from coltsfoottrack._internal.membership.table import member_id
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Member
+from coltsfoottrack._internal.membership.table import member_id, process_digest
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_DEAD,
+    MEMBER_STATUS_LEAVING,
+    Member,
+    MemberChange,
+)
 
 MAX_UPDATE_BYTES = 600
 # Each update is sent this many times log10(N), as in the gossip analysis of SWIM (Das, Gupta and
 # Motivala, DSN 2002), which needs a small multiple of log(N) to reach all with high probability.
 TRANSMISSION_FACTOR = 4
+# From this number on, as when a region is lost or met again, the budget is too small to send each
+# of them as often as that.
+CROWD = 50
+# Up to this number of waiting updates none has to wait until a datagram is full.
+FEW = 10
 # Tag and length of a repeated message field.
 FIELD_OVERHEAD_BYTES = 3
 
@@ -16,11 +27,40 @@
 class PendingUpdate:
     """An update and how often it was sent."""
 
-    def __init__(self, member: Member) -> None:
-        self.member = member
-        self.size = member.ByteSize() + FIELD_OVERHEAD_BYTES
+    def __init__(self, member: Member, known: bool, own: bool) -> None:
+        self.known = known
+        self.content: Member | MemberChange = Member()
+        if known:
+            self.content = MemberChange(
+                process=process_digest(member),
+                revision=member.revision,
+                status=member.status,
+                backend_ready=member.backend_ready,
+            )
+        else:
+            self.content.CopyFrom(member)
+        self.size = self.content.ByteSize() + FIELD_OVERHEAD_BYTES
+        self.is_urgent = own or member.status == MEMBER_STATUS_LEAVING
+        self.is_death = member.status == MEMBER_STATUS_DEAD
+        self.revision = member.revision
+        self.status = member.status
         self.sent = 0
 
+    @property
+    def urgency(self) -> tuple[bool, int, bool]:
+        """Orders updates: urgent ones, then those sent least often, deaths behind their like.
+
+        Urgent are the own entry and leaving members, whose grace time is short.
+        """
+        return (not self.is_urgent, self.sent, self.is_death)
+
+
+class TakenUpdates(NamedTuple):
+    """Updates for one datagram."""
+
+    members: list[Member]
+    changes: list[MemberChange]
+
 
 class UpdateQueue:
     """The newest update of each member, dropped when it was sent often enough."""
@@ -28,23 +68,57 @@
     def __init__(self) -> None:
         self.pending: dict[str, PendingUpdate] = {}
 
-    def add(self, member: Member) -> None:
-        """Queues an update in place of an older one of the same member."""
-        copy = Member()
-        copy.CopyFrom(member)
-        self.pending[member_id(member)] = PendingUpdate(copy)
+    def add(self, member: Member, known: bool = False, own: bool = False) -> None:
+        """Queues an update in place of an older one of the same member.
+
+        ``known`` tells that the others know this process of the member; then its change is
+        enough, about 20 bytes in place of 120. ``own`` marks the entry of this node.
+        """
+        key = member_id(member)
+        earlier = self.pending.get(key)
+        if earlier is not None and not earlier.known:
+            # The others have still to hear of the process.
+            known = False
+        if member.status == MEMBER_STATUS_LEAVING:
+            # A node that does not know it yet must not take it up as alive afterwards.
+            known = False
+        self.pending[key] = PendingUpdate(member, known, own)
+
+    def hear(self, update: Member) -> None:
+        """Counts an update that came in again as sent once while a crowd of updates waits.
+
+        What the others tell already needs fewer tellers (rumor mongering with feedback: Demers et
+        al., "Epidemic Algorithms for Replicated Database Maintenance", PODC 1987).
+        """
+        waiting = self.pending.get(member_id(update))
+        if len(self.pending) < CROWD or waiting is None or waiting.is_urgent:
+            return
+        if (waiting.revision, waiting.status) == (
+            update.revision,
+            update.status,
+        ):
+            waiting.sent += 1
+
+    def is_urgent(self) -> bool:
+        """Tells whether an update waits that must not wait for others to fill its datagram."""
+        if len(self.pending) <= FEW:
+            return True
+        return any(update.is_urgent for update in self.pending.values())
 
-    def take(self, members: int, room: int = MAX_UPDATE_BYTES) -> list[Member]:
+    def take(self, members: int, room: int = MAX_UPDATE_BYTES) -> TakenUpdates:
         """Returns the updates sent least often so far that fit, and counts them as sent."""
+        taken = TakenUpdates([], [])
         if not self.pending:
-            return []
+            return taken
         limit = TRANSMISSION_FACTOR * max(1, ceil(log10(members + 1)))
-        taken = []
-        for key, update in sorted(self.pending.items(), key=lambda item: item[1].sent):
+        for key, update in sorted(self.pending.items(), key=lambda item: item[1].urgency):
             if update.size > room:
                 continue
             room -= update.size
-            taken.append(update.member)
+            if isinstance(update.content, Member):
+                taken.members.append(update.content)
+            else:
+                taken.changes.append(update.content)
             update.sent += 1
             if update.sent >= limit:
                 del self.pending[key]
--- a/src/coltsfoottrack/_internal/node/membership_service.py
+++ b/src/coltsfoottrack/_internal/node/membership_service.py
@@ -2,7 +2,7 @@
 
 from grpclib.server import Stream
 
-from coltsfoottrack._internal.membership.sync import differing_buckets, members_of
+from coltsfoottrack._internal.membership.sync import exchanged_buckets, members_of
 from coltsfoottrack._internal.node.envelopes import check_envelope
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import MembershipPeerBase
@@ -22,12 +22,19 @@
         request = await stream.recv_message()
         check_envelope(request.envelope, self.state)
         table = self.state.members
-        buckets = differing_buckets(table, list(request.digests)) if request.digests else []
+        detector = self.state.cluster.detector
+        buckets: list[int] = []
+        # A node that joins needs the whole table whatever the budget; others can ask again.
+        if request.digests and (not request.max_buckets or detector.spreader.room() > 0):
+            buckets = exchanged_buckets(
+                table, list(request.digests), request.max_buckets, detector.random
+            )
         reply = SyncReply(
             envelope=self.state.envelope(),
             members=members_of(table, buckets),
             configuration_generation=self.state.configuration.generation,
             differing_buckets=buckets,
         )
-        self.state.cluster.detector.apply_all(list(request.members))
+        detector.spreader.charge(reply.ByteSize())
+        detector.apply_all(list(request.members))
         await stream.send_message(reply)
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -16,6 +16,7 @@
 )
 from coltsfoottrack._internal.membership.sync import bucket_digests, bucket_of, differing_buckets
 from coltsfoottrack._internal.membership.table import MembershipTable, member_id
+from coltsfoottrack._internal.membership.updates import UpdateQueue
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     MEMBER_STATUS_DEAD,
@@ -84,6 +85,60 @@
         await network.run(60)
         self.assertTrue(network.agree_alive())
 
+    def test_lost_and_found_regions_keep_to_the_allowance(self) -> None:
+        """Guards against bursts of traffic, and views that never agree, after a partition."""
+        for phase in simulate_partition(60, SEED):
+            self.assertLessEqual(phase.worst_window, 2000.0)
+            self.assertLessEqual(phase.agreed_seconds or 1000.0, 120.0)
+
+    async def test_own_news_goes_out_when_the_budget_is_spent(self) -> None:
+        """Guards against a node that joins and is not known, as its exchange spent the budget."""
+        network = network_of(6)
+        await network.run(5)
+        node = network.nodes[("127.0.0.1", 20_000)]
+        node.detector.spreader.charge(100_000)
+        node.local.set_ready(False)
+        node.detector.spread(node.local.member)
+        node.detector.spread_now()
+        await network.run(0.2)
+        for viewer in network.nodes.values():
+            self.assertFalse(viewer.table.members[node.name].backend_ready)
+
+    async def test_missed_refutation_comes_with_the_next_ack(self) -> None:
+        """Guards against a node that holds a member for dead for ever since it missed its news."""
+        network = network_of(3)
+        await network.run(5)
+        one, other, _ = network.nodes.values()
+        claim = Member.FromString(other.local.member.SerializeToString())
+        other.local.member.revision += 5
+        other.detector.updates.pending.clear()
+        claim.status = MEMBER_STATUS_DEAD
+        one.detector.apply(claim)
+        one.detector.updates.pending.clear()
+        await network.run(15)
+        self.assertEqual(MEMBER_STATUS_ALIVE, network.status(one, other))
+
+    def test_changes_of_a_known_process_are_small_and_others_are_whole(self) -> None:
+        """Guards against nodes that cannot read the news of a member new to them."""
+        queue = UpdateQueue()
+        member = make_member(0)
+        queue.add(member)
+        queue.add(member, known=True)
+        self.assertEqual([member], queue.take(3).members)
+        queue.pending.clear()
+        leaving = make_member(1)
+        leaving.status = MEMBER_STATUS_LEAVING
+        for index in range(2, 40):
+            queue.add(make_member(index), known=True)
+        queue.add(leaving, known=True)
+        taken = queue.take(3)
+        self.assertEqual([leaving], taken.members)
+        table = MembershipTable()
+        table.merge(make_member(2))
+        self.assertEqual(make_member(2), table.changed_member(taken.changes[0]))
+        self.assertIsNone(MembershipTable().changed_member(taken.changes[0]))
+        self.assertLess(taken.changes[0].ByteSize(), 20)
+
     async def test_claim_of_a_full_exchange_is_put_to_the_member(self) -> None:
         """Guards against a side that suspects all of its own members when a partition heals."""
         network = network_of(3)
