Charge copies what they take, and hold them back further beside membership

Cause: the budget counted 600 bytes for the message around a batch, and `measure copies` showed 1,041 to 1,100 bytes/s under a budget of 1,000. While membership has a crowd of changes, batches without answers went on at 500 bytes/s, which together with its busiest 10 s is over 2 KB/s.

A batch is now charged 720 bytes more than its content, and one in 3 s leaves beside a crowd. The test takes its bound from the allowance: 2,000 bytes/s less 1,600 for membership. A member whose death is in doubt is put into the round of probes only while that is shorter than two rounds.

Ruled out: no copies at all beside a crowd, as the loss of a region is when they are needed.

--- a/src/coltsfoottrack/_internal/ledger/outcome_copies.py
+++ b/src/coltsfoottrack/_internal/ledger/outcome_copies.py
@@ -32,9 +32,11 @@
 # A batch waits for this many bytes of budget, so that more than half of them carry outcomes. Under
 # load a home that dies takes the outcomes of its last 1.5 s with it.
 BATCH_BYTES = 1500.0
-# Both directions of one call over gRPC with the headers of TCP and IP. `measure copies` shows up to
-# 100 bytes/s more than the budget, so the true figure is nearer to 700.
-RPC_BYTES = 600
+# Charged for a batch while membership needs the allowance: one of about 750 bytes in 3 s.
+HELD_BACK_BYTES = 3000.0
+# Both directions of one call over gRPC with the headers of TCP and IP. With 600 `measure copies`
+# showed up to 100 bytes/s more than the budget.
+RPC_BYTES = 720
 # Numbers take two bytes each at most unless more than 16,383 keys lie between two of them.
 MAX_BATCH_KEYS = 256
 # Larger answers are copied without their body; they would take the budget of a whole batch.
@@ -192,7 +194,7 @@
         batch, answers = self._build(calls, 0.0 if holds_back else budget - RPC_BYTES)
         if self.bucket is not None:
             cost = RPC_BYTES + batch.ByteSize()
-            self.bucket.take(max(cost, BATCH_BYTES) if holds_back else cost)
+            self.bucket.take(max(cost, HELD_BACK_BYTES) if holds_back else cost)
         if not await self.send(address, batch):
             self.counts["lost"] += len(calls)
             return
--- a/src/coltsfoottrack/_internal/membership/detector.py
+++ b/src/coltsfoottrack/_internal/membership/detector.py
@@ -294,7 +294,8 @@
             self.apply(member, spread_unknown=False)
         for member in self.random.sample(doubted, min(len(doubted), CLAIMS_PER_SYNC)):
             # A member that is dead indeed is found out now, not at its turn in a long round.
-            self.round.append(member_id(member))
+            if len(self.round) < 2 * len(self.table.members):
+                self.round.append(member_id(member))
             self.spreader.tell(member)
 
     def _answer_claim(self, claim: Member) -> None:
--- a/tests/unit/test_outcome_copies.py
+++ b/tests/unit/test_outcome_copies.py
@@ -131,8 +131,9 @@
         for _ in range(300):
             keys.append(self.home.run_call(self.answer()))
             self.home.wait(1 / 15)
-        self.home.wait(3)
-        self.assertLessEqual(sum(self.home.bytes_by_second.values()), 23 * 500)
+        self.home.wait(6)
+        # The allowance of 2,000 bytes/s without the 1,600 that membership may take meanwhile.
+        self.assertLessEqual(sum(self.home.bytes_by_second.values()), 26 * 400)
         self.assertEqual({self.home.told(key).reason for key in keys}, {Reason.ANSWER_DROPPED})
 
     def test_critical_answers_go_first(self) -> None:
