--- a/src/coltsfoottrack/_internal/cli/commands/measure.py
+++ b/src/coltsfoottrack/_internal/cli/commands/measure.py
@@ -1,11 +1,22 @@
 """``coltsfoottrack measure``: repeatable measurements on this machine."""
 
-from coltsfoottrack._internal.experiment.measure_calls import print_call_costs
+from coltsfoottrack._internal.experiment.measure_calls import print_call_costs, print_steady_keys
+from coltsfoottrack._internal.experiment.measure_copies import (
+    BLOCK_SECONDS,
+    RATES,
+    print_copy_costs,
+    print_memory_of_copies,
+)
 from coltsfoottrack._internal.experiment.measure_membership import measure_membership
+from coltsfoottrack._internal.experiment.measure_partition import print_partition
 from coltsfoottrack._internal.experiment.measure_path import ROUNDS, print_path_cost
+from coltsfoottrack._internal.experiment.measure_start import print_starts
 
 SIMULATED_SIZES = (4, 8, 16, 32, 64, 256, 1000)
 PROCESS_SIZES = (4, 16, 64)
+START_SIZES = (3, 10, 30, 100, 300, 1000)
+START_PROCESSES = (8, 16, 32, 64)
+PARTITION_SIZES = (12, 100, 400, 1000)
 
 
 class MeasureCommands:
@@ -24,6 +35,42 @@
         """
         measure_membership(list(simulated), list(processes))
 
+    def partition(self, sizes: tuple[int, ...] = PARTITION_SIZES) -> None:
+        """Measures a region lost and two regions that meet again, in simulated time.
+
+        Args:
+            sizes: Sizes of the fleet.
+        """
+        print_partition(list(sizes))
+
+    def start(
+        self,
+        simulated: tuple[int, ...] = START_SIZES,
+        processes: tuple[int, ...] = START_PROCESSES,
+        source: str = "",
+    ) -> None:
+        """Measures the platform calls of a fleet that starts at once on an empty platform.
+
+        Args:
+            simulated: Sizes with simulated time.
+            processes: Numbers of real node processes; an empty list starts none.
+            source: Directory of another checkout whose processes to start instead.
+        """
+        print_starts(list(simulated), list(processes), source)
+
+    def copies(
+        self, rates: tuple[int, ...] = RATES, seconds: float = BLOCK_SECONDS, source: str = ""
+    ) -> None:
+        """Measures what copies of finished outcomes cost, and what a backup node can tell.
+
+        Args:
+            rates: Keyed calls per second at the home node.
+            seconds: Length of the block at each rate.
+            source: Directory of another checkout to measure instead of this one.
+        """
+        print_memory_of_copies()
+        print_copy_costs(list(rates), seconds, source)
+
     def path(self, rounds: int = ROUNDS, earlier: str = "") -> None:
         """Measures what a node adds to a call, against a direct call in the same run.
 
@@ -41,3 +88,7 @@
             source: Source tree of another commit to measure; this one if empty.
         """
         print_call_costs(source)
+
+    def keys(self) -> None:
+        """Measures the memory of finished keys apart from that of recent requests."""
+        print_steady_keys()
