Require a keyed hash from peers when a cluster secret is set

Cause: the Cluster header alone marked a call as one of a peer. Any caller could raise its rank by a hop depth, leave the remembered budget of its Request-Id, hand over a dispatch for a key (a second run), and over gRPC and UDP drain nodes, settle calls or declare members dead.

Ruled out: mutual TLS (certificates need a second service and each Settle opens a connection, hence a handshake); separate ports (prove nothing to a caller that can reach them).

Before: a forged dispatch and a forged hop depth were run. After: 401 with reason unauthenticated, gRPC UNAUTHENTICATED, datagram dropped as foreign; all counted in coltsfoottrack_unauthenticated_total and shown by status. One file with one or two secrets, read again within 2 s.

Conclusion: with a secret only holders of it pass as peers.

--- a/src/coltsfoottrack/_internal/calls/outcome.py
+++ b/src/coltsfoottrack/_internal/calls/outcome.py
@@ -44,6 +44,7 @@
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
     WRONG_CLUSTER = "wrong_cluster"
+    UNAUTHENTICATED = "unauthenticated"
     EARLY_REFUSAL = "early_refusal"
     NOT_READY = "not_ready"
     BUDGET_SPENT = "budget_spent"
@@ -55,6 +56,7 @@
     Reason.KEY_INVALID: HTTPStatus.BAD_REQUEST,
     Reason.BAD_REQUEST: HTTPStatus.BAD_REQUEST,
     Reason.WRONG_CLUSTER: HTTPStatus.BAD_REQUEST,
+    Reason.UNAUTHENTICATED: HTTPStatus.UNAUTHORIZED,
     Reason.TOO_LARGE: HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Reason.UNKNOWN_SERVICE: HTTPStatus.NOT_FOUND,
 }
--- a/src/coltsfoottrack/_internal/cli/configuration_access.py
+++ b/src/coltsfoottrack/_internal/cli/configuration_access.py
@@ -59,7 +59,9 @@
         for answer in answers:
             if not platforms and answer.reply is not None:
                 platforms = list(answer.reply.platform_addresses)
-        self.store: ConfigurationStore = operator_store(platforms, fleet.cluster)
+        self.store: ConfigurationStore = operator_store(
+            platforms, fleet.cluster, fleet.authentication
+        )
 
     @classmethod
     async def open(cls, node: str, platform: str) -> Self:
--- a/src/coltsfoottrack/_internal/cli/fleet_access.py
+++ b/src/coltsfoottrack/_internal/cli/fleet_access.py
@@ -9,6 +9,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.cli.exceptions import (
     EXIT_BAD_INPUT,
     EXIT_UNREACHABLE,
@@ -34,6 +35,8 @@
 
 NODE_VARIABLE = "COLTSFOOTTRACK_NODE"
 PLATFORM_VARIABLE = "COLTSFOOTTRACK_PLATFORM"
+# File with the cluster secret; the secret itself would show in the list of processes.
+SECRET_VARIABLE = "COLTSFOOTTRACK_SECRET_FILE"
 RPC_TIMEOUT_SECONDS = 2.0
 PARALLEL_QUESTIONS = 48
 MAX_NODES = 5000
@@ -60,7 +63,8 @@
         self.notes: list[str] = []
         self.names: dict[str, str] = {}
         self.members: dict[str, Member] = {}
-        self.channels = PeerChannels()
+        self.authentication = PeerAuthentication.from_file(environ.get(SECRET_VARIABLE, ""))
+        self.channels = PeerChannels(self.authentication)
         self.guard = Semaphore(PARALLEL_QUESTIONS)
 
     @classmethod
--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -5,6 +5,7 @@
 import fire.core
 from fire import Fire
 
+from coltsfoottrack._internal.calls.exceptions import SecretFileError
 from coltsfoottrack._internal.cli.commands.config import ConfigCommands
 from coltsfoottrack._internal.cli.commands.demo import demo
 from coltsfoottrack._internal.cli.commands.drain import drain
@@ -48,6 +49,8 @@
         Fire(COMMANDS, command=command_words(sys.argv[1:]), name="coltsfoottrack")
     except SettingsError as error:
         _fail(str(error), EXIT_BAD_INPUT)
+    except SecretFileError as error:
+        _fail(f"coltsfoottrack: cluster secret: {error}", EXIT_BAD_INPUT)
     except CommandError as error:
         _fail(f"coltsfoottrack: {error}", error.exit_status)
     except ListenError as error:
--- a/src/coltsfoottrack/_internal/cli/status_report.py
+++ b/src/coltsfoottrack/_internal/cli/status_report.py
@@ -82,6 +82,8 @@
             {"invariant": item.invariant, "count": item.count, "since_ms": item.since_ms}
             for item in reply.violations_by_invariant
         ],
+        "peer_authentication": reply.peer_authentication,
+        "unauthenticated_messages": reply.unauthenticated_messages,
         "started_ms": reply.started_ms,
         "resident_bytes": reply.resident_bytes,
     }
@@ -160,6 +162,7 @@
         f"cluster {document['cluster']}: {len(nodes)} nodes answer, "
         f"{len(document['unreachable'])} do not; configuration generation {document['generation']}"
     )
+    lines.extend(_authentication_lines(nodes))
     lines.extend(_trouble_lines(document))
     lines.append("")
     rows = []
@@ -223,6 +226,19 @@
     return f"{shown} and {more} more" if more > 0 else shown
 
 
+def _authentication_lines(nodes: list[dict[str, Any]]) -> list[str]:
+    """Says where a caller could pose as a peer; nothing if all nodes require signatures."""
+    lines = []
+    for mode in ("off", "optional"):
+        names = [node["name"] for node in nodes if node["peer_authentication"] == mode]
+        if names:
+            lines.append(
+                f"peer authentication {mode} at {len(names)} of {len(nodes)} nodes, so callers can "
+                f"pose as peers there: {_names(names)}"
+            )
+    return lines
+
+
 def _trouble_lines(document: dict[str, Any]) -> list[str]:
     lines = []
     for item in document["violations"]:
@@ -243,6 +259,11 @@
             f"force since {clock_time(item['since_ms'])}{problem}"
         )
     for node in document["nodes"]:
+        if node["unauthenticated_messages"]:
+            lines.append(
+                f"UNAUTHENTICATED {node['name']}: refused {node['unauthenticated_messages']} "
+                "messages that posed as those of peers"
+            )
         if node["not_ready"]:
             lines.append(f"NOT READY {node['name']}: {node['not_ready']}")
     cut_off = [node for node in document["nodes"] if not node["platform"]["reachable"]]
--- a/src/coltsfoottrack/_internal/configuration/peers.py
+++ b/src/coltsfoottrack/_internal/configuration/peers.py
@@ -7,6 +7,7 @@
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.exceptions import PeerUnavailableError
 from coltsfoottrack._internal.configuration.store import ConfigurationStore
 from coltsfoottrack._internal.platform.client import PlatformClient
@@ -31,13 +32,13 @@
         self.envelope = envelope
 
     @classmethod
-    def for_operator(cls, cluster: str) -> Self:
+    def for_operator(cls, cluster: str, authentication: PeerAuthentication) -> Self:
         """Builds the access of a command; must run inside an event loop."""
 
         def envelope() -> Envelope:
             return Envelope(cluster=cluster, protocol_version=PROTOCOL_VERSION, sender="operator")
 
-        return cls(PeerChannels(), envelope)
+        return cls(PeerChannels(authentication), envelope)
 
     async def fetch(self, address: str) -> ConfigurationRecord:
         """Returns the record in force at a node. Raises PeerUnavailableError."""
@@ -69,13 +70,15 @@
         self.channels.close()
 
 
-def operator_store(platform_addresses: list[str], cluster: str) -> ConfigurationStore:
+def operator_store(
+    platform_addresses: list[str], cluster: str, authentication: PeerAuthentication | None = None
+) -> ConfigurationStore:
     """Builds the store of a command; must run inside an event loop.
 
     Close its ``peers`` when done.
     """
     return ConfigurationStore(
         PlatformClient.from_config(platform_addresses),
-        GrpcConfigurationPeers.for_operator(cluster),
+        GrpcConfigurationPeers.for_operator(cluster, authentication or PeerAuthentication()),
         Random(),
     )
--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -109,6 +109,8 @@
         self.directory = directory
         self.cluster = "demo"
         self.variant = FleetVariant() if variant is None else variant
+        # File of the cluster secret for all nodes and backend servers; empty for none.
+        self.secret_file = ""
         # Settings of the backend servers of a service beyond those of the shape.
         self.backend_settings: dict[str, dict[str, int | float]] = {}
         # Ports of links in front of the nodes' call ports, by service and node name.
@@ -197,6 +199,8 @@
             "admin_port": place.admin_port,
             "platform_addresses": [self.platform_address],
         }
+        if self.secret_file:
+            settings["cluster_secret_file"] = self.secret_file
         if self.variant.decisions_off:
             settings["decisions_off"] = True
         if place.name in self.advertised_ports.get(place.service, {}):
@@ -222,6 +226,8 @@
             "seed": place.backend_port,
             "run_log": str(self.run_log),
         }
+        if self.secret_file:
+            settings["cluster_secret_file"] = self.secret_file
         settings.update(self.backend_settings.get(place.service, {}))
         if self.variant.decisions_off:
             settings["decisions_off"] = True
--- a/src/coltsfoottrack/_internal/membership/exceptions.py
+++ b/src/coltsfoottrack/_internal/membership/exceptions.py
@@ -11,3 +11,7 @@
 
 class MalformedMessageError(MembershipError):
     """A message cannot be decoded or has fields that cannot be used."""
+
+
+class UnsignedMessageError(ForeignMessageError):
+    """A message does not prove that it comes from a process of the cluster."""
--- a/src/coltsfoottrack/_internal/membership/messages.py
+++ b/src/coltsfoottrack/_internal/membership/messages.py
@@ -6,10 +6,18 @@
 from google.protobuf.message import DecodeError
 
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.exceptions import UnauthenticatedPeerError
+from coltsfoottrack._internal.calls.peer_authentication import (
+    SIGNATURE_BYTES,
+    TIME_BYTES,
+    MessageKind,
+    PeerAuthentication,
+)
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.membership.exceptions import (
     ForeignMessageError,
     MalformedMessageError,
+    UnsignedMessageError,
 )
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Datagram, Member, MemberStatus
 
@@ -19,6 +27,9 @@
 MAX_NAME_LENGTH = 200
 # Leaves room to raise a revision above any that is accepted.
 MAX_COUNTER = 2**62
+# Tag of the field ``signature`` with its wire type and length.
+SIGNATURE_START = bytes((15 << 3 | 2, TIME_BYTES + SIGNATURE_BYTES))
+SIGNATURE_FIELD_BYTES = len(SIGNATURE_START) + TIME_BYTES + SIGNATURE_BYTES
 STATUSES = tuple(number for number in MemberStatus.values() if number)
 
 
@@ -53,7 +64,9 @@
         sender: str,
         clock: HybridClock,
         configuration: Callable[[], tuple[int, str]],
+        authentication: PeerAuthentication | None = None,
     ) -> None:
+        self.authentication = authentication or PeerAuthentication()
         self.cluster = cluster
         self.sender = sender
         self.clock = clock
@@ -62,7 +75,7 @@
     def encode(self, updates: list[Member], **body: object) -> bytes:
         """Returns a datagram with updates and at most one body, named as in the schema."""
         generation, change_id = self.configuration()
-        return Datagram(
+        content = Datagram(
             cluster=self.cluster,
             protocol_version=PROTOCOL_VERSION,
             sender=self.sender,
@@ -72,11 +85,18 @@
             configuration_change_id=change_id,
             **body,
         ).SerializeToString()
+        signature = self.authentication.sign(MessageKind.DATAGRAM, content)
+        return content + SIGNATURE_START + signature if signature else content
 
     def decode(self, content: bytes) -> Datagram:
-        """Reads a datagram. Raises ForeignMessageError or MalformedMessageError."""
+        """Reads a datagram.
+
+        Raises ForeignMessageError, MalformedMessageError or UnsignedMessageError.
+        """
         if len(content) > MAX_DATAGRAM_BYTES:
             raise MalformedMessageError(f"datagram of {len(content)} bytes")
+        if self.authentication.enabled:
+            self._check_signature(content)
         try:
             datagram = Datagram.FromString(content)
         except DecodeError as error:
@@ -92,3 +112,13 @@
                 raise MalformedMessageError("update with an unusable field")
         self.clock.observe(datagram.event_clock)
         return datagram
+
+    def _check_signature(self, content: bytes) -> None:
+        signed, field = content[:-SIGNATURE_FIELD_BYTES], content[-SIGNATURE_FIELD_BYTES:]
+        signature = b""
+        if field.startswith(SIGNATURE_START):
+            signature = field[len(SIGNATURE_START) :]
+        try:
+            self.authentication.check(MessageKind.DATAGRAM, signature, signed)
+        except UnauthenticatedPeerError as error:
+            raise UnsignedMessageError(str(error)) from error
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -19,7 +19,11 @@
     read_context,
     whole_number,
 )
-from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
+from coltsfoottrack._internal.calls.exceptions import (
+    BadRequestError,
+    InvalidKeyError,
+    UnauthenticatedPeerError,
+)
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, is_identifier
 from coltsfoottrack._internal.calls.outcome import (
     Answer,
@@ -57,7 +61,9 @@
     )
 )
 # Refusals for the form of a request, made before its key is read.
-INPUT_REASONS = frozenset((Reason.BAD_REQUEST, Reason.TOO_LARGE, Reason.WRONG_CLUSTER))
+INPUT_REASONS = frozenset(
+    (Reason.BAD_REQUEST, Reason.TOO_LARGE, Reason.WRONG_CLUSTER, Reason.UNAUTHENTICATED)
+)
 
 
 class CallServer:
@@ -115,6 +121,8 @@
             return self._refuse_input("431", refused(Reason.BAD_REQUEST, text=str(error)))
         except WrongClusterError as error:
             return self._refuse_input("400", refused(Reason.WRONG_CLUSTER, text=str(error)))
+        except UnauthenticatedPeerError as error:
+            return self._refuse_input("401", refused(Reason.UNAUTHENTICATED, text=str(error)))
         except BadRequestError as error:
             return self._refuse_input("400", refused(Reason.BAD_REQUEST, text=str(error)))
         except HTTPRequestEntityTooLarge:
@@ -184,6 +192,8 @@
                 f"protocol version {version!r}, this node speaks {PROTOCOL_VERSION}"
             )
         if cluster is not None:
+            # Only a proven peer may pass on depth, dispatches and the event clock.
+            self.state.authentication.check_call(request.raw_path, headers)
             self.state.clock.observe(whole_number(headers, EVENT_CLOCK, 0, 2**63 - 1))
 
     async def _call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -13,6 +13,7 @@
 from coltsfoottrack._internal.node.call_server import CallServer
 from coltsfoottrack._internal.node.change_events import ChangeRecorder
 from coltsfoottrack._internal.node.configuration_service import ConfigurationService
+from coltsfoottrack._internal.node.envelopes import require_signatures
 from coltsfoottrack._internal.node.exceptions import ListenError
 from coltsfoottrack._internal.node.membership_service import MembershipService
 from coltsfoottrack._internal.node.operator_service import OperatorService
@@ -33,7 +34,8 @@
 async def run_node(settings: NodeSettings) -> None:
     """Runs a node until SIGTERM or SIGINT, then drains it.
 
-    Raises ListenError if a port is taken or the address is not one of this instance.
+    Raises ListenError if a port is taken or the address is not one of this instance, and
+    SecretFileError if the file of the cluster secret cannot be used.
 
     It ends by itself within the grace time, the longest deadline in force and 16 s (2 s margin,
     2 s for the platform, 10 s for callers that read their answers slowly, 2 s to close).
@@ -57,6 +59,9 @@
             OperatorService(state),
         ]
     )
+    require_signatures(peer_server, state.authentication)
+    if not state.authentication.enabled:
+        logger.warning("peer_authentication_off", node=state.name, setting="cluster_secret_file")
     try:
         await state.cluster.open()
         await peer_server.start(settings.address, settings.peer_port)
--- a/src/coltsfoottrack/_internal/node/operator_service.py
+++ b/src/coltsfoottrack/_internal/node/operator_service.py
@@ -7,7 +7,7 @@
 from coltsfoottrack._internal.calls.outcome import Reason
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.events.ring import EventFilter
-from coltsfoottrack._internal.node.envelopes import check_envelope
+from coltsfoottrack._internal.node.envelopes import check_cluster, check_envelope
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.observability.process import resident_bytes
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OperatorBase
@@ -45,7 +45,8 @@
         """
         request = await stream.recv_message()
         if request.envelope.cluster:
-            check_envelope(request.envelope, self.state)
+            # Needs no signature, so it may not move the event clock either.
+            check_cluster(request.envelope, self.state)
         await stream.send_message(status_reply(self.state))
 
     async def Events(  # noqa: N802 - name from the schema
@@ -116,6 +117,8 @@
         configuration_conflicts=state.configuration.conflicts,
         platform_reachable=state.platform.contact.reachable,
         platform_since_ms=state.platform.contact.since_ms,
+        peer_authentication=state.authentication.mode,
+        unauthenticated_messages=state.authentication.refused(),
     )
     for invariant, count in checker.violations.items():
         reply.violations_by_invariant.append(
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.admission.suspects import SuspectTable
 from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.distribution import ConfigurationDistribution
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.configuration.peers import GrpcConfigurationPeers
@@ -55,6 +56,9 @@
         self.settings = settings
         advertised_call_port = settings.advertised_call_port or settings.call_port
         self.name = f"{settings.service}/{settings.name}"
+        self.authentication = PeerAuthentication.from_file(
+            settings.cluster_secret_file, settings.unsigned_peers_allowed
+        )
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
         self.metrics = NodeMetrics()
@@ -76,7 +80,7 @@
         self.wall_clock = WallClock()
         self.registry = CallRegistry(self.checker, self.wall_clock.now_ms)
         self.backend.registry = self.registry
-        self.channels = PeerChannels()
+        self.channels = PeerChannels(self.authentication)
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
@@ -110,6 +114,7 @@
             ring=self.ring,
             random=Random(),
             checker=self.checker,
+            authentication=self.authentication,
         )
         self.router.decisions_off = settings.decisions_off
         self.admission.decisions_off = settings.decisions_off
@@ -132,6 +137,7 @@
                 self.name,
                 self.clock,
                 lambda: (self.configuration.generation, self.configuration.record.change_id),
+                self.authentication,
             ),
             registration=Registration(self.platform, self.local, Random()),
             channels=self.channels,
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -70,6 +70,11 @@
             "Calls that a peer asked about, by what this node knew of them.",
             registry=self.registry,
         )
+        self.unauthenticated = Counter(
+            "coltsfoottrack_unauthenticated_total",
+            "Messages that do not prove that they come from the cluster, by kind and problem.",
+            registry=self.registry,
+        )
         self.gauges: dict[str, Gauge] = {}
         # Plain counts, copied to the collectors at each scrape: an increment of a collector takes
         # 4 to 5 us, one of these 0.2 us, and each call makes several.
--- a/src/coltsfoottrack/_internal/routing/client.py
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -6,7 +6,6 @@
 from time import monotonic
 from typing import NamedTuple, Self
 
-from grpclib.client import Channel
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from coltsfoottrack._internal.calls.budget import AttemptBudget
@@ -18,12 +17,14 @@
 )
 from coltsfoottrack._internal.calls.identifiers import new_call_id
 from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import PROCESS_CLIENT, EventRing
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+from coltsfoottrack._internal.routing.peer_channels import open_channel
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import BackendStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
@@ -56,11 +57,17 @@
     each call straight to a node of the callee's service.
     """
 
-    def __init__(self, cluster: str, name: str, node_peer_address: str) -> None:
+    def __init__(
+        self,
+        cluster: str,
+        name: str,
+        node_peer_address: str,
+        authentication: PeerAuthentication | None = None,
+    ) -> None:
         self.cluster = cluster
         self.name = name
-        host, _, port = node_peer_address.rpartition(":")
-        self.channel = Channel(host, int(port))
+        self.authentication = authentication or PeerAuthentication()
+        self.channel = open_channel(node_peer_address, self.authentication)
         self.node = BackendStub(self.channel)
         self.clock = HybridClock()
         self.ring = EventRing(name, self.clock, CLIENT_RING_CAPACITY, PROCESS_CLIENT)
@@ -75,12 +82,19 @@
             ring=self.ring,
             random=Random(),
             checker=self.checker,
+            authentication=self.authentication,
         )
 
     @classmethod
-    def from_config(cls, cluster: str, name: str, node_peer_address: str) -> Self:
-        """Builds a client; must run inside an event loop."""
-        return cls(cluster, name, node_peer_address)
+    def from_config(
+        cls, cluster: str, name: str, node_peer_address: str, cluster_secret_file: str = ""
+    ) -> Self:
+        """Builds a client; must run inside an event loop.
+
+        Raises SecretFileError if the file of the cluster secret cannot be used.
+        """
+        authentication = PeerAuthentication.from_file(cluster_secret_file)
+        return cls(cluster, name, node_peer_address, authentication)
 
     async def announce_forever(self, request: AnnounceRequest) -> None:
         """Announces the backend server now and every second, so that a new node learns of it."""
--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -15,6 +15,7 @@
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
 from coltsfoottrack._internal.calls.outcome import Answer, Reason, refused, unknown
 from coltsfoottrack._internal.calls.outcome_records import CallState
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.membership.table import (
@@ -55,13 +56,17 @@
         members: MembershipTable,
         policies: Callable[[], PolicyTable],
         questions: SettleQuestion | None = None,
+        authentication: PeerAuthentication | None = None,
     ) -> None:
+        self.authentication = authentication or PeerAuthentication()
         self.cluster = cluster
         self.clock = clock
         self.transport = transport
         self.members = members
         self.policies = policies
-        self.questions = PeerQuestions(cluster, clock) if questions is None else questions
+        if questions is None:
+            questions = PeerQuestions(cluster, clock, self.authentication)
+        self.questions = questions
         self.silent_connections = 0
 
     async def send(self, context: CallContext, address: str, body: bytes) -> Answer:
@@ -89,6 +94,7 @@
         context = copy.context
         headers = context.headers(self.cluster, self.clock.tick())
         path = f"/v1/services/{context.service}/{context.operation}"
+        self.authentication.sign_call(path, headers)
         seconds = context.deadline.remaining_seconds() + ANSWER_GRACE_SECONDS
         return await self.transport.send("POST", copy.address, path, headers, body, seconds)
 
--- a/src/coltsfoottrack/_internal/routing/keys.py
+++ b/src/coltsfoottrack/_internal/routing/keys.py
@@ -6,6 +6,7 @@
 
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.membership.table import MembershipTable, is_serving
@@ -40,7 +41,9 @@
         choose: ChooseAddress,
         members: MembershipTable,
         policies: Callable[[], PolicyTable],
+        authentication: PeerAuthentication | None = None,
     ) -> None:
+        self.authentication = authentication or PeerAuthentication()
         self.cluster = cluster
         self.clock = clock
         self.transport = transport
@@ -85,6 +88,7 @@
     async def _fetch(self, context: CallContext, address: str) -> list[str]:
         path = f"/v1/services/{context.service}/keys?count={KEY_BATCH}"
         headers = context.headers(self.cluster, self.clock.tick())
+        self.authentication.sign_call(path, headers)
         seconds = min(FETCH_TIMEOUT_SECONDS, context.deadline.remaining_seconds())
         try:
             reply = await self.transport.send("POST", address, path, headers, b"", seconds)
--- a/src/coltsfoottrack/_internal/routing/peer_channels.py
+++ b/src/coltsfoottrack/_internal/routing/peer_channels.py
@@ -4,33 +4,52 @@
 
 from grpclib.client import Channel
 from grpclib.config import Configuration
+from grpclib.events import SendRequest, listen
+
+from coltsfoottrack._internal.calls.peer_authentication import (
+    PEER_SIGNATURE_METADATA,
+    MessageKind,
+    PeerAuthentication,
+)
 
 MAX_CHANNELS = 64
 KEEPALIVE_SECONDS = 5.0
 KEEPALIVE_TIMEOUT_SECONDS = 2.0
 
 
-def open_channel(address: str) -> Channel:
-    """Returns a channel to HOST:PORT that shares no connection; the caller closes it."""
+def open_channel(address: str, authentication: PeerAuthentication) -> Channel:
+    """Returns a channel to HOST:PORT that shares no connection; the caller closes it.
+
+    Every request on it carries the signature of the cluster secret, if there is one.
+    """
     host, _, port = address.rpartition(":")
     configuration = Configuration(
         _keepalive_time=KEEPALIVE_SECONDS,
         _keepalive_timeout=KEEPALIVE_TIMEOUT_SECONDS,
     )
-    return Channel(host, int(port), config=configuration)
+    channel = Channel(host, int(port), config=configuration)
+
+    async def sign(event: SendRequest) -> None:
+        if authentication.enabled:
+            signature = authentication.sign(MessageKind.GRPC, event.method_name.encode())
+            event.metadata[PEER_SIGNATURE_METADATA] = signature.hex()
+
+    listen(channel, SendRequest, sign)
+    return channel
 
 
 class PeerChannels:
     """Channels by peer address; the one used longest ago is closed when there are too many."""
 
-    def __init__(self) -> None:
+    def __init__(self, authentication: PeerAuthentication) -> None:
+        self.authentication = authentication
         self.channels: OrderedDict[str, Channel] = OrderedDict()
 
     def channel(self, address: str) -> Channel:
         """Returns the channel to HOST:PORT; it connects at its first call."""
         channel = self.channels.pop(address, None)
         if channel is None:
-            channel = open_channel(address)
+            channel = open_channel(address, self.authentication)
         self.channels[address] = channel
         if len(self.channels) > MAX_CHANNELS:
             _, oldest = self.channels.popitem(last=False)
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -18,6 +18,7 @@
     unknown,
     without_asking_home,
 )
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
@@ -64,6 +65,7 @@
         ring: EventRing,
         random: Random,
         checker: InvariantChecker,
+        authentication: PeerAuthentication | None = None,
     ) -> None:
         self.cluster = cluster
         self.members = members
@@ -78,8 +80,12 @@
         self.ill = IllAddresses()
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
-        self.exchange = Exchange(cluster, clock, self.transport, members, policies)
-        self.keys = KeyPool(cluster, clock, self.transport, self.choose, members, policies)
+        self.exchange = Exchange(
+            cluster, clock, self.transport, members, policies, authentication=authentication
+        )
+        self.keys = KeyPool(
+            cluster, clock, self.transport, self.choose, members, policies, authentication
+        )
 
     async def call(self, context: CallContext, body: bytes) -> Answer:
         """Makes a call and returns its answer, with what is left of the attempt budget.
--- a/src/coltsfoottrack/_internal/routing/settling.py
+++ b/src/coltsfoottrack/_internal/routing/settling.py
@@ -12,6 +12,7 @@
     from_record,
     read_settlement,
 )
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError
 from coltsfoottrack._internal.routing.peer_channels import open_channel
@@ -39,9 +40,12 @@
 class PeerQuestions:
     """Asks over a new connection each time, since the open ones may have gone silent."""
 
-    def __init__(self, cluster: str, clock: HybridClock) -> None:
+    def __init__(
+        self, cluster: str, clock: HybridClock, authentication: PeerAuthentication
+    ) -> None:
         self.cluster = cluster
         self.clock = clock
+        self.authentication = authentication
 
     def _envelope(self) -> Envelope:
         return Envelope(
@@ -56,7 +60,7 @@
         Raises ConnectionLostError if there is no reply within 0.5 s.
         """
         request.envelope.CopyFrom(self._envelope())
-        channel = open_channel(address)
+        channel = open_channel(address, self.authentication)
         try:
             async with timeout(SETTLE_TIMEOUT_SECONDS):
                 reply = await OutcomePeerStub(channel).Settle(request)
@@ -70,7 +74,7 @@
     async def fetch(self, address: str, key: str) -> Answer | None:
         """Asks a backup node for the outcome of a key; None if it has none or gives no reply."""
         request = FetchOutcomeRequest(envelope=self._envelope(), key=key)
-        channel = open_channel(address)
+        channel = open_channel(address, self.authentication)
         try:
             async with timeout(SETTLE_TIMEOUT_SECONDS):
                 reply = await OutcomePeerStub(channel).FetchOutcome(request)
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -80,6 +80,7 @@
             settings.cluster,
             f"{settings.service}/{settings.name}",
             settings.node_peer_address,
+            settings.cluster_secret_file,
         )
         self.client.router.decisions_off = settings.decisions_off
         self.announcement = AnnounceRequest(
--- /dev/null
+++ b/tests/functional/test_peer_authentication.py
@@ -0,0 +1,172 @@
+"""A fleet with a cluster secret: strangers are refused, and a rotation cuts nobody off."""
+
+from asyncio import run
+from os import environ
+from pathlib import Path
+from socket import AF_INET, SOCK_DGRAM, socket
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+from unittest import TestCase
+from unittest.mock import patch
+
+from grpclib.exceptions import GRPCError
+from urllib3 import BaseHTTPResponse
+
+from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication, read_secrets
+from coltsfoottrack._internal.experiment.fleet import Fleet, NodePlace
+from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
+from coltsfoottrack._internal.routing.peer_channels import open_channel
+from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OperatorStub
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    MEMBER_STATUS_DEAD,
+    PRIORITY_NORMAL,
+    Datagram,
+    Envelope,
+    EventsRequest,
+    Member,
+    StatusReply,
+    StatusRequest,
+)
+from tests.functional.test_operator_commands import command
+
+OLD, NEW = "the old secret of the cluster", "the new secret of the cluster"
+WAIT_SECONDS = 15.0
+ORDER = OperationShape("order", PRIORITY_NORMAL, False)
+SHAPE = FleetShape(
+    name="small",
+    failure_domains=("east", "west"),
+    scale=1,
+    services=(
+        ServiceShape(
+            "front", 2, 8, 5, (OperationShape("read", PRIORITY_NORMAL, True, ("deep/order",)),)
+        ),
+        ServiceShape("deep", 2, 8, 5, (ORDER,)),
+    ),
+)
+
+
+class ClusterSecretTest(TestCase):
+    """Guards against strangers that pose as peers, and peers that are taken for strangers."""
+
+    def setUp(self) -> None:
+        directory = TemporaryDirectory(prefix="coltsfoottrack-")
+        self.addCleanup(directory.cleanup)
+        self.secret_file = Path(directory.name, "secret")
+        self.secret_file.write_text(OLD, encoding="utf-8")
+        self.fleet = Fleet.from_config(SHAPE, Path(directory.name))
+        self.fleet.secret_file = str(self.secret_file)
+        self.addCleanup(self.fleet.http.clear)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+        variable = patch.dict(environ, {"COLTSFOOTTRACK_NODE": self.fleet.places[0].peer_address})
+        variable.start()
+        self.addCleanup(variable.stop)
+
+    def send(self, place: NodePlace, path: str, **headers: str) -> BaseHTTPResponse:
+        named = {name.replace("_", "-"): value for name, value in headers.items()}
+        url = f"http://{place.call_address}/v1/services/{path}"
+        return self.fleet.http.request("POST", url, body=b"x", headers=named, timeout=WAIT_SECONDS)
+
+    def status(self, place: NodePlace) -> StatusReply:
+        async def ask() -> StatusReply:
+            channel = open_channel(place.peer_address, PeerAuthentication())
+            try:
+                return await OperatorStub(channel).Status(StatusRequest(), timeout=WAIT_SECONDS)
+            finally:
+                channel.close()
+
+        return run(ask())
+
+    def accepts(self, place: NodePlace, secret: str) -> bool:
+        """Tells whether a node answers a gRPC request that only a peer may make."""
+
+        async def ask() -> bool:
+            file = self.secret_file.with_name("one-secret")
+            file.write_text(secret, encoding="utf-8")
+            channel = open_channel(place.peer_address, PeerAuthentication(read_secrets(file)))
+            envelope = Envelope(cluster="demo", protocol_version=PROTOCOL_VERSION)
+            try:
+                await OperatorStub(channel).Events(EventsRequest(envelope=envelope), timeout=5.0)
+            except GRPCError:
+                return False
+            finally:
+                channel.close()
+            return True
+
+        return run(ask())
+
+    def rotate(self, lines: str, secret: str, accepted: bool) -> None:
+        """Writes the file and waits until all nodes accept a secret or refuse it."""
+        self.secret_file.write_text(lines, encoding="utf-8")
+        expiry = monotonic() + WAIT_SECONDS
+        for place in self.fleet.places:
+            while self.accepts(place, secret) is not accepted:
+                self.assertLess(monotonic(), expiry, f"{place.node_process} keeps its secrets")
+                sleep(0.2)
+
+    def assert_calls_pass(self) -> None:
+        for place in self.fleet.places:
+            for _ in range(3):
+                answer = self.send(place, "front/read")
+                self.assertEqual(answer.headers["Outcome"], "done", answer.data)
+            key = self.send(place, "deep/order").headers["Next-Idempotency-Key"]
+            answer = self.send(place, "deep/order", Idempotency_Key=key)
+            self.assertEqual(answer.headers["Outcome"], "done", answer.data)
+
+    def test_strangers_are_refused_and_rotation_cuts_nobody_off(self) -> None:
+        self.assert_calls_pass()
+        first, last = self.fleet.places[0], self.fleet.places[-1]
+        self.assert_strangers_are_refused(first, last)
+        refused = sum(self.status(place).unauthenticated_messages for place in self.fleet.places)
+        self.rotate(f"{OLD}\n{NEW}\n", NEW, accepted=True)
+        self.assert_calls_pass()
+        self.secret_file.write_text(f"{NEW}\n{OLD}\n", encoding="utf-8")
+        sleep(2.5)
+        self.assert_calls_pass()
+        self.rotate(NEW, OLD, accepted=False)
+        self.assert_calls_pass()
+        for place in self.fleet.places:
+            reply = self.status(place)
+            self.assertEqual(reply.peer_authentication, "required")
+            alive = [member for member in reply.members if member.status != MEMBER_STATUS_DEAD]
+            self.assertEqual(len(alive), len(self.fleet.places))
+            self.assertEqual(reply.violations, 0)
+        self.assertGreaterEqual(refused, 4)
+
+    def assert_strangers_are_refused(self, first: NodePlace, last: NodePlace) -> None:
+        runs = self.fleet.run_log.read_text(encoding="utf-8")
+        key = self.send(last, "deep/order").headers["Next-Idempotency-Key"]
+        # A dispatch that the key's home never made would run the request a second time.
+        answer = self.send(
+            last, "deep/order", Cluster="demo", Dispatch_Number="1", Idempotency_Key=key
+        )
+        self.assertEqual(answer.status, 401)
+        answer = self.send(first, "front/read", Cluster="demo", Hop_Depth="9")
+        self.assertEqual(answer.headers["Reason"], "unauthenticated")
+        self.assertEqual(self.fleet.run_log.read_text(encoding="utf-8"), runs)
+        self.assertFalse(self.accepts(first, "a secret of another cluster"))
+        claim = Member(name=last.name, service="deep", status=MEMBER_STATUS_DEAD, revision=2**40)
+        claim.address, claim.call_port, claim.peer_port = "127.0.0.1", 1, 1
+        claim.start_order = 2**60
+        datagram = Datagram(cluster="demo", protocol_version=PROTOCOL_VERSION, updates=[claim])
+        expiry = monotonic() + WAIT_SECONDS
+        with socket(AF_INET, SOCK_DGRAM) as stranger:
+            while not self.metric(first, 'kind="datagram",problem="missing"'):
+                self.assertLess(monotonic(), expiry, "no datagram was refused")
+                stranger.sendto(datagram.SerializeToString(), ("127.0.0.1", first.peer_port))
+                sleep(0.1)
+        known = {member.service + member.name: member for member in self.status(first).members}
+        self.assertLess(known["deep" + last.name].revision, 2**40)
+        name = f"{last.service}/{last.name}"
+        self.assertIn("UNAUTHENTICATED", command("status").text)
+        self.assertNotEqual(command("drain", name).status, 0)
+        self.assertFalse(self.status(last).draining)
+        with patch.dict(environ, {"COLTSFOOTTRACK_SECRET_FILE": str(self.secret_file)}):
+            self.assertEqual(command("config", "status").status, 0)
+            self.assertEqual(command("timeline").status, 0)
+
+    def metric(self, place: NodePlace, labels: str) -> bool:
+        url = f"http://127.0.0.1:{place.admin_port}/metrics"
+        text = self.fleet.http.request("GET", url).data.decode()
+        return f"coltsfoottrack_unauthenticated_total{{{labels}}}" in text
--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -35,8 +35,8 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
-class CallPortTest(IsolatedAsyncioTestCase):
-    """Guards against callers that take resources, break other calls or give themselves rank."""
+class CallPortCase(IsolatedAsyncioTestCase):
+    """A call port in this process that answers each request with its body."""
 
     async def asyncSetUp(self) -> None:
         disable()
@@ -103,6 +103,10 @@
     def bad_requests(self, status: str) -> int:
         return self.state.metrics.bad_requests.values.get({"status": status}, 0)
 
+
+class CallPortTest(CallPortCase):
+    """Guards against callers that take resources, break other calls or give themselves rank."""
+
     async def test_silent_connections_hold_nothing(self) -> None:
         silent = [await self.connect() for _ in range(50)]
         self.assertEqual(await self.status(post()), 200)
