Notice the crash of a backend server that is back at once

Cause: the node took a broken connection for a crash only if new connections were refused at once or 50 ms later. A server that was back before that made no suspects, so the bound of two crashes by one request did not hold for it.

Now the announcement names the process (incarnation). A broken run whose server accepts connections waits for the next announcement, up to 1.5 s or its deadline; a new incarnation makes suspects of the broken runs, also when their wait has ended, and of those in flight that were sent before the first break.

Tests seen to fail with the mechanism switched off: - new incarnation ignored: test_server_that_is_back_at_once... TimeoutError after 30 s - no wait for the announcement: the same test, "5 not less than or equal to 2" - lost runs kept after an announcement of the same process: test_same_process_after_a_broken_connection... "1 != 0" - only the first broken run kept: test_second_crash_before_the_first_ announcement_counts_too "[1, 0] != [1, 1]"

Not tried with real processes back within 50 ms, which the interpreter's start does not reach.

--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from itertools import count
+from time import monotonic
 from typing import NamedTuple
 
 from structlog import get_logger
@@ -24,30 +25,31 @@
     SuspectTable,
 )
 from coltsfoottrack._internal.calls.context import (
-    ATTEMPTS_LEFT,
     EVENT_CLOCK,
     MONOTONIC_DEADLINE,
-    PATH_LEVEL,
     CallContext,
     whole_number,
 )
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
-from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.ledger.call_registry import CallRegistry
 from coltsfoottrack._internal.ledger.ledger import request_digest
+from coltsfoottrack._internal.node.backend_replies import crashed, quarantined, read_reply
 from coltsfoottrack._internal.routing.exceptions import (
     ConnectionLostError,
     ConnectTimeoutError,
     NotSentError,
 )
-from coltsfoottrack._internal.routing.transport import HttpReply, Transport
+from coltsfoottrack._internal.routing.transport import Transport
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
-SHED_HEADER = "Shed"
 CONNECT_SECONDS = 0.5
 # A process that ends closes its connections and its listening socket one after the other.
 SECOND_CHECK_SECONDS = 0.05
+# Announcements come every second. A run whose connection broke waits this long for the next one,
+# which tells whether its backend server is still the same process.
+ANNOUNCEMENT_SECONDS = 1.5
 # Other requests are held back this long for a suspect, so that a crash has one possible cause.
 ALONE_SECONDS = 0.25
 
@@ -63,13 +65,20 @@
     known_crashes: int
 
 
+class LostRun(NamedTuple):
+    """A run whose connection broke, until the next announcement says whether the server ended."""
+
+    call: RunningCall
+    at: float
+
+
 class BackendLink:
     """Sends calls to the backend server and says truthfully what became of them.
 
-    It notices when the backend server crashes: a connection breaks with requests in flight and
-    new connections are refused. All of these requests become suspects. A suspect runs with no
-    other request in flight for its first 250 ms, so that a second crash has only one cause.
-    A server that is back within 50 ms is not noticed to have crashed.
+    It notices when the backend server crashes: a connection breaks with requests in flight, and
+    new connections are refused or the next announcement comes from a new process. All of these
+    requests become suspects. A suspect runs with no other request in flight for its first 250 ms,
+    so that a second crash has only one cause.
     """
 
     def __init__(
@@ -91,6 +100,12 @@
         self.leaving = False
         self.alone_seconds = ALONE_SECONDS
         self.crashes = 0
+        # Process of the backend server, 0 if it names none.
+        self.incarnation = 0
+        self.announced = Event()
+        self.lost: list[LostRun] = []
+        # Runs from this number on may have gone to the process that took the place of a lost one.
+        self.first_number_after_loss: int | None = None
         self.running: dict[int, RunningCall] = {}
         self.numbers = count()
         self.idle = Event()
@@ -114,18 +129,37 @@
 
     def announce(self, request: AnnounceRequest) -> None:
         """Takes over what the backend server says of itself."""
+        if request.incarnation != self.incarnation:
+            self._note_new_process()
+            self.incarnation = request.incarnation
+        # A message that the old process sent right before its end may be read after the break.
+        settled = monotonic() - SECOND_CHECK_SECONDS
+        self.lost = [lost for lost in self.lost if lost.at > settled]
+        if not self.lost:
+            self.first_number_after_loss = None
+        self.announced.set()
+        self.announced = Event()
         if not self.address:
             self.starts += 1
         self.address = f"{request.address}:{request.port}"
         self.slots = request.slots
         self.leaving = request.leaving
 
+    def _note_new_process(self) -> None:
+        """Makes suspects of the runs that were lost, if the end of the old process was missed."""
+        if not self.incarnation or not self.lost:
+            return
+        self.transport.forget(self.address)
+        reports = self._make_suspects(self.address)
+        self.crashes += 1
+        self.reported = create_task(self._spread(reports, None))
+
     async def run(self, context: CallContext, body: bytes) -> Answer:
         """Runs a call on the backend server, unless it is quarantined."""
         digest = request_digest(context.service, context.operation, body)
         crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
         if crashes >= QUARANTINE_CRASHES:
-            return _quarantined(context, crashes)
+            return quarantined(context, crashes)
         try:
             if crashes:
                 return await self._run_on_probation(context, body, digest)
@@ -150,7 +184,7 @@
         try:
             crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
             if crashes >= QUARANTINE_CRASHES:
-                return _quarantined(context, crashes)
+                return quarantined(context, crashes)
             if not crashes:
                 # Another copy has run to its end meanwhile.
                 self.probation.release()
@@ -215,18 +249,27 @@
         except ConnectionLostError:
             if context.deadline.has_passed():
                 return unknown(Reason.DEADLINE)
-            if not await self._has_crashed(address, crashes_before):
+            if self.crashes == crashes_before:
+                self._note_lost(call)
+            remaining = context.deadline.remaining_seconds()
+            if not await self._has_crashed(address, crashes_before, remaining):
                 return unknown(Reason.BACKEND_LOST)._replace(retry_useful=True)
-            return _crashed(context, max(1, self.suspects.crashes(call.digest)))
+            return crashed(context, max(1, self.suspects.crashes(call.digest)))
         with suppress(BadRequestError):
             self.clock.observe(whole_number(reply.headers, EVENT_CLOCK, 0, 2**63 - 1))
-        answer = _read_reply(reply, context, lent)
+        answer = read_reply(reply, context, lent)
         if answer.outcome is Outcome.REFUSED:
             self._note_not_run(context)
         else:
             self._clear(call.digest)
         return answer
 
+    def _note_lost(self, call: RunningCall) -> None:
+        if self.first_number_after_loss is None:
+            self.first_number_after_loss = next(self.numbers)
+        # Also one sent after the first break: the next process may have ended too by now.
+        self.lost.append(LostRun(call, monotonic()))
+
     def _note_not_run(self, context: CallContext) -> None:
         if self.registry is not None:
             self.registry.not_run(context.call_id)
@@ -236,24 +279,40 @@
             self.address = ""
             self.on_down()
 
-    async def _has_crashed(self, address: str, crashes_before: int) -> bool:
+    async def _has_crashed(
+        self, address: str, crashes_before: int, remaining_seconds: float
+    ) -> bool:
         """Tells whether the backend server has ended since, and makes suspects if so."""
-        for pause in (0.0, SECOND_CHECK_SECONDS):
-            await sleep(pause)
-            if self.crashes != crashes_before:
-                break
-            if await self.refuses_connections(address):
-                break
-        else:
+        if not await self._shows_crash(address, crashes_before, remaining_seconds):
             return False
         if self.crashes == crashes_before:
             self.crashes += 1
-            self.reported = create_task(self._spread(self._make_suspects(address)))
+            reports = self._make_suspects(address)
+            # No kept connection to the old process may be used for a new one at the same address.
+            broken, self.transport = self.transport, self.new_transport()
+            self.reported = create_task(self._spread(reports, broken))
         # Every request of the crash waits, not only the one that noticed it: its caller may
         # send it again to another node at once.
         await shield(self.reported)
         return True
 
+    async def _shows_crash(
+        self, address: str, crashes_before: int, remaining_seconds: float
+    ) -> bool:
+        """Tells whether new connections are refused or a new process announces itself."""
+        for pause in (0.0, SECOND_CHECK_SECONDS):
+            await sleep(pause)
+            if self.crashes != crashes_before:
+                return True
+            if await self.refuses_connections(address):
+                return True
+        if self.incarnation:
+            # It is up, but may be a new process that came back in between.
+            with suppress(TimeoutError):
+                async with timeout(min(ANNOUNCEMENT_SECONDS, remaining_seconds)):
+                    await self.announced.wait()
+        return self.crashes != crashes_before
+
     async def refuses_connections(self, address: str) -> bool:
         """Tells whether the backend server refuses a new connection; a slow one does not."""
         host, _, port = address.rpartition(":")
@@ -269,7 +328,13 @@
 
     def _make_suspects(self, address: str) -> list[SuspectReport]:
         running: dict[bytes, int] = {}
-        for call in self.running.values():
+        calls = [lost.call for lost in self.lost]
+        for number, call in self.running.items():
+            if self.first_number_after_loss is None or number < self.first_number_after_loss:
+                calls.append(call)
+        self.lost = []
+        self.first_number_after_loss = None
+        for call in calls:
             running[call.digest] = max(call.known_crashes, running.get(call.digest, 0))
         reports = []
         for digest, known_crashes in running.items():
@@ -281,11 +346,9 @@
         self._mark_down(address)
         return reports
 
-    async def _spread(self, reports: list[SuspectReport]) -> None:
-        broken = self.transport
-        # No kept connection to the old process may be used for a new one at the same address.
-        self.transport = self.new_transport()
-        await broken.close()
+    async def _spread(self, reports: list[SuspectReport], broken: Transport | None) -> None:
+        if broken is not None:
+            await broken.close()
         if self.report is not None:
             await self.report(reports, [])
 
@@ -299,42 +362,3 @@
     async def close(self) -> None:
         """Closes all connections."""
         await self.transport.close()
-
-
-def _quarantined(context: CallContext, crashes: int) -> Answer:
-    text = (
-        f"not run: {crashes} backend servers of {context.service} crashed while they ran this "
-        "request, so it is quarantined"
-    )
-    answer = refused(Reason.QUARANTINED, text=text)
-    return answer._replace(suspected_crashes=crashes)
-
-
-def _crashed(context: CallContext, crashes: int) -> Answer:
-    text = f"outcome unknown: the backend server of {context.service} crashed during this request"
-    answer = unknown(Reason.BACKEND_LOST)
-    return answer._replace(retry_useful=True, suspected_crashes=crashes, body=text.encode())
-
-
-def _read_reply(reply: HttpReply, context: CallContext, lent: int) -> Answer:
-    content_type = reply.headers.get("Content-Type", "application/octet-stream")
-    try:
-        attempts_left = whole_number(reply.headers, ATTEMPTS_LEFT, lent, lent)
-        path_level = whole_number(reply.headers, PATH_LEVEL, 0, 10_000)
-    except BadRequestError:
-        attempts_left, path_level = 0, 0
-    if reply.status == 503 and SHED_HEADER in reply.headers:
-        context.budget.retries = lent
-        return refused(Reason.BACKEND_SHED, retry_useful=True)
-    context.budget.retries = attempts_left
-    if reply.status >= 500:
-        answer = failed(Reason.BACKEND_ERROR, reply.body, content_type)
-        return answer._replace(path_level=path_level, attempts_left=attempts_left)
-    return Answer(
-        outcome=Outcome.DONE,
-        status=reply.status,
-        body=reply.body,
-        content_type=content_type,
-        path_level=path_level,
-        attempts_left=attempts_left,
-    )
--- /dev/null
+++ b/src/coltsfoottrack/_internal/node/backend_replies.py
@@ -0,0 +1,55 @@
+"""Answers made from what a backend server replied, or from its end."""
+
+from coltsfoottrack._internal.calls.context import (
+    ATTEMPTS_LEFT,
+    PATH_LEVEL,
+    CallContext,
+    whole_number,
+)
+from coltsfoottrack._internal.calls.exceptions import BadRequestError
+from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
+from coltsfoottrack._internal.routing.transport import HttpReply
+
+SHED_HEADER = "Shed"
+
+
+def quarantined(context: CallContext, crashes: int) -> Answer:
+    """Builds the answer to a request that is not run because it crashed backend servers."""
+    text = (
+        f"not run: {crashes} backend servers of {context.service} crashed while they ran this "
+        "request, so it is quarantined"
+    )
+    answer = refused(Reason.QUARANTINED, text=text)
+    return answer._replace(suspected_crashes=crashes)
+
+
+def crashed(context: CallContext, crashes: int) -> Answer:
+    """Builds the answer to a request whose backend server ended while it ran."""
+    text = f"outcome unknown: the backend server of {context.service} crashed during this request"
+    answer = unknown(Reason.BACKEND_LOST)
+    return answer._replace(retry_useful=True, suspected_crashes=crashes, body=text.encode())
+
+
+def read_reply(reply: HttpReply, context: CallContext, lent: int) -> Answer:
+    """Builds the answer from a backend server's response."""
+    content_type = reply.headers.get("Content-Type", "application/octet-stream")
+    try:
+        attempts_left = whole_number(reply.headers, ATTEMPTS_LEFT, lent, lent)
+        path_level = whole_number(reply.headers, PATH_LEVEL, 0, 10_000)
+    except BadRequestError:
+        attempts_left, path_level = 0, 0
+    if reply.status == 503 and SHED_HEADER in reply.headers:
+        context.budget.retries = lent
+        return refused(Reason.BACKEND_SHED, retry_useful=True)
+    context.budget.retries = attempts_left
+    if reply.status >= 500:
+        answer = failed(Reason.BACKEND_ERROR, reply.body, content_type)
+        return answer._replace(path_level=path_level, attempts_left=attempts_left)
+    return Answer(
+        outcome=Outcome.DONE,
+        status=reply.status,
+        body=reply.body,
+        content_type=content_type,
+        path_level=path_level,
+        attempts_left=attempts_left,
+    )
--- a/src/coltsfoottrack/_internal/routing/client.py
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -3,6 +3,7 @@
 from asyncio import CancelledError, gather, sleep
 from collections.abc import Mapping
 from random import Random
+from secrets import randbits
 from time import monotonic
 from typing import NamedTuple, Self
 
@@ -69,6 +70,8 @@
         self.authentication = authentication or PeerAuthentication()
         self.channel = open_channel(node_peer_address, self.authentication)
         self.node = BackendStub(self.channel)
+        # Not 0, which stands for a client that names none.
+        self.incarnation = randbits(63) + 1
         self.clock = HybridClock()
         self.ring = EventRing(name, self.clock, CLIENT_RING_CAPACITY, PROCESS_CLIENT)
         self.members = MembershipTable()
@@ -98,6 +101,7 @@
 
     async def announce_forever(self, request: AnnounceRequest) -> None:
         """Announces the backend server now and every second, so that a new node learns of it."""
+        request.incarnation = self.incarnation
         while True:
             request.envelope.CopyFrom(self._envelope())
             try:
--- a/src/coltsfoottrack/_internal/routing/transport.py
+++ b/src/coltsfoottrack/_internal/routing/transport.py
@@ -77,6 +77,10 @@
         self.checker.check(not echo, Invariant.ANSWER_TO_ITS_CALLER, detail)
         raise ForeignAnswerError(detail)
 
+    def forget(self, address: str) -> None:
+        """Drops what is known of an address, where a new process listens now."""
+        self.echoing.discard(address)
+
     async def close(self) -> None:
         """Closes all connections."""
         self.pool.close()
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -19,9 +19,11 @@
 from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason
 from coltsfoottrack._internal.events.clock import HybridClock
+from coltsfoottrack._internal.ledger.ledger import request_digest
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError
 from coltsfoottrack._internal.routing.transport import HttpReply
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
 NODES = 5
 RESTART_SECONDS = 0.03
@@ -75,14 +77,37 @@
         pass
 
 
+class QuickServer(BackendServer):
+    """A backend server that is back before its node can look, and announces itself then."""
+
+    def __init__(self, random: Random, crashes: Counter[bytes]) -> None:
+        super().__init__(random, crashes)
+        self.announce()
+
+    def announce(self) -> None:
+        request = AnnounceRequest(address="127.0.0.1", port=9, slots=8)
+        request.incarnation = self.random.getrandbits(63) + 1
+        self.link.announce(request)
+
+    async def restart(self) -> None:
+        self.ended = Event()
+        self.up = True
+        # Longer than the two looks of the node, which find it accepting connections.
+        await sleep(0.1)
+        self.announce()
+
+    def forget(self, _address: str) -> None:
+        pass
+
+
 class Service:
     """Nodes of one service that report suspects to each other, with some reports lost."""
 
-    def __init__(self, seed: int, loss: float) -> None:
+    def __init__(self, seed: int, loss: float, kind: type[BackendServer] = BackendServer) -> None:
         self.random = Random(seed)
         self.loss = loss
         self.crashes: Counter[bytes] = Counter()
-        self.servers = [BackendServer(self.random, self.crashes) for _ in range(NODES)]
+        self.servers = [kind(self.random, self.crashes) for _ in range(NODES)]
         for server in self.servers:
             server.link.report = self.report
 
@@ -118,8 +143,10 @@
                 crashes = max(crashes, answer.suspected_crashes)
 
 
-async def play(seed: int, loss: float) -> tuple[Service, list[Answer], list[Answer]]:
-    service = Service(seed, loss)
+async def play(
+    seed: int, loss: float, kind: type[BackendServer] = BackendServer
+) -> tuple[Service, list[Answer], list[Answer]]:
+    service = Service(seed, loss, kind)
     innocent = [b"innocent %d" % (number % 12) for number in range(30)]
     crashing = [b"crash %d" % number for number in range(2)]
     pending = [create_task(service.send_until_settled(body)) for body in innocent + crashing]
@@ -140,6 +167,56 @@
         self.assertEqual({answer.reason for answer in crashing}, {Reason.QUARANTINED})
         self.assertEqual({answer.outcome for answer in innocent}, {Outcome.DONE})
 
+    def test_server_that_is_back_at_once_is_noticed_to_have_crashed(self) -> None:
+        for seed in range(4):
+            service, innocent, crashing = run(play(seed, 0.0, QuickServer))
+            self.assertLessEqual(max(service.crashes.values()), 2, service.crashes)
+            self.assertEqual({answer.reason for answer in crashing}, {Reason.QUARANTINED})
+            self.assertEqual({answer.outcome for answer in innocent}, {Outcome.DONE})
+
+    def test_same_process_after_a_broken_connection_makes_no_suspects(self) -> None:
+        async def play_once() -> tuple[Answer, int]:
+            service = Service(1, 0.0, QuickServer)
+            server = service.servers[0]
+            request = AnnounceRequest(address="127.0.0.1", port=9, incarnation=5)
+            server.link.announce(request)
+            server.ended.set()
+            context = CallContext(
+                "stores", "lookup", "r", "c", Deadline.after_ms(5_000), AttemptBudget(0)
+            )
+            sending = create_task(server.link.run(context, b"innocent"))
+            await sleep(0.15)
+            server.link.announce(request)
+            answer = await sending
+            # The next process begins after a drain, so the old break says nothing about it.
+            request.incarnation = 6
+            server.link.announce(request)
+            return answer, server.link.crashes
+
+        answer, crashes = run(play_once())
+        self.assertEqual((answer.reason, answer.suspected_crashes), (Reason.BACKEND_LOST, 0))
+        self.assertEqual(crashes, 0)
+
+    def test_second_crash_before_the_first_announcement_counts_too(self) -> None:
+        """Guards against a run on the next process that crashes it and is not blamed."""
+
+        async def play_once() -> list[int]:
+            server = Service(1, 0.0, QuickServer).servers[0]
+            server.ended.set()
+            context = CallContext(
+                "stores", "lookup", "r", "c", Deadline.after_ms(5_000), AttemptBudget(0)
+            )
+            sent = [create_task(server.link.run(context, b"one"))]
+            await sleep(0.03)
+            sent.append(create_task(server.link.run(context, b"two")))
+            await sleep(0.15)
+            server.announce()
+            await gather(*sent)
+            digests = [request_digest("stores", "lookup", body) for body in (b"one", b"two")]
+            return [server.link.suspects.crashes(digest) for digest in digests]
+
+        self.assertEqual(run(play_once()), [1, 1])
+
     def test_caller_is_told_why(self) -> None:
         _, _, crashing = run(play(1, 0.0))
         self.assertIn(b"2 backend servers of stores crashed", crashing[0].body)
