--- a/tests/functional/test_leaving_and_configuration.py
+++ b/tests/functional/test_leaving_and_configuration.py
@@ -1,6 +1,6 @@
 """Leaving, shutting down and a configuration change, with real processes on loopback."""
 
-from asyncio import create_task, gather, run, sleep
+from asyncio import create_task, gather, open_connection, run, sleep, wait_for
 from json import loads
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -157,6 +157,52 @@
         await transport.close()
         return began, reply, answers
 
+    def test_node_takes_work_in_its_grace_time_and_keeps_no_connection(self) -> None:
+        """Guards against callers that have not heard of the leaving and meet a closed port.
+
+        With no call in flight only the grace time keeps the port open, and a connection that
+        stays open would be cut at the end of the node.
+        """
+        statuses, kept, closed = run(self._call_in_grace_time())
+        self.assertIn(b"Outcome: done", kept)
+        self.assertNotIn(b"connection: close", kept.lower())
+        self.assertIn(b"Node-Leaving: yes", closed)
+        self.assertIn(b"connection: close", closed.lower())
+        self.assertTrue(statuses, "no call was answered within the grace time")
+        self.assertEqual({"done"}, set(statuses))
+        self.assertEqual(0, self.wait_for_end(self.first.node_process))
+        self.assertEqual([], self.violations())
+
+    async def _call_in_grace_time(self) -> tuple[list[str], bytes, bytes]:
+        """Returns the outcomes in the grace time, and answers on one connection over it."""
+        reader, writer = await open_connection(LOOPBACK, self.first.call_port)
+        call = b"POST /v1/services/stores/lookup HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n"
+        writer.write(call)
+        kept = await reader.readuntil(b"\r\n\r\n")
+        length = int(kept.lower().split(b"content-length:")[1].split()[0])
+        await reader.readexactly(length)
+        self.fleet.terminate(self.first.node_process)
+        began = monotonic()
+        transport = Transport()
+        outcomes = []
+        leaving = False
+        while not leaving:
+            reply = await send(transport, self.first, "lookup")
+            self.assertIsNotNone(reply, "the port was closed at once")
+            leaving = NODE_LEAVING in reply.headers
+        # The end of the connection after the answer ends the reading too.
+        writer.write(call)
+        closed = await wait_for(reader.read(), END_SECONDS)
+        writer.close()
+        while monotonic() - began < GRACE_SECONDS - 1.0:
+            reply = await send(transport, self.first, "lookup")
+            # An answer that came late says nothing: the machine may have been busy.
+            if monotonic() - began < GRACE_SECONDS - 1.0:
+                outcomes.append("port closed" if reply is None else reply.headers[OUTCOME])
+            await sleep(0.05)
+        await transport.close()
+        return outcomes, kept, closed
+
     def test_backend_server_that_leaves_gets_no_new_work(self) -> None:
         """Guards against work for a backend server that announced that it leaves."""
         self.fleet.set_faults(down=True)
