Break gRPC, UDP and backend links in the soak, and cut domains off

Cause: the fault injector put links in front of the call ports only. gRPC and UDP between nodes, and the connections between a node and its backend server, were broken only by ending and stopping processes, and no two parts of a fleet of real processes were cut off from each other.

Links now also stand in front of the peer ports (TCP and UDP) and of the backend servers. Two settings place them: advertised_peer_port of a node and announced_port of the backend server stand-in. A partition tells the sides by the process that owns the caller's port (TCP, from /proc of the own children) or by the sender's port (UDP).

Ruled out: a link that always listens in front of a backend server, because a refused connection is how a node notices its end; one loopback address for each node, because the kernel gives outgoing connections 127.0.0.1 anyway. Ports of links no longer overlap with those of processes not yet started.

Before: these links could not be cut.

--- a/src/coltsfoottrack/_internal/experiment/faults.py
+++ b/src/coltsfoottrack/_internal/experiment/faults.py
@@ -11,6 +11,7 @@
     sleep,
     start_server,
 )
+from collections.abc import Callable
 
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, NodePlace
 
@@ -20,8 +21,9 @@
 class LinkConnection:
     """One connection through a link: the caller's side and the target's side."""
 
-    def __init__(self, caller: StreamWriter, target: StreamWriter) -> None:
+    def __init__(self, caller: StreamWriter, target: StreamWriter, caller_port: int) -> None:
         self.caller = caller
+        self.caller_port = caller_port
         self.target = target
         self.silent = False
         self.truncate_after: int | None = None
@@ -42,6 +44,8 @@
         self.port = port
         self.target_port = target_port
         self.delay_seconds = 0.0
+        # Tells by the caller's port whether a new connection is to be silent.
+        self.is_cut_off: Callable[[int], bool] = lambda caller_port: False
         self.connections: set[LinkConnection] = set()
         self.tasks: set[Task[None]] = set()
         self.server: AbstractServer | None = None
@@ -84,7 +88,9 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = LinkConnection(writer, target_writer)
+        caller_port = writer.get_extra_info("peername")[1]
+        connection = LinkConnection(writer, target_writer, caller_port)
+        connection.silent = self.is_cut_off(caller_port)
         self.connections.add(connection)
         pumps = [
             create_task(self._pump(connection, reader, target_writer, False)),
--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+from collections.abc import Collection
 from os import environ
 from pathlib import Path
 from random import sample
@@ -72,8 +73,8 @@
         return f"backend/{self.service}/{self.name}"
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns loopback ports that nothing listens on, for TCP and UDP.
+def free_ports(count: int, taken: Collection[int] = ()) -> list[int]:
+    """Returns loopback ports that nothing listens on, for TCP and UDP, and that are not taken.
 
     They lie below the range from which outgoing connections get theirs, which could otherwise take
     one of them before its process has started.
@@ -85,6 +86,8 @@
         if not candidates:
             raise ExperimentError(f"fewer than {count} ports are free")
         port = candidates.pop()
+        if port in taken:
+            continue
         for kind in (SOCK_STREAM, SOCK_DGRAM):
             probe = socket(AF_INET, kind)
             sockets.append(probe)
@@ -115,6 +118,10 @@
         self.backend_settings: dict[str, dict[str, int | float]] = {}
         # Ports of links in front of the nodes' call ports, by service and node name.
         self.advertised_ports: dict[str, dict[str, int]] = {}
+        # Ports of links in front of the nodes' peer ports and of the backend servers, by the name
+        # of the node's process.
+        self.advertised_peer_ports: dict[str, int] = {}
+        self.announced_ports: dict[str, int] = {}
         self.processes: dict[str, Popen] = {}
         self.arguments: dict[str, list[str]] = {}
         self.places: list[NodePlace] = []
@@ -139,6 +146,13 @@
         """File to which each backend server appends a line for each run."""
         return self.directory / "runs.jsonl"
 
+    def ports(self) -> set[int]:
+        """Returns the ports of all processes, which need not listen yet."""
+        found = {self.platform_port}
+        for place in self.places:
+            found.update((place.call_port, place.peer_port, place.admin_port, place.backend_port))
+        return found
+
     def _place_all(self) -> None:
         total = sum(service.backend_servers for service in self.shape.services)
         ports = free_ports(1 + 4 * total)
@@ -203,6 +217,8 @@
             settings["cluster_secret_file"] = self.secret_file
         if self.variant.decisions_off:
             settings["decisions_off"] = True
+        if place.node_process in self.advertised_peer_ports:
+            settings["advertised_peer_port"] = self.advertised_peer_ports[place.node_process]
         if place.name in self.advertised_ports.get(place.service, {}):
             settings["advertised_call_port"] = self.advertised_ports[place.service][place.name]
         self._spawn(place.node_process, ["node"], settings)
@@ -226,6 +242,10 @@
             "seed": place.backend_port,
             "run_log": str(self.run_log),
         }
+        if place.node_process in self.advertised_peer_ports:
+            peer_port = self.advertised_peer_ports[place.node_process]
+            settings["node_peer_address"] = f"{LOOPBACK}:{peer_port}"
+            settings["announced_port"] = self.announced_ports[place.node_process]
         if self.secret_file:
             settings["cluster_secret_file"] = self.secret_file
         settings.update(self.backend_settings.get(place.service, {}))
--- /dev/null
+++ b/src/coltsfoottrack/_internal/experiment/inner_links.py
@@ -0,0 +1,262 @@
+"""Links inside a fleet: gRPC and UDP between nodes, and between a node and its backend server."""
+
+from asyncio import (
+    DatagramProtocol,
+    DatagramTransport,
+    Task,
+    create_task,
+    get_running_loop,
+    open_connection,
+    sleep,
+)
+from collections.abc import Callable
+from contextlib import suppress
+from os import readlink, scandir
+from pathlib import Path
+
+from coltsfoottrack._internal.experiment.faults import FaultyLink
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, NodePlace, free_ports
+
+FOLLOW_SECONDS = 0.005
+SOCKET_PREFIX = "socket:["
+
+Address = tuple[str, int]
+
+
+class DatagramRelay(DatagramProtocol):
+    """The socket through which a link hands on the datagrams of one source, and their replies."""
+
+    def __init__(self, link: "DatagramLink", source: Address) -> None:
+        self.link = link
+        self.source = source
+        self.transport: DatagramTransport | None = None
+        self.waiting: list[bytes] = []
+
+    def connection_made(self, transport: DatagramTransport) -> None:
+        """Sends what came before the socket was open."""
+        self.transport = transport
+        for data in self.waiting:
+            transport.sendto(data)
+        self.waiting.clear()
+
+    def send(self, data: bytes) -> None:
+        """Sends a datagram to the target."""
+        if self.transport is None:
+            self.waiting.append(data)
+        else:
+            self.transport.sendto(data)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Hands a reply of the target back to the source."""
+        self.link.reply(data, self.source)
+
+
+class DatagramLink(DatagramProtocol):
+    """A UDP link that forwards to a target port and can lose datagrams in both directions."""
+
+    def __init__(self, port: int, target_port: int) -> None:
+        self.port = port
+        self.target_port = target_port
+        self.loses_all = False
+        # Tells by the source's port whether its datagrams, and those to it, are lost.
+        self.is_cut_off: Callable[[int], bool] = lambda source_port: False
+        self.lost = 0
+        self.transport: DatagramTransport | None = None
+        self.relays: dict[Address, DatagramRelay] = {}
+        self.opening: set[Task[None]] = set()
+
+    async def start(self) -> None:
+        """Opens the link's port on the loopback interface."""
+        loop = get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(LOOPBACK, self.port)
+        )
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Forwards a datagram, unless it is to be lost."""
+        if self._loses(addr):
+            return
+        relay = self.relays.get(addr)
+        if relay is None:
+            relay = DatagramRelay(self, addr)
+            self.relays[addr] = relay
+            task = create_task(self._open(relay))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+        relay.send(data)
+
+    def reply(self, data: bytes, source: Address) -> None:
+        """Hands a reply to the source, unless it is to be lost."""
+        if not self._loses(source) and self.transport is not None:
+            self.transport.sendto(data, source)
+
+    def _loses(self, source: Address) -> bool:
+        loses = self.loses_all or self.is_cut_off(source[1])
+        self.lost += loses
+        return loses
+
+    async def _open(self, relay: DatagramRelay) -> None:
+        await get_running_loop().create_datagram_endpoint(
+            lambda: relay, remote_addr=(LOOPBACK, self.target_port)
+        )
+
+    def stop(self) -> None:
+        """Closes all sockets."""
+        for relay in self.relays.values():
+            if relay.transport is not None:
+                relay.transport.close()
+        if self.transport is not None:
+            self.transport.close()
+
+
+class FollowingLink(FaultyLink):
+    """A link that listens only while the process behind it runs and listens.
+
+    A node takes refused connections for the end of its backend server, so a link in between must
+    refuse them too.
+    """
+
+    def __init__(self, port: int, target_port: int, is_running: Callable[[], bool]) -> None:
+        super().__init__(port, target_port)
+        self.is_running = is_running
+        self.following: Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begins to follow the target."""
+        self.following = create_task(self._follow())
+
+    async def stop(self) -> None:
+        """Ends following and closes the port."""
+        if self.following is not None:
+            self.following.cancel()
+        await super().stop()
+
+    async def _follow(self) -> None:
+        while True:
+            if self.server is None:
+                if self.is_running() and await self._target_listens():
+                    await super().start()
+            elif not self.is_running():
+                self.server.close()
+                self.server = None
+                self.cut()
+            await sleep(FOLLOW_SECONDS)
+
+    async def _target_listens(self) -> bool:
+        try:
+            _, writer = await open_connection(LOOPBACK, self.target_port)
+        except OSError:
+            return False
+        writer.transport.abort()
+        return True
+
+
+class InnerLinks:
+    """The links of a fleet, and the partition that is in force over them."""
+
+    def __init__(self, fleet: Fleet, call_links: dict[str, FaultyLink]) -> None:
+        self.fleet = fleet
+        self.calls = call_links
+        self.peers: dict[str, FaultyLink] = {}
+        self.datagrams: dict[str, DatagramLink] = {}
+        self.backends: dict[str, FollowingLink] = {}
+        self.node_of_process: dict[str, str] = {}
+        # Nodes on one side of the partition; empty without one.
+        self.side: frozenset[str] = frozenset()
+
+    async def start(self) -> None:
+        """Puts the links in place; call before the fleet starts."""
+        places = self.fleet.places
+        ports = free_ports(2 * len(places), self.fleet.ports())
+        for place in places:
+            node = place.node_process
+            self.node_of_process[node] = self.node_of_process[place.backend_process] = node
+            peer_port, backend_port = ports.pop(), ports.pop()
+            self.peers[node] = FaultyLink(peer_port, place.peer_port)
+            self.datagrams[node] = DatagramLink(peer_port, place.peer_port)
+            self.backends[node] = FollowingLink(
+                backend_port, place.backend_port, self._running_test(place.backend_process)
+            )
+            await self.peers[node].start()
+            await self.datagrams[node].start()
+            await self.backends[node].start()
+            self.datagrams[node].is_cut_off = self._datagram_test(node)
+            for link in (self.calls[node], self.peers[node]):
+                link.is_cut_off = self._connection_test(node)
+            self.fleet.advertised_peer_ports[node] = peer_port
+            self.fleet.announced_ports[node] = backend_port
+
+    def begin_partition(self, places: list[NodePlace]) -> None:
+        """Cuts some nodes and their backend servers off from all others.
+
+        Open connections between the sides go silent, and so do new ones; datagrams are lost.
+        Callers outside of the fleet and the platform reach both sides.
+        """
+        self.side = frozenset(place.node_process for place in places)
+        owners = port_owners({name: child.pid for name, child in self.fleet.processes.items()})
+        for node in self.peers:
+            for link in (self.calls[node], self.peers[node]):
+                for connection in link.connections:
+                    owner = self.node_of_process.get(owners.get(connection.caller_port, ""), "")
+                    connection.silent = connection.silent or self._separates(owner, node)
+
+    def end_partition(self) -> None:
+        """Lets both sides reach each other; connections that went silent are reset."""
+        self.side = frozenset()
+        for node in self.peers:
+            for link in (self.calls[node], self.peers[node]):
+                for connection in list(link.connections):
+                    if connection.silent:
+                        connection.abort()
+
+    def _separates(self, one: str, other: str) -> bool:
+        return bool(self.side) and bool(one) and (one in self.side) != (other in self.side)
+
+    def _running_test(self, process: str) -> Callable[[], bool]:
+        def test() -> bool:
+            child = self.fleet.processes.get(process)
+            return child is not None and child.poll() is None
+
+        return test
+
+    def _datagram_test(self, node: str) -> Callable[[int], bool]:
+        # A node sends its datagrams from its peer port.
+        senders = {place.peer_port: place.node_process for place in self.fleet.places}
+        return lambda port: self._separates(senders.get(port, ""), node)
+
+    def _connection_test(self, node: str) -> Callable[[int], bool]:
+        def test(port: int) -> bool:
+            if not self.side:
+                return False
+            pids = {name: child.pid for name, child in self.fleet.processes.items()}
+            owner = self.node_of_process.get(port_owners(pids).get(port, ""), "")
+            return self._separates(owner, node)
+
+        return test
+
+    async def stop(self) -> None:
+        """Closes all links but those of the call ports."""
+        for link in (*self.peers.values(), *self.backends.values()):
+            await link.stop()
+        for datagram_link in self.datagrams.values():
+            datagram_link.stop()
+
+
+def port_owners(pids: dict[str, int]) -> dict[int, str]:
+    """Returns the names of own child processes by the TCP ports of their sockets."""
+    owner_of_inode = {}
+    for name, pid in pids.items():
+        # A process may end, or close a file, while its files are listed.
+        with suppress(OSError):
+            for entry in scandir(f"/proc/{pid}/fd"):
+                with suppress(OSError):
+                    target = readlink(entry.path)
+                    if target.startswith(SOCKET_PREFIX):
+                        owner_of_inode[target.removeprefix(SOCKET_PREFIX).rstrip("]")] = name
+    owners = {}
+    for line in Path("/proc/net/tcp").read_text(encoding="ascii").splitlines()[1:]:
+        fields = line.split()
+        name = owner_of_inode.get(fields[9])
+        if name is not None:
+            owners[int(fields[1].rpartition(":")[2], 16)] = name
+    return owners
--- a/src/coltsfoottrack/_internal/experiment/soak.py
+++ b/src/coltsfoottrack/_internal/experiment/soak.py
@@ -21,6 +21,7 @@
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
 from coltsfoottrack._internal.experiment.faults import FaultInjector, start_links
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, Fleet, NodePlace, free_ports
+from coltsfoottrack._internal.experiment.inner_links import InnerLinks
 from coltsfoottrack._internal.experiment.load import (
     LoadGenerator,
     Phase,
@@ -66,6 +67,12 @@
     "platform_slow",
     "platform_loses_answers",
     "platform_restored",
+    "inner_cut_peers",
+    "inner_silence_peers",
+    "inner_lose_datagrams",
+    "inner_cut_backend",
+    "inner_delay_backend",
+    "inner_partition",
 )
 
 
@@ -123,8 +130,9 @@
 class Soak:
     """One run over a fleet that has started."""
 
-    def __init__(self, fleet: Fleet, injector: FaultInjector, seed: int) -> None:
+    def __init__(self, fleet: Fleet, injector: FaultInjector, inner: InnerLinks, seed: int) -> None:
         self.fleet = fleet
+        self.inner = inner
         self.injector = injector
         self.seed = seed
         self.transport = Transport()
@@ -157,7 +165,9 @@
         kind, _, what = fault.kind.partition("_")
         injector = self.injector
         process = place.node_process if what == "node" else place.backend_process
-        if kind == "platform":
+        if kind == "inner":
+            await self._play_inner_fault(fault, place)
+        elif kind == "platform":
             await self._play_platform_fault(fault)
         elif kind in ("kill", "terminate"):
             (injector.kill if kind == "kill" else injector.terminate)(process)
@@ -190,6 +200,31 @@
         else:
             injector.link(place).silence_open()
 
+    async def _play_inner_fault(self, fault: PlannedFault, place: NodePlace) -> None:
+        inner, node = self.inner, place.node_process
+        if fault.kind == "inner_cut_peers":
+            inner.peers[node].cut()
+        elif fault.kind == "inner_silence_peers":
+            inner.peers[node].silence_open()
+        elif fault.kind == "inner_cut_backend":
+            inner.backends[node].cut()
+        elif fault.kind == "inner_lose_datagrams":
+            inner.datagrams[node].loses_all = True
+            await sleep(fault.seconds)
+            inner.datagrams[node].loses_all = False
+        elif fault.kind == "inner_delay_backend":
+            inner.backends[node].delay(fault.amount)
+            await sleep(fault.seconds)
+            inner.backends[node].delay(0.0)
+        elif not inner.side:
+            # One partition at a time; a node's failure domain is cut off from the others.
+            domain = place.failure_domain
+            inner.begin_partition(
+                [other for other in self.fleet.places if other.failure_domain == domain]
+            )
+            await sleep(fault.seconds)
+            inner.end_partition()
+
     async def _play_platform_fault(self, fault: PlannedFault) -> None:
         injector = self.injector
         if fault.kind == "platform_down":
@@ -306,15 +341,18 @@
 ) -> tuple[SoakVerdict, list[RequestResult], list[str]]:
     """Runs a soak with its files in a directory; returns the processes killed at the end too."""
     fleet = Fleet.from_config(shape, directory)
-    links = await start_links(fleet, free_ports(len(fleet.places)))
+    links = await start_links(fleet, free_ports(len(fleet.places), fleet.ports()))
     injector = FaultInjector(fleet, links)
+    inner = InnerLinks(fleet, links)
     try:
+        await inner.start()
         await to_thread(fleet.start)
         faults = plan_faults(seed, seconds, len(fleet.places))
-        results = await Soak(fleet, injector, seed).play(faults, seconds)
+        results = await Soak(fleet, injector, inner, seed).play(faults, seconds)
         counted = await violations_of_nodes(fleet)
     finally:
         killed = await to_thread(fleet.stop)
+        await inner.stop()
         for link in links.values():
             await link.stop()
     return judge(fleet, results, counted), results, killed
--- a/src/coltsfoottrack/_internal/membership/cluster.py
+++ b/src/coltsfoottrack/_internal/membership/cluster.py
@@ -69,9 +69,9 @@
         self.reunion = Event()
         self.reunited = ""
 
-    async def open(self) -> None:
+    async def open(self, port: int) -> None:
         """Binds the UDP socket. Raises OSError if the port is taken."""
-        await self.socket.open(self.local.member.address, self.local.member.peer_port)
+        await self.socket.open(self.local.member.address, port)
 
     def publish(self) -> None:
         """Spreads the own entry after a change, at once."""
--- a/src/coltsfoottrack/_internal/membership/local.py
+++ b/src/coltsfoottrack/_internal/membership/local.py
@@ -21,7 +21,7 @@
         region=settings.region,
         address=settings.address,
         call_port=settings.advertised_call_port or settings.call_port,
-        peer_port=settings.peer_port,
+        peer_port=settings.advertised_peer_port or settings.peer_port,
         incarnation=incarnation,
         revision=1,
         status=MEMBER_STATUS_ALIVE,
--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -63,7 +63,7 @@
     if not state.authentication.enabled:
         logger.warning("peer_authentication_off", node=state.name, setting="cluster_secret_file")
     try:
-        await state.cluster.open()
+        await state.cluster.open(settings.peer_port)
         await peer_server.start(settings.address, settings.peer_port)
         await call_server.start()
         await admin_server.start()
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -55,6 +55,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
         advertised_call_port = settings.advertised_call_port or settings.call_port
+        advertised_peer_port = settings.advertised_peer_port or settings.peer_port
         self.name = f"{settings.service}/{settings.name}"
         self.authentication = PeerAuthentication.from_file(
             settings.cluster_secret_file, settings.unsigned_peers_allowed
@@ -96,7 +97,7 @@
             service=settings.service,
             home=self.name,
             home_call_address=f"{settings.address}:{advertised_call_port}",
-            home_peer_address=f"{settings.address}:{settings.peer_port}",
+            home_peer_address=f"{settings.address}:{advertised_peer_port}",
             checker=self.checker,
             wall_ms=self.wall_clock.now_ms,
             choose_backup=BackupChoice(
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -87,7 +87,7 @@
             service=settings.service,
             name=settings.name,
             address=settings.address,
-            port=settings.port,
+            port=settings.announced_port or settings.port,
             slots=int(number_or_default(settings, "announced_slots")) or self.slots,
         )
 
