Report violations of the embedded client to the node beside it

Cause: the embedded client counted violations and logged them in the backend server's log; status and the metrics of its node did not show them.

Each announcement (every second, and the first message on a new connection) now carries all that the client's process has counted. Whole counts make lost and doubled reports harmless; the counts of ended processes are kept by the incarnation. Ruled out: a message of its own, which needs another task and says nothing that the announcement cannot.

Before: status 0 after 3 breaches in the client. After: 3, as "(embedded client)", and in coltsfoottrack_client_violations. Test seen to fail with the report left out ("0 != 3") and with the counts of ended processes dropped ("1 != 3"): test_violations_of_the_embedded_client_reach_the_node.

Not covered: breaches in the last second before the client's process ends.

--- a/src/coltsfoottrack/_internal/cli/status_report.py
+++ b/src/coltsfoottrack/_internal/cli/status_report.py
@@ -6,6 +6,7 @@
 from coltsfoottrack._internal.cli.fleet_access import FleetAccess, NodeAnswer
 from coltsfoottrack._internal.cli.output import clock_time, since, table
 from coltsfoottrack._internal.membership.table import member_id
+from coltsfoottrack._internal.observability.invariants import PROCESS_CLIENT
 from coltsfoottrack._internal.observability.refusals import RUN_GAP_MS
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MemberStatus, StatusReply
 
@@ -79,7 +80,12 @@
             "problem": reply.configuration_problem,
         },
         "violations": [
-            {"invariant": item.invariant, "count": item.count, "since_ms": item.since_ms}
+            {
+                "invariant": item.invariant,
+                "count": item.count,
+                "since_ms": item.since_ms,
+                "process": item.process,
+            }
             for item in reply.violations_by_invariant
         ],
         "peer_authentication": reply.peer_authentication,
@@ -243,8 +249,9 @@
     lines = []
     for item in document["violations"]:
         lines.append(
-            f"VIOLATION {item['invariant']} at {item['node']}: {item['count']} "
-            f"since {since(item['since_ms'])}"
+            f"VIOLATION {item['invariant']} at {item['node']}"
+            f"{' (embedded client)' if item['process'] == PROCESS_CLIENT else ''}: "
+            f"{item['count']} since {since(item['since_ms'])}"
         )
     for item in document["unreachable"]:
         lines.append(
--- a/src/coltsfoottrack/_internal/node/admin_server.py
+++ b/src/coltsfoottrack/_internal/node/admin_server.py
@@ -127,6 +127,9 @@
     metrics.retries.set({"result": "refused"}, state.ring.counts[EventKind.RETRY_REFUSED.value])
     for invariant in Invariant:
         metrics.violations.set({"invariant": invariant.value}, state.checker.violations[invariant])
+        metrics.client_violations.set({"invariant": invariant.value}, 0)
+    for item in state.client_violations.counts():
+        metrics.client_violations.set({"invariant": item.invariant}, item.count)
     statuses = Counter(member.status for member in state.members.members.values())
     for status in MemberStatus.values():
         name = MemberStatus.Name(status).removeprefix(STATUS_PREFIX).lower()
--- a/src/coltsfoottrack/_internal/node/operator_service.py
+++ b/src/coltsfoottrack/_internal/node/operator_service.py
@@ -18,7 +18,6 @@
     EventsRequest,
     StatusReply,
     StatusRequest,
-    ViolationCount,
 )
 
 DEFAULT_EVENT_LIMIT = 1000
@@ -101,7 +100,7 @@
         admission_level=state.admission.level,
         shedding_since_ms=state.refusals.shedding_since_ms(SHED_REASONS),
         refusals=list(state.refusals.runs.values()),
-        violations=checker.total(),
+        violations=checker.total() + state.client_violations.total(),
         backend_ready=state.backend.is_ready,
         open_keys=len(state.ledger.records),
         unknown_outcomes=state.ring.counts[EventKind.UNKNOWN.value],
@@ -120,12 +119,8 @@
         peer_authentication=state.authentication.mode,
         unauthenticated_messages=state.authentication.refused(),
     )
-    for invariant, count in checker.violations.items():
-        reply.violations_by_invariant.append(
-            ViolationCount(
-                invariant=invariant.value, count=count, since_ms=checker.since_ms.get(invariant, 0)
-            )
-        )
+    reply.violations_by_invariant.extend(checker.counts())
+    reply.violations_by_invariant.extend(state.client_violations.counts())
     return reply
 
 
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -29,7 +29,7 @@
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.node.drain import Drain
 from coltsfoottrack._internal.node.local_calls import LocalCalls
-from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.observability.invariants import InvariantChecker, ReportedViolations
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
 from coltsfoottrack._internal.observability.refusals import RefusalRuns
 from coltsfoottrack._internal.platform.client import PlatformClient
@@ -66,6 +66,7 @@
         self.refusals = RefusalRuns()
         self.started_ms = int(time() * 1000)
         self.checker = InvariantChecker()
+        self.client_violations = ReportedViolations()
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
         self.platform = PlatformClient.from_config(settings.platform_addresses)
--- a/src/coltsfoottrack/_internal/observability/invariants.py
+++ b/src/coltsfoottrack/_internal/observability/invariants.py
@@ -1,11 +1,14 @@
 """Assertions of the product's invariants that stay on in every build."""
 
 from collections import Counter
+from collections.abc import Iterable
 from enum import StrEnum
 from time import time
 
 from structlog import get_logger
 
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ViolationCount
+
 logger = get_logger(__name__)
 
 
@@ -22,6 +25,10 @@
     CONFIGURATION_NEVER_REVERTS = "configuration_never_reverts"
 
 
+KNOWN = frozenset(invariant.value for invariant in Invariant)
+PROCESS_CLIENT = "client"
+
+
 class InvariantChecker:
     """Counts violations; the first of each kind and every thousandth is logged."""
 
@@ -40,6 +47,58 @@
             logger.error("invariant_violated", invariant=invariant.value, detail=detail)
         return False
 
+    def counts(self) -> list[ViolationCount]:
+        """Returns the violations of each kind that occurred."""
+        found = []
+        for invariant, count in self.violations.items():
+            since_ms = self.since_ms.get(invariant, 0)
+            found.append(
+                ViolationCount(invariant=invariant, count=count, since_ms=since_ms, process="node")
+            )
+        return found
+
     def total(self) -> int:
         """Returns the number of violations of all kinds."""
         return self.violations.total()
+
+
+class ReportedViolations:
+    """Violations that embedded clients reported, those of ended processes included.
+
+    Each report holds all that its process has counted, so one that is lost or doubled is harmless.
+    """
+
+    def __init__(self) -> None:
+        self.incarnation = 0
+        self.current: Counter[Invariant] = Counter()
+        self.ended: Counter[Invariant] = Counter()
+        self.since_ms: dict[Invariant, int] = {}
+
+    def take(self, incarnation: int, counts: Iterable[ViolationCount]) -> None:
+        """Takes over what a client has counted since its process started."""
+        if incarnation != self.incarnation:
+            self.ended += self.current
+            self.current.clear()
+            self.incarnation = incarnation
+        for item in counts:
+            # Only known names, which become values of a metric's label.
+            if item.invariant in KNOWN:
+                invariant = Invariant(item.invariant)
+                self.current[invariant] = max(self.current[invariant], item.count)
+                self.since_ms.setdefault(invariant, item.since_ms)
+
+    def counts(self) -> list[ViolationCount]:
+        """Returns the violations of each kind that were reported."""
+        found = []
+        for invariant, count in (self.ended + self.current).items():
+            since_ms = self.since_ms[invariant]
+            found.append(
+                ViolationCount(
+                    invariant=invariant, count=count, since_ms=since_ms, process=PROCESS_CLIENT
+                )
+            )
+        return found
+
+    def total(self) -> int:
+        """Returns the number of violations of all kinds."""
+        return self.ended.total() + self.current.total()
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -60,6 +60,11 @@
             "Violations since the start, by invariant.",
             registry=self.registry,
         )
+        self.client_violations = Gauge(
+            "coltsfoottrack_client_violations",
+            "Violations that embedded clients reported since the node's start, by invariant.",
+            registry=self.registry,
+        )
         self.members = Gauge(
             "coltsfoottrack_members",
             "Known members by status.",
--- a/src/coltsfoottrack/_internal/routing/client.py
+++ b/src/coltsfoottrack/_internal/routing/client.py
@@ -104,6 +104,8 @@
         request.incarnation = self.incarnation
         while True:
             request.envelope.CopyFrom(self._envelope())
+            del request.violations[:]
+            request.violations.extend(self.checker.counts())
             try:
                 await self.node.Announce(request, timeout=RPC_TIMEOUT_SECONDS)
             except (OSError, GRPCError, StreamTerminatedError, TimeoutError):
--- a/tests/unit/test_operator_service.py
+++ b/tests/unit/test_operator_service.py
@@ -1,5 +1,6 @@
 """Operator and Backend services of a node, over gRPC in this process."""
 
+from asyncio import create_task, wait_for
 from unittest import IsolatedAsyncioTestCase
 
 from grpclib.const import Status
@@ -15,8 +16,10 @@
 from coltsfoottrack._internal.node.operator_service import OperatorService, status_reply
 from coltsfoottrack._internal.node.state import NodeState
 from coltsfoottrack._internal.observability.invariants import Invariant
+from coltsfoottrack._internal.routing.client import CallClient
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import BackendStub, OperatorStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
+    AnnounceRequest,
     ConfigurationRecord,
     DrainRequest,
     Envelope,
@@ -100,6 +103,43 @@
         refresh_gauges(state)
         self.assertEqual(state.metrics.violations.get({"invariant": "shed_order"}), 1)
 
+    async def announce(self, client: CallClient) -> None:
+        """Lets a client announce itself to the node once."""
+        async with ChannelFor([BackendService(self.state)]) as channel:
+            client.node = BackendStub(channel)
+            request = AnnounceRequest(service="stores", name="a", address="127.0.0.1", port=9)
+            announced = self.state.backend.announced
+            announcing = create_task(client.announce_forever(request))
+            await wait_for(announced.wait(), 5.0)
+            announcing.cancel()
+
+    async def test_violations_of_the_embedded_client_reach_the_node(self) -> None:
+        """Guards against breaches that only a backend server's own log shows."""
+        client = CallClient("demo", "stores/a", "127.0.0.1:9")
+        client.checker.check(False, Invariant.BOUNDED_RETRIES, "test")
+        client.checker.check(False, Invariant.BOUNDED_RETRIES, "test")
+        # A report that comes twice counts once.
+        await self.announce(client)
+        await self.announce(client)
+        # The violations of a process that has ended stay.
+        client.incarnation += 1
+        client.checker.violations.clear()
+        client.checker.check(False, Invariant.BOUNDED_RETRIES, "test")
+        await self.announce(client)
+        await client.close()
+        reply = status_reply(self.state)
+        self.assertEqual(reply.violations, 3)
+        access = FleetAccess(["127.0.0.1:1"], [])
+        document = build_status(access, [NodeAnswer("127.0.0.1:1", "stores/a", reply)])
+        self.assertIn(
+            "VIOLATION bounded_retries at stores/a (embedded client): 3 since",
+            "\n".join(status_lines(document)),
+        )
+        refresh_gauges(self.state)
+        labels = {"invariant": "bounded_retries"}
+        self.assertEqual(self.state.metrics.client_violations.get(labels), 3)
+        self.assertEqual(self.state.metrics.violations.get(labels), 0)
+
     async def test_changes_of_configuration_leave_events(self) -> None:
         recorder = ChangeRecorder(self.state)
         record = ConfigurationRecord(generation=4, change_id="c", author="operator x")
