Say in cancelled events whether the call waited or ran; drop EXIT_OK

Cause: a cancelled event held only the whole time of the call, so a wait for a slot looked like a slow backend server. The progress of a call is now kept in a context variable, which a run under a key inherits from the task that answers the caller. Ruled out: a field of CallContext (a tuple that each layer replaces) and an attribute of the CancelledError (a keyed run is not cancelled with its caller).

Before: no detail. After: "while it waited for a slot", "while it ran", "while another node had it" or "before it asked for a slot", with both times. Test seen to fail with the stage left out: test_event_of_a_cancelled_call_says_whether_it_ran, 'before it asked for a slot' for 'while it waited for a slot'. A copy that waits for another copy's run under the same key has asked for no slot itself and says so. Events of the embedded client stay as they were.

EXIT_OK in cli was used nowhere; the table of statuses keeps the 0.

--- a/src/coltsfoottrack/_internal/cli/exceptions.py
+++ b/src/coltsfoottrack/_internal/cli/exceptions.py
@@ -10,7 +10,6 @@
 | 5 | the change is stored, but not every known node has confirmed it, or it is not certain |
 """
 
-EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
 EXIT_CONFLICT = 3
--- a/src/coltsfoottrack/_internal/events/call_record.py
+++ b/src/coltsfoottrack/_internal/events/call_record.py
@@ -1,5 +1,7 @@
 """Events of answered calls: late, slow, refused, failed and unknown ones leave one each."""
 
+from contextvars import ContextVar
+from enum import StrEnum
 from time import monotonic
 
 from coltsfoottrack._internal.calls.context import CallContext
@@ -8,6 +10,50 @@
 from coltsfoottrack._internal.events.ring import EventRing
 
 
+class Stage(StrEnum):
+    """How far a call has come, as the events of cancelled calls say."""
+
+    ARRIVED = "before it asked for a slot"
+    SENT_ON = "while another node had it"
+    WAITING = "while it waited for a slot"
+    RUNNING = "while it ran"
+
+
+class CallProgress:
+    """The stage of one call and the time spent in each."""
+
+    def __init__(self) -> None:
+        self.stage = Stage.ARRIVED
+        self.since = monotonic()
+        self.seconds: dict[Stage, float] = {}
+
+    def enter(self, stage: Stage) -> None:
+        """Notes that a call has come to a stage, where a shed one may be again."""
+        now = monotonic()
+        self.seconds[self.stage] = self.milliseconds(self.stage) / 1000.0
+        self.stage = stage
+        self.since = now
+
+    def milliseconds(self, stage: Stage) -> float:
+        """Returns the time spent in a stage so far, in ms."""
+        seconds = self.seconds.get(stage, 0.0)
+        if stage is self.stage:
+            seconds += monotonic() - self.since
+        return seconds * 1000.0
+
+
+# The progress of the call that a task answers. A task that runs a call for it, as under a key,
+# inherits the same object.
+progress: ContextVar[CallProgress | None] = ContextVar("progress", default=None)
+
+
+def enter_stage(stage: Stage) -> None:
+    """Notes the stage of the call that the present task answers, if there is one."""
+    current = progress.get()
+    if current is not None:
+        current.enter(stage)
+
+
 def record_answer(
     ring: EventRing, context: CallContext, answer: Answer, started: float, backend_server: str = ""
 ) -> None:
@@ -43,11 +89,15 @@
 def record_cancelled(
     ring: EventRing, context: CallContext, started: float, backend_server: str = ""
 ) -> None:
-    """Records a call whose caller went away before its answer."""
+    """Records a call whose caller went away before its answer, and how far it had come."""
+    current = progress.get()
     ring.add_call(
         EventKind.CANCELLED.value,
         context,
         reason="caller_gone",
+        detail=current.stage.value if current else "",
+        queued_ms=current.milliseconds(Stage.WAITING) if current else 0.0,
+        running_ms=current.milliseconds(Stage.RUNNING) if current else 0.0,
         duration_ms=(monotonic() - started) * 1000.0,
         backend_server=backend_server,
     )
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -33,7 +33,14 @@
     unknown,
     without_asking_home,
 )
-from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
+from coltsfoottrack._internal.events.call_record import (
+    CallProgress,
+    Stage,
+    enter_stage,
+    progress,
+    record_answer,
+    record_cancelled,
+)
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
 from coltsfoottrack._internal.ledger.ledger import request_digest
@@ -131,6 +138,7 @@
         except (HTTPException, TimeoutError):
             text = "body did not arrive whole and in time"
             return self._refuse_input("408", refused(Reason.BAD_REQUEST, text=text))
+        progress.set(CallProgress())
         try:
             answer = await self._call(context, body, grant.idempotent)
         except CancelledError:
@@ -256,6 +264,7 @@
 
     async def _dispatch(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
         if context.service != self.state.settings.service:
+            enter_stage(Stage.SENT_ON)
             return await self.state.router.call(context, body)
         if idempotent:
             return await self.state.dispatcher.run_copy(context, body)
@@ -277,6 +286,7 @@
         if context.dispatch_number and context.from_peer:
             return await state.dispatcher.run_dispatch(context, body)
         if not state.ledger.is_home(key) and not context.from_peer:
+            enter_stage(Stage.SENT_ON)
             return await state.router.call(context, body)
         answer = await state.ledger.run(context, body, state.dispatcher.run_under_key)
         if answer.retry_useful:
--- a/src/coltsfoottrack/_internal/node/local_calls.py
+++ b/src/coltsfoottrack/_internal/node/local_calls.py
@@ -7,6 +7,7 @@
 from coltsfoottrack._internal.admission.exceptions import NotAdmittedError
 from coltsfoottrack._internal.calls.context import CallContext
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
+from coltsfoottrack._internal.events.call_record import Stage, enter_stage
 from coltsfoottrack._internal.events.ring import EventRing
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
@@ -53,12 +54,14 @@
         answer = refused(Reason.BACKEND_SHED, retry_useful=True)
         for _ in range(1 if decisions_off else MAX_SENDINGS):
             arrived = monotonic()
+            enter_stage(Stage.WAITING)
             try:
                 waited = await self.admission.admit(context)
             except NotAdmittedError as error:
                 answer = self._refuse(context, error.reason)
                 return answer._replace(queued_ms=(monotonic() - arrived) * 1000.0)
             self.metrics.queue_delay.observe({}, waited)
+            enter_stage(Stage.RUNNING)
             answer = await self._run_admitted(context, body, waited)
             if answer.reason is not Reason.BACKEND_SHED:
                 break
--- a/tests/unit/test_call_port.py
+++ b/tests/unit/test_call_port.py
@@ -1,7 +1,8 @@
 """The call port under bad input, over real sockets."""
 
 import sys
-from asyncio import StreamReader, StreamWriter, gather, open_connection, sleep, wait_for
+from asyncio import Event, StreamReader, StreamWriter, gather, open_connection, sleep, wait_for
+from collections.abc import Callable
 from logging import disable
 from random import Random
 from socket import AF_INET, SOCK_STREAM, socket
@@ -100,6 +101,13 @@
         reply = await self.exchange(data)
         return int(reply.split()[1]) if reply else 0
 
+    async def until(self, condition: Callable[[], bool]) -> None:
+        for _ in range(1000):
+            if condition():
+                return
+            await sleep(0.005)
+        self.fail("the condition was not met in time")
+
     def bad_requests(self, status: str) -> int:
         return self.state.metrics.bad_requests.values.get({"status": status}, 0)
 
@@ -140,6 +148,40 @@
         await sleep(0.05)
         self.assertEqual((self.server.server.open_connections, self.seen), (0, []))
 
+    async def test_event_of_a_cancelled_call_says_whether_it_ran(self) -> None:
+        """Guards against a wait for a slot that is taken for a slow backend server."""
+        state = self.state
+        state.dispatcher.run_here = state.local_calls.run
+        state.backend.address = "127.0.0.1:9"
+        state.backend.slots = state.backend.starts = 1
+        running = Event()
+
+        async def run(_context: CallContext, _body: bytes) -> Answer:
+            running.set()
+            await sleep(60.0)
+            return Answer(Outcome.DONE)
+
+        state.backend.run = run
+        writers = []
+        for number in range(2):
+            _, writer = await self.connect()
+            writer.write(post(Request_Id=f"r{number}"))
+            writers.append(writer)
+            await wait_for(running.wait(), 5.0)
+        await self.until(lambda: bool(state.admission.queue.waiters))
+        # The one that waits goes first, since the end of the other gives it the slot.
+        for number, writer in enumerate(reversed(writers), 1):
+            writer.close()
+            await self.until(lambda number=number: state.ring.counts["cancelled"] == number)
+        cancelled = [event for event in state.ring.events if event.kind == "cancelled"]
+        self.assertEqual(
+            [(event.request_id, event.detail) for event in cancelled],
+            [("r1", "while it waited for a slot"), ("r0", "while it ran")],
+        )
+        waited, ran = cancelled
+        self.assertTrue(waited.queued_ms > 0.0 and not waited.running_ms)
+        self.assertGreater(ran.running_ms, 0.0)
+
     async def test_slow_body_is_cut_off(self) -> None:
         reply = await self.exchange(post(b"x" * 10)[:-1])
         self.assertIn(b"408", reply[:20])
