Ask for crashes again after a call has waited for a suspect

Cause: found while reading for the crash bound. A call that waited until a suspect had run alone, or a suspect that waited for the others to finish, went on with the count of crashes from before the wait. Reports of other nodes that came in that time (up to 0.25 s each) did not hold for it, so a quarantined request was still run and could take down a third backend server.

Before: run ("1 != 0" crashes) after a report of two crashes. After: refused with reason quarantined.

--- a/src/coltsfoottrack/_internal/node/backend_link.py
+++ b/src/coltsfoottrack/_internal/node/backend_link.py
@@ -157,17 +157,20 @@
     async def run(self, context: CallContext, body: bytes) -> Answer:
         """Runs a call on the backend server, unless it is quarantined."""
         digest = request_digest(context.service, context.operation, body)
-        crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
-        if crashes >= QUARANTINE_CRASHES:
-            return quarantined(context, crashes)
-        try:
-            if crashes:
-                return await self._run_on_probation(context, body, digest)
-            if not self.open.is_set():
+        while True:
+            # Asked anew after each wait, in which other nodes may have reported crashes.
+            crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
+            if crashes >= QUARANTINE_CRASHES:
+                return quarantined(context, crashes)
+            try:
+                if crashes:
+                    return await self._run_on_probation(context, body, digest)
+                if self.open.is_set():
+                    break
                 await self._wait_until_open(context)
-        except TimeoutError:
-            return refused(Reason.DEADLINE)._replace(suspected_crashes=crashes)
-        return await self._dispatch(context, body, RunningCall(digest, crashes))
+            except TimeoutError:
+                return refused(Reason.DEADLINE)._replace(suspected_crashes=crashes)
+        return await self._dispatch(context, body, RunningCall(digest, 0))
 
     async def _wait_until_open(self, context: CallContext) -> None:
         """Waits while a suspect runs alone. Raises TimeoutError at the deadline."""
@@ -196,6 +199,9 @@
                     await self.idle.wait()
             except TimeoutError:
                 pass
+            crashes = max(self.suspects.crashes(digest), context.suspected_crashes)
+            if crashes >= QUARANTINE_CRASHES:
+                return quarantined(context, crashes)
             reopening = get_running_loop().call_later(self.alone_seconds, self.open.set)
             try:
                 return await self._dispatch(context, body, RunningCall(digest, crashes))
--- a/tests/unit/test_suspects.py
+++ b/tests/unit/test_suspects.py
@@ -295,6 +295,32 @@
 class ProbationTest(TestCase):
     """Guards against a suspect that gives up its place and stops the node."""
 
+    def test_crashes_reported_while_a_call_waits_hold_for_it(self) -> None:
+        """Guards against a third crash by a copy that waited for a suspect to run alone."""
+
+        async def play_once(known_crashes: int) -> Answer:
+            service = Service(1, 0.0)
+            link = service.servers[0].link
+            link.alone_seconds = 0.2
+            context = CallContext(
+                "stores", "lookup", "r", "c", Deadline.after_ms(5_000), AttemptBudget(0)
+            )
+            link.idle.clear()
+            link.open.clear()
+            copy = context._replace(suspected_crashes=known_crashes)
+            sending = create_task(link.run(copy, b"crash"))
+            await sleep(0.01)
+            digest = request_digest("stores", "lookup", b"crash")
+            link.suspects.merge(SuspectReport(digest, 2, 0))
+            link.open.set()
+            link.idle.set()
+            answer = await sending
+            self.assertEqual(service.crashes.total(), 0)
+            return answer
+
+        for known_crashes in (0, 1):
+            self.assertEqual(run(play_once(known_crashes)).reason, Reason.QUARANTINED)
+
     def test_cancelled_and_late_suspects_leave_the_node_open(self) -> None:
         async def play_once() -> Answer:
             service = Service(1, 0.0)
