--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -7,6 +7,7 @@
 import fire.core
 from fire import Fire
 
+from coltsfoottrack._internal.calls.exceptions import SecretFileError
 from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, EXIT_FAILED, CommandError
 from coltsfoottrack._internal.configuration.exceptions import (
     ConfigurationError,
@@ -43,6 +44,8 @@
         Fire(load_commands(words), command=words, name="coltsfoottrack")
     except SettingsError as error:
         _fail(str(error), EXIT_BAD_INPUT)
+    except SecretFileError as error:
+        _fail(f"coltsfoottrack: cluster secret: {error}", EXIT_BAD_INPUT)
     except CommandError as error:
         _fail(f"coltsfoottrack: {error}", error.exit_status)
     except ListenError as error:
--- a/src/coltsfoottrack/_internal/cli/status_document.py
+++ b/src/coltsfoottrack/_internal/cli/status_document.py
@@ -23,11 +23,12 @@
 
 
 class ViolationDocument(TypedDict):
-    """Violations of one invariant at a node."""
+    """Violations of one invariant at a node or in the embedded client beside it."""
 
     invariant: str
     count: int
     since_ms: int
+    process: str
 
 
 class HeldConfigurationDocument(TypedDict):
@@ -79,6 +80,8 @@
     platform: PlatformContactDocument
     configuration: HeldConfigurationDocument
     violations: list[ViolationDocument]
+    peer_authentication: str
+    unauthenticated_messages: int
     started_ms: int
     resident_bytes: int
 
@@ -207,9 +210,16 @@
             "problem": reply.configuration_problem,
         },
         "violations": [
-            {"invariant": item.invariant, "count": item.count, "since_ms": item.since_ms}
+            {
+                "invariant": item.invariant,
+                "count": item.count,
+                "since_ms": item.since_ms,
+                "process": item.process,
+            }
             for item in reply.violations_by_invariant
         ],
+        "peer_authentication": reply.peer_authentication,
+        "unauthenticated_messages": reply.unauthenticated_messages,
         "started_ms": reply.started_ms,
         "resident_bytes": reply.resident_bytes,
     }
--- a/src/coltsfoottrack/_internal/cli/status_report.py
+++ b/src/coltsfoottrack/_internal/cli/status_report.py
@@ -9,6 +9,7 @@
     ShedDocument,
     StatusDocument,
 )
+from coltsfoottrack._internal.observability.invariants import PROCESS_CLIENT
 
 MAX_NAMES_SHOWN = 6
 SERVICE_HEADER = (
@@ -43,6 +44,7 @@
         f"cluster {document['cluster']}: {len(nodes)} nodes answer, "
         f"{len(document['unreachable'])} do not; configuration generation {document['generation']}"
     )
+    lines.extend(_authentication_lines(nodes))
     lines.extend(_trouble_lines(document))
     lines.append("")
     lines.extend(table(SERVICE_HEADER, [_service_row(service) for service in document["services"]]))
@@ -102,12 +104,26 @@
     return f"{shown} and {more} more" if more > 0 else shown
 
 
+def _authentication_lines(nodes: list[NodeDocument]) -> list[str]:
+    """Says where a caller could pose as a peer; nothing if all nodes require signatures."""
+    lines = []
+    for mode in ("off", "optional"):
+        names = [node["name"] for node in nodes if node["peer_authentication"] == mode]
+        if names:
+            lines.append(
+                f"peer authentication {mode} at {len(names)} of {len(nodes)} nodes, so callers can "
+                f"pose as peers there: {_names(names)}"
+            )
+    return lines
+
+
 def _trouble_lines(document: StatusDocument) -> list[str]:
     lines = []
     for item in document["violations"]:
         lines.append(
-            f"VIOLATION {item['invariant']} at {item['node']}: {item['count']} "
-            f"since {since(item['since_ms'])}"
+            f"VIOLATION {item['invariant']} at {item['node']}"
+            f"{' (embedded client)' if item['process'] == PROCESS_CLIENT else ''}: "
+            f"{item['count']} since {since(item['since_ms'])}"
         )
     for item in document["unreachable"]:
         lines.append(
@@ -122,6 +138,11 @@
             f"force since {clock_time(item['since_ms'])}{problem}"
         )
     for node in document["nodes"]:
+        if node["unauthenticated_messages"]:
+            lines.append(
+                f"UNAUTHENTICATED {node['name']}: refused {node['unauthenticated_messages']} "
+                "messages that posed as those of peers"
+            )
         if node["not_ready"]:
             lines.append(f"NOT READY {node['name']}: {node['not_ready']}")
     cut_off = [node for node in document["nodes"] if not node["platform"]["reachable"]]
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -17,7 +17,11 @@
     read_context,
     whole_number,
 )
-from coltsfoottrack._internal.calls.exceptions import BadRequestError, InvalidKeyError
+from coltsfoottrack._internal.calls.exceptions import (
+    BadRequestError,
+    InvalidKeyError,
+    UnauthenticatedPeerError,
+)
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, is_identifier
 from coltsfoottrack._internal.calls.outcome import (
     Answer,
@@ -27,7 +31,14 @@
     unknown,
     without_asking_home,
 )
-from coltsfoottrack._internal.events.call_record import record_answer, record_cancelled
+from coltsfoottrack._internal.events.call_record import (
+    CallProgress,
+    CallStage,
+    enter_stage,
+    progress,
+    record_answer,
+    record_cancelled,
+)
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
 from coltsfoottrack._internal.ledger.ledger import request_digest
@@ -56,7 +67,9 @@
     )
 )
 # Refusals for the form of a request, made before its key is read.
-INPUT_REASONS = frozenset((Reason.BAD_REQUEST, Reason.TOO_LARGE, Reason.WRONG_CLUSTER))
+INPUT_REASONS = frozenset(
+    (Reason.BAD_REQUEST, Reason.TOO_LARGE, Reason.WRONG_CLUSTER, Reason.UNAUTHENTICATED)
+)
 
 
 class CallTimes:
@@ -122,10 +135,13 @@
             context = read_context(service, operation, request.headers, grant)
         except WrongClusterError as error:
             return self._refuse_input(400, refused(Reason.WRONG_CLUSTER, text=str(error)))
+        except UnauthenticatedPeerError as error:
+            return self._refuse_input(401, refused(Reason.UNAUTHENTICATED, text=str(error)))
         except BadRequestError as error:
             return self._refuse_input(400, refused(Reason.BAD_REQUEST, text=str(error)))
         started = request.received_at
         times.read = monotonic()
+        progress.set(CallProgress())
         try:
             answer = await self._call(context, request.body, grant.idempotent)
         except CancelledError:
@@ -195,6 +211,8 @@
                 f"protocol version {version!r}, this node speaks {PROTOCOL_VERSION}"
             )
         if cluster is not None:
+            # Only a proven peer may pass on depth, dispatches and the event clock.
+            self.state.authentication.check_call(request.target.decode("latin-1"), headers)
             self.state.clock.observe(whole_number(headers, EVENT_CLOCK, 0, 2**63 - 1))
 
     async def _call(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
@@ -257,6 +275,7 @@
 
     async def _dispatch(self, context: CallContext, body: bytes, idempotent: bool) -> Answer:
         if context.service != self.state.settings.service:
+            enter_stage(CallStage.SENT_ON)
             return await self.state.router.call(context, body)
         if idempotent:
             return await self.state.dispatcher.run_copy(context, body)
@@ -278,6 +297,7 @@
         if context.dispatch_number and context.from_peer:
             return await state.dispatcher.run_dispatch(context, body)
         if not state.ledger.is_home(key) and not context.from_peer:
+            enter_stage(CallStage.SENT_ON)
             return await state.router.call(context, body)
         answer = await state.ledger.run(context, body, state.dispatcher.run_under_key)
         if answer.retry_useful:
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -10,6 +10,7 @@
 from coltsfoottrack._internal.admission.suspects import SuspectTable
 from coltsfoottrack._internal.calls.budget import RequestMemory
 from coltsfoottrack._internal.calls.context import PROTOCOL_VERSION
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.distribution import ConfigurationDistribution
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.configuration.peers import GrpcConfigurationPeers
@@ -29,7 +30,7 @@
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.node.drain import Drain
 from coltsfoottrack._internal.node.local_calls import LocalCalls
-from coltsfoottrack._internal.observability.invariants import InvariantChecker
+from coltsfoottrack._internal.observability.invariants import InvariantChecker, ReportedViolations
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
 from coltsfoottrack._internal.observability.refusals import RefusalRuns
 from coltsfoottrack._internal.platform.client import PlatformClient
@@ -57,13 +58,18 @@
     def __init__(self, settings: NodeSettings) -> None:
         self.settings = settings
         advertised_call_port = settings.advertised_call_port or settings.call_port
+        advertised_peer_port = settings.advertised_peer_port or settings.peer_port
         self.name = f"{settings.service}/{settings.name}"
+        self.authentication = PeerAuthentication.from_file(
+            settings.cluster_secret_file, settings.unsigned_peers_allowed
+        )
         self.clock = HybridClock()
         self.ring = EventRing(self.name, self.clock)
         self.metrics = NodeMetrics()
         self.refusals = RefusalRuns()
         self.started_ms = int(time() * 1000)
         self.checker = InvariantChecker()
+        self.client_violations = ReportedViolations()
         self.configuration = ConfigurationHolder(self.checker)
         self.members = MembershipTable()
         self.platform = PlatformClient.from_config(settings.platform_addresses)
@@ -79,7 +85,7 @@
         self.wall_clock = WallClock()
         self.registry = CallRegistry(self.checker, self.wall_clock.now_ms)
         self.backend.registry = self.registry
-        self.channels = PeerChannels()
+        self.channels = PeerChannels(self.authentication)
         self.limiter = ConcurrencyLimiter()
         self.admission = AdmissionController(
             self.limiter,
@@ -95,7 +101,7 @@
             service=settings.service,
             home=self.name,
             home_call_address=f"{settings.address}:{advertised_call_port}",
-            home_peer_address=f"{settings.address}:{settings.peer_port}",
+            home_peer_address=f"{settings.address}:{advertised_peer_port}",
             checker=self.checker,
             wall_ms=self.wall_clock.now_ms,
             choose_backup=BackupChoice(
@@ -115,6 +121,7 @@
             ring=self.ring,
             random=Random(),
             checker=self.checker,
+            authentication=self.authentication,
         )
         self.local_calls.absence = self.router.absence
         self.router.decisions_off = settings.decisions_off
@@ -138,6 +145,7 @@
                 self.name,
                 self.clock,
                 lambda: (self.configuration.generation, self.configuration.record.change_id),
+                self.authentication,
             ),
             registration=Registration(self.platform, self.local, Random()),
             channels=self.channels,
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -68,6 +68,11 @@
             "Violations since the start, by invariant.",
             registry=self.registry,
         )
+        self.client_violations = Gauge(
+            "coltsfoottrack_client_violations",
+            "Violations that embedded clients reported since the node's start, by invariant.",
+            registry=self.registry,
+        )
         self.members = Gauge(
             "coltsfoottrack_members",
             "Known members by status.",
@@ -78,6 +83,11 @@
             "Calls that a peer asked about, by what this node knew of them.",
             registry=self.registry,
         )
+        self.unauthenticated = Counter(
+            "coltsfoottrack_unauthenticated_total",
+            "Messages that do not prove that they come from the cluster, by kind and problem.",
+            registry=self.registry,
+        )
         self.gauges: dict[str, Gauge] = {}
         # Plain counts, copied to the collectors at each scrape: an increment of a collector takes
         # 4 to 5 us, one of these 0.2 us, and each call makes several.
--- a/src/coltsfoottrack/_internal/routing/router.py
+++ b/src/coltsfoottrack/_internal/routing/router.py
@@ -18,6 +18,7 @@
     unknown,
     without_asking_home,
 )
+from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.policy import PolicyTable
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.events.ring import EventRing
@@ -65,6 +66,7 @@
         ring: EventRing,
         random: Random,
         checker: InvariantChecker,
+        authentication: PeerAuthentication | None = None,
     ) -> None:
         self.cluster = cluster
         self.members = members
@@ -80,7 +82,9 @@
         self.absence = AbsentServices(members)
         self.outstanding: Counter[str] = Counter()
         self.ratios: dict[str, RetryRatio] = {}
-        self.exchange = Exchange(cluster, clock, self.transport, members, policies)
+        self.exchange = Exchange(
+            cluster, clock, self.transport, members, policies, authentication=authentication
+        )
         self.keys = KeyPool(
             cluster,
             clock,
@@ -89,6 +93,7 @@
             members,
             policies,
             self.absence.is_away,
+            authentication,
         )
 
     async def call(self, context: CallContext, body: bytes) -> Answer:
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -79,13 +79,14 @@
             settings.cluster,
             f"{settings.service}/{settings.name}",
             settings.node_peer_address,
+            settings.cluster_secret_file,
         )
         self.client.router.decisions_off = settings.decisions_off
         self.announcement = AnnounceRequest(
             service=settings.service,
             name=settings.name,
             address=settings.address,
-            port=settings.port,
+            port=settings.announced_port or settings.port,
             slots=int(number_or_default(settings, "announced_slots")) or self.slots,
         )
 
