Give datagrams of a test their list of changes

Cause: encode takes the changes apart from whole updates since the merge. Ruled out: a default, which would let a sender forget them. Before: TypeError in one test. After: passes. Conclusion: none further.

--- a/tests/unit/test_peer_authentication.py
+++ b/tests/unit/test_peer_authentication.py
@@ -182,7 +182,7 @@
         self.assertEqual(list(codec().decode(content).updates), [update])
         altered = bytearray(content)
         altered[-SIGNATURE_FIELD_BYTES - 1] ^= 1
-        bad = [codec().encode([update], []), codec(FOREIGN).encode([update]), bytes(altered)]
+        bad = [codec().encode([update], []), codec(FOREIGN).encode([update], []), bytes(altered)]
         # An update behind the signature would be read too if only the front were checked.
         bad.append(content + codec().encode([update], []))
         bad.extend((b"", content[:10], content[: -SIGNATURE_FIELD_BYTES // 2]))
