Revert "Serve waiting calls of one priority by deadline, not by bucket"

With longer paths the order by deadline lets all critical calls wait about as long as callers do, in place of a few.

--- a/src/coltsfoottrack/_internal/admission/controller.py
+++ b/src/coltsfoottrack/_internal/admission/controller.py
@@ -224,7 +224,7 @@
 
     def _serve_queue(self) -> None:
         while self.limiter.has_room():
-            waiter = self.queue.pop_next()
+            waiter = self.queue.pop_highest()
             if waiter is None:
                 self.limiter.idle_slot()
                 return
--- a/src/coltsfoottrack/_internal/admission/queue.py
+++ b/src/coltsfoottrack/_internal/admission/queue.py
@@ -2,6 +2,7 @@
 
 from asyncio import Future, get_running_loop
 from bisect import insort
+from time import monotonic
 
 from coltsfoottrack._internal.calls.context import CallContext
 
@@ -12,23 +13,16 @@
     def __init__(self, context: CallContext) -> None:
         self.context = context
         self.rank = context.rank
+        self.arrived = monotonic()
         self.admitted: Future[None] = get_running_loop().create_future()
 
-    def service_key(self) -> tuple[int, float]:
-        """Orders waiters for service: priority first, then the deadline that passes first."""
-        return (self.context.priority, -self.context.deadline.expires_at)
-
-    def shed_key(self) -> tuple[int, float]:
-        """Orders waiters for eviction: the lowest rank first, then the one with most time left."""
-        return (self.rank, -self.context.deadline.expires_at)
+    def sort_key(self) -> tuple[int, float]:
+        """Orders waiters: the lowest rank first, within a rank the latest arrival first."""
+        return (self.rank, -self.arrived)
 
 
 class PriorityQueue:
-    """A bounded queue that serves priorities in order and evicts the lowest rank.
-
-    Within a priority the deadline decides. Served by rank, critical calls of low buckets were
-    overtaken by all others of their priority and waited up to 0.7 s for a slot.
-    """
+    """A bounded queue that serves the highest rank first and evicts the lowest."""
 
     def __init__(self) -> None:
         self.waiters: list[Waiter] = []
@@ -38,13 +32,13 @@
 
     def add(self, waiter: Waiter) -> None:
         """Adds a waiter in its place."""
-        insort(self.waiters, waiter, key=Waiter.service_key)
+        insort(self.waiters, waiter, key=Waiter.sort_key)
 
     def lowest(self) -> Waiter | None:
         """Returns the waiter that would be evicted first."""
-        return min(self.waiters, key=Waiter.shed_key, default=None)
+        return self.waiters[0] if self.waiters else None
 
-    def pop_next(self) -> Waiter | None:
+    def pop_highest(self) -> Waiter | None:
         """Removes and returns the waiter to serve next."""
         return self.waiters.pop() if self.waiters else None
 
