Use one definition of recovery in experiment and demo

Cause: report.py and trial.py each had a recovery_seconds with other rules; the demo showed the first time of a good quarter of a second, the experiments the time from which 99% of the normal share holds.

Ruled out: keeping both under two names, as readers compare the two outputs.

Before: two functions.

--- a/src/coltsfoottrack/_internal/experiment/demo.py
+++ b/src/coltsfoottrack/_internal/experiment/demo.py
@@ -81,7 +81,7 @@
     for phase in PHASES:
         rate = goodput(results, phase.name, phase.seconds)
         print(f"goodput {phase.name}: {rate:.0f}/s of {phase.requests_per_second:.0f}/s sent")
-    recovered = recovery_seconds(results, PHASES[0].seconds + PHASES[1].seconds)
+    recovered = recovery_seconds(results, PHASES[0].name, PHASES[0].seconds + PHASES[1].seconds)
     print("recovery: not reached" if recovered is None else f"recovery: {recovered:.2f} s")
     reasons: Counter[str] = Counter()
     for result in results:
--- a/src/coltsfoottrack/_internal/experiment/report.py
+++ b/src/coltsfoottrack/_internal/experiment/report.py
@@ -9,7 +9,9 @@
 from coltsfoottrack._internal.calls.outcome import Outcome
 from coltsfoottrack._internal.experiment.load import RequestResult
 
-BUCKET_SECONDS = 0.25
+RECOVERY_STEP_SECONDS = 0.25
+RECOVERY_SPAN_SECONDS = 1.0
+RECOVERED_SHARE = 0.99
 
 
 class OutcomeRow(NamedTuple):
@@ -87,26 +89,25 @@
 
 
 def recovery_seconds(
-    results: list[RequestResult], trigger_end: float, share: float = 0.99
+    results: list[RequestResult], normal_phase: str, trigger_end: float
 ) -> float | None:
-    """Returns the time after the trigger's end from which on the given share is good.
+    """Returns the time after the trigger's end until 99% of the normal share is good again.
 
-    Works on quarters of a second by starting time; None if it is never reached.
+    The share is taken over the requests that start in the second from that moment on, and has
+    to hold over all later ones too. None if it is never reached.
     """
-    buckets: dict[int, list[bool]] = {}
-    for result in results:
-        if result.started < trigger_end:
-            continue
-        bucket = int((result.started - trigger_end) / BUCKET_SECONDS)
-        buckets.setdefault(bucket, []).append(is_good(result))
-    recovered: float | None = None
-    for bucket in sorted(buckets):
-        flags = buckets[bucket]
-        if sum(flags) < share * len(flags):
-            recovered = None
-        elif recovered is None:
-            recovered = bucket * BUCKET_SECONDS
-    return recovered
+    normal = [is_good(result) for result in results if result.phase == normal_phase]
+    needed = RECOVERED_SHARE * sum(normal) / max(1, len(normal))
+    later = sorted((r.started - trigger_end, is_good(r)) for r in results)
+    last = later[-1][0]
+    moment = 0.0
+    while moment + RECOVERY_SPAN_SECONDS <= last:
+        rest = [good for start, good in later if start >= moment]
+        span = [good for start, good in later if 0 <= start - moment < RECOVERY_SPAN_SECONDS]
+        if span and sum(span) >= needed * len(span) and sum(rest) >= needed * len(rest):
+            return moment
+        moment += RECOVERY_STEP_SECONDS
+    return None
 
 
 def check_runs(results: list[RequestResult], run_log: Path) -> RunCheck:
--- a/src/coltsfoottrack/_internal/experiment/trial.py
+++ b/src/coltsfoottrack/_internal/experiment/trial.py
@@ -37,6 +37,7 @@
     check_runs,
     is_good,
     outcome_rows,
+    recovery_seconds,
 )
 from coltsfoottrack._internal.experiment.scenarios import (
     COLD_START_MS,
@@ -55,9 +56,6 @@
 BEFORE_SECONDS = 4.0
 DURING_SECONDS = 6.0
 AFTER_SECONDS = 5.0
-RECOVERY_STEP_SECONDS = 0.25
-RECOVERY_SPAN_SECONDS = 1.0
-RECOVERED_SHARE = 0.99
 
 
 class TrialReport(NamedTuple):
@@ -272,25 +270,3 @@
     of_phase = runs[(True, True)] + runs[(True, False)]
     lost = runs[(True, False)] + runs[(False, False)]
     return runs[(True, False)] / max(1, of_phase), lost / max(1, runs.total())
-
-
-def recovery_seconds(
-    results: list[RequestResult], normal_phase: str, trigger_end: float
-) -> float | None:
-    """Returns the time after the trigger's end until 99% of the normal share is good again.
-
-    The share is taken over the requests that start in the second from that moment on, and has
-    to hold over all later ones too. None if it is never reached.
-    """
-    normal = [is_good(result) for result in results if result.phase == normal_phase]
-    needed = RECOVERED_SHARE * sum(normal) / max(1, len(normal))
-    later = sorted((r.started - trigger_end, is_good(r)) for r in results)
-    last = later[-1][0]
-    moment = 0.0
-    while moment + RECOVERY_SPAN_SECONDS <= last:
-        rest = [good for start, good in later if start >= moment]
-        span = [good for start, good in later if 0 <= start - moment < RECOVERY_SPAN_SECONDS]
-        if span and sum(span) >= needed * len(span) and sum(rest) >= needed * len(rest):
-            return moment
-        moment += RECOVERY_STEP_SECONDS
-    return None
