Run the backend server stand-in on BackendSession

Cause: the stand-in announced, read contexts, built reply headers and drained with code of its own, so the public session was a second copy, which had missed the cluster secret. An embedded backend server could not work beside nodes that require signatures, and the example announced itself before it listened.

Ruled out: a base class for both, as a session is all that they share.

After: the stand-in uses the session; BackendPlace has cluster_secret_file; the header Shed is named once. Unit tests 249 passed after the import of one test moved; functional tests of embedding, crashing requests and lapsed time passed.

Conclusion: every test with real processes now also runs the public session.

--- a/examples/embedded_backend.py
+++ b/examples/embedded_backend.py
@@ -46,12 +46,13 @@
     stopping = Event()
     get_running_loop().add_signal_handler(SIGTERM, stopping.set)
     place = BackendPlace("demo", "stores", "embedded", "127.0.0.1", port, 8, node_peer_address)
-    async with BackendSession.from_config(place) as session:
-        server = Server(Stores(session).serve, access_log=None)
-        # Cancels a request when the node closes its connection: the caller has left.
-        runner = ServerRunner(server, handler_cancellation=True)
-        await runner.setup()
-        await TCPSite(runner, place.address, place.port).start()
+    session = BackendSession.from_config(place)
+    server = Server(Stores(session).serve, access_log=None)
+    # Cancels a request when the node closes its connection: the caller has left.
+    runner = ServerRunner(server, handler_cancellation=True)
+    await runner.setup()
+    await TCPSite(runner, place.address, place.port).start()
+    async with session:
         await stopping.wait()
         await session.leave()
         await runner.cleanup()
--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -42,6 +42,8 @@
 ATTEMPTS_LEFT = "Attempts-Left"
 ADMISSION_LEVEL = "Admission-Level"
 PATH_LEVEL = "Path-Level"
+# With a 503 of a backend server: the request was certainly not run.
+SHED = "Shed"
 # Time that a call and its slowest call further down waited for slots, in ms.
 QUEUED_MS = "Queued-Ms"
 NEXT_KEY = "Next-Idempotency-Key"
--- a/src/coltsfoottrack/_internal/embedding/backend_session.py
+++ b/src/coltsfoottrack/_internal/embedding/backend_session.py
@@ -11,6 +11,7 @@
     CALL_ID,
     EVENT_CLOCK,
     MONOTONIC_DEADLINE,
+    SHED,
     CallContext,
     CallGrant,
     read_context,
@@ -21,8 +22,6 @@
 from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall, path_headers
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest
 
-# With this header, a 503 tells the node that the request was not run.
-SHED_HEADER = "Shed"
 # The node sends no new work once it has heard that the backend server leaves: one interval
 # between two announcements, the grace time of the node's default, and a margin.
 DEFAULT_LEAVE_SECONDS = 4.2
@@ -40,7 +39,8 @@
     """Where a backend server is, and what it can take.
 
     ``slots`` is the number of requests that it runs at once; the node takes it as the first
-    value of its limit and measures from there.
+    value of its limit and measures from there. ``cluster_secret_file`` is needed where nodes
+    require signatures of peers.
     """
 
     cluster: str
@@ -50,12 +50,14 @@
     port: int
     slots: int
     node_peer_address: str
+    cluster_secret_file: str = ""
 
 
 class BackendSession:
     """Announces a backend server to its node, and carries the context of each request.
 
-    An ``async with`` block starts it and closes it. Requests arrive by HTTP from the node at
+    An ``async with`` block announces the backend server, which must listen by then, and closes all
+    connections at its end. Requests arrive by HTTP from the node at
     ``address`` and ``port``, as POST to ``/OPERATION``; the backend server brings its own HTTP
     server and uses this class to read and to answer them.
     """
@@ -63,7 +65,10 @@
     def __init__(self, place: BackendPlace) -> None:
         self.place = place
         self.client = CallClient.from_config(
-            place.cluster, f"{place.service}/{place.name}", place.node_peer_address
+            place.cluster,
+            f"{place.service}/{place.name}",
+            place.node_peer_address,
+            place.cluster_secret_file,
         )
         self.announcement = AnnounceRequest(
             service=place.service,
@@ -76,7 +81,10 @@
 
     @classmethod
     def from_config(cls, place: BackendPlace) -> Self:
-        """Builds a session; must run inside an event loop."""
+        """Builds a session; must run inside an event loop.
+
+        Raises SecretFileError if the file of the cluster secret cannot be used.
+        """
         return cls(place)
 
     async def __aenter__(self) -> Self:
@@ -139,7 +147,7 @@
 
     def shed_headers(self, context: CallContext) -> dict[str, str]:
         """Returns the headers of a 503 response to a request that was certainly not run."""
-        return {CALL_ID: context.call_id, SHED_HEADER: "yes"}
+        return {CALL_ID: context.call_id, SHED: "yes"}
 
 
 def _read_seconds(text: str) -> float:
--- a/src/coltsfoottrack/_internal/node/backend_replies.py
+++ b/src/coltsfoottrack/_internal/node/backend_replies.py
@@ -4,6 +4,7 @@
     ATTEMPTS_LEFT,
     PATH_LEVEL,
     QUEUED_MS,
+    SHED,
     CallContext,
     absent_service,
     used_services,
@@ -13,8 +14,6 @@
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, failed, refused, unknown
 from coltsfoottrack._internal.routing.transport import HttpReply
 
-SHED_HEADER = "Shed"
-
 
 def quarantined(context: CallContext, crashes: int) -> Answer:
     """Builds the answer to a request that is not run because it crashed backend servers."""
@@ -42,7 +41,7 @@
         path_queued_ms = whole_number(reply.headers, QUEUED_MS, 0, 3_600_000)
     except BadRequestError:
         attempts_left, path_level, path_queued_ms = 0, 0, 0
-    if reply.status == 503 and SHED_HEADER in reply.headers:
+    if reply.status == 503 and SHED in reply.headers:
         context.budget.retries = lent
         return refused(Reason.BACKEND_SHED, retry_useful=True)
     context.budget.retries = attempts_left
--- a/src/coltsfoottrack/_internal/standins/backend.py
+++ b/src/coltsfoottrack/_internal/standins/backend.py
@@ -5,7 +5,7 @@
 calls that its settings list for an operation through the embedded client.
 """
 
-from asyncio import Event, Semaphore, TaskGroup, get_running_loop, sleep, timeout
+from asyncio import Event, Semaphore, get_running_loop, sleep, timeout
 from collections import deque
 from json import dumps
 from os import _exit
@@ -18,36 +18,18 @@
 from aiohttp.web import BaseRequest, Response, Server
 from aiohttp.web_runner import ServerRunner, TCPSite
 
-from coltsfoottrack._internal.calls.context import (
-    ATTEMPTS_LEFT,
-    CALL_ID,
-    EVENT_CLOCK,
-    MONOTONIC_DEADLINE,
-    CallContext,
-    CallGrant,
-    read_context,
-)
-from coltsfoottrack._internal.calls.deadline import Deadline
+from coltsfoottrack._internal.calls.context import CALL_ID, CallContext
 from coltsfoottrack._internal.calls.exceptions import BadRequestError
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome
-from coltsfoottrack._internal.routing.client import CallClient, OutgoingCall, path_headers
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import AnnounceRequest, BackendSettings
+from coltsfoottrack._internal.embedding.backend_session import BackendPlace, BackendSession
+from coltsfoottrack._internal.routing.client import OutgoingCall
+from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import BackendSettings
 from coltsfoottrack._internal.settings.rules import number_or_default
 
 CRASH_MARK = b"crash"
 CRASH_EXIT_STATUS = 70
 COLD_START_FACTOR = 4.0
-# The default grace time of the node and the second between two announcements.
-DRAIN_SECONDS = 4.2
 SHUTDOWN_SECONDS = 10.0
-# The node has capped what arrives here, so nothing is capped again.
-FULL_GRANT = CallGrant(
-    priority=2,
-    idempotent=False,
-    default_deadline_ms=600_000,
-    max_deadline_ms=600_000,
-    attempt_budget=1000,
-)
 
 
 class LoadSample(NamedTuple):
@@ -75,20 +57,19 @@
         self.started = monotonic()
         self.samples: deque[LoadSample] = deque(maxlen=1000)
         self.operations = {operation.name: operation for operation in settings.operations}
-        self.client = CallClient.from_config(
-            settings.cluster,
-            f"{settings.service}/{settings.name}",
-            settings.node_peer_address,
-            settings.cluster_secret_file,
-        )
-        self.client.router.decisions_off = settings.decisions_off
-        self.announcement = AnnounceRequest(
-            service=settings.service,
-            name=settings.name,
-            address=settings.address,
-            port=settings.announced_port or settings.port,
-            slots=int(number_or_default(settings, "announced_slots")) or self.slots,
+        self.session = BackendSession.from_config(
+            BackendPlace(
+                cluster=settings.cluster,
+                service=settings.service,
+                name=settings.name,
+                address=settings.address,
+                port=settings.announced_port or settings.port,
+                slots=int(number_or_default(settings, "announced_slots")) or self.slots,
+                node_peer_address=settings.node_peer_address,
+                cluster_secret_file=settings.cluster_secret_file,
+            )
         )
+        self.session.client.router.decisions_off = settings.decisions_off
 
     async def serve(self, request: BaseRequest) -> Response:
         """Answers one HTTP request and echoes its call identifier."""
@@ -106,15 +87,11 @@
         body = await request.read()
         operation = request.path.lstrip("/")
         try:
-            context = read_context(self.settings.service, operation, request.headers, FULL_GRANT)
-            self.client.observe(request.headers)
+            context = self.session.read_request(operation, request.headers)
         except BadRequestError as error:
             return Response(status=400, text=str(error))
-        expires_at = request.headers.get(MONOTONIC_DEADLINE)
-        if expires_at is not None:
-            context = context._replace(deadline=Deadline(float(expires_at)))
         if self.present >= self.max_present or context.deadline.has_passed():
-            return Response(status=503, headers={"Shed": "yes"})
+            return Response(status=503, headers=self.session.shed_headers(context))
         self.present += 1
         self.idle.clear()
         try:
@@ -127,7 +104,7 @@
 
     async def _run(self, context: CallContext, body: bytes) -> Response:
         if context.deadline.has_passed():
-            return Response(status=503, headers={"Shed": "yes"})
+            return Response(status=503, headers=self.session.shed_headers(context))
         self._log_run(context)
         if body.startswith(CRASH_MARK):
             _exit(CRASH_EXIT_STATUS)
@@ -137,7 +114,7 @@
             async with timeout(context.deadline.remaining_seconds()):
                 await sleep(self._service_time())
                 calls = self._calls_below(context, body)
-                answers = await self.client.call_all(context, calls) if calls else []
+                answers = await self.session.client.call_all(context, calls) if calls else []
         except TimeoutError:
             return Response(status=504, text="deadline passed while running")
         finally:
@@ -158,11 +135,7 @@
     def _response(
         self, context: CallContext, body: bytes, calls: list[OutgoingCall], answers: list[Answer]
     ) -> Response:
-        headers = {
-            ATTEMPTS_LEFT: str(context.budget.retries),
-            EVENT_CLOCK: str(self.client.clock.tick()),
-        }
-        headers.update(path_headers(calls, answers))
+        headers = self.session.reply_headers(context, calls, answers)
         for answer in answers:
             if answer.outcome is Outcome.DONE:
                 continue
@@ -217,17 +190,8 @@
     )
     await runner.setup()
     await TCPSite(runner, settings.address, settings.port, backlog=1024).start()
-    async with TaskGroup() as tasks:
-        background = [
-            tasks.create_task(backend.client.announce_forever(backend.announcement)),
-            tasks.create_task(backend.client.follow_routes()),
-            tasks.create_task(backend.client.report_events()),
-        ]
+    async with backend.session:
         await stopping.wait()
-        backend.announcement.leaving = True
-        await sleep(DRAIN_SECONDS)
+        await backend.session.leave()
         await backend.idle.wait()
-        for task in background:
-            task.cancel()
     await runner.cleanup()
-    await backend.client.close()
--- a/src/coltsfoottrack/backend.py
+++ b/src/coltsfoottrack/backend.py
@@ -1,6 +1,6 @@
 """What a backend server embeds to work with the node beside it."""
 
-from coltsfoottrack._internal.calls.exceptions import BadRequestError
+from coltsfoottrack._internal.calls.exceptions import BadRequestError, SecretFileError
 from coltsfoottrack._internal.embedding.backend_session import BackendPlace, BackendSession
 
-__all__ = ["BackendPlace", "BackendSession", "BadRequestError"]
+__all__ = ["BackendPlace", "BackendSession", "BadRequestError", "SecretFileError"]
--- a/tests/unit/test_retry_bound.py
+++ b/tests/unit/test_retry_bound.py
@@ -15,6 +15,7 @@
 from coltsfoottrack._internal.calls.context import ATTEMPTS_LEFT, CallContext, read_context
 from coltsfoottrack._internal.calls.deadline import Deadline
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused, unknown
+from coltsfoottrack._internal.embedding.backend_session import FULL_GRANT
 from coltsfoottrack._internal.events.clock import HybridClock
 from coltsfoottrack._internal.membership.table import MembershipTable
 from coltsfoottrack._internal.node.backend_link import BackendLink
@@ -29,7 +30,6 @@
     Member,
     NodeSettings,
 )
-from coltsfoottrack._internal.standins.backend import FULL_GRANT
 
 DEPTH = 7
 NODES_PER_LAYER = 3
