Wait for the handlers of a test server before its event loop ends

Ruled out: silencing asyncio's log, which would hide others. Before: three tracebacks in a green run. Conclusion: no assertion changes.

--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -1,6 +1,15 @@
 """HTTP connections of the call path against a server that misbehaves."""
 
-from asyncio import StreamReader, StreamWriter, sleep, start_server, wait_for
+from asyncio import (
+    StreamReader,
+    StreamWriter,
+    Task,
+    current_task,
+    gather,
+    sleep,
+    start_server,
+    wait_for,
+)
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
 
@@ -17,6 +26,7 @@
     async def asyncSetUp(self) -> None:
         self.answers: list[bytes] = []
         self.connections = 0
+        self.handlers: list[Task[None]] = []
         self.ended = 0
         self.server = await start_server(self.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
@@ -26,9 +36,12 @@
     async def asyncTearDown(self) -> None:
         self.pool.close()
         self.server.close()
+        # A handler that is cancelled with the event loop would log a traceback.
+        await wait_for(gather(*self.handlers), 5.0)
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         self.connections += 1
+        self.handlers.append(current_task())
         try:
             while await reader.read(65536):
                 if self.answers:
