Read the stored configuration once for a replacement

Cause: base_for_replacement answered an unavailable platform by reading it a second time, only to get the error of stored(). Ruled out: a second copy of the message. Before: two calls to a platform that is down. After: one private read turns the error for both; the functional tests of the commands pass. Conclusion: no behaviour changes but the saved call.

--- a/src/coltsfoottrack/_internal/cli/configuration_access.py
+++ b/src/coltsfoottrack/_internal/cli/configuration_access.py
@@ -73,12 +73,7 @@
     async def stored(self) -> StoredConfiguration:
         """Returns what the platform stores, which a change needs as its base."""
         try:
-            return await self.store.read()
-        except StoreUnavailableError as error:
-            raise CommandError(
-                f"{error}; nothing was changed, try again when the platform answers",
-                EXIT_UNREACHABLE,
-            ) from error
+            return await self._read()
         except UnreadableConfigurationError as error:
             raise CommandError(
                 f"{error}; restore it with config set --file FILE --base GENERATION, where config "
@@ -92,13 +87,20 @@
         the version is still that of the object, so that no other change is overwritten.
         """
         try:
-            return await self.store.read()
+            return await self._read()
         except UnreadableConfigurationError as error:
             self.is_damaged = True
             newest = await self.newest()
             return StoredConfiguration(newest.record, error.version)
-        except StoreUnavailableError:
-            return await self.stored()
+
+    async def _read(self) -> StoredConfiguration:
+        try:
+            return await self.store.read()
+        except StoreUnavailableError as error:
+            raise CommandError(
+                f"{error}; nothing was changed, try again when the platform answers",
+                EXIT_UNREACHABLE,
+            ) from error
 
     async def newest(self) -> ReadRecord:
         """Returns the newest record: of the platform, or of a node that has a newer one."""
