Name the highest priority once

Cause: ledger/dispatcher.py and routing/absence.py each had CRITICAL = 2 beside the list of priorities. Ruled out: PRIORITIES - 1 of admission/demand.py, which counts classes and is right as it is. Before and after: 256 unit tests passed, 0 failed. Conclusion: the constant stands with PRIORITY_NAMES.

--- a/src/coltsfoottrack/_internal/calls/context.py
+++ b/src/coltsfoottrack/_internal/calls/context.py
@@ -60,6 +60,7 @@
 ANSWER_MARGIN_MS = 10.0
 ANSWER_MARGIN_SHARE = 0.02
 PRIORITY_NAMES = ("sheddable", "normal", "critical")
+CRITICAL = PRIORITY_NAMES.index("critical")
 
 
 class CallContext(NamedTuple):
--- a/src/coltsfoottrack/_internal/ledger/dispatcher.py
+++ b/src/coltsfoottrack/_internal/ledger/dispatcher.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
-from coltsfoottrack._internal.calls.context import CallContext
+from coltsfoottrack._internal.calls.context import CRITICAL, CallContext
 from coltsfoottrack._internal.calls.exceptions import InvalidKeyError
 from coltsfoottrack._internal.calls.identifiers import IdempotencyKey, new_call_id
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
@@ -11,7 +11,6 @@
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
 
 MAX_HANDOFFS = 2
-CRITICAL = 2
 # The backend server beside the home cannot run the request, but another one may.
 UNAVAILABLE_REASONS = (Reason.BACKEND_DOWN, Reason.LEAVING)
 FULL_REASONS = (Reason.OVERLOAD, Reason.EVICTED, Reason.BACKEND_SHED)
--- a/src/coltsfoottrack/_internal/routing/absence.py
+++ b/src/coltsfoottrack/_internal/routing/absence.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from time import monotonic
 
+from coltsfoottrack._internal.calls.context import CRITICAL
 from coltsfoottrack._internal.calls.outcome import Answer, Outcome, Reason, refused
 from coltsfoottrack._internal.membership.table import MembershipTable, call_address, member_id
 
@@ -26,7 +27,6 @@
 # time, except critical ones. Without this, 10 of 15 runs above a service that had just come back
 # were wasted, as a cold service has no measure yet from which it could set a level.
 RETURN_SECONDS = 2.0
-CRITICAL = 2
 # Reasons with which a node says that it takes no work.
 AWAY_REASONS = (Reason.BACKEND_DOWN, Reason.LEAVING, Reason.NOT_READY)
 # An answer of a service that membership shows without a serving node outweighs it for this long.
