--- a/src/coltsfoottrack/_internal/cli/fleet_access.py
+++ b/src/coltsfoottrack/_internal/cli/fleet_access.py
@@ -17,9 +17,9 @@
 )
 from coltsfoottrack._internal.membership.registration import MEMBERS_PREFIX, decode_member
 from coltsfoottrack._internal.membership.table import member_id, peer_address
-from coltsfoottrack._internal.platform.client import PlatformClient
-from coltsfoottrack._internal.platform.exceptions import PlatformError
-from coltsfoottrack._internal.platform.threads import in_thread
+from coltsfoottrack._internal.object_store.client import PlatformClient
+from coltsfoottrack._internal.object_store.exceptions import PlatformError
+from coltsfoottrack._internal.object_store.threads import in_thread
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import OperatorStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
--- a/src/coltsfoottrack/_internal/configuration/distribution.py
+++ b/src/coltsfoottrack/_internal/configuration/distribution.py
@@ -20,9 +20,9 @@
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.configuration.store import ConfigurationPeers, ObjectStore
 from coltsfoottrack._internal.membership.table import MembershipTable, member_id, peer_address
-from coltsfoottrack._internal.platform.client import ObjectList
-from coltsfoottrack._internal.platform.exceptions import ObjectNotFoundError, PlatformError
-from coltsfoottrack._internal.platform.threads import in_thread
+from coltsfoottrack._internal.object_store.client import ObjectList
+from coltsfoottrack._internal.object_store.exceptions import ObjectNotFoundError, PlatformError
+from coltsfoottrack._internal.object_store.threads import in_thread
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import MEMBER_STATUS_ALIVE, Member
 
 WATCHERS_PER_FAILURE_DOMAIN = 4
--- a/src/coltsfoottrack/_internal/configuration/peers.py
+++ b/src/coltsfoottrack/_internal/configuration/peers.py
@@ -10,7 +10,7 @@
 from coltsfoottrack._internal.calls.peer_authentication import PeerAuthentication
 from coltsfoottrack._internal.configuration.exceptions import PeerUnavailableError
 from coltsfoottrack._internal.configuration.store import ConfigurationStore
-from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.object_store.client import PlatformClient
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import ConfigurationPeerStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
--- a/src/coltsfoottrack/_internal/configuration/store.py
+++ b/src/coltsfoottrack/_internal/configuration/store.py
@@ -31,14 +31,14 @@
 from coltsfoottrack._internal.configuration.validation import validate
 from coltsfoottrack._internal.membership.registration import MEMBERS_PREFIX, decode_member
 from coltsfoottrack._internal.membership.table import member_id, peer_address
-from coltsfoottrack._internal.platform.client import ObjectList, StoredObject
-from coltsfoottrack._internal.platform.exceptions import (
+from coltsfoottrack._internal.object_store.client import ObjectList, StoredObject
+from coltsfoottrack._internal.object_store.exceptions import (
     ObjectNotFoundError,
     PlatformError,
     VersionConflictError,
     WriteUncertainError,
 )
-from coltsfoottrack._internal.platform.threads import in_thread
+from coltsfoottrack._internal.object_store.threads import in_thread
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     ConfigurationRecord,
     FleetConfiguration,
--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -21,7 +21,7 @@
 from coltsfoottrack._internal.configuration.codec import CURRENT_PATH, encode_record
 from coltsfoottrack._internal.experiment.exceptions import ExperimentError
 from coltsfoottrack._internal.experiment.shapes import FleetShape, ServiceShape
-from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.object_store.client import PlatformClient
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import ConfigurationRecord
 
 LOOPBACK = "127.0.0.1"
--- a/src/coltsfoottrack/_internal/experiment/measure_start.py
+++ b/src/coltsfoottrack/_internal/experiment/measure_start.py
@@ -25,8 +25,11 @@
 from coltsfoottrack._internal.membership.cluster import JOIN_PEERS
 from coltsfoottrack._internal.membership.local import LocalMember
 from coltsfoottrack._internal.membership.registration import Registration
-from coltsfoottrack._internal.platform.client import ObjectList, StoredObject
-from coltsfoottrack._internal.platform.exceptions import ObjectNotFoundError, VersionConflictError
+from coltsfoottrack._internal.object_store.client import ObjectList, StoredObject
+from coltsfoottrack._internal.object_store.exceptions import (
+    ObjectNotFoundError,
+    VersionConflictError,
+)
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import PRIORITY_NORMAL
 
 SEED = 20261204
--- a/src/coltsfoottrack/_internal/membership/cluster.py
+++ b/src/coltsfoottrack/_internal/membership/cluster.py
@@ -15,7 +15,7 @@
 from coltsfoottrack._internal.membership.sync import bucket_digests, members_of
 from coltsfoottrack._internal.membership.table import MembershipTable, member_id, peer_address
 from coltsfoottrack._internal.membership.transport import MembershipSocket
-from coltsfoottrack._internal.platform.exceptions import PlatformError
+from coltsfoottrack._internal.object_store.exceptions import PlatformError
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.schema.coltsfoottrack_grpc import MembershipPeerStub
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
--- a/src/coltsfoottrack/_internal/membership/registration.py
+++ b/src/coltsfoottrack/_internal/membership/registration.py
@@ -18,13 +18,13 @@
 from coltsfoottrack._internal.membership.local import LocalMember
 from coltsfoottrack._internal.membership.messages import is_plausible
 from coltsfoottrack._internal.membership.table import member_id, process_order
-from coltsfoottrack._internal.platform.client import PlatformClient, StoredObject
-from coltsfoottrack._internal.platform.exceptions import (
+from coltsfoottrack._internal.object_store.client import PlatformClient, StoredObject
+from coltsfoottrack._internal.object_store.exceptions import (
     ObjectNotFoundError,
     PlatformError,
     VersionConflictError,
 )
-from coltsfoottrack._internal.platform.threads import in_thread
+from coltsfoottrack._internal.object_store.threads import in_thread
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import Member
 
 MEMBERS_PREFIX = "members/"
--- a/src/coltsfoottrack/_internal/node/state.py
+++ b/src/coltsfoottrack/_internal/node/state.py
@@ -30,10 +30,10 @@
 from coltsfoottrack._internal.node.backend_link import BackendLink
 from coltsfoottrack._internal.node.drain import Drain
 from coltsfoottrack._internal.node.local_calls import LocalCalls
+from coltsfoottrack._internal.object_store.client import PlatformClient
 from coltsfoottrack._internal.observability.invariants import InvariantChecker, ReportedViolations
 from coltsfoottrack._internal.observability.metrics import NodeMetrics
 from coltsfoottrack._internal.observability.refusals import RefusalRuns
-from coltsfoottrack._internal.platform.client import PlatformClient
 from coltsfoottrack._internal.routing.peer_channels import PeerChannels
 from coltsfoottrack._internal.routing.router import Router
 from coltsfoottrack._internal.routing.settling import RPC_ERRORS
--- a/src/coltsfoottrack/_internal/platform/client.py
+++ b/src/coltsfoottrack/_internal/object_store/client.py
@@ -12,13 +12,13 @@
 from urllib3 import HTTPResponse, PoolManager, Retry, Timeout
 from urllib3.exceptions import HTTPError, MaxRetryError, NewConnectionError
 
-from coltsfoottrack._internal.observability.contact import PlatformContact
-from coltsfoottrack._internal.platform.exceptions import (
+from coltsfoottrack._internal.object_store.exceptions import (
     ObjectNotFoundError,
     PlatformUnavailableError,
     VersionConflictError,
     WriteUncertainError,
 )
+from coltsfoottrack._internal.observability.contact import PlatformContact
 
 REQUEST_TIMEOUT_SECONDS = 2.0
 WATCH_TIMEOUT_SECONDS = 30.0
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -21,7 +21,7 @@
 from coltsfoottrack._internal.configuration.codec import CURRENT_PATH
 from coltsfoottrack._internal.experiment.fleet import Fleet, free_ports
 from coltsfoottrack._internal.experiment.shapes import FleetShape, OperationShape, ServiceShape
-from coltsfoottrack._internal.platform.client import PlatformClient
+from coltsfoottrack._internal.object_store.client import PlatformClient
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import PRIORITY_NORMAL
 
 SHAPE = FleetShape(
--- a/tests/unit/fakes.py
+++ b/tests/unit/fakes.py
@@ -16,14 +16,14 @@
     members_of,
 )
 from coltsfoottrack._internal.membership.table import MembershipTable, member_id
-from coltsfoottrack._internal.observability.invariants import InvariantChecker
-from coltsfoottrack._internal.platform.client import ObjectList, StoredObject
-from coltsfoottrack._internal.platform.exceptions import (
+from coltsfoottrack._internal.object_store.client import ObjectList, StoredObject
+from coltsfoottrack._internal.object_store.exceptions import (
     ObjectNotFoundError,
     PlatformUnavailableError,
     VersionConflictError,
     WriteUncertainError,
 )
+from coltsfoottrack._internal.observability.invariants import InvariantChecker
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     MEMBER_STATUS_DEAD,
--- a/tests/unit/test_configuration.py
+++ b/tests/unit/test_configuration.py
@@ -19,8 +19,8 @@
 from coltsfoottrack._internal.configuration.holder import ConfigurationHolder
 from coltsfoottrack._internal.configuration.store import ConfigurationStore
 from coltsfoottrack._internal.membership.registration import encode_member, member_path
+from coltsfoottrack._internal.object_store.client import StoredObject
 from coltsfoottrack._internal.observability.invariants import InvariantChecker
-from coltsfoottrack._internal.platform.client import StoredObject
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     ConfigurationRecord,
     FleetConfiguration,
--- a/tests/unit/test_validation.py
+++ b/tests/unit/test_validation.py
@@ -5,8 +5,8 @@
 from unittest.mock import Mock
 
 from coltsfoottrack._internal.configuration.validation import find_problems
-from coltsfoottrack._internal.platform.client import PlatformClient
-from coltsfoottrack._internal.platform.exceptions import (
+from coltsfoottrack._internal.object_store.client import PlatformClient
+from coltsfoottrack._internal.object_store.exceptions import (
     PlatformUnavailableError,
     WriteUncertainError,
 )
