--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -0,0 +1,263 @@
+"""Connections to the local backend server; judges each answer before any of it is passed on."""
+
+from asyncio import Protocol, Transport, get_running_loop, wait_for
+from collections.abc import Callable
+from typing import NamedTuple
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
+
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh.sockets import detect_silence, split_address
+
+CONNECT_SECONDS = 1.0
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+# Kept connections are closed this long before the backend server would close them.
+IDLE_MARGIN_SECONDS = 1.5
+DEFAULT_IDLE_SECONDS = 4.0
+# A backend server may drop an idle connection without notice, and what may run only once cannot
+# be sent again after that.
+IDLE_UNREPEATABLE_SECONDS = 1.0
+DROPPED_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+    )
+)
+FIRST_FINAL_STATUS = 200
+
+
+class BackendAnswer(NamedTuple):
+    """A whole answer of the backend server."""
+
+    status: int
+    # Header lines that are passed on.
+    head: bytes
+    body: bytes
+    # The backend server states that it did not run the request.
+    not_run: bool
+
+
+Finished = Callable[[BackendAnswer | None, str], None]
+
+
+class BackendConnection(Protocol):
+    """One connection; carries one request at a time."""
+
+    def __init__(self, names: HeaderNames) -> None:
+        self.names = names
+        self.transport: Transport | None = None
+        self.parser: HttpResponseParser | None = None
+        self.finished: Finished | None = None
+        self.request_id = b""
+        self.is_head = False
+        self.fields: list[bytes] = []
+        self.chunks: list[bytes] = []
+        self.received = 0
+        self.answer_id: bytes | None = None
+        self.has_seal = False
+        self.not_run = False
+        self.encoded = False
+        self.framed = False
+        self.in_answer = False
+        self.reusable = True
+        self.idle_since = 0.0
+        self.idle_seconds = DEFAULT_IDLE_SECONDS
+
+    def connection_made(self, transport: Transport) -> None:
+        """Sets the socket's options."""
+        self.transport = transport
+        detect_silence(transport)
+
+    def send(self, request: bytes, request_id: bytes, is_head: bool, finished: Finished) -> None:
+        """Sends a whole request; ``finished`` gets the answer, or None and the reason."""
+        self.finished = finished
+        self.request_id = request_id
+        self.is_head = is_head
+        self.parser = HttpResponseParser(self)
+        self.received = 0
+        self.transport.write(request)
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser; bytes that no request has asked for end the connection."""
+        if self.finished is None:
+            self.abort()
+            return
+        self.received += len(data)
+        if self.received > MAX_ANSWER_BYTES:
+            self._fail("answer_too_large")
+            return
+        try:
+            self.parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade):
+            self._fail("answer_not_http")
+
+    def eof_received(self) -> bool:
+        """Ends an answer without a length; any other one is cut off."""
+        if self.finished is not None and self.in_answer and not self.framed and self.fields:
+            self.reusable = False
+            self._complete()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fails the request in flight."""
+        self.reusable = False
+        self._fail("connection_reset" if error else "connection_closed")
+
+    def on_message_begin(self) -> None:
+        """Starts an answer."""
+        self.in_answer = True
+        self.fields = []
+        self.chunks = []
+        self.answer_id = None
+        self.has_seal = False
+        self.not_run = False
+        self.encoded = False
+        self.framed = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header."""
+        lower = name.lower()
+        names = self.names
+        if lower == names.request_id:
+            self.answer_id = value
+        elif lower == names.seal:
+            self.has_seal = True
+        elif lower == names.not_run:
+            self.not_run = True
+        elif lower == b"content-encoding":
+            self.encoded = True
+        elif lower in DROPPED_HEADERS:
+            if lower in (b"content-length", b"transfer-encoding"):
+                self.framed = True
+            elif lower == b"keep-alive":
+                self._take_idle_time(value)
+            return
+        self.fields.append(name + b": " + value + b"\r\n")
+
+    def on_headers_complete(self) -> None:
+        """Ends the answer to a HEAD request, which has no body whatever its headers say."""
+        if self.is_head and self.parser.get_status_code() >= FIRST_FINAL_STATUS:
+            self.reusable = False
+            self._complete()
+
+    def on_body(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        self.chunks.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Ends an answer."""
+        if self.finished is None:
+            # A second answer in the same bytes belongs to no request.
+            self.reusable = False
+            return
+        if self.parser.get_status_code() < FIRST_FINAL_STATUS:
+            return
+        self.reusable = self.reusable and self.parser.should_keep_alive()
+        self._complete()
+
+    def _take_idle_time(self, value: bytes) -> None:
+        for part in value.split(b","):
+            name, _, text = part.strip().partition(b"=")
+            if name.strip().lower() == b"timeout" and text.strip().isdigit():
+                self.idle_seconds = max(0.0, int(text) - IDLE_MARGIN_SECONDS)
+
+    def _complete(self) -> None:
+        status = self.parser.get_status_code()
+        not_run = self.not_run or status == 421
+        if self.answer_id != self.request_id and not (self.answer_id is None and not_run):
+            # An extra answer to an earlier request; the right one may follow.
+            self.reusable = False
+            self.in_answer = False
+            return
+        self.in_answer = False
+        if not not_run and (self.encoded or (status < 300 and not self.has_seal)):
+            self._fail("answer_not_sealed")
+            return
+        head = b"".join(self.fields)
+        body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+        finished = self.finished
+        self.finished = None
+        self.idle_since = now()
+        self.chunks = []
+        finished(BackendAnswer(status, head, body, not_run), "")
+
+    def _fail(self, reason: str) -> None:
+        finished = self.finished
+        self.finished = None
+        self.abort()
+        if finished is not None:
+            finished(None, reason)
+
+    def abort(self) -> None:
+        """Closes the connection at once; the request in flight gets no answer."""
+        self.reusable = False
+        self.finished = None
+        if self.transport is not None:
+            self.transport.abort()
+
+    def is_usable(self, moment: float, idempotent: bool) -> bool:
+        """Tells whether a request may be sent on the connection."""
+        if not self.reusable or self.transport.is_closing():
+            return False
+        bound = self.idle_seconds
+        if not idempotent:
+            bound = min(bound, IDLE_UNREPEATABLE_SECONDS)
+        return moment - self.idle_since < bound
+
+
+class BackendPool:
+    """Connections to the local backend server."""
+
+    def __init__(self, address: str, names: HeaderNames) -> None:
+        self.address = address
+        self.names = names
+        self.idle: list[BackendConnection] = []
+        self.opened = 0
+
+    def take(self, idempotent: bool) -> BackendConnection | None:
+        """Returns the kept connection that was used last, if it may carry the request."""
+        moment = now()
+        while self.idle:
+            connection = self.idle[-1]
+            if connection.is_usable(moment, idempotent):
+                return self.idle.pop()
+            if connection.is_usable(moment, True):
+                return None
+            self.idle.pop().abort()
+        return None
+
+    async def connect(self) -> BackendConnection:
+        """Opens a connection. Raises OSError or TimeoutError."""
+        host, port = split_address(self.address)
+        self.opened += 1
+        _, connection = await wait_for(
+            get_running_loop().create_connection(lambda: BackendConnection(self.names), host, port),
+            CONNECT_SECONDS,
+        )
+        return connection
+
+    def give_back(self, connection: BackendConnection) -> None:
+        """Keeps a connection for the next request."""
+        if connection.reusable and not connection.transport.is_closing():
+            self.idle.append(connection)
+        else:
+            connection.abort()
+
+    def sweep(self) -> None:
+        """Closes connections that have been idle for too long, the oldest first."""
+        moment = now()
+        while self.idle and not self.idle[0].is_usable(moment, True):
+            self.idle.pop(0).abort()
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        for connection in self.idle:
+            connection.abort()
+        self.idle = []
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -0,0 +1,121 @@
+"""What the node believes of the backend server beside it."""
+
+from collections.abc import Callable
+
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.exceptions import ReportError
+from coltsfoottrack._internal.mesh.model import BackendReport
+
+# Slots are believed up to this number.
+MAX_SLOTS = 100_000
+
+
+class BackendState:
+    """Identity and state of the local backend server, from its reports in their order.
+
+    Reports may arrive late or come from an earlier process; the start time and the number of a
+    report put them in order. A process that has said that it leaves does not come back.
+    """
+
+    def __init__(self, address: str, log: DecisionLog) -> None:
+        self.address = address
+        self.log = log
+        self.identifier = ""
+        self.service = ""
+        self.slots = 1
+        self.started_ms = 0
+        self.number = -1
+        self.cold_until = 0.0
+        self.ready = False
+        self.left = False
+        self.node_leaving = False
+        self.refusal = "no_backend"
+        self.changed: Callable[[], None] = lambda: None
+
+    @property
+    def accepting(self) -> bool:
+        """Tells whether new requests may be handed over."""
+        return self.ready and not self.left and not self.node_leaving
+
+    @property
+    def cold_ms(self) -> int:
+        """Time for which the backend server stays slow, in milliseconds."""
+        return max(0, int((self.cold_until - now()) * 1000.0))
+
+    def restore(self, identifier: str, started_ms: int, number: int, accepting: bool) -> None:
+        """Takes over what an earlier process of the node had recorded of a leave."""
+        if accepting or (started_ms, number) <= (self.started_ms, self.number):
+            return
+        self.identifier = identifier
+        self.started_ms = started_ms
+        self.number = number
+        self.ready = False
+        self.left = True
+        self.refusal = "backend_left"
+        self.log.decision("leave_restored", backend=identifier, report_number=number)
+        self.changed()
+
+    def take(self, report: BackendReport) -> None:
+        """Takes a report. Raises ReportError if it is not of the server at this address."""
+        if report.address != self.address:
+            raise ReportError(f"report names the address {report.address}, not {self.address}")
+        if (report.started_ms, report.number) <= (self.started_ms, self.number):
+            self.log.decision(
+                "report_outdated",
+                backend=report.backend,
+                report_number=report.number,
+                believed_number=self.number,
+            )
+            return
+        is_new = report.started_ms != self.started_ms or report.backend != self.identifier
+        if not is_new and self.left:
+            self.number = report.number
+            return
+        before = (self.identifier, self.accepting, self.slots, self.service)
+        self.identifier = report.backend
+        self.service = report.service
+        self.slots = max(1, min(MAX_SLOTS, report.slots))
+        self.started_ms = report.started_ms
+        self.number = report.number
+        self.cold_until = now() + report.cold_ms / 1000.0
+        self.ready = not report.draining
+        self.left = report.draining
+        self.refusal = "backend_left" if self.left else "node_leaving"
+        if is_new or before != (self.identifier, self.accepting, self.slots, self.service):
+            self._log_change("draining" if report.draining else "ready")
+
+    def leave(self, identifier: str) -> None:
+        """Takes the notice that the backend server leaves."""
+        if identifier != self.identifier or self.left:
+            return
+        self.left = True
+        self.refusal = "backend_left"
+        self._log_change("deregistered")
+
+    def set_gone(self, reason: str) -> bool:
+        """Takes note of a crash; returns whether that was news. The next report ends it."""
+        if not self.ready:
+            return False
+        self.ready = False
+        self.refusal = "backend_down"
+        self._log_change(reason)
+        return True
+
+    def set_node_leaving(self) -> None:
+        """Stops new requests since the node itself is to stop."""
+        self.node_leaving = True
+        if not self.left:
+            self.refusal = "node_leaving"
+        self._log_change("node_leaving")
+
+    def _log_change(self, state: str) -> None:
+        self.log.decision(
+            "backend_state",
+            backend=self.identifier,
+            state=state,
+            report_number=self.number,
+            accepting=self.accepting,
+            slots=self.slots,
+        )
+        self.changed()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -0,0 +1,330 @@
+"""Connections of callers: HTTP/1.1 requests in, whole answers out, in the order of the requests."""
+
+from asyncio import Protocol, Transport
+from collections import deque
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Protocol as Interface
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
+from coltsfoottrack._internal.mesh.sockets import detect_silence
+
+# Headers that concern one connection only, and those that the node writes itself.
+CONNECTION_HEADERS = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    )
+)
+MAX_PIPELINED = 64
+# A caller that leaves its answers unread for this long is cut off.
+UNREAD_SECONDS = 20.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+def _status_lines() -> dict[int, bytes]:
+    lines = {}
+    for status in HTTPStatus:
+        lines[status.value] = f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode("ascii")
+    return lines
+
+
+STATUS_LINES = _status_lines()
+
+
+class CallerRequest:
+    """One request of a caller, and the place of its answer on the connection."""
+
+    __slots__ = (
+        "answer",
+        "body",
+        "cancel",
+        "connection",
+        "deadline_ms",
+        "head",
+        "host",
+        "keep_alive",
+        "method",
+        "path",
+        "received",
+        "request_id",
+    )
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        self.connection = connection
+        self.method = b""
+        self.path = ""
+        self.host = ""
+        self.request_id = b""
+        self.deadline_ms: bytes | None = None
+        self.head = b""
+        self.body = b""
+        self.keep_alive = True
+        self.received = 0.0
+        self.answer: bytes | None = None
+        # Called if the caller leaves before its answer.
+        self.cancel: Callable[[], None] | None = None
+
+    def respond(self, status: int, head: bytes, body: bytes) -> None:
+        """Answers the request; ``head`` holds whole header lines."""
+        self.connection.respond(self, status, head, body)
+
+
+class RequestHandler(Interface):
+    """What takes the requests of callers."""
+
+    headers: HeaderNames
+    caller_header: bytes
+    # Requests without an identifier are refused.
+    requires_id: bool
+
+    def limits(self) -> CallerLimits:
+        """Returns the bounds in force."""
+
+    def is_stopping(self) -> bool:
+        """Tells whether connections are to be closed after their next answer."""
+
+    def handle(self, request: CallerRequest) -> None:
+        """Takes a whole request; its answer comes later."""
+
+
+class CallerConnection(Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, handler: RequestHandler, connections: set["CallerConnection"]) -> None:
+        self.handler = handler
+        self.connections = connections
+        self.transport: Transport | None = None
+        self.parser = HttpRequestParser(self)
+        self.waiting: deque[CallerRequest] = deque()
+        self.current: CallerRequest | None = None
+        self.fields: list[bytes] = []
+        self.chunks: list[bytes] = []
+        self.url = b""
+        self.head_size = 0
+        self.body_size = 0
+        self.duplicate = False
+        self.expects_continue = False
+        # The first byte of a request was read and its end was not.
+        self.arriving_since: float | None = None
+        self.idle_since = now()
+        self.unread_since: float | None = None
+        # No further request is read from the connection.
+        self.closing = False
+
+    def connection_made(self, transport: Transport) -> None:
+        """Registers the connection."""
+        self.transport = transport
+        detect_silence(transport)
+        self.connections.add(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Cancels the requests whose caller has left."""
+        self.connections.discard(self)
+        self.closing = True
+        for request in self.waiting:
+            if request.answer is None and request.cancel is not None:
+                request.cancel()
+        self.waiting.clear()
+
+    def pause_writing(self) -> None:
+        """Reads no further requests while answers are not read."""
+        self.unread_since = now()
+        self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Goes on reading."""
+        self.unread_since = None
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Feeds the parser."""
+        if self.closing:
+            return
+        if self.arriving_since is None:
+            self.arriving_since = now()
+        try:
+            self.parser.feed_data(data)
+        except (HttpParserError, HttpParserUpgrade):
+            if not self.closing:
+                self._reject(400)
+            return
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        self.current = CallerRequest(self)
+        self.fields = []
+        self.chunks = []
+        self.url = b""
+        self.head_size = 0
+        self.body_size = 0
+        self.duplicate = False
+        self.expects_continue = False
+
+    def on_url(self, url: bytes) -> None:
+        """Takes the target of the request."""
+        self.url += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Takes a header, keeping what is to be passed on."""
+        self._count_head(len(name) + len(value) + 4)
+        request = self.current
+        if request is None:
+            return
+        lower = name.lower()
+        names = self.handler.headers
+        if lower == b"host":
+            if request.host:
+                self.duplicate = True
+            request.host = value.decode("latin-1")
+        elif lower == names.request_id:
+            if request.request_id:
+                self.duplicate = True
+            request.request_id = value
+        elif lower == names.deadline_ms:
+            request.deadline_ms = value
+            return
+        elif lower in CONNECTION_HEADERS:
+            if lower == b"expect":
+                self.expects_continue = value.lower() == b"100-continue"
+            return
+        elif lower in (names.caller_service, names.expected_backend):
+            return
+        self.fields.append(name + b": " + value + b"\r\n")
+
+    def on_headers_complete(self) -> None:
+        """Closes the header block."""
+        if self.expects_continue and not self.closing and not self.waiting:
+            self.transport.write(CONTINUE)
+
+    def on_body(self, chunk: bytes) -> None:
+        """Takes a part of the body."""
+        if self.closing:
+            return
+        self.body_size += len(chunk)
+        if self.body_size > self.handler.limits().max_body_bytes:
+            self._reject(413)
+            return
+        self.chunks.append(chunk)
+
+    def on_message_complete(self) -> None:
+        """Hands over a whole request."""
+        request = self.current
+        self.current = None
+        if request is None or self.closing:
+            return
+        self.arriving_since = None
+        request.received = now()
+        request.method = self.parser.get_method()
+        request.keep_alive = self.parser.should_keep_alive()
+        request.path = self.url.decode("latin-1")
+        body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
+        request.body = body
+        self.chunks = []
+        self.waiting.append(request)
+        misses_id = self.handler.requires_id and not request.request_id
+        if self.duplicate or misses_id or not request.path.startswith("/"):
+            request.keep_alive = False
+            self.respond(request, 400, b"", b"")
+            return
+        parts = [request.method, b" ", self.url, b" HTTP/1.1\r\n", *self.fields]
+        if body or request.method in (b"POST", b"PUT", b"PATCH"):
+            parts.append(b"Content-Length: %d\r\n" % len(body))
+        parts.append(self.handler.caller_header)
+        request.head = b"".join(parts)
+        if len(self.waiting) > MAX_PIPELINED:
+            self.transport.pause_reading()
+        self.handler.handle(request)
+
+    def respond(self, request: CallerRequest, status: int, head: bytes, body: bytes) -> None:
+        """Stores an answer and writes those whose turn it is."""
+        request.cancel = None
+        if request.answer is not None:
+            return
+        close = not request.keep_alive or self.handler.is_stopping()
+        parts = [
+            STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status,
+            head,
+            b"Connection: close\r\n" if close else b"",
+            b"Content-Length: %d\r\n\r\n" % len(body),
+        ]
+        if request.method != b"HEAD":
+            parts.append(body)
+        request.answer = b"".join(parts)
+        if close:
+            request.keep_alive = False
+        self._write_answers()
+
+    def _write_answers(self) -> None:
+        waiting = self.waiting
+        while waiting and waiting[0].answer is not None:
+            request = waiting.popleft()
+            if self.transport.is_closing():
+                continue
+            self.transport.write(request.answer)
+            if not request.keep_alive:
+                self._close_behind()
+                return
+        if not waiting:
+            self.idle_since = now()
+        if len(waiting) == MAX_PIPELINED and self.unread_since is None:
+            self.transport.resume_reading()
+
+    def _close_behind(self) -> None:
+        """Closes after the last answer; requests sent behind it count as not read."""
+        self.closing = True
+        for request in self.waiting:
+            if request.cancel is not None:
+                request.cancel()
+        self.waiting.clear()
+        self.transport.close()
+
+    def _count_head(self, size: int) -> None:
+        self.head_size += size
+        if self.head_size > self.handler.limits().max_header_bytes and not self.closing:
+            self._reject(431)
+
+    def _reject(self, status: int) -> None:
+        """Answers a request that cannot be read, behind those that are being answered."""
+        request = self.current or CallerRequest(self)
+        self.current = None
+        self.arriving_since = None
+        request.keep_alive = False
+        if request not in self.waiting:
+            self.waiting.append(request)
+        self.respond(request, status, b"", b"")
+        self.closing = True
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if no request is in flight or arriving."""
+        if not self.waiting and self.arriving_since is None and not self.transport.is_closing():
+            self.closing = True
+            self.transport.close()
+
+    def sweep(self, moment: float, limits: CallerLimits) -> None:
+        """Enforces the bounds of time."""
+        if self.unread_since is not None and moment - self.unread_since > UNREAD_SECONDS:
+            self.transport.abort()
+        elif self.arriving_since is not None:
+            if moment - self.arriving_since > limits.header_timeout_ms / 1000.0:
+                self._sweep_arriving(moment, limits)
+        elif not self.waiting and moment - self.idle_since > limits.idle_timeout_ms / 1000.0:
+            self.close_if_idle()
+
+    def _sweep_arriving(self, moment: float, limits: CallerLimits) -> None:
+        """Ends a request that does not arrive; a body may take the idle time."""
+        if self.chunks and moment - self.arriving_since < limits.idle_timeout_ms / 1000.0:
+            return
+        self._reject(408)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/configuration.py
@@ -0,0 +1,50 @@
+"""The configuration in force at a node."""
+
+from collections.abc import Callable
+
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.exceptions import MeshError
+from coltsfoottrack._internal.mesh.model import RoutingConfiguration
+from coltsfoottrack._internal.mesh.routes import RouteTable
+
+Decoder = Callable[[bytes], RoutingConfiguration]
+
+
+class ConfigurationKeeper:
+    """Holds the newest version that this node has seen; never goes back."""
+
+    def __init__(self, decode: Decoder, log: DecisionLog) -> None:
+        self.decode = decode
+        self.log = log
+        self.table: RouteTable | None = None
+        self.in_force: Callable[[RouteTable], None] = lambda table: None
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 if there is none."""
+        return self.table.version if self.table else 0
+
+    @property
+    def content(self) -> bytes:
+        """The configuration in force as the store holds it."""
+        return self.table.configuration.content if self.table else b""
+
+    def offer(self, content: bytes, source: str) -> None:
+        """Takes a configuration if it is newer than the one in force."""
+        try:
+            configuration = self.decode(content)
+        except MeshError as error:
+            self.log.decision("configuration_unreadable", source=source, problem=str(error))
+            return
+        if configuration.version <= self.version:
+            return
+        before = self.version
+        self.table = RouteTable(configuration, self.table)
+        self.log.decision(
+            "configuration_in_force",
+            version=configuration.version,
+            before=before,
+            routes=len(configuration.routes),
+            source=source,
+        )
+        self.in_force(self.table)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -0,0 +1,281 @@
+"""The node of the mesh: puts the parts together, starts and stops them."""
+
+from asyncio import Event, Server, Task, get_running_loop, sleep
+from collections.abc import Callable, Coroutine
+from functools import partial
+from gc import freeze
+from signal import SIGHUP, SIGINT, SIGTERM
+from time import time
+from typing import Any, NamedTuple
+
+from coltsfoottrack._internal.mesh.backend_connection import BackendPool
+from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.caller_connection import CallerConnection
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.configuration import ConfigurationKeeper, Decoder
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.entry import Entry
+from coltsfoottrack._internal.mesh.exceptions import ReportError
+from coltsfoottrack._internal.mesh.figures import MeshFigures
+from coltsfoottrack._internal.mesh.lineage import Lineage
+from coltsfoottrack._internal.mesh.links import Links
+from coltsfoottrack._internal.mesh.metrics import scrape
+from coltsfoottrack._internal.mesh.model import BackendReport, HeaderNames, Member, MeshSettings
+from coltsfoottrack._internal.mesh.ports import PortAnswer, SmallPort
+from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
+from coltsfoottrack._internal.mesh.routes import RouteTable
+from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
+from coltsfoottrack._internal.mesh.store_sync import Store, StoreSync
+
+TICK_SECONDS = 0.05
+SWEEP_SECONDS = 1.0
+# Callers stay away from a node once it has not been ready for two questions a second apart.
+LEAVE_SECONDS = 2.3
+# Left of the grace time for the end of the process itself.
+END_MARGIN_SECONDS = 0.25
+DELETE_SECONDS = 0.3
+
+
+class Adapter(NamedTuple):
+    """What translates between the product and the platform that it runs on."""
+
+    names: HeaderNames
+    decode_configuration: Decoder
+    # Makes the store's calls for an address.
+    open_store: Callable[[str], Store]
+    # Returns the identifier of the request that a call is made for, or an empty string.
+    parent_identifier: Callable[[str], str]
+    # Reads a report of the backend server from method, path and body; None if it leaves.
+    read_report: Callable[[str, str, bytes], BackendReport | str]
+    read_settings: Callable[[], MeshSettings]
+    # Path of the question whether the node is ready.
+    ready_path: str
+    metrics_path: str
+
+
+class MeshNode:
+    """One node."""
+
+    def __init__(self, settings: MeshSettings, adapter: Adapter, log: DecisionLog) -> None:
+        self.settings = settings
+        self.adapter = adapter
+        self.log = log
+        names = adapter.names
+        self.figures = MeshFigures()
+        self.backend = BackendState(settings.backend_address, log)
+        self.lineage = Lineage(adapter.parent_identifier)
+        self.pool = BackendPool(settings.backend_address, names)
+        own = Member(
+            node=settings.node,
+            address=settings.link_address,
+            failure_domain=settings.failure_domain,
+            service=settings.service,
+            epoch=int(time() * 1000.0),
+        )
+        self.directory = Directory(own)
+        self.keeper = ConfigurationKeeper(adapter.decode_configuration, log)
+        self.runner = Runner(
+            self.backend, self.pool, RepeatBudget(settings.retries), self.lineage, names, log
+        )
+        self.entry = Entry(names, self.directory, self.runner, self.lineage, log, self.figures)
+        self.entry.set_service(settings.service)
+        self.links = Links(
+            self.directory, self.runner, self.lineage, self.entry.levels, self.keeper, log
+        )
+        self.store = adapter.open_store(settings.store_address)
+        self.sync = StoreSync(self.store, self.keeper, self.directory, log)
+        self.entry.links = self.links
+        self.runner.members = lambda: self.directory.members_of(self.directory.own.service)
+        self.runner.report_suspect = self.links.report_suspect
+        self.backend.changed = self.update_own
+        self.keeper.in_force = self.use_configuration
+        self.sync.own_found = self.restore
+        self.tasks: list[Task[Any]] = []
+        self.ports: list[SmallPort] = []
+        self.server: Server | None = None
+        self.stopping = Event()
+        self.ended = False
+
+    def use_configuration(self, table: RouteTable) -> None:
+        """Puts a configuration in force."""
+        self.entry.table = table
+        self.runner.level.set_ranks(table.top_rank + 1)
+
+    def restore(self, member: Member) -> None:
+        """Takes over a leave that an earlier process of this node has acknowledged."""
+        self.backend.restore(
+            member.backend, member.backend_started_ms, member.report_number, not member.left
+        )
+
+    def update_own(self) -> None:
+        """Brings the record of this node up to date and tells the others."""
+        backend = self.backend
+        own = self.directory.own
+        self.directory.set_own(
+            own._replace(
+                service=backend.service or own.service,
+                backend=backend.identifier,
+                backend_started_ms=max(0, backend.started_ms),
+                report_number=max(0, backend.number),
+                accepting=backend.accepting,
+                left=backend.left,
+                slots=backend.slots,
+                cold_ms=backend.cold_ms,
+                serial=own.serial + 1,
+            )
+        )
+        if not backend.accepting:
+            self.runner.flush()
+        if not self.ended:
+            self.links.announce()
+            self.sync.own_changed.set()
+
+    def is_ready(self) -> bool:
+        """Tells whether callers may come."""
+        return self.keeper.table is not None and not self.stopping.is_set()
+
+    def answer_ready(self, method: str, path: str, body: bytes) -> PortAnswer:
+        """Answers the question whether the node is ready."""
+        if path.split("?", 1)[0] != self.adapter.ready_path:
+            return PortAnswer(404, "text/plain", b"")
+        return PortAnswer(200 if self.is_ready() else 503, "text/plain", b"")
+
+    def answer_report(self, method: str, path: str, body: bytes) -> PortAnswer:
+        """Takes a report of the backend server."""
+        try:
+            report = self.adapter.read_report(method, path, body)
+            if isinstance(report, str):
+                self.backend.leave(report)
+            else:
+                self.backend.take(report)
+        except ReportError as error:
+            self.log.request("report_refused", path=path, problem=str(error))
+            return PortAnswer(400, "application/json", b"{}")
+        return PortAnswer(200, "application/json", b"{}")
+
+    def answer_metrics(self, method: str, path: str, body: bytes) -> PortAnswer:
+        """Answers a scrape."""
+        if path != self.adapter.metrics_path:
+            return PortAnswer(404, "text/plain", b"")
+        return PortAnswer(200, "text/plain; version=0.0.4", scrape(self))
+
+    async def open(self) -> None:
+        """Opens all ports. Raises OSError."""
+        settings = self.settings
+        names = self.adapter.names
+        for address, answer in (
+            (settings.report_address, self.answer_report),
+            (settings.ready_address, self.answer_ready),
+            (settings.metrics_address, self.answer_metrics),
+        ):
+            if not address:
+                continue
+            port = SmallPort(names, answer)
+            await port.open(address)
+            self.ports.append(port)
+        await self.links.open(settings.link_address)
+        host, number = split_address(settings.caller_address)
+        self.server = await get_running_loop().create_server(
+            partial(CallerConnection, self.entry, self.entry.connections),
+            host,
+            number,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then ends without cutting off a request. Raises OSError."""
+        loop = get_running_loop()
+        for signal in (SIGTERM, SIGINT):
+            loop.add_signal_handler(signal, self.stopping.set)
+        loop.add_signal_handler(SIGHUP, self.reload)
+        await self.open()
+        self.log.decision(
+            "started",
+            failure_domain=self.settings.failure_domain,
+            service=self.settings.service,
+            epoch=self.directory.own.epoch,
+        )
+        for work in (
+            self.sync.follow_configuration(),
+            self.sync.follow_members(),
+            self.sync.write_own(),
+            self._tick(),
+            self._sweep(),
+        ):
+            self._start(work)
+        freeze()
+        await self.stopping.wait()
+        await self._stop()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(get_running_loop().create_task(work))
+
+    def reload(self) -> None:
+        """Reads the settings again; addresses stay as they were at the start."""
+        try:
+            settings = self.adapter.read_settings()
+        except (OSError, ValueError) as error:
+            self.log.decision("settings_unreadable", problem=str(error))
+            return
+        changed = [
+            name
+            for name in MeshSettings._fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        self.entry.set_service(settings.service)
+        self.runner.budget.bounds = settings.retries
+        self.log.decision("settings_reloaded", changed=changed)
+
+    async def _tick(self) -> None:
+        while True:
+            await sleep(TICK_SECONDS)
+            moment = now()
+            if self.entry.calls:
+                self.entry.tick(moment)
+                self.links.tick(moment)
+            self.runner.tick(moment)
+
+    async def _sweep(self) -> None:
+        while True:
+            await sleep(SWEEP_SECONDS)
+            self.entry.sweep(now())
+            self.pool.sweep()
+            self.log.writer.flush()
+
+    async def _stop(self) -> None:
+        """Takes callers for as long as they may come, and waits for what is in flight."""
+        started = now()
+        self.entry.stopping_since = started
+        self.log.decision("stopping", in_flight=len(self.entry.calls), load=self.runner.load)
+        self.backend.set_node_leaving()
+        end = started + self.settings.grace_seconds - END_MARGIN_SECONDS
+        while now() < end:
+            await sleep(TICK_SECONDS)
+            if now() - started < LEAVE_SECONDS:
+                continue
+            self.entry.close_idle_connections()
+            if not self.entry.calls and not self.runner.running:
+                break
+        self.ended = True
+        if self.server is not None:
+            self.server.close()
+        self.entry.close_idle_connections()
+        if self.backend.left:
+            await self.sync.delete_own(DELETE_SECONDS)
+        # Answers that were written last leave the process.
+        await sleep(TICK_SECONDS)
+        for task in self.tasks:
+            task.cancel()
+        self.links.close()
+        self.pool.close()
+        self.log.decision(
+            "stopped",
+            requests=self.figures.requests,
+            cut_off=len(self.entry.calls),
+            after_ms=int((now() - started) * 1000.0),
+        )
+        self.log.writer.flush()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -0,0 +1,158 @@
+"""Members of the mesh as this node knows them, and the choice of a member for a request."""
+
+from random import random
+
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.model import Member
+
+# Load for each slot by which another failure domain must be lighter to be chosen.
+OTHER_DOMAIN_PENALTY = 0.3
+# The node's own backend server needs no network.
+LOCAL_BONUS = 0.03
+FAILURE_PENALTY = 3.0
+COLD_PENALTY = 0.6
+FAILURE_WEIGHT = 0.1
+# A member that could not be reached is not chosen for this long.
+UNREACHABLE_SECONDS = 1.0
+# A member that said that it takes no requests for now is asked again after this time.
+NOT_ACCEPTING_SECONDS = 2.0
+# A load that was reported this long ago says nothing.
+LOAD_AGE_SECONDS = 2.0
+
+
+class Peer:
+    """One member and what this node has learned of it."""
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        # Running and waiting requests at the member, as far as known.
+        self.load = 0.0
+        self.load_at = 0.0
+        self.failures = 0.0
+        self.blocked_until = 0.0
+        self.seen_at = now()
+
+    def take(self, member: Member) -> None:
+        """Replaces the record."""
+        if member.backend != self.member.backend or member.epoch != self.member.epoch:
+            self.failures = 0.0
+            self.blocked_until = 0.0
+        if member.accepting and not self.member.accepting:
+            self.blocked_until = 0.0
+        elif not member.accepting and not member.left:
+            # For a while only: the word that it takes requests again may be lost.
+            self.block(NOT_ACCEPTING_SECONDS)
+        self.member = member
+        self.seen_at = now()
+
+    def report(self, load: int, moment: float) -> None:
+        """Takes the load that an answer carried."""
+        self.load = float(load)
+        self.load_at = moment
+
+    def count_result(self, failed: bool) -> None:
+        """Counts a result of the backend server."""
+        self.failures += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - self.failures)
+
+    def block(self, seconds: float = UNREACHABLE_SECONDS) -> None:
+        """Keeps the member from being chosen for a while."""
+        self.blocked_until = now() + seconds
+
+
+class Directory:
+    """All members by node name."""
+
+    def __init__(self, own: Member) -> None:
+        self.own = own
+        self.peers: dict[str, Peer] = {own.node: Peer(own)}
+        self.by_service: dict[str, list[Peer]] = {}
+        self._rebuild()
+
+    def _rebuild(self) -> None:
+        services: dict[str, list[Peer]] = {}
+        for peer in self.peers.values():
+            services.setdefault(peer.member.service, []).append(peer)
+        self.by_service = services
+
+    def put(self, member: Member) -> bool:
+        """Takes a record; returns whether it was new."""
+        peer = self.peers.get(member.node)
+        if peer is None:
+            self.peers[member.node] = Peer(member)
+            self._drop_address(member)
+            self._rebuild()
+            return True
+        if not member.is_newer_than(peer.member):
+            return False
+        moved = member.service != peer.member.service or member.address != peer.member.address
+        peer.take(member)
+        if moved:
+            self._drop_address(member)
+            self._rebuild()
+        return True
+
+    def _drop_address(self, member: Member) -> None:
+        """Drops earlier members at an address that was given to another node."""
+        for name, peer in list(self.peers.items()):
+            if name in (member.node, self.own.node):
+                continue
+            if peer.member.address == member.address and member.epoch > peer.member.epoch:
+                del self.peers[name]
+
+    def remove(self, node: str) -> None:
+        """Drops a member whose record was deleted."""
+        if node != self.own.node and self.peers.pop(node, None) is not None:
+            self._rebuild()
+
+    def set_own(self, member: Member) -> None:
+        """Replaces the record of this node."""
+        moved = member.service != self.own.service
+        self.own = member
+        self.peers[member.node].take(member)
+        if moved:
+            self._rebuild()
+
+    def members_of(self, service: str) -> int:
+        """Returns the number of members of a service that take requests."""
+        count = 0
+        for peer in self.by_service.get(service, ()):
+            if not peer.member.left:
+                count += 1
+        return count
+
+    def knows(self, service: str) -> bool:
+        """Tells whether any member of a service is known."""
+        return bool(self.by_service.get(service))
+
+    def choose(self, service: str, tried: set[str]) -> Peer | None:
+        """Returns the member that is expected to serve a request best, None if there is none."""
+        best: Peer | None = None
+        best_cost = 0.0
+        moment = now()
+        for peer in self.by_service.get(service, ()):
+            member = peer.member
+            if member.left or not member.backend or member.node in tried:
+                continue
+            if peer.blocked_until > moment:
+                continue
+            cost = self._cost(peer, moment)
+            if best is None or cost < best_cost:
+                best = peer
+                best_cost = cost
+        if best is not None:
+            best.load += 1.0
+        return best
+
+    def _cost(self, peer: Peer, moment: float) -> float:
+        member = peer.member
+        if moment - peer.load_at > LOAD_AGE_SECONDS:
+            peer.load = 0.0
+            peer.load_at = moment
+        cost = peer.load / max(1, member.slots) + FAILURE_PENALTY * peer.failures
+        if member.node == self.own.node:
+            cost -= LOCAL_BONUS
+        elif member.failure_domain != self.own.failure_domain:
+            cost += OTHER_DOMAIN_PENALTY
+        if member.cold_ms and moment - peer.seen_at < member.cold_ms / 1000.0:
+            cost += COLD_PENALTY
+        return cost + random() * 0.01
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -0,0 +1,474 @@
+"""Takes requests of callers and of the local backend server, and sees each to its answer."""
+
+from coltsfoottrack._internal.mesh.caller_connection import CallerConnection, CallerRequest
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.directory import Directory, Peer
+from coltsfoottrack._internal.mesh.figures import MeshFigures
+from coltsfoottrack._internal.mesh.levels import Admission, ReportedLevels
+from coltsfoottrack._internal.mesh.lineage import Lineage, Run
+from coltsfoottrack._internal.mesh.link import LinkCall
+from coltsfoottrack._internal.mesh.links import Links
+from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames, Route
+from coltsfoottrack._internal.mesh.routes import RouteTable
+from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.schema.links_pb2 import (
+    RESULT_ANSWERED,
+    RESULT_UNKNOWN,
+    Reply,
+    Request,
+)
+
+LEVEL_UNIT = 1000.0
+# Sends of one request, also those that never reached a backend server.
+MAX_SENDS = 5
+# Part of the target latency for which a request below the top rank may wait for a slot.
+WAIT_PART = 0.12
+MIN_WAIT_SECONDS = 0.04
+# The most important requests may wait for this part of their time.
+TOP_WAIT_PART = 0.6
+# A final answer is due this long after the route's time-out.
+ANSWER_MARGIN_SECONDS = 0.1
+# After SIGTERM callers may still come for this long; later ones are refused at once, as their
+# requests might not end within the grace time.
+TAKE_SECONDS = 2.6
+# When callers that were refused for load are asked to come back.
+RETRY_AFTER_LOAD_SECONDS = 0.4
+RETRY_AFTER_SECONDS = 0.2
+MAX_RETRY_AFTER_PART = 0.3
+MAX_HELD_BODY_BYTES = 64 * 1024 * 1024
+# Reasons for which a backend server or its node is left alone for a while.
+UNAVAILABLE = frozenset(
+    ("backend_left", "backend_down", "backend_unreachable", "node_leaving", "no_backend")
+)
+UNAVAILABLE_BLOCK_SECONDS = 0.5
+# Answers of a backend server from here on are failures of its own.
+FIRST_FAILURE_STATUS = 500
+
+
+class EntryCall:
+    """One request of a caller on its way."""
+
+    __slots__ = (
+        "attempts",
+        "deadline",
+        "done",
+        "expires",
+        "failure",
+        "number",
+        "parent",
+        "peer",
+        "rank",
+        "reason",
+        "repeat",
+        "request",
+        "route",
+        "sends",
+        "sent_at",
+        "service",
+        "tried",
+    )
+
+    def __init__(self, request: CallerRequest, route: Route) -> None:
+        self.request = request
+        self.route = route
+        self.rank = route.rank
+        self.parent: Run | None = None
+        self.service = ""
+        self.deadline = 0.0
+        self.expires = 0.0
+        self.number = 0
+        self.peer: Peer | None = None
+        self.tried: set[str] = set()
+        self.sends = 0
+        # Sends that may have run.
+        self.attempts = 0
+        self.repeat = False
+        self.sent_at = 0.0
+        self.done = False
+        self.reason = ""
+        # A failure that the backend server gave, passed on if no repeat does better.
+        self.failure: Reply | None = None
+
+
+class Entry:
+    """The requests that came to this node."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        directory: Directory,
+        runner: Runner,
+        lineage: Lineage,
+        log: DecisionLog,
+        figures: MeshFigures,
+    ) -> None:
+        self.headers = names
+        self.caller_header = b""
+        self.requires_id = True
+        self.directory = directory
+        self.runner = runner
+        self.lineage = lineage
+        self.log = log
+        self.figures = figures
+        self.links: Links | None = None
+        self.table: RouteTable | None = None
+        self.levels = ReportedLevels()
+        self.admission = Admission()
+        self.connections: set[CallerConnection] = set()
+        self.calls: dict[int, EntryCall] = {}
+        self.last_number = 0
+        self.held_bytes = 0
+        self.stopping_since: float | None = None
+
+    def set_service(self, service: str) -> None:
+        """Sets the service whose instance this is."""
+        name = self.headers.caller_service
+        self.caller_header = name + b": " + service.encode("latin-1") + b"\r\n"
+
+    def limits(self) -> CallerLimits:
+        """Returns the bounds in force."""
+        return self.table.configuration.limits if self.table else CallerLimits()
+
+    def is_stopping(self) -> bool:
+        """Tells whether connections are to be closed after their next answer."""
+        return self.stopping_since is not None
+
+    def handle(self, request: CallerRequest) -> None:
+        """Takes a whole request."""
+        self.figures.requests += 1
+        table = self.table
+        if table is None:
+            self._refuse_unrouted(request, "no_configuration")
+            return
+        route = table.find(request.host, request.path)
+        if route is None:
+            self.figures.count_answer("", "no_route")
+            self.log.request(
+                "request_without_route",
+                request_id=request.request_id.decode("latin-1"),
+                host=request.host,
+                path=request.path,
+                configuration_version=table.version,
+            )
+            request.respond(404, b"", b"")
+            return
+        call = EntryCall(request, route)
+        moment = request.received
+        if not self._set_deadline(call, moment):
+            return
+        if self.lineage.runs:
+            call.parent = self.lineage.parent(request.request_id.decode("latin-1"))
+        if call.parent is not None:
+            self._inherit(call, moment)
+        elif not self._admit(call, table, moment):
+            return
+        call.service = table.service_of(route)
+        self.last_number += 1
+        call.number = self.last_number
+        self.calls[call.number] = call
+        request.cancel = lambda: self._caller_left(call)
+        self._send(call, moment)
+
+    def _set_deadline(self, call: EntryCall, moment: float) -> bool:
+        request = call.request
+        timeout = call.route.timeout_ms / 1000.0
+        left = timeout
+        if request.deadline_ms is not None:
+            if not request.deadline_ms.strip().isdigit():
+                request.keep_alive = False
+                request.respond(400, b"", b"")
+                return False
+            left = min(int(request.deadline_ms), 86_400_000) / 1000.0
+        call.deadline = moment + left
+        call.expires = moment + min(left, timeout)
+        return True
+
+    def _inherit(self, call: EntryCall, moment: float) -> None:
+        """Gives a call the rank of the request that it is made for."""
+        parent = call.parent
+        call.rank = parent.rank
+        self.lineage.called.setdefault(parent.route, {})[call.route.name] = moment
+
+    def _admit(self, call: EntryCall, table: RouteTable, moment: float) -> bool:
+        """Refuses a new request for load or since this node stops; tells whether it goes on."""
+        if self.stopping_since is not None and moment - self.stopping_since > TAKE_SECONDS:
+            self._refuse_new(call, "node_stopping", 0.0)
+            return False
+        route = call.route
+        level = self.levels.level(route.name, table.top_rank + 1, moment)
+        if not self.admission.admit(route.name, call.rank, level):
+            self._refuse_new(call, "admission_level", level)
+            return False
+        if self.held_bytes > MAX_HELD_BODY_BYTES:
+            self._refuse_new(call, "memory", level)
+            return False
+        return True
+
+    def _refuse_new(self, call: EntryCall, reason: str, level: float) -> None:
+        self.figures.count_answer(call.route.name, reason)
+        self.log.request(
+            "request_refused",
+            request_id=call.request.request_id.decode("latin-1"),
+            route=call.route.name,
+            rank=call.rank,
+            reason=reason,
+            level=round(level, 2),
+            configuration_version=self.table.version,
+        )
+        left = call.expires - now()
+        wait = RETRY_AFTER_LOAD_SECONDS if reason == "admission_level" else RETRY_AFTER_SECONDS
+        call.request.respond(503, self._retry_after(wait, left), b"")
+
+    def _retry_after(self, wait: float, left: float) -> bytes:
+        seconds = max(0.02, min(wait, left * MAX_RETRY_AFTER_PART))
+        return self.headers.retry_after + b": %.2f\r\n" % seconds
+
+    def _refuse_unrouted(self, request: CallerRequest, reason: str) -> None:
+        self.figures.count_answer("", reason)
+        self.log.request(
+            "request_refused", request_id=request.request_id.decode("latin-1"), reason=reason
+        )
+        request.respond(503, self.headers.retry_after + b": 0.5\r\n", b"")
+
+    def _send(self, call: EntryCall, moment: float) -> None:
+        """Sends a request to the member that is expected to serve it best."""
+        left = call.expires - moment
+        if left <= 0.0:
+            self._end_unserved(call, "expired")
+            return
+        peer = None
+        if call.sends < MAX_SENDS:
+            peer = self.directory.choose(call.service, call.tried)
+        if peer is None:
+            if not call.reason:
+                known = self.directory.knows(call.service)
+                call.reason = "no_member_accepts" if known else "no_member_known"
+            self._end_unserved(call, call.reason)
+            return
+        call.peer = peer
+        call.sends += 1
+        call.sent_at = moment
+        call.tried.add(peer.member.node)
+        message = self._message(call, peer, left)
+        number = call.number
+        if peer.member.node == self.directory.own.node:
+            self.links.run_locally(message, lambda reply: self._replied(number, reply))
+            return
+        self.links.send(
+            peer.member,
+            LinkCall(
+                message,
+                call.route.idempotent,
+                call.expires,
+                lambda reply: self._replied(number, reply),
+                lambda may_have_run, reason: self._unanswered(number, may_have_run, reason),
+            ),
+        )
+
+    def _message(self, call: EntryCall, peer: Peer, left: float) -> Request:
+        route = call.route
+        nested = call.parent is not None
+        if nested:
+            wait = left
+        elif call.rank == 0:
+            wait = left * TOP_WAIT_PART
+        else:
+            wait = max(MIN_WAIT_SECONDS, route.target_latency_ms / 1000.0 * WAIT_PART)
+        request = call.request
+        # A new number for each send: the earlier one may still be known elsewhere.
+        self.calls.pop(call.number, None)
+        self.last_number += 1
+        call.number = self.last_number
+        self.calls[call.number] = call
+        return Request(
+            number=call.number,
+            backend=peer.member.backend,
+            epoch=peer.member.epoch,
+            rank=call.rank,
+            time_left_ms=int(left * 1000.0),
+            wait_ms=int(wait * 1000.0),
+            idempotent=route.idempotent,
+            repeat=call.repeat,
+            of_repeated_run=nested and call.parent.repeat,
+            nested=nested,
+            request_id=request.request_id.decode("latin-1"),
+            route=route.name,
+            head=request.head,
+            body=request.body,
+            configuration_version=self.table.version,
+        )
+
+    def _replied(self, number: int, reply: Reply) -> None:
+        """Takes the reply of a runner."""
+        call = self.calls.get(number)
+        if call is None or call.done:
+            return
+        moment = now()
+        peer = call.peer
+        peer.report(reply.load, moment)
+        self.levels.report(call.route.name, peer.member.node, reply.level / LEVEL_UNIT)
+        if reply.result == RESULT_ANSWERED:
+            call.attempts += 1
+            failed = reply.status >= FIRST_FAILURE_STATUS
+            peer.count_result(failed)
+            if failed and self._repeat(call, reply, "backend_failed"):
+                return
+            self._answer(call, reply)
+        elif reply.result == RESULT_UNKNOWN:
+            peer.count_result(True)
+            self._unanswered(number, True, reply.reason)
+        else:
+            self._not_run(call, reply.reason, moment)
+
+    def _not_run(self, call: EntryCall, reason: str, moment: float) -> None:
+        """Takes the word that a request did not run where it was sent."""
+        if reason == "other_process" and call.attempts:
+            self._unanswered(call.number, True, reason)
+            return
+        call.reason = reason
+        if reason in UNAVAILABLE:
+            call.peer.block(UNAVAILABLE_BLOCK_SECONDS)
+        elif reason == "backend_refused":
+            call.peer.count_result(True)
+            call.repeat = True
+            if call.sends >= call.route.max_attempts:
+                self._end_unserved(call, reason)
+                return
+        elif reason in ("repeat_budget", "quarantined", "expired", "caller_gone"):
+            self._end_unserved(call, reason)
+            return
+        self.log.request(
+            "request_sent_elsewhere",
+            request_id=call.request.request_id.decode("latin-1"),
+            route=call.route.name,
+            node=call.peer.member.node,
+            reason=reason,
+            record_epoch=call.peer.member.epoch,
+        )
+        if reason == "overload" and call.sends >= 2:
+            self._end_unserved(call, reason)
+            return
+        self._send(call, moment)
+
+    def _unanswered(self, number: int, may_have_run: bool, reason: str) -> None:
+        """Takes the word that no reply will come."""
+        call = self.calls.get(number)
+        if call is None or call.done:
+            return
+        if not may_have_run:
+            self._not_run(call, reason, now())
+            return
+        call.attempts += 1
+        if self._repeat(call, None, reason):
+            return
+        call.reason = reason
+        self._end_unserved(call, reason)
+
+    def _repeat(self, call: EntryCall, failure: Reply | None, reason: str) -> bool:
+        """Sends a request to another backend server if that is allowed."""
+        route = call.route
+        if failure is not None:
+            call.failure = failure
+        if not route.idempotent or call.attempts >= route.max_attempts:
+            return False
+        if self.stopping_since is not None or call.sends >= MAX_SENDS:
+            return False
+        call.repeat = True
+        call.reason = reason
+        self.figures.repeats += 1
+        self.log.request(
+            "request_repeated",
+            request_id=call.request.request_id.decode("latin-1"),
+            route=route.name,
+            node=call.peer.member.node,
+            reason=reason,
+            status=failure.status if failure is not None else 0,
+        )
+        self._send(call, now())
+        return True
+
+    def _answer(self, call: EntryCall, reply: Reply) -> None:
+        """Passes on the answer of the backend server."""
+        status = reply.status
+        if status in (408, 421, 429, 503):
+            # These say that the request did not run, and the backend server did not say so.
+            status = 502
+            self._end(call, status, b"", b"", "backend_failed")
+            return
+        self._end(call, status, reply.head, reply.body, "answered")
+
+    def _end_unserved(self, call: EntryCall, reason: str) -> None:
+        """Gives the final answer to a request that no backend server has answered well."""
+        if call.failure is not None:
+            self._answer(call, call.failure)
+            return
+        moment = now()
+        if call.attempts:
+            status = 504 if moment >= call.expires else 502
+            head = b""
+        else:
+            status = 503
+            head = self._retry_after(RETRY_AFTER_SECONDS, call.deadline - moment)
+        self.log.request(
+            "request_not_served",
+            request_id=call.request.request_id.decode("latin-1"),
+            route=call.route.name,
+            service=call.service,
+            rank=call.rank,
+            status=status,
+            reason=reason,
+            sends=call.sends,
+            attempts=call.attempts,
+            node=call.peer.member.node if call.peer else "",
+            parent=call.parent.request_id if call.parent else "",
+            elapsed_ms=int((moment - call.request.received) * 1000.0),
+            configuration_version=self.table.version if self.table else 0,
+        )
+        self._end(call, status, head, b"", reason)
+
+    def _end(self, call: EntryCall, status: int, head: bytes, body: bytes, reason: str) -> None:
+        call.done = True
+        self.calls.pop(call.number, None)
+        self.figures.count_answer(call.route.name, reason)
+        self.figures.latency.observe(now() - call.request.received)
+        call.request.respond(status, head, body)
+
+    def _caller_left(self, call: EntryCall) -> None:
+        """Stops the work for a caller that has left."""
+        call.done = True
+        self.calls.pop(call.number, None)
+        self.figures.count_answer(call.route.name, "caller_gone")
+        self.log.request(
+            "caller_gone",
+            request_id=call.request.request_id.decode("latin-1"),
+            route=call.route.name,
+            node=call.peer.member.node if call.peer else "",
+            elapsed_ms=int((now() - call.request.received) * 1000.0),
+        )
+        self._cancel(call)
+
+    def _cancel(self, call: EntryCall) -> None:
+        if call.peer is not None:
+            self.links.cancel(call.peer.member, call.number)
+
+    def tick(self, moment: float) -> None:
+        """Ends the requests whose time has passed."""
+        for call in list(self.calls.values()):
+            if call.done or moment < call.expires + ANSWER_MARGIN_SECONDS:
+                continue
+            # Whether it has run is known only to the runner.
+            call.attempts += 1
+            self._cancel(call)
+            self._end_unserved(call, "time_out")
+
+    def sweep(self, moment: float) -> None:
+        """Enforces the bounds of time on connections."""
+        limits = self.limits()
+        for connection in list(self.connections):
+            connection.sweep(moment, limits)
+
+    def close_idle_connections(self) -> None:
+        """Closes connections without a request."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/figures.py
@@ -0,0 +1,25 @@
+"""Counters and histograms of the routed path; plain numbers until a scrape."""
+
+from collections import defaultdict
+
+from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
+
+LATENCY_BUCKETS_SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+
+class MeshFigures:
+    """Counts of one node."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.repeats = 0
+        # Answers by route and reason; "answered" is an answer of the backend server.
+        self.answers: dict[tuple[str, str], int] = defaultdict(int)
+        self.latency = PlainHistogram(LATENCY_BUCKETS_SECONDS)
+        self.run_time = PlainHistogram(LATENCY_BUCKETS_SECONDS)
+        self.store_calls = 0
+        self.store_failures = 0
+
+    def count_answer(self, route: str, reason: str) -> None:
+        """Counts an answer to a caller."""
+        self.answers[(route, reason)] += 1
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -0,0 +1,292 @@
+"""Links between nodes: framed messages over a few TCP connections for each peer.
+
+Several connections, since one lost packet holds up all that is sent behind it on the same one.
+"""
+
+from asyncio import Protocol, Task, Transport, get_running_loop, wait_for
+from collections.abc import Callable
+from typing import Any, NamedTuple
+from typing import Protocol as Interface
+
+from google.protobuf.message import DecodeError, Message
+
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.records import from_record
+from coltsfoottrack._internal.mesh.sockets import detect_silence, split_address
+from coltsfoottrack._internal.schema.links_pb2 import Frame, Ping, Reply, Request
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 72 * 1024 * 1024
+MAX_CONNECTIONS = 6
+CONNECT_SECONDS = 0.6
+RECONNECT_SECONDS = 0.3
+# A connection on which an answer is due is probed after this time without a byte, and given up
+# after the second time. A node that is only busy answers a probe between two requests.
+PROBE_SECONDS = 0.6
+SILENT_SECONDS = 1.5
+# A peer that does not answer probes is not chosen for this long.
+SILENT_BLOCK_SECONDS = 2.0
+IDLE_CLOSE_SECONDS = 60.0
+
+
+class LinkHandler(Interface):
+    """What takes the messages of links."""
+
+    def hello(self) -> Message:
+        """Returns the first message for a new connection."""
+
+    def receive(self, connection: "LinkConnection", kind: str, message: Any) -> None:
+        """Takes a message that is neither a probe nor a reply to one."""
+
+    def link_lost(self, connection: "LinkConnection") -> None:
+        """Takes note that a connection was lost."""
+
+
+class LinkConnection(Protocol):
+    """One connection of a link, at either end."""
+
+    def __init__(self, handler: LinkHandler, peer: "PeerLink | None" = None) -> None:
+        self.handler = handler
+        # The link that opened the connection, None at the accepting end.
+        self.peer = peer
+        self.transport: Transport | None = None
+        self.buffer = bytearray()
+        self.calls: dict[int, LinkCall] = {}
+        self.last_received = now()
+        self.last_sent = 0.0
+        self.probed = False
+        self.probed_at = 0.0
+        self.busy_since = 0.0
+        # Process at the other end, 0 before its first message.
+        self.epoch = 0
+        self.node = ""
+        self.member: Member | None = None
+
+    def connection_made(self, transport: Transport) -> None:
+        """Introduces this node."""
+        self.transport = transport
+        detect_silence(transport)
+        self.send(Frame(hello=self.handler.hello()))
+
+    def data_received(self, data: bytes) -> None:
+        """Cuts the bytes into messages."""
+        self.last_received = now()
+        self.probed = False
+        buffer = self.buffer
+        buffer += data
+        start = 0
+        size = len(buffer)
+        try:
+            while size - start >= LENGTH_BYTES:
+                length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
+                if length > MAX_FRAME_BYTES:
+                    self.transport.abort()
+                    return
+                end = start + LENGTH_BYTES + length
+                if end > size:
+                    break
+                frame = Frame.FromString(bytes(buffer[start + LENGTH_BYTES : end]))
+                start = end
+                self._take(frame)
+        except DecodeError:
+            self.transport.abort()
+            return
+        if start:
+            del buffer[:start]
+
+    def _take(self, frame: Frame) -> None:
+        kind = frame.WhichOneof("message")
+        if kind is None:
+            return
+        message = getattr(frame, kind)
+        if kind == "ping":
+            if not message.answer:
+                self.send(Frame(ping=Ping(answer=True)))
+            return
+        if kind == "hello":
+            self.member = from_record(message.member)
+            self.epoch = self.member.epoch
+            self.node = self.member.node
+        self.handler.receive(self, kind, message)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tells the handler."""
+        self.handler.link_lost(self)
+
+    def is_open(self) -> bool:
+        """Tells whether messages can be sent."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def send(self, frame: Frame) -> None:
+        """Sends a message; lost without a word if the connection is closed."""
+        if not self.is_open():
+            return
+        data = frame.SerializeToString()
+        self.last_sent = now()
+        self.transport.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
+
+    def probe(self, moment: float) -> bool:
+        """Probes a connection on which an answer is due; returns False once it counts as silent."""
+        quiet = moment - max(self.last_received, self.busy_since)
+        if not self.calls or quiet < PROBE_SECONDS:
+            return True
+        if not self.probed:
+            self.probed = True
+            self.probed_at = moment
+            self.transport.write(_PROBE)
+            return True
+        return moment - self.probed_at < SILENT_SECONDS - PROBE_SECONDS
+
+
+class LinkCall(NamedTuple):
+    """A request on a link and who waits for its reply."""
+
+    request: Request
+    idempotent: bool
+    expires: float
+    # Takes the reply.
+    replied: Callable[[Reply], None]
+    # Takes the word that no reply will come: whether the request may have arrived, and why.
+    failed: Callable[[bool, str], None]
+
+
+def _encode(frame: Frame) -> bytes:
+    data = frame.SerializeToString()
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+_PROBE = _encode(Frame(ping=Ping(answer=False)))
+
+
+class PeerLink:
+    """The connections to one peer, and the calls that wait for one."""
+
+    def __init__(
+        self, member: Member, handler: LinkHandler, blocked: Callable[[str, float], None]
+    ) -> None:
+        self.member = member
+        self.handler = handler
+        # Keeps the peer from being chosen for some seconds.
+        self.blocked = blocked
+        self.connections: list[LinkConnection] = []
+        self.waiting: list[tuple[LinkCall, bool]] = []
+        self.task: Task[None] | None = None
+
+    def send(self, call: LinkCall) -> None:
+        """Sends a call that was not sent before."""
+        best = self._least_used()
+        if best is None:
+            self.waiting.append((call, False))
+            self._open()
+            return
+        if best.calls and len(self.connections) < MAX_CONNECTIONS:
+            self._open()
+        self._write(best, call)
+
+    def _least_used(self) -> LinkConnection | None:
+        best: LinkConnection | None = None
+        for connection in self.connections:
+            if not connection.is_open() or connection.probed:
+                continue
+            if best is None or len(connection.calls) < len(best.calls):
+                best = connection
+                if not best.calls:
+                    break
+        return best
+
+    def _write(self, connection: LinkConnection, call: LinkCall) -> None:
+        if not connection.calls:
+            connection.busy_since = now()
+        connection.calls[call.request.number] = call
+        connection.send(Frame(request=call.request))
+
+    def _open(self) -> None:
+        if self.task is None:
+            self.task = get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        host, port = split_address(self.member.address)
+        try:
+            _, connection = await wait_for(
+                get_running_loop().create_connection(
+                    lambda: LinkConnection(self.handler, self), host, port
+                ),
+                CONNECT_SECONDS,
+            )
+        except (OSError, TimeoutError) as error:
+            self.task = None
+            self._unreachable(isinstance(error, ConnectionRefusedError))
+            return
+        self.task = None
+        self.connections.append(connection)
+        waiting = self.waiting
+        self.waiting = []
+        for call, resent in waiting:
+            if resent:
+                call.request.resent = True
+            self._write(connection, call)
+
+    def _unreachable(self, refused: bool) -> None:
+        """Fails the calls that cannot be sent; those that may have arrived are tried on."""
+        reason = "connection_refused" if refused else "connect_timeout"
+        if not self._least_used():
+            self.blocked(self.member.node, SILENT_BLOCK_SECONDS if not refused else 0.5)
+        waiting = self.waiting
+        self.waiting = []
+        moment = now()
+        for call, resent in waiting:
+            if resent and not refused and not call.idempotent and moment < call.expires:
+                self.waiting.append((call, resent))
+                continue
+            call.failed(resent, reason)
+        if self.waiting:
+            get_running_loop().call_later(RECONNECT_SECONDS, self._open)
+
+    def lost(self, connection: LinkConnection, silent: bool) -> None:
+        """Sends the calls of a lost connection again, to the same process only."""
+        if connection in self.connections:
+            self.connections.remove(connection)
+        calls = connection.calls
+        connection.calls = {}
+        for call in calls.values():
+            if silent and call.idempotent:
+                call.failed(True, "peer_silent")
+                continue
+            self.waiting.append((call, True))
+        if self.waiting:
+            self._open()
+
+    def forget(self, number: int) -> None:
+        """Drops a call whose answer nobody waits for."""
+        for connection in self.connections:
+            if connection.calls.pop(number, None) is not None:
+                return
+        for index, (call, _) in enumerate(self.waiting):
+            if call.request.number == number:
+                del self.waiting[index]
+                return
+
+    def carrier_of(self, number: int) -> LinkConnection | None:
+        """Returns the connection that a call was sent on."""
+        for connection in self.connections:
+            if number in connection.calls:
+                return connection
+        return None
+
+    def tick(self, moment: float) -> None:
+        """Gives up silent connections, and closes those that nobody uses."""
+        for connection in list(self.connections):
+            if not connection.probe(moment):
+                self.blocked(self.member.node, SILENT_BLOCK_SECONDS)
+                self.lost(connection, silent=True)
+                connection.transport.abort()
+            elif not connection.calls and moment - connection.last_sent > IDLE_CLOSE_SECONDS:
+                self.connections.remove(connection)
+                connection.transport.close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        for connection in self.connections:
+            connection.transport.close()
+        self.connections = []
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -0,0 +1,319 @@
+"""All links of a node: what it tells its peers, and what it does with what they tell."""
+
+from asyncio import Server, get_running_loop
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from google.protobuf.message import Message
+
+from coltsfoottrack._internal.admission.suspects import SuspectReport
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.configuration import ConfigurationKeeper
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.levels import ReportedLevels
+from coltsfoottrack._internal.mesh.lineage import Lineage
+from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.records import from_record, to_record
+from coltsfoottrack._internal.mesh.runner import CallKey, Runner, RunnerCall
+from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
+from coltsfoottrack._internal.schema.links_pb2 import (
+    RESULT_NOT_RUN,
+    Cancel,
+    Configuration,
+    FetchConfiguration,
+    Frame,
+    Hello,
+    Reply,
+    Request,
+    Suspect,
+)
+
+LEVEL_UNIT = 1000.0
+# Members are told to a node that has no configuration; at most this many.
+MAX_MEMBERS_TOLD = 2000
+# A peer with a newer configuration is asked for it when the store has not delivered it by then.
+CONFIGURATION_PATIENCE_SECONDS = 0.25
+# A route that was called for another this long ago is still taken to be needed by it.
+CALLED_SECONDS = 10.0
+
+
+class Links:
+    """The links of one node."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        runner: Runner,
+        lineage: Lineage,
+        levels: ReportedLevels,
+        keeper: ConfigurationKeeper,
+        log: DecisionLog,
+    ) -> None:
+        self.directory = directory
+        self.runner = runner
+        self.lineage = lineage
+        self.levels = levels
+        self.keeper = keeper
+        self.log = log
+        self.peers: dict[str, PeerLink] = {}
+        self.accepted: set[LinkConnection] = set()
+        self.server: Server | None = None
+        # Calls that came on a link, by connection.
+        self.served: dict[LinkConnection, set[CallKey]] = {}
+        self.asking_since: float | None = None
+        self.handlers = {
+            "request": self._request,
+            "reply": self._reply,
+            "cancel": self._cancel,
+            "hello": self._hello,
+            "member": self._member,
+            "suspect": self._suspect,
+            "fetch_configuration": self._fetch_configuration,
+            "configuration": self._configuration,
+        }
+
+    async def open(self, address: str) -> None:
+        """Opens the link port. Raises OSError."""
+        host, port = split_address(address)
+        self.server = await get_running_loop().create_server(
+            partial(LinkConnection, self), host, port, backlog=BACKLOG, reuse_address=True
+        )
+
+    def send(self, member: Member, call: LinkCall) -> None:
+        """Sends a call to a member."""
+        self._peer(member).send(call)
+
+    def _peer(self, member: Member) -> PeerLink:
+        peer = self.peers.get(member.node)
+        if peer is None or peer.member.address != member.address:
+            if peer is not None:
+                peer.close()
+            peer = self.peers[member.node] = PeerLink(member, self, self._block)
+        return peer
+
+    def _block(self, node: str, seconds: float) -> None:
+        known = self.directory.peers.get(node)
+        if known is not None:
+            known.block(seconds)
+        self.log.decision("peer_unreachable", peer=node, not_chosen_for_s=seconds)
+
+    def run_locally(self, message: Request, replied: Callable[[Reply], None]) -> None:
+        """Runs a call on the own backend server."""
+        key = self._own_key(message.number)
+        self.runner.submit(RunnerCall(key, message, lambda call: replied(self._to_reply(call))))
+
+    def _own_key(self, number: int) -> CallKey:
+        own = self.directory.own
+        return CallKey(own.node, own.epoch, number)
+
+    def cancel(self, member: Member, number: int) -> None:
+        """Tells a member that nobody waits for a call any more."""
+        if member.node == self.directory.own.node:
+            self.runner.cancel(self._own_key(number))
+            return
+        peer = self.peers.get(member.node)
+        if peer is None:
+            return
+        connection = peer.carrier_of(number)
+        peer.forget(number)
+        if connection is not None:
+            connection.send(Frame(cancel=Cancel(number=number)))
+
+    def _to_reply(self, call: RunnerCall) -> Reply:
+        answer = call.answer
+        return Reply(
+            number=call.key.number,
+            result=answer.result,
+            reason=answer.reason,
+            status=answer.status,
+            head=answer.head,
+            body=answer.body,
+            load=self.runner.load,
+            level=int(self._level(call.message.route) * LEVEL_UNIT),
+            accepting=self.runner.backend.accepting,
+            configuration_version=self.keeper.version,
+        )
+
+    def _level(self, route: str) -> float:
+        """Returns the lowest level on the way of a route, from this node downwards."""
+        own = self.runner.level
+        level = own.level
+        called = self.lineage.called.get(route)
+        if called:
+            moment = now()
+            for below, at in called.items():
+                if moment - at < CALLED_SECONDS:
+                    level = min(level, self.levels.level(below, own.ranks, moment))
+        return level
+
+    def hello(self) -> Message:
+        """Returns the first message for a new connection."""
+        return Hello(
+            member=to_record(self.directory.own), configuration_version=self.keeper.version
+        )
+
+    def receive(self, connection: LinkConnection, kind: str, message: Any) -> None:
+        """Takes a message of a peer."""
+        self.handlers[kind](connection, message)
+
+    def link_lost(self, connection: LinkConnection) -> None:
+        """Takes note that a connection was lost."""
+        if connection.peer is not None:
+            connection.peer.lost(connection, silent=False)
+            return
+        self.accepted.discard(connection)
+        moment = now()
+        for key in self.served.pop(connection, ()):
+            call = self.runner.calls.get(key)
+            if call is not None and not call.done:
+                call.orphaned_at = moment
+
+    def _request(self, connection: LinkConnection, message: Request) -> None:
+        self._compare_version(connection, message.configuration_version)
+        key = CallKey(connection.node, connection.epoch, message.number)
+        if message.epoch and message.epoch != self.directory.own.epoch:
+            reply = Reply(
+                number=message.number,
+                result=RESULT_NOT_RUN,
+                reason="other_process",
+                accepting=self.runner.backend.accepting,
+                level=int(self._level(message.route) * LEVEL_UNIT),
+                configuration_version=self.keeper.version,
+            )
+            connection.send(Frame(reply=reply))
+            return
+        served = self.served.setdefault(connection, set())
+        served.add(key)
+
+        def deliver(call: RunnerCall) -> None:
+            served.discard(key)
+            connection.send(Frame(reply=self._to_reply(call)))
+
+        self.runner.submit(RunnerCall(key, message, deliver))
+
+    def _reply(self, connection: LinkConnection, message: Reply) -> None:
+        self._compare_version(connection, message.configuration_version)
+        call = connection.calls.pop(message.number, None)
+        if call is None:
+            return
+        if connection.calls:
+            connection.busy_since = now()
+        call.replied(message)
+
+    def _cancel(self, connection: LinkConnection, message: Cancel) -> None:
+        self.runner.cancel(CallKey(connection.node, connection.epoch, message.number))
+
+    def _hello(self, connection: LinkConnection, message: Hello) -> None:
+        member = connection.member
+        if connection.peer is None:
+            self.accepted.add(connection)
+        elif member.node != connection.peer.member.node:
+            # The address was given to another node.
+            self.directory.remove(connection.peer.member.node)
+            connection.transport.abort()
+        self._learn(member)
+        for record in message.members:
+            self._learn(from_record(record))
+        if message.configuration:
+            self.keeper.offer(message.configuration, f"peer {member.node}")
+        if not message.configuration_version and self.keeper.version and not message.members:
+            self._tell_everything(connection)
+        self._compare_version(connection, message.configuration_version)
+
+    def _tell_everything(self, connection: LinkConnection) -> None:
+        """Tells a node that knows nothing, as the store may be away."""
+        hello = self.hello()
+        for peer in list(self.directory.peers.values())[:MAX_MEMBERS_TOLD]:
+            hello.members.append(to_record(peer.member))
+        hello.configuration = self.keeper.content
+        connection.send(Frame(hello=hello))
+
+    def _learn(self, member: Member) -> None:
+        if member.node == self.directory.own.node:
+            return
+        if self.directory.put(member):
+            self.log.decision(
+                "member_learned",
+                member=member.node,
+                backend=member.backend,
+                accepting=member.accepting,
+                epoch=member.epoch,
+                serial=member.serial,
+                source="link",
+            )
+
+    def _member(self, connection: LinkConnection, message: Any) -> None:
+        self._learn(from_record(message))
+
+    def _suspect(self, connection: LinkConnection, message: Suspect) -> None:
+        self.runner.suspects.merge(SuspectReport(message.digest, message.crashes, message.age_ms))
+
+    def _fetch_configuration(self, connection: LinkConnection, message: Any) -> None:
+        connection.send(
+            Frame(
+                configuration=Configuration(
+                    version=self.keeper.version, content=self.keeper.content
+                )
+            )
+        )
+
+    def _configuration(self, connection: LinkConnection, message: Configuration) -> None:
+        self.asking_since = None
+        if message.content:
+            self.keeper.offer(message.content, f"peer {connection.node}")
+
+    def _compare_version(self, connection: LinkConnection, version: int) -> None:
+        """Asks a peer for its configuration if it is newer and the store does not deliver it."""
+        if version <= self.keeper.version:
+            self.asking_since = None
+            return
+        moment = now()
+        if self.asking_since is None:
+            self.asking_since = moment
+        elif moment - self.asking_since > CONFIGURATION_PATIENCE_SECONDS:
+            self.asking_since = moment
+            connection.send(Frame(fetch_configuration=FetchConfiguration()))
+
+    def announce(self) -> None:
+        """Tells all connected peers the record of this node."""
+        self._broadcast(Frame(member=to_record(self.directory.own)))
+
+    def report_suspect(self, digest: bytes) -> None:
+        """Tells all connected peers of a request that may have crashed a backend server."""
+        report = self.runner.suspects.report(digest)
+        if report is not None:
+            self._broadcast(
+                Frame(
+                    suspect=Suspect(
+                        digest=report.digest, crashes=report.crashes, age_ms=report.age_ms
+                    )
+                )
+            )
+
+    def _broadcast(self, frame: Frame) -> None:
+        told: set[str] = set()
+        connections = list(self.accepted)
+        for peer in self.peers.values():
+            connections.extend(peer.connections)
+        for connection in connections:
+            if connection.node in told or not connection.is_open():
+                continue
+            told.add(connection.node)
+            connection.send(frame)
+
+    def tick(self, moment: float) -> None:
+        """Looks for silent connections."""
+        for peer in list(self.peers.values()):
+            peer.tick(moment)
+
+    def close(self) -> None:
+        """Closes all links."""
+        if self.server is not None:
+            self.server.close()
+        for peer in self.peers.values():
+            peer.close()
+        for connection in list(self.accepted):
+            connection.transport.close()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -0,0 +1,62 @@
+"""Metrics of a node of the mesh, made at each scrape from its plain counts."""
+
+from typing import TYPE_CHECKING
+
+from coltsfoottrack._internal.observability.process import resident_bytes
+
+if TYPE_CHECKING:
+    from coltsfoottrack._internal.mesh.daemon import MeshNode
+
+PREFIX = "coltsfoottrack_mesh"
+
+
+def scrape(node: "MeshNode") -> bytes:
+    """Returns all metrics as text."""
+    # Imported at the first scrape: a restarted node answers its first request sooner without.
+    from aioprometheus import Counter, Gauge, Histogram, Registry
+    from aioprometheus.formats.text import TextFormatter
+
+    from coltsfoottrack._internal.mesh.figures import LATENCY_BUCKETS_SECONDS
+
+    registry = Registry()
+
+    def counter(name: str, text: str, values: dict[tuple[tuple[str, str], ...], int]) -> None:
+        collector = Counter(f"{PREFIX}_{name}", text, registry=registry)
+        for labels, value in values.items():
+            collector.set(dict(labels), value)
+
+    def gauge(name: str, text: str, value: float) -> None:
+        Gauge(f"{PREFIX}_{name}", text, registry=registry).set({}, value)
+
+    figures = node.figures
+    answers = {}
+    for (route, reason), count in figures.answers.items():
+        answers[(("route", route), ("reason", reason))] = count
+    counter("answers_total", "Answers to callers by route and reason.", answers)
+    decisions = {}
+    for event, count in node.log.counts.items():
+        decisions[(("event", event),)] = count
+    counter("decisions_total", "Decisions by kind, also those without a log line.", decisions)
+    counter("requests_total", "Requests of callers and calls.", {(): figures.requests})
+    counter("repeats_total", "Requests sent to another backend server.", {(): figures.repeats})
+    counter(
+        "log_lines_left_out_total",
+        "Log lines that were left out by the bound or that nobody read.",
+        {(): node.log.left_out_total + node.log.writer.dropped},
+    )
+    gauge("running", "Requests that run at the backend server.", len(node.runner.running))
+    gauge("waiting", "Requests that wait for a slot.", len(node.runner.queue))
+    gauge("level", "Admission level of the backend server.", node.runner.level.level)
+    gauge("configuration_version", "Version in force.", node.keeper.version)
+    gauge("members", "Known members.", len(node.directory.peers))
+    gauge("backend_connections_opened", "Connections to the backend server.", node.pool.opened)
+    gauge("resident_bytes", "Resident memory.", resident_bytes())
+    for name, text, histogram in (
+        ("answer_seconds", "Time from a request to its answer.", figures.latency),
+        ("run_seconds", "Time of runs at the backend server.", figures.run_time),
+    ):
+        collector = Histogram(
+            f"{PREFIX}_{name}", text, buckets=LATENCY_BUCKETS_SECONDS, registry=registry
+        )
+        histogram.publish(collector, {})
+    return TextFormatter().marshall(registry)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/ports.py
@@ -0,0 +1,61 @@
+"""Small HTTP ports of a node: readiness, reports of the backend server, metrics."""
+
+from asyncio import Server, get_running_loop
+from collections.abc import Callable
+from functools import partial
+from typing import NamedTuple
+
+from coltsfoottrack._internal.mesh.caller_connection import CallerConnection, CallerRequest
+from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
+from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
+
+MAX_BODY_BYTES = 64 * 1024
+
+
+class PortAnswer(NamedTuple):
+    """An answer of a port."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+Answerer = Callable[[str, str, bytes], PortAnswer]
+
+
+class SmallPort:
+    """A port whose requests are answered at once, from method, path and body."""
+
+    def __init__(self, names: HeaderNames, answer: Answerer) -> None:
+        self.headers = names
+        self.caller_header = b""
+        self.requires_id = False
+        self.answer = answer
+        self.connections: set[CallerConnection] = set()
+        self.server: Server | None = None
+
+    async def open(self, address: str) -> None:
+        """Opens the port. Raises OSError."""
+        host, port = split_address(address)
+        self.server = await get_running_loop().create_server(
+            partial(CallerConnection, self, self.connections),
+            host,
+            port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
+    def limits(self) -> CallerLimits:
+        """Returns the bounds of the port."""
+        return CallerLimits(max_body_bytes=MAX_BODY_BYTES)
+
+    def is_stopping(self) -> bool:
+        """Connections stay open until the process ends."""
+        return False
+
+    def handle(self, request: CallerRequest) -> None:
+        """Answers a request."""
+        method = request.method.decode("latin-1")
+        answer = self.answer(method, request.path, request.body)
+        head = f"Content-Type: {answer.content_type}\r\n".encode("latin-1")
+        request.respond(answer.status, head, answer.body)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -0,0 +1,435 @@
+"""Runs requests on the local backend server: the only way to it.
+
+Keeps the number of running requests within the slots, serves the most important first, and knows
+for each request whether it was ever handed over.
+"""
+
+from asyncio import Task, get_running_loop
+from collections import OrderedDict
+from collections.abc import Callable
+from hashlib import blake2b
+from heapq import heapify, heappop, heappush
+from typing import NamedTuple
+
+from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES, SuspectTable
+from coltsfoottrack._internal.mesh.backend_connection import (
+    BackendAnswer,
+    BackendConnection,
+    BackendPool,
+)
+from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.levels import OwnLevel
+from coltsfoottrack._internal.mesh.lineage import Lineage, Run
+from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
+from coltsfoottrack._internal.schema.links_pb2 import (
+    RESULT_ANSWERED,
+    RESULT_NOT_RUN,
+    RESULT_UNKNOWN,
+    Request,
+)
+
+# A request that is handed over with less time than this cannot finish.
+MIN_TIME_LEFT_SECONDS = 0.005
+# The backend server answers at the deadline itself; after this time more it is given up.
+OVERDUE_SECONDS = 0.25
+# What nobody waits for any more is dropped after this time.
+ORPHAN_SECONDS = 0.3
+# Crashes show within this time of the loss of a connection.
+CRASH_SECONDS = 4.0
+QUARANTINE_MS = 120_000.0
+# Weight of the newest run in the mean time of a route.
+TIME_WEIGHT = 0.1
+# Answers are kept for a caller's node that lost its link.
+KEEP_ANSWER_SECONDS = 3.0
+FORGET_SECONDS = 15.0
+DIGEST_BYTES = 16
+
+
+class CallKey(NamedTuple):
+    """Names a call: the process that sends it, and its number there."""
+
+    node: str
+    # Processes of different nodes may have started in the same millisecond.
+    epoch: int
+    number: int
+
+
+class RunResult(NamedTuple):
+    """What became of a call."""
+
+    result: int
+    reason: str
+    status: int = 0
+    head: bytes = b""
+    body: bytes = b""
+
+
+class RunnerCall:
+    """One call from its arrival to its answer."""
+
+    __slots__ = (
+        "answer",
+        "arrived",
+        "connection",
+        "deliver",
+        "digest",
+        "done",
+        "expires",
+        "key",
+        "message",
+        "orphaned_at",
+        "rank",
+        "sent_at",
+        "wait_until",
+    )
+
+    def __init__(
+        self, key: CallKey, message: Request, deliver: Callable[["RunnerCall"], None]
+    ) -> None:
+        self.key = key
+        self.message = message
+        # Hands the result to whoever waits for it.
+        self.deliver = deliver
+        self.arrived = now()
+        self.expires = self.arrived + message.time_left_ms / 1000.0
+        self.wait_until = self.arrived + message.wait_ms / 1000.0
+        self.rank = message.rank
+        self.sent_at: float | None = None
+        self.connection: BackendConnection | None = None
+        self.answer: RunResult | None = None
+        self.done = False
+        self.orphaned_at: float | None = None
+        self.digest: bytes | None = None
+
+
+class Runner:
+    """The calls of one backend server."""
+
+    def __init__(
+        self,
+        backend: BackendState,
+        pool: BackendPool,
+        budget: RepeatBudget,
+        lineage: Lineage,
+        names: HeaderNames,
+        log: DecisionLog,
+    ) -> None:
+        self.backend = backend
+        self.pool = pool
+        self.budget = budget
+        self.lineage = lineage
+        self.names = names
+        self.log = log
+        self.level = OwnLevel()
+        self.suspects = SuspectTable(lambda: QUARANTINE_MS, now)
+        self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
+        self.queue: list[tuple[int, int, int, RunnerCall]] = []
+        self.running: set[RunnerCall] = set()
+        self.arrivals = 0
+        self.tasks: set[Task[None]] = set()
+        self.times: dict[str, float] = {}
+        # Calls that lost their connection lately, and may have crashed the backend server.
+        self.lost: list[tuple[float, RunnerCall]] = []
+        # Number of nodes that share the service's repeat budget.
+        self.members: Callable[[], int] = lambda: 1
+        self.report_suspect: Callable[[bytes], None] = lambda digest: None
+        self.idle_callback: Callable[[], None] = lambda: None
+
+    @property
+    def load(self) -> int:
+        """Number of running and waiting requests."""
+        return len(self.running) + len(self.queue)
+
+    def submit(self, call: RunnerCall) -> None:
+        """Takes a call; it is answered through ``deliver``."""
+        message = call.message
+        known = self.calls.get(call.key)
+        if known is not None:
+            self._attach(known, call)
+            return
+        self.calls[call.key] = call
+        if not self.backend.accepting:
+            self._refuse(call, self.backend.refusal)
+        elif message.backend and message.backend != self.backend.identifier:
+            self._refuse(call, "other_backend")
+        elif self._is_quarantined(call):
+            self._refuse(call, "quarantined")
+        elif message.repeat and not self.budget.take(call.arrived, self.members()):
+            self._refuse(call, "repeat_budget")
+        elif len(self.running) < self.backend.slots and not self.queue:
+            self._start(call)
+        else:
+            self._enqueue(call)
+
+    def _attach(self, known: RunnerCall, call: RunnerCall) -> None:
+        """Lets a call that was sent again get the answer of the first copy."""
+        known.deliver = call.deliver
+        known.orphaned_at = None
+        if not known.done:
+            return
+        if known.answer is None:
+            known.answer = RunResult(RESULT_UNKNOWN, "answer_forgotten")
+        call.deliver(known)
+
+    def _enqueue(self, call: RunnerCall) -> None:
+        self.arrivals += 1
+        # Calls go before new requests: the runs that wait for them hold slots elsewhere.
+        entry = (call.rank, 0 if call.message.nested else 1, self.arrivals, call)
+        heappush(self.queue, entry)
+
+    def _start(self, call: RunnerCall) -> None:
+        self.running.add(call)
+        connection = self.pool.take(call.message.idempotent)
+        if connection is not None:
+            self._send(call, connection)
+            return
+        task = get_running_loop().create_task(self._connect(call))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _connect(self, call: RunnerCall) -> None:
+        try:
+            connection = await self.pool.connect()
+        except (OSError, TimeoutError) as error:
+            if isinstance(error, ConnectionRefusedError):
+                self.backend_gone("connection_refused")
+            if not call.done:
+                self._finish(call, RunResult(RESULT_NOT_RUN, "backend_unreachable"))
+            return
+        if call.done:
+            self.pool.give_back(connection)
+            return
+        self._send(call, connection)
+
+    def _send(self, call: RunnerCall, connection: BackendConnection) -> None:
+        """Hands the request over, unless that is no longer allowed."""
+        moment = now()
+        message = call.message
+        refusal = ""
+        if not self.backend.accepting:
+            refusal = self.backend.refusal
+        elif message.backend and message.backend != self.backend.identifier:
+            refusal = "other_backend"
+        elif call.expires - moment < MIN_TIME_LEFT_SECONDS:
+            refusal = "expired"
+        if refusal:
+            connection.idle_since = moment
+            self.pool.give_back(connection)
+            self._finish(call, RunResult(RESULT_NOT_RUN, refusal))
+            return
+        if message.of_repeated_run:
+            self.budget.charge(moment)
+        elif not message.repeat:
+            self.budget.count_first(moment)
+        call.sent_at = moment
+        call.connection = connection
+        self.lineage.begin(
+            Run(message.route, call.rank, call.expires, message.repeat, message.request_id)
+        )
+        names = self.names
+        request = b"".join(
+            (
+                message.head,
+                names.deadline_ms,
+                b": %d\r\n" % int((call.expires - moment) * 1000.0),
+                names.expected_backend,
+                b": ",
+                self.backend.identifier.encode("latin-1"),
+                b"\r\n\r\n",
+                message.body,
+            )
+        )
+        is_head = message.head.startswith(b"HEAD ")
+        connection.send(
+            request,
+            message.request_id.encode("latin-1"),
+            is_head,
+            lambda answer, reason: self._finished(call, connection, answer, reason),
+        )
+
+    def _finished(
+        self,
+        call: RunnerCall,
+        connection: BackendConnection,
+        answer: BackendAnswer | None,
+        reason: str,
+    ) -> None:
+        self.pool.give_back(connection)
+        if call.done:
+            return
+        if answer is None:
+            if reason in ("connection_reset", "connection_closed"):
+                self.lost.append((now(), call))
+            self._finish(call, RunResult(RESULT_UNKNOWN, reason))
+        elif answer.not_run:
+            self._finish(call, RunResult(RESULT_NOT_RUN, "backend_refused", answer.status))
+        else:
+            self._count_time(call)
+            self._finish(
+                call, RunResult(RESULT_ANSWERED, "", answer.status, answer.head, answer.body)
+            )
+
+    def _count_time(self, call: RunnerCall) -> None:
+        took = now() - call.sent_at
+        route = call.message.route
+        mean = self.times.get(route, took)
+        self.times[route] = mean + TIME_WEIGHT * (took - mean)
+
+    def _refuse(self, call: RunnerCall, reason: str) -> None:
+        call.answer = RunResult(RESULT_NOT_RUN, reason)
+        call.done = True
+        call.deliver(call)
+
+    def _finish(self, call: RunnerCall, result: RunResult) -> None:
+        """Answers a call that has run or waited, and starts the next ones."""
+        if call.sent_at is not None:
+            self.lineage.end(call.message.request_id)
+        self.running.discard(call)
+        call.connection = None
+        call.answer = result
+        call.done = True
+        call.deliver(call)
+        self._start_next()
+        if not self.running and not self.queue:
+            self.idle_callback()
+
+    def _start_next(self) -> None:
+        queue = self.queue
+        if not queue:
+            return
+        moment = now()
+        while queue and len(self.running) < self.backend.slots:
+            call = heappop(queue)[3]
+            if call.done:
+                continue
+            refusal = self._stale(call, moment)
+            if refusal:
+                self._refuse(call, refusal)
+                continue
+            self._start(call)
+
+    def _stale(self, call: RunnerCall, moment: float) -> str:
+        """Returns why a waiting call is not to be started, or an empty string."""
+        if moment > call.wait_until:
+            return "overload"
+        if call.expires - moment < MIN_TIME_LEFT_SECONDS:
+            return "expired"
+        if call.orphaned_at is not None and moment - call.orphaned_at > ORPHAN_SECONDS:
+            return "caller_gone"
+        return ""
+
+    def cancel(self, key: CallKey) -> None:
+        """Drops a call whose caller has left; what may run only once goes on if it has begun."""
+        call = self.calls.get(key)
+        if call is None or call.done:
+            return
+        call.deliver = _deliver_nowhere
+        self._abandon(call, "caller_gone")
+
+    def _abandon(self, call: RunnerCall, reason: str) -> None:
+        if call.sent_at is None:
+            if call in self.running:
+                self._finish(call, RunResult(RESULT_NOT_RUN, reason))
+            else:
+                self._refuse(call, reason)
+            return
+        if call.message.idempotent:
+            call.connection.abort()
+            self._finish(call, RunResult(RESULT_UNKNOWN, reason))
+
+    def tick(self, moment: float) -> None:
+        """Drops what has waited too long, and gives up what is overdue."""
+        queue = self.queue
+        if queue:
+            kept = []
+            for entry in queue:
+                call = entry[3]
+                if call.done:
+                    continue
+                refusal = self._stale(call, moment)
+                if refusal:
+                    self._refuse(call, refusal)
+                else:
+                    kept.append(entry)
+            if len(kept) < len(queue):
+                heapify(kept)
+                self.queue = kept
+            self._start_next()
+        for call in list(self.running):
+            if moment > call.expires + OVERDUE_SECONDS and call.connection is not None:
+                call.connection.abort()
+                self._finish(call, RunResult(RESULT_UNKNOWN, "overdue"))
+            elif call.orphaned_at is not None and moment - call.orphaned_at > ORPHAN_SECONDS:
+                self._abandon(call, "caller_gone")
+        self.level.update(self.load / max(1, self.backend.slots), moment)
+        self._forget(moment)
+
+    def _forget(self, moment: float) -> None:
+        while self.calls:
+            call = next(iter(self.calls.values()))
+            if not call.done or moment - call.arrived < FORGET_SECONDS:
+                break
+            self.calls.popitem(last=False)
+        for call in self.calls.values():
+            if moment - call.arrived < KEEP_ANSWER_SECONDS:
+                break
+            if call.done and call.answer is not None and call.answer.body:
+                call.answer = None
+                call.message = _EMPTY_REQUEST
+        while self.lost and moment - self.lost[0][0] > CRASH_SECONDS:
+            self.lost.pop(0)
+
+    def flush(self) -> None:
+        """Hands back all waiting calls; used when the backend server or the node leaves."""
+        waiting = self.queue
+        self.queue = []
+        for entry in waiting:
+            if not entry[3].done:
+                self._refuse(entry[3], self.backend.refusal)
+        if not self.running:
+            self.idle_callback()
+
+    def backend_gone(self, reason: str) -> None:
+        """Takes note that the backend server has ended without a word."""
+        if not self.backend.set_gone(reason):
+            return
+        moment = now()
+        for at, call in self.lost:
+            if moment - at < CRASH_SECONDS:
+                self._suspect(call)
+        self.lost = []
+        self.pool.close()
+        self.flush()
+
+    def _suspect(self, call: RunnerCall) -> None:
+        digest = self._digest(call)
+        crashes = self.suspects.record_crash(digest, self.suspects.crashes(digest))
+        self.log.decision(
+            "crash_suspected",
+            request_id=call.message.request_id,
+            route=call.message.route,
+            crashes=crashes,
+        )
+        self.report_suspect(digest)
+
+    def _digest(self, call: RunnerCall) -> bytes:
+        if call.digest is None:
+            message = call.message
+            line = message.head.split(b"\r\n", 1)[0]
+            call.digest = blake2b(line + b"\n" + message.body, digest_size=DIGEST_BYTES).digest()
+        return call.digest
+
+    def _is_quarantined(self, call: RunnerCall) -> bool:
+        if not self.suspects.entries:
+            return False
+        return self.suspects.crashes(self._digest(call)) >= QUARANTINE_CRASHES
+
+
+def _deliver_nowhere(call: RunnerCall) -> None:
+    pass
+
+
+_EMPTY_REQUEST = Request()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/sockets.py
@@ -0,0 +1,37 @@
+"""Options of the sockets of the routed path."""
+
+from asyncio import BaseTransport
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_NODELAY,
+)
+from socket import TCP_USER_TIMEOUT as TCP_USER_TIMEOUT_OPTION
+
+# The kernel probes an idle connection after 1 s and gives a silent one up after 3 s.
+TCP_KEEPALIVE_SECONDS = 1
+TCP_KEEPALIVE_PROBES = 3
+TCP_USER_TIMEOUT_MS = 3000
+# Requests that come while the node is busy wait here instead of being sent again seconds later.
+BACKLOG = 1024
+
+
+def detect_silence(transport: BaseTransport) -> None:
+    """Lets the kernel close a connection whose other end no longer answers."""
+    socket = transport.get_extra_info("socket")
+    socket.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, TCP_KEEPALIVE_SECONDS)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, TCP_KEEPALIVE_SECONDS)
+    socket.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
+    socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT_OPTION, TCP_USER_TIMEOUT_MS)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of IP:PORT. Raises ValueError."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/src/coltsfoottrack/_internal/observability/metrics.py
+++ b/src/coltsfoottrack/_internal/observability/metrics.py
@@ -4,11 +4,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-from coltsfoottrack._internal.observability.stages import (
-    STAGE_BUCKETS_SECONDS,
-    PlainHistogram,
-    StageTimes,
-)
+from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
+from coltsfoottrack._internal.observability.stages import STAGE_BUCKETS_SECONDS, StageTimes
 
 REFUSED = "refused"
 LATENCY_BUCKETS_SECONDS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
--- /dev/null
+++ b/src/coltsfoottrack/platform/__main__.py
@@ -0,0 +1,31 @@
+"""``python -m coltsfoottrack.platform``: runs a node of the mesh on the users' platform."""
+
+import sys
+from asyncio import run
+
+from coltsfoottrack._internal.mesh.daemon import MeshNode
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack.platform.adapter import ADAPTER
+
+EXIT_BAD_SETTINGS = 2
+EXIT_NO_PORT = 1
+
+
+def main() -> int:
+    """Runs a node until SIGTERM; returns the exit status."""
+    try:
+        settings = ADAPTER.read_settings()
+    except (OSError, ValueError) as error:
+        print(f"coltsfoottrack: {error}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    node = MeshNode(settings, ADAPTER, DecisionLog(settings.node))
+    try:
+        run(node.run())
+    except OSError as error:
+        print(f"coltsfoottrack: cannot listen: {error}", file=sys.stderr)
+        return EXIT_NO_PORT
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/coltsfoottrack/platform/settings.py
@@ -0,0 +1,61 @@
+"""Reads the platform's settings file: lines of the form a.b=value, lists joined by commas."""
+
+from os import environ
+from pathlib import Path
+
+from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
+from coltsfoottrack.platform.names import SETTINGS_VARIABLE
+
+BYTES_PER_MB = 1024 * 1024
+
+
+def read_lines(text: str) -> dict[str, str]:
+    """Returns the fields of a settings file; unknown ones are kept, other lines left out."""
+    fields = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = value.strip()
+    return fields
+
+
+def read_settings() -> MeshSettings:
+    """Reads the settings that the environment names.
+
+    Raises OSError if the file cannot be read, ValueError with the name of a missing or wrong field.
+    """
+    path = environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise ValueError(f"environment variable {SETTINGS_VARIABLE} is not set")
+    return from_fields(read_lines(Path(path).read_text(encoding="utf-8")))
+
+
+def from_fields(fields: dict[str, str]) -> MeshSettings:
+    """Returns the settings of a node. Raises ValueError."""
+    bounds = read_lines(fields.get("bounds", "").replace(",", "\n"))
+    try:
+        ports = fields["internalPorts"].split(",")
+        return MeshSettings(
+            node=fields["node"],
+            failure_domain=fields["zone"],
+            service=fields["service"],
+            caller_address=fields["listen.outbound"],
+            link_address=fields["listen.inbound"],
+            ready_address=fields["listen.ready"],
+            report_address=fields["listen.control"],
+            # The last of the ports that are free for the product.
+            metrics_address=f"{fields['ip']}:{int(ports[-1])}",
+            backend_address=fields["appAddr"],
+            store_address=fields["platform.address"],
+            grace_seconds=float(bounds.get("graceS", "6")),
+            retries=RetryBounds(
+                ratio=float(bounds.get("retryBudgetRatio", "0.2")),
+                slack=float(bounds.get("retryBudgetSlack", "0")),
+                window_seconds=float(bounds.get("budgetWindowS", "10")),
+            ),
+            memory_bytes=int(float(fields.get("limits.memoryMb", "300"))) * BYTES_PER_MB,
+        )
+    except KeyError as error:
+        raise ValueError(f"settings: field {error.args[0]} is missing") from error
+    except ValueError as error:
+        raise ValueError(f"settings: {error}") from error
--- /dev/null
+++ b/src/coltsfoottrack/platform/store.py
@@ -0,0 +1,171 @@
+"""Calls of the platform's metadata store."""
+
+from typing import Any
+
+from orjson import JSONDecodeError, dumps, loads
+
+from coltsfoottrack._internal.mesh.exceptions import (
+    StoreConflictError,
+    StoreError,
+    StoreHistoryLostError,
+)
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.store_sync import (
+    ConfigurationChange,
+    MemberChange,
+    MemberChanges,
+)
+from coltsfoottrack._internal.routing.exceptions import RoutingError
+from coltsfoottrack._internal.routing.http_connection import ConnectionPool, encode_request
+from coltsfoottrack.platform.configuration import encode_spec
+from coltsfoottrack.platform.names import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    MEMBER_KIND,
+    OBJECTS_PATH,
+)
+
+CALL_SECONDS = 1.5
+# A watch is renewed this often, so that a connection that went silent is noticed.
+WATCH_MS = 10_000
+JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
+NO_OBJECT = 404
+CONFLICT = 409
+HISTORY_LOST = 410
+
+
+class ObjectStore:
+    """The store at one address. Each call raises StoreError if the store does not serve it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.pool = ConnectionPool()
+
+    async def _call(
+        self, method: str, path: str, body: bytes = b"", seconds: float = CALL_SECONDS
+    ) -> tuple[int, Any]:
+        target = f"{OBJECTS_PATH}/{path}"
+        try:
+            request = encode_request(method, self.address, target, JSON_HEADERS, body)
+            reply = await self.pool.exchange(self.address, request, True, seconds)
+        except RoutingError as error:
+            raise StoreError(f"{method} {path}: {error}") from error
+        if reply.status == HISTORY_LOST:
+            raise StoreHistoryLostError(f"{method} {path}: history is gone")
+        if reply.status not in (200, 201, 204, NO_OBJECT, CONFLICT):
+            raise StoreError(f"{method} {path}: status {reply.status}")
+        if not reply.body or reply.status == NO_OBJECT:
+            return reply.status, None
+        try:
+            return reply.status, loads(reply.body)
+        except JSONDecodeError as error:
+            raise StoreError(f"{method} {path}: answer is not JSON") from error
+
+    async def read_configuration(self) -> ConfigurationChange:
+        """Returns the newest configuration."""
+        _, page = await self._call("GET", CONFIGURATION_KIND)
+        content = None
+        for item in _field(page, "items"):
+            if _field(_field(item, "metadata"), "name") == CONFIGURATION_NAME:
+                content = encode_spec(_field(item, "spec"))
+        return ConfigurationChange(content, _field(page, "currentRev"))
+
+    async def watch_configuration(self, revision: int) -> ConfigurationChange:
+        """Waits for a newer configuration; without content if none came in time."""
+        page = await self._watch(CONFIGURATION_KIND, revision)
+        content = None
+        for event in _field(page, "events"):
+            item = _field(event, "object")
+            if _field(_field(item, "metadata"), "name") != CONFIGURATION_NAME:
+                continue
+            if not event.get("deleted"):
+                content = encode_spec(_field(item, "spec"))
+        return ConfigurationChange(content, _field(page, "currentRev"))
+
+    async def _watch(self, kind: str, revision: int) -> Any:
+        path = f"{kind}?watch={revision}&waitMs={WATCH_MS}"
+        _, page = await self._call("GET", path, seconds=CALL_SECONDS + WATCH_MS / 1000.0)
+        return page
+
+    async def list_members(self) -> MemberChanges:
+        """Returns all member records, page by page."""
+        changes: list[MemberChange] = []
+        path = MEMBER_KIND
+        revision = None
+        while True:
+            _, page = await self._call("GET", path)
+            if revision is None:
+                revision = _field(page, "currentRev")
+            for item in _field(page, "items"):
+                changes.append(_to_change(item, False))
+            if not page.get("hasMore") or not changes:
+                return MemberChanges(changes, revision)
+            path = f"{MEMBER_KIND}?after={changes[-1].node}"
+
+    async def watch_members(self, revision: int) -> MemberChanges:
+        """Waits for changed records; empty if none came in time."""
+        page = await self._watch(MEMBER_KIND, revision)
+        changes = []
+        for event in _field(page, "events"):
+            changes.append(_to_change(_field(event, "object"), bool(event.get("deleted"))))
+        return MemberChanges(changes, _field(page, "currentRev"))
+
+    async def read_member(self, node: str) -> MemberChange | None:
+        """Returns one record, None if there is none."""
+        status, item = await self._call("GET", f"{MEMBER_KIND}/{node}")
+        return None if status == NO_OBJECT else _to_change(item, False)
+
+    async def create_member(self, member: Member) -> int:
+        """Stores a new record and returns its revision."""
+        body = dumps({"metadata": {"name": member.node}, "spec": member._asdict()})
+        return await self._write("POST", MEMBER_KIND, body)
+
+    async def replace_member(self, member: Member, revision: int) -> int:
+        """Replaces a record of this revision and returns the new one."""
+        body = dumps(
+            {
+                "metadata": {"name": member.node, "revision": revision},
+                "spec": member._asdict(),
+            }
+        )
+        return await self._write("PUT", f"{MEMBER_KIND}/{member.node}", body)
+
+    async def _write(self, method: str, path: str, body: bytes) -> int:
+        status, item = await self._call(method, path, body)
+        if status in (NO_OBJECT, CONFLICT):
+            raise StoreConflictError(f"{method} {path}: status {status}")
+        return _field(_field(item, "metadata"), "revision")
+
+    async def delete_member(self, node: str, revision: int) -> None:
+        """Removes a record of this revision."""
+        status, _ = await self._call("DELETE", f"{MEMBER_KIND}/{node}?revision={revision}")
+        if status == CONFLICT:
+            raise StoreConflictError(f"record of {node} was changed")
+
+
+def _field(table: Any, name: str) -> Any:
+    if not isinstance(table, dict) or name not in table:
+        raise StoreError(f"answer of the store lacks the field {name}")
+    return table[name]
+
+
+def _to_change(item: Any, deleted: bool) -> MemberChange:
+    metadata = _field(item, "metadata")
+    node = _field(metadata, "name")
+    revision = _field(metadata, "revision")
+    member = None if deleted else _to_member(node, item.get("spec"))
+    return MemberChange(node, member, revision, deleted)
+
+
+def _to_member(node: str, spec: Any) -> Member | None:
+    """Returns the member of a record, None if another writer has left something else there."""
+    if not isinstance(spec, dict) or spec.get("node") != node:
+        return None
+    example = Member("", "", "", "")
+    values = {}
+    for name, default in example._asdict().items():
+        value = spec.get(name, default)
+        if type(value) is not type(default):
+            return None
+        values[name] = value
+    return Member(**values)
