Add stand-ins and tests of the routed path, and hold the admission level at a rank

The controller ran through all ranks within a second of sustained load, since what is shed shows in the load only later. A level now stops for a second where the next rank begins.

--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -91,7 +91,7 @@
             return
         self.left = True
         self.refusal = "backend_left"
-        self._log_change("deregistered")
+        self._log_change("left")
 
     def set_gone(self, reason: str) -> bool:
         """Takes note of a crash; returns whether that was news. The next report ends it."""
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -191,6 +191,13 @@
         for signal in (SIGTERM, SIGINT):
             loop.add_signal_handler(signal, self.stopping.set)
         loop.add_signal_handler(SIGHUP, self.reload)
+        await self.start()
+        freeze()
+        await self.stopping.wait()
+        await self.stop()
+
+    async def start(self) -> None:
+        """Opens the ports and starts the work in the background. Raises OSError."""
         await self.open()
         self.log.decision(
             "started",
@@ -206,9 +213,6 @@
             self._sweep(),
         ):
             self._start(work)
-        freeze()
-        await self.stopping.wait()
-        await self._stop()
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         self.tasks.append(get_running_loop().create_task(work))
@@ -246,7 +250,7 @@
             self.pool.sweep()
             self.log.writer.flush()
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Takes callers for as long as they may come, and waits for what is in flight."""
         started = now()
         self.entry.stopping_since = started
@@ -268,10 +272,7 @@
             await self.sync.delete_own(DELETE_SECONDS)
         # Answers that were written last leave the process.
         await sleep(TICK_SECONDS)
-        for task in self.tasks:
-            task.cancel()
-        self.links.close()
-        self.pool.close()
+        self.close()
         self.log.decision(
             "stopped",
             requests=self.figures.requests,
@@ -279,3 +280,15 @@
             after_ms=int((now() - started) * 1000.0),
         )
         self.log.writer.flush()
+
+    def close(self) -> None:
+        """Ends all work and closes all ports and connections at once."""
+        self.ended = True
+        for task in self.tasks:
+            task.cancel()
+        if self.server is not None:
+            self.server.close()
+        for port in self.ports:
+            port.close()
+        self.links.close()
+        self.pool.close()
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -4,6 +4,8 @@
 rank 1, 0.5 half of rank 0 and none of rank 1 beyond the floor.
 """
 
+from math import ceil
+
 from coltsfoottrack._internal.mesh.clock import now
 
 INTERVAL_SECONDS = 0.1
@@ -11,8 +13,11 @@
 FULL_LOAD = 1.05
 FREE_LOAD = 0.9
 RISE_PER_INTERVAL = 0.03
-FALL_PER_LOAD = 0.25
-MAX_FALL_PER_INTERVAL = 0.2
+FALL_PER_LOAD = 0.15
+MAX_FALL_PER_INTERVAL = 0.1
+# A rank is shed only after all below it have been shed for this long: what was shed shows in the
+# load only after the requests admitted before have ended.
+HOLD_SECONDS = 1.0
 # Part of a rank that is admitted at any level, so that no kind of request starves.
 FLOOR = 0.12
 # A level that was not confirmed for this long rises again.
@@ -29,6 +34,10 @@
         self.ranks = 1
         self.level = 1.0
         self.updated = now()
+        self.sum = 0.0
+        self.samples = 0
+        # Since when the lowest rank that is admitted at all has been at its floor.
+        self.at_floor_since: float | None = None
 
     def set_ranks(self, ranks: int) -> None:
         """Takes the number of ranks from the configuration in force."""
@@ -37,16 +46,35 @@
             self.level = float(ranks)
 
     def update(self, load: float, moment: float) -> None:
-        """Adjusts the level to the running and waiting requests for each slot."""
-        intervals = min(10.0, (moment - self.updated) / INTERVAL_SECONDS)
-        if intervals < 1.0:
+        """Takes a sample of the running and waiting requests for each slot."""
+        self.sum += load
+        self.samples += 1
+        if moment - self.updated < INTERVAL_SECONDS:
             return
+        mean = self.sum / self.samples
         self.updated = moment
-        if load > FULL_LOAD:
-            fall = min(MAX_FALL_PER_INTERVAL, FALL_PER_LOAD * (load - FULL_LOAD)) * intervals
-            self.level = max(FLOOR, self.level - fall)
-        elif load < FREE_LOAD:
-            self.level = min(float(self.ranks), self.level + RISE_PER_INTERVAL * intervals)
+        self.sum = 0.0
+        self.samples = 0
+        if mean > FULL_LOAD:
+            self._fall(min(MAX_FALL_PER_INTERVAL, FALL_PER_LOAD * (mean - FULL_LOAD)), moment)
+        else:
+            self.at_floor_since = None
+            if mean < FREE_LOAD:
+                self.level = min(float(self.ranks), self.level + RISE_PER_INTERVAL)
+
+    def _fall(self, amount: float, moment: float) -> None:
+        marginal = ceil(self.level) - 1
+        floor = marginal + FLOOR
+        if self.level - amount >= floor:
+            self.level -= amount
+            return
+        if self.at_floor_since is None:
+            self.at_floor_since = moment
+        if marginal == 0 or moment - self.at_floor_since < HOLD_SECONDS:
+            self.level = floor
+            return
+        self.level = float(marginal)
+        self.at_floor_since = None
 
 
 class ReportedLevels:
--- a/src/coltsfoottrack/_internal/mesh/ports.py
+++ b/src/coltsfoottrack/_internal/mesh/ports.py
@@ -59,3 +59,10 @@
         answer = self.answer(method, request.path, request.body)
         head = f"Content-Type: {answer.content_type}\r\n".encode("latin-1")
         request.respond(answer.status, head, answer.body)
+
+    def close(self) -> None:
+        """Closes the port and its connections."""
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
--- /dev/null
+++ b/tests/standins/backend.py
@@ -0,0 +1,137 @@
+"""Stand-in for a backend server of the platform."""
+
+from asyncio import Event, StreamReader, StreamWriter, open_connection, sleep
+from collections import Counter
+
+from orjson import dumps
+
+from tests.standins.http import HttpServer, Message, read_message
+
+
+class StandInBackend(HttpServer):
+    """Runs requests for a while and answers with a seal; can misbehave as the pages say."""
+
+    def __init__(self, identifier: str, service: str, slots: int = 10) -> None:
+        super().__init__()
+        self.identifier = identifier
+        self.service = service
+        self.slots = slots
+        self.started_ms = 1_000
+        self.number = 0
+        self.work_seconds = 0.01
+        self.runs: Counter[str] = Counter()
+        self.seen: list[Message] = []
+        self.order: list[str] = []
+        self.running = 0
+        self.most_running = 0
+        self.cancelled: list[str] = []
+        # What is done in place of a proper answer: lose, truncate, extra, unsealed, fail, unframed,
+        # encoded, shed.
+        self.fault = ""
+        # Runs end only while this is set.
+        self.released = Event()
+        self.released.set()
+
+    async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Serves one connection."""
+        while (message := await read_message(reader)) is not None:
+            self.seen.append(message)
+            request_id = message.headers["request-id"]
+            if message.headers.get("expected-instance", self.identifier) != self.identifier:
+                self._write(writer, 421, request_id, b"", seal=False, extra="Not-Executed: 1\r\n")
+                continue
+            if self.fault == "shed":
+                self._write(writer, 503, request_id, b"", seal=False, extra="Not-Executed: 1\r\n")
+                continue
+            self.runs[request_id] += 1
+            self.order.append(request_id)
+            self.running += 1
+            self.most_running = max(self.most_running, self.running)
+            try:
+                await sleep(self.work_seconds)
+                while not self.released.is_set():
+                    if reader.at_eof() or writer.is_closing():
+                        self.cancelled.append(request_id)
+                        return
+                    await sleep(0.01)
+            finally:
+                self.running -= 1
+            if not self._answer(writer, message, request_id):
+                return
+
+    def _answer(self, writer: StreamWriter, message: Message, request_id: str) -> bool:
+        """Writes an answer; returns whether the connection stays open."""
+        body = f"{self.identifier} {message.method} {message.path}".encode()
+        fault = self.fault
+        if fault == "lose":
+            writer.transport.abort()
+            return False
+        if fault == "truncate":
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id.encode())
+            writer.write(b"\r\nResponse-Seal: s\r\nContent-Length: 100\r\n\r\nshort")
+            return False
+        if fault == "unframed":
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id.encode())
+            writer.write(b"\r\nResponse-Seal: s\r\n\r\n" + body)
+            return False
+        if fault == "fail":
+            self._write(writer, 500, request_id, b"failed")
+            return True
+        if fault == "unsealed":
+            self._write(writer, 200, request_id, body, seal=False)
+            return True
+        if fault == "encoded":
+            self._write(writer, 200, request_id, body, extra="Content-Encoding: gzip\r\n")
+            return True
+        if fault == "late":
+            self._write(writer, 200, "an-earlier-one", b"another body")
+        self._write(writer, 200, request_id, body)
+        if fault == "extra":
+            self._write(writer, 200, request_id, b"a second answer")
+        return True
+
+    def _write(
+        self,
+        writer: StreamWriter,
+        status: int,
+        request_id: str,
+        body: bytes,
+        seal: bool = True,
+        extra: str = "",
+    ) -> None:
+        head = f"HTTP/1.1 {status} Status\r\nRequest-Id: {request_id}\r\n{extra}"
+        if seal:
+            head += f"Response-Seal: seal-{request_id}\r\n"
+        head += f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode("latin-1") + body)
+
+    async def report(self, node: str, state: str = "ready", **changes: object) -> int:
+        """Sends a heartbeat to a node; returns the status."""
+        self.number += 1
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "east",
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldMs": 0,
+            "seq": self.number,
+            "born": self.started_ms,
+        }
+        fields.update(changes)
+        return await self._post(node, "heartbeat", dumps(fields))
+
+    async def deregister(self, node: str) -> int:
+        """Says that it leaves."""
+        return await self._post(node, "deregister", b"")
+
+    async def _post(self, node: str, action: str, body: bytes) -> int:
+        host, _, port = node.rpartition(":")
+        reader, writer = await open_connection(host, int(port))
+        path = f"/api/instances/{self.identifier}/{action}"
+        head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode("ascii") + body)
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
--- /dev/null
+++ b/tests/standins/http.py
@@ -0,0 +1,72 @@
+"""A small HTTP/1.1 server over asyncio streams for the stand-ins."""
+
+from asyncio import CancelledError, IncompleteReadError, StreamReader, StreamWriter, start_server
+from typing import NamedTuple
+
+
+class Message(NamedTuple):
+    """A request as it was read."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+async def read_message(reader: StreamReader) -> Message | None:
+    """Reads a request with a length; None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode("latin-1").split("\r\n")
+    method, path, _ = lines[0].split(" ", 2)
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.strip().lower()] = value.strip()
+    body = b""
+    if "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return Message(method, path, headers, body)
+
+
+class HttpServer:
+    """Serves connections with one handler for each."""
+
+    def __init__(self) -> None:
+        self.server = None
+        self.port = 0
+        self.writers: set[StreamWriter] = set()
+
+    async def open(self, port: int = 0) -> None:
+        """Opens a port of the loopback address."""
+        self.server = await start_server(self._serve, "127.0.0.1", port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    @property
+    def address(self) -> str:
+        """IP:PORT."""
+        return f"127.0.0.1:{self.port}"
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (CancelledError, ConnectionError, IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        """Serves one connection."""
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """Closes the port and resets all connections."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
--- /dev/null
+++ b/tests/unit/test_mesh_parts.py
@@ -0,0 +1,227 @@
+"""Single parts of the routed path, without a network."""
+
+from unittest import TestCase
+from unittest.mock import patch
+
+from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.levels import FLOOR, Admission, OwnLevel, ReportedLevels
+from coltsfoottrack._internal.mesh.lineage import Lineage, Run
+from coltsfoottrack._internal.mesh.model import (
+    CallerLimits,
+    Member,
+    RetryBounds,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+)
+from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
+from coltsfoottrack._internal.mesh.routes import RouteTable
+from coltsfoottrack.platform.names import parent_identifier
+
+
+def route(name: str, prefix: str, *services: WeightedService, host: str = "a.example") -> Route:
+    """Returns a route whose other fields do not matter."""
+    parts = services or (WeightedService("s", 1),)
+    return Route(name, host, prefix, parts, True, 1000, 500, 2, 0, 0)
+
+
+def table(*routes: Route, previous: RouteTable | None = None) -> RouteTable:
+    """Returns a table of routes."""
+    return RouteTable(RoutingConfiguration(1, routes, CallerLimits(), b""), previous)
+
+
+class RouteTableTest(TestCase):
+    """Choice of a route and of its service."""
+
+    def test_longest_prefix_wins(self):
+        """Guards against a request that goes to the route of a shorter prefix."""
+        routes = table(route("short", "/a/"), route("long", "/a/b/"), route("root", "/"))
+        cases = {
+            "/a/b/c": "long",
+            "/a/b/": "long",
+            "/a/b": "short",
+            "/a/bc/d": "short",
+            "/x": "root",
+            "/a/?q=/a/b/": "short",
+        }
+        for path, name in cases.items():
+            with self.subTest(path=path):
+                self.assertEqual(routes.find("a.example", path).name, name)
+
+    def test_host_is_compared_without_case_and_port(self):
+        """Guards against a 404 for a host that is written in another way."""
+        routes = table(route("r", "/a/"))
+        self.assertEqual(routes.find("A.Example:8080", "/a/").name, "r")
+        self.assertIsNone(routes.find("b.example", "/a/"))
+        self.assertIsNone(routes.find("a.example", "/b/"))
+
+    def test_shares_hold_in_short_sequences(self):
+        """Guards against shares that are right only in the long run."""
+        weighted = route("r", "/", WeightedService("x", 90), WeightedService("y", 10))
+        routes = table(weighted)
+        chosen = [routes.service_of(weighted) for _ in range(100)]
+        self.assertEqual(chosen.count("y"), 10)
+        self.assertLessEqual(chosen[:50].count("y"), 6)
+
+    def test_shares_go_on_over_a_new_version(self):
+        """Guards against shares that start anew with each of many changes."""
+        weighted = route("r", "/", WeightedService("x", 9), WeightedService("y", 1))
+        routes = table(weighted)
+        chosen = []
+        for _ in range(100):
+            routes = table(weighted, previous=routes)
+            chosen.append(routes.service_of(weighted))
+        self.assertEqual(chosen.count("y"), 10)
+
+
+class RepeatBudgetTest(TestCase):
+    """Share of a node in the repeat budget of its service."""
+
+    def test_sum_over_the_nodes_keeps_the_bound(self):
+        """Guards against repeats beyond the service's budget in any window."""
+        bounds = RetryBounds(0.2, 48.0, 10.0)
+        nodes = [RepeatBudget(bounds) for _ in range(3)]
+        taken = []
+        firsts = 0
+        for step in range(400):
+            moment = 100.0 + step * 0.05
+            for node in nodes:
+                node.count_first(moment)
+                firsts += moment >= 110.0
+                while node.take(moment, 3):
+                    taken.append(moment)
+        in_window = sum(1 for moment in taken if moment >= 110.0)
+        self.assertLessEqual(in_window, 0.2 * firsts + 48.0)
+        self.assertGreater(len(taken), 0)
+
+    def test_calls_of_repeated_runs_use_the_budget(self):
+        """Guards against repeats below that nobody counts."""
+        budget = RepeatBudget(RetryBounds(0.2, 48.0, 10.0))
+        for _ in range(20):
+            budget.charge(1.0)
+        self.assertFalse(budget.take(1.0, 1))
+        self.assertTrue(budget.take(20.0, 1))
+
+
+class LevelTest(TestCase):
+    """Admission levels under load."""
+
+    def test_surge_sheds_the_lowest_rank_first(self):
+        """Pattern: twice the capacity, most of it lookups. Guards against orders shed early."""
+        own = OwnLevel()
+        own.set_ranks(2)
+        moment = own.updated
+        admission = Admission()
+        demand = {0: 5, 1: 15}
+        admitted = {0: 0, 1: 0}
+        # What is admitted shows in the load three intervals later; the capacity is 10.
+        pipeline = [20, 20, 20]
+        loads = []
+        for _ in range(200):
+            moment += 0.1
+            load = pipeline.pop(0) / 10.0
+            loads.append(load)
+            own.update(load, moment)
+            taken = 0
+            for rank, count in demand.items():
+                for _ in range(count):
+                    if admission.admit(f"r{rank}", rank, own.level):
+                        admitted[rank] += 1
+                        taken += 1
+            pipeline.append(taken)
+        self.assertEqual(admitted[0], 1000)
+        self.assertLess(sum(loads[50:]) / 150, 1.15)
+        self.assertGreater(sum(loads[50:]) / 150, 0.85)
+
+    def test_no_rank_is_shed_whole(self):
+        """Pattern: orders alone exceed the capacity. Guards against lookups that starve."""
+        own = OwnLevel()
+        own.set_ranks(2)
+        moment = own.updated
+        for _ in range(100):
+            moment += 0.1
+            own.update(3.0, moment)
+        admission = Admission()
+        admitted = sum(admission.admit("r", 1, own.level) for _ in range(100))
+        self.assertGreaterEqual(admitted, int(100 * FLOOR) - 1)
+
+    def test_level_rises_after_the_surge(self):
+        """Guards against overload that outlasts its trigger."""
+        own = OwnLevel()
+        own.set_ranks(2)
+        own.level = 0.2
+        moment = own.updated
+        for _ in range(100):
+            moment += 0.1
+            own.update(0.5, moment)
+        self.assertEqual(own.level, 2.0)
+
+    def test_silent_reports_are_forgotten(self):
+        """Guards against requests that are shed for a service nobody has asked lately."""
+        levels = ReportedLevels()
+        with patch("coltsfoottrack._internal.mesh.levels.now", lambda: 10.0):
+            levels.report("r", "n", 0.5)
+        self.assertEqual(levels.level("r", 2, 10.1), 0.5)
+        self.assertGreater(levels.level("r", 2, 11.5), 0.5)
+        self.assertEqual(levels.level("r", 2, 14.0), 2.0)
+
+
+class LineageTest(TestCase):
+    """Calls and the requests that they are made for."""
+
+    def test_only_a_run_of_this_server_is_believed(self):
+        """Guards against a caller that claims the rank of another request."""
+        lineage = Lineage(parent_identifier)
+        lineage.begin(Run("orders", 0, 9.0, False, "aa.bb"))
+        self.assertEqual(lineage.parent("aa.bb.cc").route, "orders")
+        self.assertIsNone(lineage.parent("aa.cc"))
+        self.assertIsNone(lineage.parent("aa"))
+        lineage.end("aa.bb")
+        self.assertIsNone(lineage.parent("aa.bb.cc"))
+
+
+class DirectoryTest(TestCase):
+    """Choice of a member."""
+
+    def setUp(self):
+        self.own = Member("n0", "a:0", "east", "portal")
+        self.directory = Directory(self.own)
+        for name, domain in (("n1", "east"), ("n2", "west")):
+            self.directory.put(
+                Member(name, f"a:{name}", domain, "s", f"i-{name}", accepting=True, slots=10)
+            )
+
+    def choose(self, count: int) -> list[str]:
+        """Chooses members for requests that all stay in flight."""
+        return [self.directory.choose("s", set()).member.node for _ in range(count)]
+
+    def test_own_failure_domain_while_it_has_room(self):
+        """Guards against bytes between failure domains that nothing makes necessary."""
+        self.assertEqual(set(self.choose(2)), {"n1"})
+        self.assertIn("n2", self.choose(10))
+
+    def test_failing_member_gets_few(self):
+        """Guards against a server that fails part of its requests and stays first choice."""
+        for _ in range(10):
+            self.directory.peers["n1"].count_result(True)
+        self.assertEqual(set(self.choose(5)), {"n2"})
+
+    def test_earlier_records_are_not_taken(self):
+        """Guards against an older record of a peer or the store that wins over a newer one."""
+        known = self.directory.peers["n1"].member
+        self.directory.put(known._replace(serial=5, left=True))
+        self.assertFalse(self.directory.put(known._replace(serial=4)))
+        self.assertEqual(set(self.choose(3)), {"n2"})
+
+    def test_address_given_to_another_node(self):
+        """Guards against requests to the service that had an address before."""
+        self.directory.put(Member("n9", "a:n1", "east", "t", "i-9", epoch=7, slots=10))
+        self.assertNotIn("n1", self.directory.peers)
+
+    def test_word_that_a_member_takes_nothing_lapses(self):
+        """Guards against a member that stays out when the word of its return is lost."""
+        known = self.directory.peers["n1"].member
+        self.directory.put(known._replace(serial=5, accepting=False))
+        self.assertEqual(set(self.choose(2)), {"n2"})
+        self.directory.peers["n1"].blocked_until = 0.0
+        self.assertIn("n1", self.choose(2))
--- /dev/null
+++ b/tests/unit/test_platform_adapter.py
@@ -0,0 +1,127 @@
+"""The adapter to the users' platform."""
+
+from ast import Import, ImportFrom, parse, walk
+from pathlib import Path
+from unittest import TestCase
+
+from orjson import dumps
+
+from coltsfoottrack._internal.mesh.exceptions import MeshError, ReportError
+from coltsfoottrack.platform.configuration import decode_configuration
+from coltsfoottrack.platform.reports import read_report
+from coltsfoottrack.platform.settings import from_fields, read_lines
+
+SOURCE = Path(__file__).resolve().parents[2] / "src" / "coltsfoottrack"
+SETTINGS = """
+node=sidecar-1
+zone=east
+service=abc
+ip=10.0.0.1
+listen.inbound=10.0.0.1:1
+listen.outbound=10.0.0.1:2
+listen.ready=10.0.0.1:3
+listen.control=10.0.0.1:4
+internalPorts=7620,7635
+appAddr=10.0.0.1:5
+platform.address=10.0.0.9:6
+bounds=graceS=5,retryBudgetRatio=0.1,budgetWindowS=8,retryBudgetSlack=12
+something.new=1
+"""
+# Names that only the adapter may know.
+PLATFORM_NAMES = (
+    "Request-Id",
+    "Response-Seal",
+    "Not-Executed",
+    "weightedServices",
+    "pathPrefix",
+    "coldMs",
+    "currentRev",
+    "/api/objects",
+    "deregister",
+    "appAddr",
+)
+
+
+class SettingsTest(TestCase):
+    """The platform's settings file."""
+
+    def test_fields(self):
+        """Guards against a field that is read under another name."""
+        settings = from_fields(read_lines(SETTINGS))
+        self.assertEqual(settings.caller_address, "10.0.0.1:2")
+        self.assertEqual(settings.link_address, "10.0.0.1:1")
+        self.assertEqual(settings.grace_seconds, 5.0)
+        self.assertEqual(settings.retries, (0.1, 12.0, 8.0))
+
+    def test_missing_and_wrong_fields_are_named(self):
+        """Guards against an error that does not say which field is wrong."""
+        with self.assertRaisesRegex(ValueError, "zone"):
+            from_fields(read_lines(SETTINGS.replace("zone=", "zune=")))
+        with self.assertRaisesRegex(ValueError, "many"):
+            from_fields(read_lines(SETTINGS.replace("graceS=5", "graceS=many")))
+
+
+class ConfigurationTest(TestCase):
+    """The operator's configuration."""
+
+    def test_ranks_follow_the_priorities(self):
+        """Guards against gaps between priorities that look like further ranks."""
+        route = {"host": "H.example", "pathPrefix": "/", "timeoutMs": 10, "service": "s"}
+        spec = {
+            "version": 3,
+            "routes": {
+                "low": {**route, "type": "safe", "priority": 7},
+                "high": {**route, "type": "unsafe", "priority": 0},
+            },
+        }
+        ranks = {}
+        for entry in decode_configuration(dumps(spec)).routes:
+            ranks[entry.name] = (entry.rank, entry.idempotent, entry.host)
+        self.assertEqual(ranks, {"low": (1, True, "h.example"), "high": (0, False, "h.example")})
+
+    def test_unreadable_content(self):
+        """Guards against an error of another layer, which would end the task that follows."""
+        for content in (b"", b"[]", b'{"version": 1, "routes": {"r": 5}}', b'{"routes": {}}'):
+            with self.subTest(content=content), self.assertRaises(MeshError):
+                decode_configuration(content)
+
+
+class ReportTest(TestCase):
+    """Calls of backend servers."""
+
+    def test_other_calls_are_refused(self):
+        """Guards against a leave that was read from another call."""
+        for method, path in (
+            ("GET", "/api/instances/i/heartbeat"),
+            ("POST", "/api/instances/i/other"),
+            ("POST", "/api/instances//deregister"),
+            ("POST", "/api/other"),
+        ):
+            with self.subTest(path=path), self.assertRaises(ReportError):
+                read_report(method, path, b"{}")
+        self.assertEqual(read_report("POST", "/api/instances/i-1/deregister", b""), "i-1")
+
+
+class BoundaryTest(TestCase):
+    """The adapter is the one place that knows the platform."""
+
+    def test_nothing_outside_imports_the_adapter(self):
+        """Guards against a product that works on one platform only."""
+        for path in SOURCE.rglob("*.py"):
+            if path.parent == SOURCE / "platform":
+                continue
+            for node in walk(parse(path.read_text(encoding="utf-8"))):
+                names = []
+                if isinstance(node, Import):
+                    names = [alias.name for alias in node.names]
+                elif isinstance(node, ImportFrom):
+                    names = [node.module or ""]
+                for name in names:
+                    self.assertFalse(name.startswith("coltsfoottrack.platform"), path)
+
+    def test_names_of_the_platform_stay_in_the_adapter(self):
+        """Guards against names of the wire that leak into the routed path."""
+        for path in (SOURCE / "_internal" / "mesh").rglob("*.py"):
+            text = path.read_text(encoding="utf-8")
+            for name in PLATFORM_NAMES:
+                self.assertNotIn(name, text, path)
