Control the admission level by arriving work, log what a runner refuses

It now follows the work that arrives, corrected by the wait of a new request.

A runner logs each refused call and each run without an answer, with the queue, level and report that decided it. Calls of repeated runs are marked below the first level too.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -34,7 +34,7 @@
 # Callers stay away from a node once it has not been ready for two questions a second apart.
 LEAVE_SECONDS = 2.3
 # Left of the grace time for the end of the process itself.
-END_MARGIN_SECONDS = 0.25
+END_MARGIN_SECONDS = 0.6
 DELETE_SECONDS = 0.3
 
 
@@ -77,7 +77,13 @@
         self.directory = Directory(own)
         self.keeper = ConfigurationKeeper(adapter.decode_configuration, log)
         self.runner = Runner(
-            self.backend, self.pool, RepeatBudget(settings.retries), self.lineage, names, log
+            self.backend,
+            self.pool,
+            RepeatBudget(settings.retries),
+            self.lineage,
+            names,
+            log,
+            self.figures.run_time,
         )
         self.entry = Entry(names, self.directory, self.runner, self.lineage, log, self.figures)
         self.entry.set_service(settings.service)
--- a/src/coltsfoottrack/_internal/mesh/decisions.py
+++ b/src/coltsfoottrack/_internal/mesh/decisions.py
@@ -16,6 +16,9 @@
 # Lines about single requests: this many in a second, and in one burst.
 REQUEST_LINES_PER_SECOND = 40.0
 REQUEST_LINES_BURST = 400.0
+# Lines about requests to which nothing happened: a sample.
+SAMPLE_LINES_PER_SECOND = 2.0
+SAMPLE_LINES_BURST = 10.0
 # Lines that wait for a reader of standard output, in bytes.
 MAX_WAITING_BYTES = 1024 * 1024
 
@@ -73,8 +76,9 @@
 class DecisionLog:
     """Writes one line for each decision.
 
-    Lines that say what the node believes are always written. Those about single requests are
-    bounded; what was left out is counted and said with the next line.
+    Lines that say what the node believes are always written. Those about refused, failed and
+    repeated requests are bounded; what was left out is counted and said with the next line. Of the
+    other requests a sample is written.
     """
 
     def __init__(self, node: str, writer: LineWriter | None = None) -> None:
@@ -84,6 +88,7 @@
             processors=[TimeStamper(fmt=None), render],
         ).bind(node=node)
         self.bucket = TokenBucket(REQUEST_LINES_PER_SECOND, REQUEST_LINES_BURST, now())
+        self.samples = TokenBucket(SAMPLE_LINES_PER_SECOND, SAMPLE_LINES_BURST, now())
         self.left_out = 0
         self.left_out_total = 0
         self.counts: dict[str, int] = {}
@@ -106,3 +111,10 @@
             fields["left_out_before"] = self.left_out
             self.left_out = 0
         self.logger.msg(event, **fields)
+
+    def takes_sample(self) -> bool:
+        """Tells whether a line about an ordinary request is to be written now."""
+        if self.samples.available(now()) < 1.0:
+            return False
+        self.samples.take(1.0)
+        return True
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -250,6 +250,8 @@
         call.sends += 1
         call.sent_at = moment
         call.tried.add(peer.member.node)
+        if self.log.takes_sample():
+            self._log_choice(call, peer, moment)
         message = self._message(call, peer, left)
         number = call.number
         if peer.member.node == self.directory.own.node:
@@ -266,6 +268,23 @@
             ),
         )
 
+    def _log_choice(self, call: EntryCall, peer: Peer, moment: float) -> None:
+        """Says which member was chosen, and from which figures of which age."""
+        self.log.decision(
+            "request_sent",
+            request_id=call.request.request_id.decode("latin-1"),
+            route=call.route.name,
+            rank=call.rank,
+            service=call.service,
+            node=peer.member.node,
+            load=round(peer.load, 1),
+            load_age_ms=int((moment - peer.load_at) * 1000.0) if peer.load_at else -1,
+            failures=round(peer.failures, 2),
+            record_epoch=peer.member.epoch,
+            record_serial=peer.member.serial,
+            configuration_version=self.table.version,
+        )
+
     def _message(self, call: EntryCall, peer: Peer, left: float) -> Request:
         route = call.route
         nested = call.parent is not None
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -9,15 +9,20 @@
 from coltsfoottrack._internal.mesh.clock import now
 
 INTERVAL_SECONDS = 0.1
-# Running and waiting requests for each slot above which the level falls, and below which it rises.
-FULL_LOAD = 1.05
-FREE_LOAD = 0.9
-RISE_PER_INTERVAL = 0.03
-FALL_PER_LOAD = 0.15
+# Part of the slots that the arriving requests may take.
+TARGET_LOAD = 0.95
+# Each second that a new request would wait counts as this much load.
+LOAD_PER_DELAY_SECOND = 1.0
+# Change of the level in one interval for an excess of all slots. What is admitted shows in the
+# arrivals at the services below up to 0.4 s later; a quicker change would swing.
+CHANGE_PER_LOAD = 0.1
 MAX_FALL_PER_INTERVAL = 0.1
+MAX_RISE_PER_INTERVAL = 0.05
+# Weight of the newest interval in the arrivals.
+ARRIVALS_WEIGHT = 0.4
 # A rank is shed only after all below it have been shed for this long: what was shed shows in the
 # load only after the requests admitted before have ended.
-HOLD_SECONDS = 1.0
+HOLD_SECONDS = 2.0
 # Part of a rank that is admitted at any level, so that no kind of request starves.
 FLOOR = 0.12
 # A level that was not confirmed for this long rises again.
@@ -28,14 +33,19 @@
 
 
 class OwnLevel:
-    """Level of one backend server, from the load that its node measures."""
+    """Level of one backend server, from the work that arrives and the queue that is left of it.
+
+    The queue alone is too late a signal: it grows for as long as too much arrives, and goes on
+    shrinking for as long as too much is shed.
+    """
 
     def __init__(self) -> None:
         self.ranks = 1
         self.level = 1.0
         self.updated = now()
-        self.sum = 0.0
-        self.samples = 0
+        self.arrived = 0
+        # Arrivals in a second.
+        self.rate = 0.0
         # Since when the lowest rank that is admitted at all has been at its floor.
         self.at_floor_since: float | None = None
 
@@ -45,22 +55,26 @@
             self.ranks = ranks
             self.level = float(ranks)
 
-    def update(self, load: float, moment: float) -> None:
-        """Takes a sample of the running and waiting requests for each slot."""
-        self.sum += load
-        self.samples += 1
-        if moment - self.updated < INTERVAL_SECONDS:
+    def count_arrival(self) -> None:
+        """Counts a request that runs or waits."""
+        self.arrived += 1
+
+    def update(self, run_seconds: float, slots: int, waiting: int, moment: float) -> None:
+        """Adjusts the level; ``run_seconds`` is the mean time of a run."""
+        elapsed = moment - self.updated
+        if elapsed < INTERVAL_SECONDS:
             return
-        mean = self.sum / self.samples
         self.updated = moment
-        self.sum = 0.0
-        self.samples = 0
-        if mean > FULL_LOAD:
-            self._fall(min(MAX_FALL_PER_INTERVAL, FALL_PER_LOAD * (mean - FULL_LOAD)), moment)
-        else:
-            self.at_floor_since = None
-            if mean < FREE_LOAD:
-                self.level = min(float(self.ranks), self.level + RISE_PER_INTERVAL)
+        self.rate += ARRIVALS_WEIGHT * (self.arrived / elapsed - self.rate)
+        self.arrived = 0
+        load = self.rate * run_seconds / slots
+        load += LOAD_PER_DELAY_SECOND * waiting * run_seconds / slots
+        change = CHANGE_PER_LOAD * (load - TARGET_LOAD)
+        if change > 0.0:
+            self._fall(min(MAX_FALL_PER_INTERVAL, change), moment)
+            return
+        self.at_floor_since = None
+        self.level = min(float(self.ranks), self.level + min(MAX_RISE_PER_INTERVAL, -change))
 
     def _fall(self, amount: float, moment: float) -> None:
         marginal = ceil(self.level) - 1
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -24,6 +24,7 @@
 from coltsfoottrack._internal.mesh.lineage import Lineage, Run
 from coltsfoottrack._internal.mesh.model import HeaderNames
 from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
+from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
     RESULT_NOT_RUN,
@@ -40,8 +41,8 @@
 # Crashes show within this time of the loss of a connection.
 CRASH_SECONDS = 4.0
 QUARANTINE_MS = 120_000.0
-# Weight of the newest run in the mean time of a route.
-TIME_WEIGHT = 0.1
+# Weight of the newest run in the mean time of runs.
+TIME_WEIGHT = 0.02
 # Answers are kept for a caller's node that lost its link.
 KEEP_ANSWER_SECONDS = 3.0
 FORGET_SECONDS = 15.0
@@ -116,6 +117,7 @@
         lineage: Lineage,
         names: HeaderNames,
         log: DecisionLog,
+        run_time: PlainHistogram,
     ) -> None:
         self.backend = backend
         self.pool = pool
@@ -123,6 +125,7 @@
         self.lineage = lineage
         self.names = names
         self.log = log
+        self.run_time = run_time
         self.level = OwnLevel()
         self.suspects = SuspectTable(lambda: QUARANTINE_MS, now)
         self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
@@ -130,7 +133,8 @@
         self.running: set[RunnerCall] = set()
         self.arrivals = 0
         self.tasks: set[Task[None]] = set()
-        self.times: dict[str, float] = {}
+        # Mean time of a run, in seconds.
+        self.mean_seconds = 0.0
         # Calls that lost their connection lately, and may have crashed the backend server.
         self.lost: list[tuple[float, RunnerCall]] = []
         # Number of nodes that share the service's repeat budget.
@@ -159,10 +163,12 @@
             self._refuse(call, "quarantined")
         elif message.repeat and not self.budget.take(call.arrived, self.members()):
             self._refuse(call, "repeat_budget")
-        elif len(self.running) < self.backend.slots and not self.queue:
-            self._start(call)
         else:
-            self._enqueue(call)
+            self.level.count_arrival()
+            if len(self.running) < self.backend.slots and not self.queue:
+                self._start(call)
+            else:
+                self._enqueue(call)
 
     def _attach(self, known: RunnerCall, call: RunnerCall) -> None:
         """Lets a call that was sent again get the answer of the first copy."""
@@ -227,7 +233,13 @@
         call.sent_at = moment
         call.connection = connection
         self.lineage.begin(
-            Run(message.route, call.rank, call.expires, message.repeat, message.request_id)
+            Run(
+                message.route,
+                call.rank,
+                call.expires,
+                message.repeat or message.of_repeated_run,
+                message.request_id,
+            )
         )
         names = self.names
         request = b"".join(
@@ -274,11 +286,13 @@
 
     def _count_time(self, call: RunnerCall) -> None:
         took = now() - call.sent_at
-        route = call.message.route
-        mean = self.times.get(route, took)
-        self.times[route] = mean + TIME_WEIGHT * (took - mean)
+        self.run_time.observe(took)
+        if not self.mean_seconds:
+            self.mean_seconds = took
+        self.mean_seconds += TIME_WEIGHT * (took - self.mean_seconds)
 
     def _refuse(self, call: RunnerCall, reason: str) -> None:
+        self._log_outcome("run_refused", call, reason)
         call.answer = RunResult(RESULT_NOT_RUN, reason)
         call.done = True
         call.deliver(call)
@@ -288,6 +302,8 @@
         if call.sent_at is not None:
             self.lineage.end(call.message.request_id)
         self.running.discard(call)
+        if result.result != RESULT_ANSWERED:
+            self._log_outcome("run_without_answer", call, result.reason)
         call.connection = None
         call.answer = result
         call.done = True
@@ -296,6 +312,27 @@
         if not self.running and not self.queue:
             self.idle_callback()
 
+    def _log_outcome(self, event: str, call: RunnerCall, reason: str) -> None:
+        moment = now()
+        ran = moment - call.sent_at if call.sent_at is not None else 0.0
+        self.log.request(
+            event,
+            request_id=call.message.request_id,
+            route=call.message.route,
+            rank=call.rank,
+            reason=reason,
+            caller_node=call.key.node,
+            backend=self.backend.identifier,
+            report_number=self.backend.number,
+            running=len(self.running),
+            waiting=len(self.queue),
+            slots=self.backend.slots,
+            level=round(self.level.level, 2),
+            waited_ms=int((moment - call.arrived - ran) * 1000.0),
+            ran_ms=int(ran * 1000.0),
+            time_left_ms=int((call.expires - moment) * 1000.0),
+        )
+
     def _start_next(self) -> None:
         queue = self.queue
         if not queue:
@@ -364,7 +401,7 @@
                 self._finish(call, RunResult(RESULT_UNKNOWN, "overdue"))
             elif call.orphaned_at is not None and moment - call.orphaned_at > ORPHAN_SECONDS:
                 self._abandon(call, "caller_gone")
-        self.level.update(self.load / max(1, self.backend.slots), moment)
+        self.level.update(self.mean_seconds, self.backend.slots, len(self.queue), moment)
         self._forget(moment)
 
     def _forget(self, moment: float) -> None:
