Send long work to fast servers, serve lookups of one rank nearly in order

Calls now have a head start of 150 ms in place of strict precedence, lookups may wait for 0.3 of their target, and a member whose usual time on a route endangers the target counts as more loaded.

Ruled out: equal shares of admission, which were equal already.

--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -1,6 +1,7 @@
 """Members of the mesh as this node knows them, and the choice of a member for a request."""
 
 from random import random
+from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.clock import now
 from coltsfoottrack._internal.mesh.model import Member
@@ -12,6 +13,14 @@
 FAILURE_PENALTY = 3.0
 COLD_PENALTY = 0.6
 FAILURE_WEIGHT = 0.1
+# Answers whose usual time is over this part of the target latency are often late.
+SAFE_TIME_PART = 0.35
+# Load for each slot that counts as much as a usual time of the whole target latency beyond that.
+SLOWNESS_PENALTY = 3.0
+MAX_SLOWNESS = 2.0
+TIME_WEIGHT = 0.1
+# Times older than this say less and less.
+TIME_AGE_SECONDS = 3.0
 # A member that could not be reached is not chosen for this long.
 UNREACHABLE_SECONDS = 1.0
 # A member that said that it takes no requests for now is asked again after this time.
@@ -20,6 +29,13 @@
 LOAD_AGE_SECONDS = 2.0
 
 
+class AnswerTime(NamedTuple):
+    """Mean time of the answers on a route, in seconds, and the time of the last one."""
+
+    mean: float
+    at: float
+
+
 class Peer:
     """One member and what this node has learned of it."""
 
@@ -31,12 +47,14 @@
         self.failures = 0.0
         self.blocked_until = 0.0
         self.seen_at = now()
+        self.times: dict[str, AnswerTime] = {}
 
     def take(self, member: Member) -> None:
         """Replaces the record."""
         if member.backend != self.member.backend or member.epoch != self.member.epoch:
             self.failures = 0.0
             self.blocked_until = 0.0
+            self.times = {}
         if member.accepting and not self.member.accepting:
             self.blocked_until = 0.0
         elif not member.accepting and not member.left:
@@ -54,6 +72,24 @@
         """Counts a result of the backend server."""
         self.failures += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - self.failures)
 
+    def observe(self, route: str, seconds: float, moment: float) -> None:
+        """Takes the time that the member took for an answer on a route."""
+        known = self.times.get(route)
+        mean = known.mean if known is not None else seconds
+        self.times[route] = AnswerTime(mean + TIME_WEIGHT * (seconds - mean), moment)
+
+    def slowness(self, route: str, target_seconds: float, moment: float) -> float:
+        """Returns how far the usual time on a route endangers its target latency, in slots."""
+        known = self.times.get(route)
+        if known is None:
+            return 0.0
+        excess = known.mean / target_seconds - SAFE_TIME_PART
+        if excess <= 0.0:
+            return 0.0
+        # A member that is not chosen gives no new times.
+        age = max(0.0, moment - known.at - TIME_AGE_SECONDS)
+        return min(MAX_SLOWNESS, SLOWNESS_PENALTY * excess) / (1.0 + age)
+
     def block(self, seconds: float = UNREACHABLE_SECONDS) -> None:
         """Keeps the member from being chosen for a while."""
         self.blocked_until = now() + seconds
@@ -124,7 +160,9 @@
         """Tells whether any member of a service is known."""
         return bool(self.by_service.get(service))
 
-    def choose(self, service: str, tried: set[str]) -> Peer | None:
+    def choose(
+        self, service: str, tried: set[str], route: str = "", target_seconds: float = 1.0
+    ) -> Peer | None:
         """Returns the member that is expected to serve a request best, None if there is none."""
         best: Peer | None = None
         best_cost = 0.0
@@ -135,7 +173,7 @@
                 continue
             if peer.blocked_until > moment:
                 continue
-            cost = self._cost(peer, moment)
+            cost = self._cost(peer, moment) + peer.slowness(route, target_seconds, moment)
             if best is None or cost < best_cost:
                 best = peer
                 best_cost = cost
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -23,7 +23,7 @@
 # Sends of one request, also those that never reached a backend server.
 MAX_SENDS = 5
 # Part of the target latency for which a request below the top rank may wait for a slot.
-WAIT_PART = 0.12
+WAIT_PART = 0.3
 MIN_WAIT_SECONDS = 0.04
 # The most important requests may wait for this part of their time.
 TOP_WAIT_PART = 0.6
@@ -239,7 +239,8 @@
             return
         peer = None
         if call.sends < MAX_SENDS:
-            peer = self.directory.choose(call.service, call.tried)
+            target = call.route.target_latency_ms / 1000.0
+            peer = self.directory.choose(call.service, call.tried, call.route.name, target)
         if peer is None:
             if not call.reason:
                 known = self.directory.knows(call.service)
@@ -329,6 +330,7 @@
         self.levels.report(call.route.name, peer.member.node, reply.level / LEVEL_UNIT)
         if reply.result == RESULT_ANSWERED:
             call.attempts += 1
+            peer.observe(call.route.name, moment - call.sent_at, moment)
             failed = reply.status >= FIRST_FAILURE_STATUS
             peer.count_result(failed)
             if failed and self._repeat(call, reply, "backend_failed"):
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -32,6 +32,8 @@
     Request,
 )
 
+# Calls of runs go before new requests of their rank that came up to this long earlier.
+CALL_HEAD_START_SECONDS = 0.15
 # A request that is handed over with less time than this cannot finish.
 MIN_TIME_LEFT_SECONDS = 0.005
 # The backend server answers at the deadline itself; after this time more it is given up.
@@ -131,7 +133,8 @@
         self.level = OwnLevel()
         self.suspects = SuspectTable(lambda: QUARANTINE_MS, now)
         self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
-        self.queue: list[tuple[int, int, int, RunnerCall]] = []
+        # Rank, time that orders those of one rank, number, call.
+        self.queue: list[tuple[int, float, int, RunnerCall]] = []
         self.running: set[RunnerCall] = set()
         self.arrivals = 0
         self.tasks: set[Task[None]] = set()
@@ -184,8 +187,10 @@
 
     def _enqueue(self, call: RunnerCall) -> None:
         self.arrivals += 1
-        # Calls go before new requests: the runs that wait for them hold slots elsewhere.
-        entry = (call.rank, 0 if call.message.nested else 1, self.arrivals, call)
+        # The runs that wait for calls hold slots elsewhere, but a new request does not wait for
+        # all calls that come later.
+        due = call.arrived - (CALL_HEAD_START_SECONDS if call.message.nested else 0.0)
+        entry = (call.rank, due, self.arrivals, call)
         heappush(self.queue, entry)
 
     def _start(self, call: RunnerCall) -> None:
--- a/tests/unit/test_mesh_parts.py
+++ b/tests/unit/test_mesh_parts.py
@@ -3,6 +3,7 @@
 from unittest import TestCase
 from unittest.mock import patch
 
+from coltsfoottrack._internal.mesh.clock import now as clock
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.levels import FLOOR, Admission, OwnLevel, ReportedLevels
 from coltsfoottrack._internal.mesh.lineage import Lineage, Run
@@ -18,6 +19,9 @@
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack.platform.names import parent_identifier
 
+# A little over the interval of the level, so that rounding does not join two intervals.
+STEP_SECONDS = 0.1001
+
 
 def route(name: str, prefix: str, *services: WeightedService, host: str = "a.example") -> Route:
     """Returns a route whose other fields do not matter."""
@@ -120,7 +124,7 @@
         waiting = 0
         delays = []
         for _ in range(300):
-            moment += 0.1
+            moment += STEP_SECONDS
             arrived = arriving.pop(0)
             waiting = max(0, waiting + arrived - 10)
             delays.append(waiting * 0.01)
@@ -144,7 +148,7 @@
         own.set_ranks(2)
         moment = own.updated
         for _ in range(100):
-            moment += 0.1
+            moment += STEP_SECONDS
             own.arrived = 30
             own.update(0.1, 10, 20, moment)
         admission = Admission()
@@ -158,7 +162,7 @@
         own.level = 0.2
         moment = own.updated
         for _ in range(100):
-            moment += 0.1
+            moment += STEP_SECONDS
             own.arrived = 5
             own.update(0.1, 10, 0, moment)
         self.assertEqual(own.level, 2.0)
@@ -232,3 +236,21 @@
         self.assertEqual(set(self.choose(2)), {"n2"})
         self.directory.peers["n1"].blocked_until = 0.0
         self.assertIn("n1", self.choose(2))
+
+    def test_slow_member_gets_no_long_work(self):
+        """Pattern: servers of different speed. Guards against lookups that are late there."""
+        moment = clock()
+        for _ in range(20):
+            self.directory.peers["n1"].observe("long", 0.6, moment)
+            self.directory.peers["n1"].observe("short", 0.03, moment)
+        chosen = self.directory.choose("s", set(), "long", 1.0)
+        self.assertEqual(chosen.member.node, "n2")
+        chosen = self.directory.choose("s", set(), "short", 1.0)
+        self.assertEqual(chosen.member.node, "n1")
+
+    def test_slowness_is_forgotten(self):
+        """Guards against a server that stays out after a slow time."""
+        peer = self.directory.peers["n1"]
+        peer.observe("long", 5.0, 100.0)
+        self.assertGreater(peer.slowness("long", 1.0, 101.0), 1.0)
+        self.assertLess(peer.slowness("long", 1.0, 120.0), 0.2)
