--- a/src/coltsfoottrack/_internal/node/daemon.py
+++ b/src/coltsfoottrack/_internal/node/daemon.py
@@ -51,7 +51,8 @@
     state = NodeState.from_config(settings)
     state.cluster.detector.on_replaced = stopping.set
     call_server = CallServer(state)
-    state.backend.report = SuspectReporter(state).report
+    reporter = SuspectReporter(state)
+    state.backend.report = reporter.report
     admin_server = AdminServer(state)
     peer_server = Server(
         [
@@ -84,6 +85,7 @@
                 tasks.create_task(keep_running(state.cluster.run_socket)),
                 tasks.create_task(join_and_serve(state)),
                 tasks.create_task(ChangeRecorder(state).run()),
+                tasks.create_task(keep_running(reporter.keep_up)),
             ]
             await stopping.wait()
             await drain(state)
--- a/src/coltsfoottrack/_internal/node/suspect_service.py
+++ b/src/coltsfoottrack/_internal/node/suspect_service.py
@@ -1,6 +1,6 @@
 """News of crashing requests between the nodes of a service, over gRPC."""
 
-from asyncio import gather, timeout
+from asyncio import gather, sleep, timeout
 
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream
@@ -14,6 +14,7 @@
 from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import (
     MEMBER_STATUS_ALIVE,
     MEMBER_STATUS_SUSPECT,
+    Member,
     ReportSuspectsReply,
     ReportSuspectsRequest,
     Suspect,
@@ -23,6 +24,10 @@
 # once the failure is known meets nodes that know of it.
 REPORT_TIMEOUT_SECONDS = 0.5
 MAX_DIGEST_BYTES = 64
+# Nodes that missed a report are told again this often.
+CATCH_UP_SECONDS = 0.5
+# Bounds a report to a node that knows none of them; the others follow with the next ones.
+MAX_SUSPECTS_IN_REPORT = 200
 
 logger = get_logger(__name__)
 
@@ -52,13 +57,54 @@
 
 
 class SuspectReporter:
-    """Tells the other nodes of the service about suspects."""
+    """Tells the other nodes of the service about suspects, until each of them knows."""
 
     def __init__(self, state: NodeState) -> None:
         self.state = state
+        # Crashes that a node has confirmed, by process of the node and digest.
+        self.confirmed: dict[tuple[str, int], dict[bytes, int]] = {}
+
+    async def keep_up(self) -> None:
+        """Tells nodes that were out of reach, and processes that have started since."""
+        while True:
+            await sleep(CATCH_UP_SECONDS)
+            if self.state.suspects.entries:
+                await gather(*(self._catch_up(member) for member in self._members()))
+            else:
+                self.confirmed.clear()
+
+    async def _catch_up(self, member: Member) -> None:
+        """Tells one node the suspects that it has not confirmed."""
+        confirmed = self.confirmed.get((member_id(member), member.incarnation), {})
+        missing = []
+        for digest in list(self.state.suspects.entries):
+            report = self.state.suspects.report(digest)
+            if report is not None and report.crashes > confirmed.get(digest, 0):
+                missing.append(report)
+        if missing:
+            await self._send(member, self._request(missing[:MAX_SUSPECTS_IN_REPORT], []))
 
     async def report(self, suspects: list[SuspectReport], cleared: list[bytes]) -> None:
         """Sends a report to all nodes of the service; returns within 0.5 s."""
+        request = self._request(suspects, cleared)
+        await gather(*(self._send(member, request) for member in self._members()))
+
+    def _members(self) -> list[Member]:
+        """Returns the other nodes of the service that may be reached."""
+        members = []
+        for member in self.state.members.members.values():
+            if member.service != self.state.settings.service:
+                continue
+            if member.status not in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT):
+                continue
+            if member_id(member) == self.state.name:
+                continue
+            members.append(member)
+        return members
+
+    def _request(
+        self, suspects: list[SuspectReport], cleared: list[bytes]
+    ) -> ReportSuspectsRequest:
         request = ReportSuspectsRequest(envelope=self.state.envelope(), cleared=cleared)
         for suspect in suspects:
             request.suspects.append(
@@ -69,18 +115,10 @@
                     age_ms=suspect.age_ms,
                 )
             )
-        sending = []
-        for member in self.state.members.members.values():
-            if member.service != self.state.settings.service:
-                continue
-            if member.status not in (MEMBER_STATUS_ALIVE, MEMBER_STATUS_SUSPECT):
-                continue
-            if member_id(member) == self.state.name:
-                continue
-            sending.append(self._send(peer_address(member), request))
-        await gather(*sending)
+        return request
 
-    async def _send(self, address: str, request: ReportSuspectsRequest) -> None:
+    async def _send(self, member: Member, request: ReportSuspectsRequest) -> None:
+        address = peer_address(member)
         stub = SuspectPeerStub(self.state.channels.channel(address))
         try:
             async with timeout(REPORT_TIMEOUT_SECONDS):
@@ -88,3 +126,9 @@
         except (OSError, GRPCError, StreamTerminatedError, TimeoutError) as error:
             # Copies that are routed there still carry the number of crashes.
             logger.warning("suspects_not_reported", peer=address, problem=repr(error))
+            return
+        confirmed = self.confirmed.setdefault((member_id(member), member.incarnation), {})
+        for suspect in request.suspects:
+            confirmed[suspect.digest] = max(suspect.crashes, confirmed.get(suspect.digest, 0))
+        for digest in request.cleared:
+            confirmed.pop(digest, None)
