Keep a node in use whose clock was set back before its start, save calls of the store

A node's process is ordered by the wall clock at its start. With the clock set back before a restart the new process looked older: peers kept the old record, each request named a process that was gone, and the node stayed out. The new test fails before (503) and passes after: what a node tells of itself holds, and a process that finds a later record of its own takes a later name. Calls are named by a random process number now, so that the new name cannot make a call run twice.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -110,7 +110,17 @@
         self.runner.level.set_ranks(table.top_rank + 1)
 
     def restore(self, member: Member) -> None:
-        """Takes over a leave that an earlier process of this node has acknowledged."""
+        """Takes over what an earlier process of this node has stored.
+
+        Its leave still binds. If it seems to be the later one, since the clock was set back, this
+        process takes a name that is later still.
+        """
+        own = self.directory.own
+        if member.epoch > own.epoch:
+            self.links.epochs.add(member.epoch + 1)
+            self.directory.set_own(own._replace(epoch=member.epoch + 1, serial=own.serial + 1))
+            self.links.announce()
+            self.sync.own_changed.set()
         self.backend.restore(
             member.backend, member.backend_started_ms, member.report_number, not member.left
         )
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -110,15 +110,20 @@
             services.setdefault(peer.member.service, []).append(peer)
         self.by_service = services
 
-    def put(self, member: Member) -> bool:
-        """Takes a record; returns whether it was new."""
+    def put(self, member: Member, direct: bool = False) -> bool:
+        """Takes a record; returns whether it was new.
+
+        A record that the node itself has just told (``direct``) holds also if its process seems to
+        be older: the clock of the instance may have been set back before it was started.
+        """
         peer = self.peers.get(member.node)
         if peer is None:
             self.peers[member.node] = Peer(member)
             self._drop_address(member)
             self._rebuild()
             return True
-        if not member.is_newer_than(peer.member):
+        is_other_process = member.epoch != peer.member.epoch
+        if not member.is_newer_than(peer.member) and not (direct and is_other_process):
             return False
         moved = member.service != peer.member.service or member.address != peer.member.address
         peer.take(member)
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -59,7 +59,7 @@
         self.probed_at = 0.0
         self.busy_since = 0.0
         # Process at the other end, 0 before its first message.
-        self.epoch = 0
+        self.process = 0
         self.node = ""
         self.member: Member | None = None
 
@@ -106,7 +106,7 @@
             return
         if kind == "hello":
             self.member = from_record(message.member)
-            self.epoch = self.member.epoch
+            self.process = message.process
             self.node = self.member.node
         self.handler.receive(self, kind, message)
 
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -3,6 +3,7 @@
 from asyncio import Server, get_running_loop
 from collections.abc import Callable
 from functools import partial
+from random import getrandbits
 from typing import Any
 
 from google.protobuf.message import Message
@@ -32,6 +33,7 @@
 )
 
 LEVEL_UNIT = 1000.0
+PROCESS_BITS = 63
 # Members are told to a node that has no configuration; at most this many.
 MAX_MEMBERS_TOLD = 2000
 # A peer with a newer configuration is asked for it when the store has not delivered it by then.
@@ -61,6 +63,9 @@
         self.peers: dict[str, PeerLink] = {}
         self.accepted: set[LinkConnection] = set()
         self.server: Server | None = None
+        self.process = getrandbits(PROCESS_BITS)
+        # Epochs that this process has had.
+        self.epochs = {directory.own.epoch}
         # Calls that came on a link, by connection.
         self.served: dict[LinkConnection, set[CallKey]] = {}
         # Since when a peer has been known to have a newer configuration than the version below.
@@ -108,8 +113,7 @@
         self.runner.submit(RunnerCall(key, message, lambda call: replied(self._to_reply(call))))
 
     def _own_key(self, number: int) -> CallKey:
-        own = self.directory.own
-        return CallKey(own.node, own.epoch, number)
+        return CallKey(self.directory.own.node, self.process, number)
 
     def cancel(self, member: Member, number: int) -> None:
         """Tells a member that nobody waits for a call any more."""
@@ -154,7 +158,9 @@
     def hello(self) -> Message:
         """Returns the first message for a new connection."""
         return Hello(
-            member=to_record(self.directory.own), configuration_version=self.keeper.version
+            member=to_record(self.directory.own),
+            configuration_version=self.keeper.version,
+            process=self.process,
         )
 
     def receive(self, connection: LinkConnection, kind: str, message: Any) -> None:
@@ -175,8 +181,8 @@
 
     def _request(self, connection: LinkConnection, message: Request) -> None:
         self._compare_version(connection, message.configuration_version)
-        key = CallKey(connection.node, connection.epoch, message.number)
-        if message.epoch and message.epoch != self.directory.own.epoch:
+        key = CallKey(connection.node, connection.process, message.number)
+        if message.epoch and message.epoch not in self.epochs:
             reply = Reply(
                 number=message.number,
                 result=RESULT_NOT_RUN,
@@ -206,7 +212,7 @@
         call.replied(message)
 
     def _cancel(self, connection: LinkConnection, message: Cancel) -> None:
-        self.runner.cancel(CallKey(connection.node, connection.epoch, message.number))
+        self.runner.cancel(CallKey(connection.node, connection.process, message.number))
 
     def _hello(self, connection: LinkConnection, message: Hello) -> None:
         member = connection.member
@@ -216,7 +222,7 @@
             # The address was given to another node.
             self.directory.remove(connection.peer.member.node)
             connection.transport.abort()
-        self._learn(member)
+        self._learn(member, direct=True)
         for record in message.members:
             self._learn(from_record(record))
         if message.configuration:
@@ -233,10 +239,10 @@
         hello.configuration = self.keeper.content
         connection.send(Frame(hello=hello))
 
-    def _learn(self, member: Member) -> None:
+    def _learn(self, member: Member, direct: bool = False) -> None:
         if member.node == self.directory.own.node:
             return
-        if self.directory.put(member):
+        if self.directory.put(member, direct):
             self.log.decision(
                 "member_learned",
                 member=member.node,
@@ -248,7 +254,7 @@
             )
 
     def _member(self, connection: LinkConnection, message: Any) -> None:
-        self._learn(from_record(message))
+        self._learn(from_record(message), direct=True)
 
     def _suspect(self, connection: LinkConnection, message: Suspect) -> None:
         self.runner.suspects.merge(SuspectReport(message.digest, message.crashes, message.age_ms))
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -57,8 +57,7 @@
     """Names a call: the process that sends it, and its number there."""
 
     node: str
-    # Processes of different nodes may have started in the same millisecond.
-    epoch: int
+    process: int
     number: int
 
 
--- a/src/coltsfoottrack/_internal/mesh/store_sync.py
+++ b/src/coltsfoottrack/_internal/mesh/store_sync.py
@@ -20,6 +20,9 @@
 MIN_PAUSE_SECONDS = 0.2
 MAX_PAUSE_SECONDS = 0.6
 WRITE_PAUSE_SECONDS = 0.5
+# Changes of members come in groups, as at a first start or a release; each answer of a watch is a
+# call that counts, and one answer holds all changes of this time.
+MEMBER_PAUSE_SECONDS = 0.4
 
 
 class ConfigurationChange(NamedTuple):
@@ -139,6 +142,8 @@
             for change in found.changes:
                 self._take(change)
             self.members_listed = True
+            if found.changes:
+                await sleep(MEMBER_PAUSE_SECONDS)
 
     def _drop_missing(self, changes: list[MemberChange]) -> None:
         """Drops members whose records are no longer stored."""
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -26,9 +26,11 @@
 )
 
 CALL_SECONDS = 1.5
-# A watch is renewed this often, so that one that the store no longer serves is noticed within the
-# time that the platform allows for a change after an outage.
-WATCH_MS = 6_000
+# The watch of the configuration is renewed this often, so that one that the store no longer serves
+# is noticed within the time that the platform allows for a change after an outage.
+CONFIGURATION_WATCH_MS = 6_000
+# Nodes tell each other of changes as well, so this watch may be noticed later.
+MEMBER_WATCH_MS = 15_000
 JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
 NO_OBJECT = 404
 CONFLICT = 409
@@ -73,7 +75,7 @@
 
     async def watch_configuration(self, revision: int) -> ConfigurationChange:
         """Waits for a newer configuration; without content if none came in time."""
-        page = await self._watch(CONFIGURATION_KIND, revision)
+        page = await self._watch(CONFIGURATION_KIND, revision, CONFIGURATION_WATCH_MS)
         content = None
         for event in _field(page, "events"):
             item = _field(event, "object")
@@ -83,9 +85,9 @@
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
-    async def _watch(self, kind: str, revision: int) -> Any:
-        path = f"{kind}?watch={revision}&waitMs={WATCH_MS}"
-        _, page = await self._call("GET", path, seconds=CALL_SECONDS + WATCH_MS / 1000.0)
+    async def _watch(self, kind: str, revision: int, wait_ms: int) -> Any:
+        path = f"{kind}?watch={revision}&waitMs={wait_ms}"
+        _, page = await self._call("GET", path, seconds=CALL_SECONDS + wait_ms / 1000.0)
         return page
 
     async def list_members(self) -> MemberChanges:
@@ -105,7 +107,7 @@
 
     async def watch_members(self, revision: int) -> MemberChanges:
         """Waits for changed records; empty if none came in time."""
-        page = await self._watch(MEMBER_KIND, revision)
+        page = await self._watch(MEMBER_KIND, revision, MEMBER_WATCH_MS)
         changes = []
         for event in _field(page, "events"):
             changes.append(_to_change(_field(event, "object"), bool(event.get("deleted"))))
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -1,6 +1,8 @@
 """The routed path with whole nodes, stand-ins for backend servers and for the store."""
 
 from asyncio import create_task, gather, sleep
+from time import time
+from unittest.mock import patch
 
 from tests.standins.mesh import STANDARD, Mesh, configuration, encode, read_answer
 
@@ -379,6 +381,23 @@
         self.assertEqual((await task).status, 200)
         self.assertEqual(self.backends[1].runs["r1"], 1)
 
+    async def test_node_restarted_with_its_clock_set_back(self):
+        """Guards against a node that stays out since its new process looks older."""
+        front = await self.start("front", "portal")
+        store = await self.start("store")
+        await self.known(2)
+        self.assertEqual((await self.ask(front, encode("/read/", "r1"))).status, 200)
+        await self.until(lambda: store.sync.own_written is not None)
+        store.close()
+        await sleep(0.02)
+        with patch("coltsfoottrack._internal.mesh.daemon.time", lambda: time() - 100.0):
+            again = await self.start_node(store.settings)
+        await self.backends[1].report(again.settings.report_address)
+        await self.until(lambda: again.sync.own_written is not None)
+        for number in range(5):
+            answer = await self.ask(front, encode("/order/", f"o{number}", "POST"))
+            self.assertEqual(answer.status, 200)
+
     async def test_nodes_started_in_the_same_millisecond(self):
         """Guards against answers of another node's call with the same number."""
         one = await self.start("one", "portal")
