--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -9,7 +9,7 @@
 from coltsfoottrack._internal.mesh.lineage import Lineage, Run
 from coltsfoottrack._internal.mesh.link import LinkCall
 from coltsfoottrack._internal.mesh.links import Links
-from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames, Route
+from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames, Member, Route
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.schema.links_pb2 import (
@@ -60,6 +60,7 @@
         "peer",
         "rank",
         "reason",
+        "record",
         "repeat",
         "request",
         "route",
@@ -85,6 +86,8 @@
         self.attempts = 0
         self.repeat = False
         self.sent_at = 0.0
+        # Record by which the member was chosen.
+        self.record: Member | None = None
         self.done = False
         self.reason = ""
         # A failure that the backend server gave, passed on if no repeat does better.
@@ -250,6 +253,7 @@
         call.peer = peer
         call.sends += 1
         call.sent_at = moment
+        call.record = peer.member
         call.tried.add(peer.member.node)
         if self.log.takes_sample():
             self._log_choice(call, peer, moment)
@@ -348,7 +352,9 @@
             self._unanswered(call.number, True, reason)
             return
         call.reason = reason
-        if reason in UNAVAILABLE:
+        if reason in ("other_process", "other_backend"):
+            self._allow_again(call)
+        elif reason in UNAVAILABLE:
             call.peer.block(UNAVAILABLE_BLOCK_SECONDS)
         elif reason == "backend_refused":
             call.peer.count_result(True)
@@ -372,6 +378,15 @@
             return
         self._send(call, moment)
 
+    def _allow_again(self, call: EntryCall) -> None:
+        """Lets a member be chosen again whose newer record came with its answer."""
+        used = call.record
+        known = self.directory.peers.get(used.node)
+        if known is None:
+            return
+        if (known.member.epoch, known.member.backend) != (used.epoch, used.backend):
+            call.tried.discard(used.node)
+
     def _unanswered(self, number: int, may_have_run: bool, reason: str) -> None:
         """Takes the word that no reply will come."""
         call = self.calls.get(number)
