--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -217,6 +217,7 @@
             rank=call.rank,
             reason=reason,
             level=round(level, 2),
+            reported=self.levels.describe(call.route.name, now()),
             configuration_version=self.table.version,
         )
         left = call.expires - now()
@@ -281,7 +282,7 @@
             route=call.route.name,
             rank=call.rank,
             service=call.service,
-            node=peer.member.node,
+            sent_to=peer.member.node,
             load=round(peer.load, 1),
             load_age_ms=int((moment - peer.load_at) * 1000.0) if peer.load_at else -1,
             failures=round(peer.failures, 2),
@@ -369,7 +370,7 @@
             "request_sent_elsewhere",
             request_id=call.request.request_id.decode("latin-1"),
             route=call.route.name,
-            node=call.peer.member.node,
+            sent_to=call.peer.member.node,
             reason=reason,
             record_epoch=call.peer.member.epoch,
         )
@@ -417,7 +418,7 @@
             "request_repeated",
             request_id=call.request.request_id.decode("latin-1"),
             route=route.name,
-            node=call.peer.member.node,
+            sent_to=call.peer.member.node,
             reason=reason,
             status=failure.status if failure is not None else 0,
         )
@@ -456,7 +457,7 @@
             reason=reason,
             sends=call.sends,
             attempts=call.attempts,
-            node=call.peer.member.node if call.peer else "",
+            sent_to=call.peer.member.node if call.peer else "",
             parent=call.parent.request_id if call.parent else "",
             elapsed_ms=int((moment - call.request.received) * 1000.0),
             configuration_version=self.table.version if self.table else 0,
@@ -479,7 +480,7 @@
             "caller_gone",
             request_id=call.request.request_id.decode("latin-1"),
             route=call.route.name,
-            node=call.peer.member.node if call.peer else "",
+            sent_to=call.peer.member.node if call.peer else "",
             elapsed_ms=int((now() - call.request.received) * 1000.0),
         )
         self._cancel(call)
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -46,6 +46,8 @@
         self.arrived = 0
         # Arrivals in a second.
         self.rate = 0.0
+        # Arriving work and waiting time for each slot, 1.0 is full.
+        self.load = 0.0
         # Since when the lowest rank that is admitted at all has been at its floor.
         self.at_floor_since: float | None = None
 
@@ -69,6 +71,7 @@
         self.arrived = 0
         load = self.rate * run_seconds / slots
         load += LOAD_PER_DELAY_SECOND * waiting * run_seconds / slots
+        self.load = load
         change = CHANGE_PER_LOAD * (load - TARGET_LOAD)
         if change > 0.0:
             self._fall(min(MAX_FALL_PER_INTERVAL, change), moment)
@@ -123,6 +126,13 @@
             count += 1
         return total / count if count else float(ranks)
 
+    def describe(self, route: str, moment: float) -> dict[str, str]:
+        """Returns level and age of each report on a route, for the log."""
+        described = {}
+        for node, (level, at) in self.reports.get(route, {}).items():
+            described[node] = f"{level:.2f}, {int((moment - at) * 1000.0)} ms old"
+        return described
+
 
 class Admission:
     """Spreads admitted requests evenly over those that arrive."""
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -51,6 +51,8 @@
 KEEP_ANSWER_SECONDS = 3.0
 FORGET_SECONDS = 15.0
 DIGEST_BYTES = 16
+# A smaller part of the lowest rank that is refused is no change of state for the log.
+SHEDDING_MARGIN = 0.1
 
 
 class CallKey(NamedTuple):
@@ -130,6 +132,8 @@
         self.log = log
         self.run_time = run_time
         self.level = OwnLevel()
+        # Whether the log has said that less than everything is admitted.
+        self.shedding = False
         self.suspects = SuspectTable(lambda: QUARANTINE_MS, now)
         self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
         # Rank, time that orders those of one rank, number, call.
@@ -414,9 +418,28 @@
                 self._finish(call, RunResult(RESULT_UNKNOWN, "overdue"))
             elif call.orphaned_at is not None and moment - call.orphaned_at > ORPHAN_SECONDS:
                 self._abandon(call, "caller_gone")
-        self.level.update(self.mean_seconds, self.backend.limit, len(self.queue), moment)
+        self._update_level(moment)
         self._forget(moment)
 
+    def _update_level(self, moment: float) -> None:
+        level = self.level
+        level.update(self.mean_seconds, self.backend.limit, len(self.queue), moment)
+        if self.shedding:
+            changed = level.level >= level.ranks
+        else:
+            changed = level.level < level.ranks - SHEDDING_MARGIN
+        if not changed:
+            return
+        self.shedding = not self.shedding
+        self.log.decision(
+            "shedding_started" if self.shedding else "shedding_ended",
+            load=round(level.load, 2),
+            arrivals_per_s=int(level.rate),
+            mean_run_ms=int(self.mean_seconds * 1000.0),
+            waiting=len(self.queue),
+            limit=self.backend.limit,
+        )
+
     def _forget(self, moment: float) -> None:
         while self.calls:
             call = next(iter(self.calls.values()))
