Bound the bodies in flight, follow settings that change without a signal

Neither was done before: held_bytes was never counted, and the settings file was read at the start and on SIGHUP only.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -31,6 +31,7 @@
 
 TICK_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
+SETTINGS_SECONDS = 5.0
 # Callers stay away from a node once it has not been ready for two questions a second apart.
 LEAVE_SECONDS = 2.3
 # Left of the grace time for the end of the process itself.
@@ -85,7 +86,15 @@
             log,
             self.figures.run_time,
         )
-        self.entry = Entry(names, self.directory, self.runner, self.lineage, log, self.figures)
+        self.entry = Entry(
+            names,
+            self.directory,
+            self.runner,
+            self.lineage,
+            log,
+            self.figures,
+            settings.memory_bytes,
+        )
         self.entry.set_service(settings.service)
         self.links = Links(
             self.directory, self.runner, self.lineage, self.entry.levels, self.keeper, log
@@ -245,6 +254,8 @@
             for name in MeshSettings._fields
             if getattr(settings, name) != getattr(self.settings, name)
         ]
+        if not changed:
+            return
         self.settings = settings
         self.entry.set_service(settings.service)
         self.runner.budget.bounds = settings.retries
@@ -260,8 +271,13 @@
             self.runner.tick(moment)
 
     async def _sweep(self) -> None:
+        checked = now()
         while True:
             await sleep(SWEEP_SECONDS)
+            # The settings may change without a signal.
+            if now() - checked > SETTINGS_SECONDS:
+                checked = now()
+                self.reload()
             self.entry.sweep(now())
             self.pool.sweep()
             self.log.writer.flush()
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -36,7 +36,8 @@
 RETRY_AFTER_LOAD_SECONDS = 0.4
 RETRY_AFTER_SECONDS = 0.2
 MAX_RETRY_AFTER_PART = 0.3
-MAX_HELD_BODY_BYTES = 64 * 1024 * 1024
+# Part of the memory that bodies of requests in flight may take.
+HELD_BODIES_PART = 0.25
 # Reasons for which a backend server or its node is left alone for a while.
 UNAVAILABLE = frozenset(
     ("backend_left", "backend_down", "backend_unreachable", "node_leaving", "no_backend")
@@ -105,6 +106,7 @@
         lineage: Lineage,
         log: DecisionLog,
         figures: MeshFigures,
+        memory_bytes: int,
     ) -> None:
         self.headers = names
         self.caller_header = b""
@@ -121,7 +123,9 @@
         self.connections: set[CallerConnection] = set()
         self.calls: dict[int, EntryCall] = {}
         self.last_number = 0
+        # Bodies of requests in flight, and their bound, in bytes.
         self.held_bytes = 0
+        self.held_bound = HELD_BODIES_PART * memory_bytes
         self.stopping_since: float | None = None
 
     def set_service(self, service: str) -> None:
@@ -170,6 +174,7 @@
         self.last_number += 1
         call.number = self.last_number
         self.calls[call.number] = call
+        self.held_bytes += len(request.body)
         request.cancel = lambda: self._caller_left(call)
         self._send(call, moment)
 
@@ -203,7 +208,7 @@
         if not self.admission.admit(route.name, call.rank, level):
             self._refuse_new(call, "admission_level", level)
             return False
-        if self.held_bytes > MAX_HELD_BODY_BYTES:
+        if self.held_bytes + len(call.request.body) > self.held_bound:
             self._refuse_new(call, "memory", level)
             return False
         return True
@@ -465,16 +470,19 @@
         self._end(call, status, head, b"", reason)
 
     def _end(self, call: EntryCall, status: int, head: bytes, body: bytes, reason: str) -> None:
-        call.done = True
-        self.calls.pop(call.number, None)
+        self._close(call)
         self.figures.count_answer(call.route.name, reason)
         self.figures.latency.observe(now() - call.request.received)
         call.request.respond(status, head, body)
 
-    def _caller_left(self, call: EntryCall) -> None:
-        """Stops the work for a caller that has left."""
+    def _close(self, call: EntryCall) -> None:
         call.done = True
         self.calls.pop(call.number, None)
+        self.held_bytes -= len(call.request.body)
+
+    def _caller_left(self, call: EntryCall) -> None:
+        """Stops the work for a caller that has left."""
+        self._close(call)
         self.figures.count_answer(call.route.name, "caller_gone")
         self.log.request(
             "caller_gone",
--- a/tests/standins/mesh.py
+++ b/tests/standins/mesh.py
@@ -139,7 +139,8 @@
 
     async def start_node(self, settings: MeshSettings) -> MeshNode:
         """Starts a node alone."""
-        node = MeshNode(settings, ADAPTER, DecisionLog(settings.node, LineWriter(self.null)))
+        adapter = ADAPTER._replace(read_settings=lambda: settings)
+        node = MeshNode(settings, adapter, DecisionLog(settings.node, LineWriter(self.null)))
         self.nodes.append(node)
         await node.start()
         return node
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -84,6 +84,31 @@
                 self.assertEqual((await self.ask(node, request)).status, status)
         self.assertEqual(self.backends[0].seen, [])
 
+    async def test_bodies_in_flight_are_bounded(self):
+        """Guards against a node that is killed for its memory by large bodies."""
+        node = await self.start("store")
+        await self.known(1)
+        node.entry.held_bound = 150
+        self.backends[0].released.clear()
+        first = create_task(self.ask(node, encode("/order/", "r1", "POST", b"x" * 100)))
+        await self.until(lambda: self.backends[0].running == 1)
+        answer = await self.ask(node, encode("/order/", "r2", "POST", b"x" * 100))
+        self.assertEqual(answer.status, 503)
+        self.backends[0].released.set()
+        await first
+        self.assertEqual(node.entry.held_bytes, 0)
+
+    async def test_changed_settings_are_in_force(self):
+        """Guards against a settings file that is read at the start only."""
+        node = await self.start("store")
+        await self.known(1)
+        changed = node.settings._replace(service="renamed")
+        node.adapter = node.adapter._replace(read_settings=lambda: changed)
+        node.reload()
+        await self.ask(node, encode("/read/a", "r1"))
+        self.assertEqual(self.backends[0].seen[0].headers["caller-service"], "renamed")
+        self.assertEqual(node.log.counts["settings_reloaded"], 1)
+
     async def test_chunked_body_is_passed_on_whole(self):
         """Guards against a chunked body that is cut or sent twice."""
         node = await self.start("store")
