Ask the sender before an order is run, so that a silent node does not hold it

An order that was sent to a frozen or cut-off node stayed there until its time was over: it may have run, and nobody can tell. The runner now asks the sender before it hands over what may run only once (Claim, Grant); until then the sender may give the request to another node, and one that ends before is told truthfully that it did not run. Costs one round trip for such requests. Weighed: a start-by time by the clock of the runner, which does not hold, as a node may freeze between the check and the write.

Silent links are noticed after 1.0 s in place of 1.5 s.

--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -56,6 +56,7 @@
         "done",
         "expires",
         "failure",
+        "granted",
         "number",
         "parent",
         "peer",
@@ -87,6 +88,8 @@
         self.attempts = 0
         self.repeat = False
         self.sent_at = 0.0
+        # Told the member that the request is to be run there; it may have run since.
+        self.granted = False
         # Record by which the member was chosen.
         self.record: Member | None = None
         self.done = False
@@ -260,6 +263,7 @@
         call.sends += 1
         call.sent_at = moment
         call.record = peer.member
+        call.granted = False
         call.tried.add(peer.member.node)
         if self.log.takes_sample():
             self._log_choice(call, peer, moment)
@@ -276,9 +280,27 @@
                 call.expires,
                 lambda reply: self._replied(number, reply),
                 lambda may_have_run, reason: self._unanswered(number, may_have_run, reason),
+                lambda: self._grant(number),
+                lambda: call.granted,
             ),
         )
 
+    def _grant(self, number: int) -> bool:
+        """Lets a member run a request that may run only once, if it was not given up meanwhile."""
+        call = self.calls.get(number)
+        if call is None or call.done:
+            return False
+        call.granted = True
+        return True
+
+    def _may_have_run(self, call: EntryCall) -> bool:
+        """Tells whether the request may have reached a backend server with its last send."""
+        if call.peer is None:
+            return False
+        if call.peer.member.node == self.directory.own.node:
+            return self.links.has_run_locally(call.number)
+        return call.route.idempotent or call.granted
+
     def _log_choice(self, call: EntryCall, peer: Peer, moment: float) -> None:
         """Says which member was chosen, and from which figures of which age."""
         self.log.decision(
@@ -502,8 +524,8 @@
         for call in list(self.calls.values()):
             if call.done or moment < call.expires + ANSWER_MARGIN_SECONDS:
                 continue
-            # Whether it has run is known only to the runner.
-            call.attempts += 1
+            if self._may_have_run(call):
+                call.attempts += 1
             self._cancel(call)
             self._end_unserved(call, "time_out")
 
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -23,8 +23,8 @@
 RECONNECT_SECONDS = 0.3
 # A connection on which an answer is due is probed after this time without a byte, and given up
 # after the second time. A node that is only busy answers a probe between two requests.
-PROBE_SECONDS = 0.6
-SILENT_SECONDS = 1.5
+PROBE_SECONDS = 0.4
+SILENT_SECONDS = 1.0
 # A peer that does not answer probes is not chosen for this long.
 SILENT_BLOCK_SECONDS = 2.0
 IDLE_CLOSE_SECONDS = 60.0
@@ -149,6 +149,9 @@
     replied: Callable[[Reply], None]
     # Takes the word that no reply will come: whether the request may have arrived, and why.
     failed: Callable[[bool, str], None]
+    # Tells whether the request is still to be run there; from then on it may run.
+    grant: Callable[[], bool]
+    is_granted: Callable[[], bool]
 
 
 def _encode(frame: Frame) -> bytes:
@@ -250,6 +253,9 @@
         calls = connection.calls
         connection.calls = {}
         for call in calls.values():
+            if not call.idempotent and not call.is_granted():
+                call.failed(False, "peer_silent" if silent else "link_lost")
+                continue
             if silent and call.idempotent:
                 call.failed(True, "peer_silent")
                 continue
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -23,9 +23,11 @@
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_NOT_RUN,
     Cancel,
+    Claim,
     Configuration,
     FetchConfiguration,
     Frame,
+    Grant,
     Hello,
     Reply,
     Request,
@@ -75,6 +77,8 @@
             "request": self._request,
             "reply": self._reply,
             "cancel": self._cancel,
+            "claim": self._claim,
+            "grant": self._grant,
             "hello": self._hello,
             "member": self._member,
             "suspect": self._suspect,
@@ -128,6 +132,11 @@
         if connection is not None:
             connection.send(Frame(cancel=Cancel(number=number)))
 
+    def has_run_locally(self, number: int) -> bool:
+        """Tells whether a call was handed to the own backend server."""
+        call = self.runner.calls.get(self._own_key(number))
+        return call is not None and call.sent_at is not None
+
     def _to_reply(self, call: RunnerCall) -> Reply:
         answer = call.answer
         return Reply(
@@ -200,7 +209,20 @@
             served.discard(key)
             connection.send(Frame(reply=self._to_reply(call)))
 
-        self.runner.submit(RunnerCall(key, message, deliver))
+        def claim(call: RunnerCall) -> None:
+            connection.send(Frame(claim=Claim(number=call.key.number)))
+
+        self.runner.submit(RunnerCall(key, message, deliver, None if message.idempotent else claim))
+
+    def _claim(self, connection: LinkConnection, message: Claim) -> None:
+        """Grants a claim if the call was not given to another node or ended meanwhile."""
+        call = connection.calls.get(message.number)
+        granted = call is not None and call.grant()
+        connection.send(Frame(grant=Grant(number=message.number, granted=granted)))
+
+    def _grant(self, connection: LinkConnection, message: Grant) -> None:
+        key = CallKey(connection.node, connection.process, message.number)
+        self.runner.grant(key, message.granted)
 
     def _reply(self, connection: LinkConnection, message: Reply) -> None:
         self._compare_version(connection, message.configuration_version)
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -40,6 +40,8 @@
 OVERDUE_SECONDS = 0.25
 # What nobody waits for any more is dropped after this time.
 ORPHAN_SECONDS = 0.3
+# A sender that does not answer a claim for this long has gone, or the link to it.
+CLAIM_SECONDS = 1.0
 # Crashes show within this time of the loss of a connection.
 CRASH_SECONDS = 4.0
 # A reset this soon after a request was sent says that the connection had been dropped before.
@@ -79,6 +81,8 @@
     __slots__ = (
         "answer",
         "arrived",
+        "claim",
+        "claimed_at",
         "connection",
         "deliver",
         "digest",
@@ -93,8 +97,16 @@
     )
 
     def __init__(
-        self, key: CallKey, message: Request, deliver: Callable[["RunnerCall"], None]
+        self,
+        key: CallKey,
+        message: Request,
+        deliver: Callable[["RunnerCall"], None],
+        claim: Callable[["RunnerCall"], None] | None = None,
     ) -> None:
+        # Asks the sender whether the call is still to be run; None if that is not needed, or is
+        # granted.
+        self.claim = claim
+        self.claimed_at = 0.0
         self.key = key
         self.message = message
         # Hands the result to whoever waits for it.
@@ -182,6 +194,10 @@
         """Lets a call that was sent again get the answer of the first copy."""
         known.deliver = call.deliver
         known.orphaned_at = None
+        if known.claim is not None:
+            known.claim = call.claim
+            if known in self.running:
+                self._ask(known)
         if not known.done:
             return
         if known.answer is None:
@@ -198,6 +214,27 @@
 
     def _start(self, call: RunnerCall) -> None:
         self.running.add(call)
+        if call.claim is None:
+            self._hand_over(call)
+        else:
+            self._ask(call)
+
+    def _ask(self, call: RunnerCall) -> None:
+        call.claimed_at = now()
+        call.claim(call)
+
+    def grant(self, key: CallKey, granted: bool) -> None:
+        """Takes the word whether a call that may run only once is still to be run."""
+        call = self.calls.get(key)
+        if call is None or call.done or call.claim is None or call not in self.running:
+            return
+        if not granted:
+            self._finish(call, RunResult(RESULT_NOT_RUN, "withdrawn"))
+            return
+        call.claim = None
+        self._hand_over(call)
+
+    def _hand_over(self, call: RunnerCall) -> None:
         connection = self.pool.take(call.message.idempotent)
         if connection is not None:
             self._send(call, connection)
@@ -413,9 +450,13 @@
                 self.queue = kept
             self._start_next()
         for call in list(self.running):
+            if call.done:
+                continue
             if moment > call.expires + OVERDUE_SECONDS and call.connection is not None:
                 call.connection.abort()
                 self._finish(call, RunResult(RESULT_UNKNOWN, "overdue"))
+            elif call.claim is not None and moment - call.claimed_at > CLAIM_SECONDS:
+                self._finish(call, RunResult(RESULT_NOT_RUN, "claim_unanswered"))
             elif call.orphaned_at is not None and moment - call.orphaned_at > ORPHAN_SECONDS:
                 self._abandon(call, "caller_gone")
         self._update_level(moment)
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -4,6 +4,7 @@
 from time import time
 from unittest.mock import patch
 
+from coltsfoottrack._internal.mesh.link import LinkConnection
 from tests.standins.mesh import STANDARD, Mesh, configuration, encode, read_answer
 
 
@@ -371,6 +372,17 @@
         ending.cancel()
 
 
+def silent_at(node, connection_class):
+    """Returns a method that drops what a node's own links receive."""
+    receive = connection_class.data_received
+
+    def data_received(connection, data):
+        if connection.handler is not node.links:
+            receive(connection, data)
+
+    return data_received
+
+
 class LostNodeTest(Mesh):
     """Nodes that end, and links that break."""
 
@@ -391,6 +403,38 @@
         answer = await task
         self.assertEqual(answer.status, 502)
 
+    async def test_order_at_a_silent_node_goes_elsewhere(self):
+        """Guards against orders that are held to their end at a frozen or cut-off node."""
+        front = await self.start("front", "portal")
+        store = await self.start("store")
+        await self.start("other")
+        await self.known(3)
+        # Links to the node are open, and it answers nothing any more.
+        with patch.object(LinkConnection, "data_received", silent_at(store, LinkConnection)):
+            answers = await gather(
+                *(self.ask(front, encode("/order/", f"r{n}", "POST")) for n in range(6))
+            )
+        self.assertEqual({answer.status for answer in answers}, {200})
+        for number in range(6):
+            runs = sum(backend.runs[f"r{number}"] for backend in self.backends)
+            self.assertEqual(runs, 1)
+
+    async def test_order_that_was_given_up_is_not_run_later(self):
+        """Guards against a run after the caller was told that there was none."""
+        front = await self.start("front", "portal")
+        store = await self.start("store")
+        await self.known(2)
+        held = []
+        grant = store.runner.grant
+        with patch.object(store.runner, "grant", lambda *given: held.append(given)):
+            request = encode("/order/", "r1", "POST", Deadline_Ms="300")
+            answer = await self.ask(front, request)
+        self.assertEqual(answer.status, 504)
+        for given in held:
+            grant(*given)
+        await sleep(0.1)
+        self.assertEqual(self.backends[1].runs["r1"], 0)
+
     async def test_order_goes_on_over_a_new_link(self):
         """Guards against the loss of an order by a reset connection between two nodes."""
         front = await self.start("front", "portal")
