Tell all nodes of the service of suspects, and split the entry and the runner

A suspect was told over links that were open by chance; nodes of one service rarely have any to each other, so a request that crashes its server could go on to crash one after the other. The new test found it: the second node ran it again (200 in place of 503). Suspects are told to each process of the service until it has them, and links are opened for that.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -103,7 +103,7 @@
         self.sync = StoreSync(self.store, self.keeper, self.directory, log)
         self.entry.links = self.links
         self.runner.members = lambda: self.directory.members_of(self.directory.own.service)
-        self.runner.report_suspect = self.links.report_suspect
+        self.runner.crashes.report = self.links.spread_suspects
         self.backend.changed = self.update_own
         self.keeper.in_force = self.use_configuration
         self.sync.own_found = self.restore
@@ -280,6 +280,7 @@
                 self.reload()
             self.entry.sweep(now())
             self.pool.sweep()
+            self.links.spread_suspects()
             self.log.writer.flush()
 
     async def stop(self) -> None:
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -4,12 +4,14 @@
 from coltsfoottrack._internal.mesh.clock import now
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory, Peer
+from coltsfoottrack._internal.mesh.entry_call import EntryCall
+from coltsfoottrack._internal.mesh.entry_log import EntryLog
 from coltsfoottrack._internal.mesh.figures import MeshFigures
 from coltsfoottrack._internal.mesh.levels import Admission, ReportedLevels
-from coltsfoottrack._internal.mesh.lineage import Lineage, Run
+from coltsfoottrack._internal.mesh.lineage import Lineage
 from coltsfoottrack._internal.mesh.link import LinkCall
 from coltsfoottrack._internal.mesh.links import Links
-from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames, Member, Route
+from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.schema.links_pb2 import (
@@ -47,57 +49,6 @@
 FIRST_FAILURE_STATUS = 500
 
 
-class EntryCall:
-    """One request of a caller on its way."""
-
-    __slots__ = (
-        "attempts",
-        "deadline",
-        "done",
-        "expires",
-        "failure",
-        "granted",
-        "number",
-        "parent",
-        "peer",
-        "rank",
-        "reason",
-        "record",
-        "repeat",
-        "request",
-        "route",
-        "sends",
-        "sent_at",
-        "service",
-        "tried",
-    )
-
-    def __init__(self, request: CallerRequest, route: Route) -> None:
-        self.request = request
-        self.route = route
-        self.rank = route.rank
-        self.parent: Run | None = None
-        self.service = ""
-        self.deadline = 0.0
-        self.expires = 0.0
-        self.number = 0
-        self.peer: Peer | None = None
-        self.tried: set[str] = set()
-        self.sends = 0
-        # Sends that may have run.
-        self.attempts = 0
-        self.repeat = False
-        self.sent_at = 0.0
-        # Told the member that the request is to be run there; it may have run since.
-        self.granted = False
-        # Record by which the member was chosen.
-        self.record: Member | None = None
-        self.done = False
-        self.reason = ""
-        # A failure that the backend server gave, passed on if no repeat does better.
-        self.failure: Reply | None = None
-
-
 class Entry:
     """The requests that came to this node."""
 
@@ -117,7 +68,7 @@
         self.directory = directory
         self.runner = runner
         self.lineage = lineage
-        self.log = log
+        self.log = EntryLog(log)
         self.figures = figures
         self.links: Links | None = None
         self.table: RouteTable | None = None
@@ -154,13 +105,7 @@
         route = table.find(request.host, request.path)
         if route is None:
             self.figures.count_answer("", "no_route")
-            self.log.request(
-                "request_without_route",
-                request_id=request.request_id.decode("latin-1"),
-                host=request.host,
-                path=request.path,
-                configuration_version=table.version,
-            )
+            self.log.without_route(request, table.version)
             request.respond(404, b"", b"")
             return
         call = EntryCall(request, route)
@@ -168,7 +113,7 @@
         if not self._set_deadline(call, moment):
             return
         if self.lineage.runs:
-            call.parent = self.lineage.parent(request.request_id.decode("latin-1"))
+            call.parent = self.lineage.parent(call.request_id)
         if call.parent is not None:
             self._inherit(call, moment)
         elif not self._admit(call, table, moment):
@@ -218,16 +163,8 @@
 
     def _refuse_new(self, call: EntryCall, reason: str, level: float) -> None:
         self.figures.count_answer(call.route.name, reason)
-        self.log.request(
-            "request_refused",
-            request_id=call.request.request_id.decode("latin-1"),
-            route=call.route.name,
-            rank=call.rank,
-            reason=reason,
-            level=round(level, 2),
-            reported=self.levels.describe(call.route.name, now()),
-            configuration_version=self.table.version,
-        )
+        reported = self.levels.describe(call.route.name, now())
+        self.log.refused(call, reason, level, reported, self.table.version)
         left = call.expires - now()
         wait = RETRY_AFTER_LOAD_SECONDS if reason == "admission_level" else RETRY_AFTER_SECONDS
         call.request.respond(503, self._retry_after(wait, left), b"")
@@ -238,9 +175,7 @@
 
     def _refuse_unrouted(self, request: CallerRequest, reason: str) -> None:
         self.figures.count_answer("", reason)
-        self.log.request(
-            "request_refused", request_id=request.request_id.decode("latin-1"), reason=reason
-        )
+        self.log.refused_unrouted(request, reason)
         request.respond(503, self.headers.retry_after + b": 0.5\r\n", b"")
 
     def _send(self, call: EntryCall, moment: float) -> None:
@@ -266,7 +201,7 @@
         call.granted = False
         call.tried.add(peer.member.node)
         if self.log.takes_sample():
-            self._log_choice(call, peer, moment)
+            self.log.sent(call, moment, self.table.version)
         message = self._message(call, peer, left)
         number = call.number
         if peer.member.node == self.directory.own.node:
@@ -301,23 +236,6 @@
             return self.links.has_run_locally(call.number)
         return call.route.idempotent or call.granted
 
-    def _log_choice(self, call: EntryCall, peer: Peer, moment: float) -> None:
-        """Says which member was chosen, and from which figures of which age."""
-        self.log.decision(
-            "request_sent",
-            request_id=call.request.request_id.decode("latin-1"),
-            route=call.route.name,
-            rank=call.rank,
-            service=call.service,
-            sent_to=peer.member.node,
-            load=round(peer.load, 1),
-            load_age_ms=int((moment - peer.load_at) * 1000.0) if peer.load_at else -1,
-            failures=round(peer.failures, 2),
-            record_epoch=peer.member.epoch,
-            record_serial=peer.member.serial,
-            configuration_version=self.table.version,
-        )
-
     def _message(self, call: EntryCall, peer: Peer, left: float) -> Request:
         route = call.route
         nested = call.parent is not None
@@ -344,7 +262,7 @@
             repeat=call.repeat,
             of_repeated_run=nested and call.parent.repeat,
             nested=nested,
-            request_id=request.request_id.decode("latin-1"),
+            request_id=call.request_id,
             route=route.name,
             head=request.head,
             body=request.body,
@@ -393,14 +311,7 @@
         elif reason in ("repeat_budget", "quarantined", "expired", "caller_gone"):
             self._end_unserved(call, reason)
             return
-        self.log.request(
-            "request_sent_elsewhere",
-            request_id=call.request.request_id.decode("latin-1"),
-            route=call.route.name,
-            sent_to=call.peer.member.node,
-            reason=reason,
-            record_epoch=call.peer.member.epoch,
-        )
+        self.log.sent_elsewhere(call, reason)
         if reason == "overload" and call.sends >= 2:
             self._end_unserved(call, reason)
             return
@@ -441,14 +352,7 @@
         call.repeat = True
         call.reason = reason
         self.figures.repeats += 1
-        self.log.request(
-            "request_repeated",
-            request_id=call.request.request_id.decode("latin-1"),
-            route=route.name,
-            sent_to=call.peer.member.node,
-            reason=reason,
-            status=failure.status if failure is not None else 0,
-        )
+        self.log.repeated(call, reason, failure.status if failure is not None else 0)
         self._send(call, now())
         return True
 
@@ -474,21 +378,8 @@
         else:
             status = 503
             head = self._retry_after(RETRY_AFTER_SECONDS, call.deadline - moment)
-        self.log.request(
-            "request_not_served",
-            request_id=call.request.request_id.decode("latin-1"),
-            route=call.route.name,
-            service=call.service,
-            rank=call.rank,
-            status=status,
-            reason=reason,
-            sends=call.sends,
-            attempts=call.attempts,
-            sent_to=call.peer.member.node if call.peer else "",
-            parent=call.parent.request_id if call.parent else "",
-            elapsed_ms=int((moment - call.request.received) * 1000.0),
-            configuration_version=self.table.version if self.table else 0,
-        )
+        version = self.table.version if self.table else 0
+        self.log.not_served(call, status, reason, moment, version)
         self._end(call, status, head, b"", reason)
 
     def _end(self, call: EntryCall, status: int, head: bytes, body: bytes, reason: str) -> None:
@@ -506,13 +397,7 @@
         """Stops the work for a caller that has left."""
         self._close(call)
         self.figures.count_answer(call.route.name, "caller_gone")
-        self.log.request(
-            "caller_gone",
-            request_id=call.request.request_id.decode("latin-1"),
-            route=call.route.name,
-            sent_to=call.peer.member.node if call.peer else "",
-            elapsed_ms=int((now() - call.request.received) * 1000.0),
-        )
+        self.log.caller_gone(call, now())
         self._cancel(call)
 
     def _cancel(self, call: EntryCall) -> None:
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/entry_call.py
@@ -0,0 +1,68 @@
+"""One request of a caller on its way through the entry."""
+
+from coltsfoottrack._internal.mesh.caller_connection import CallerRequest
+from coltsfoottrack._internal.mesh.directory import Peer
+from coltsfoottrack._internal.mesh.lineage import Run
+from coltsfoottrack._internal.mesh.model import Member, Route
+from coltsfoottrack._internal.schema.links_pb2 import Reply
+
+
+class EntryCall:
+    """One request of a caller on its way."""
+
+    __slots__ = (
+        "attempts",
+        "deadline",
+        "done",
+        "expires",
+        "failure",
+        "granted",
+        "number",
+        "parent",
+        "peer",
+        "rank",
+        "reason",
+        "record",
+        "repeat",
+        "request",
+        "route",
+        "sends",
+        "sent_at",
+        "service",
+        "tried",
+    )
+
+    def __init__(self, request: CallerRequest, route: Route) -> None:
+        self.request = request
+        self.route = route
+        self.rank = route.rank
+        self.parent: Run | None = None
+        self.service = ""
+        self.deadline = 0.0
+        self.expires = 0.0
+        self.number = 0
+        self.peer: Peer | None = None
+        self.tried: set[str] = set()
+        self.sends = 0
+        # Sends that may have run.
+        self.attempts = 0
+        self.repeat = False
+        self.sent_at = 0.0
+        # Told the member that the request is to be run there; it may have run since.
+        self.granted = False
+        # Record by which the member was chosen.
+        self.record: Member | None = None
+        self.done = False
+        self.reason = ""
+        # A failure that the backend server gave, passed on if no repeat does better.
+        self.failure: Reply | None = None
+
+    @property
+    def request_id(self) -> str:
+        """Identifier of the request, as the caller gave it."""
+        return self.request.request_id.decode("latin-1")
+
+    @property
+    def sent_to(self) -> str:
+        """Node that the request was sent to last, empty before the first send."""
+        return self.peer.member.node if self.peer is not None else ""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -0,0 +1,117 @@
+"""Log lines of the entry: what was decided about a request, and from what."""
+
+from coltsfoottrack._internal.mesh.caller_connection import CallerRequest
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.entry_call import EntryCall
+
+
+class EntryLog:
+    """Writes the lines of the entry."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        self.log = log
+
+    def takes_sample(self) -> bool:
+        """Tells whether a line about an ordinary request is to be written now."""
+        return self.log.takes_sample()
+
+    def without_route(self, request: CallerRequest, version: int) -> None:
+        """Says that no route fits."""
+        self.log.request(
+            "request_without_route",
+            request_id=request.request_id.decode("latin-1"),
+            host=request.host,
+            path=request.path,
+            configuration_version=version,
+        )
+
+    def refused_unrouted(self, request: CallerRequest, reason: str) -> None:
+        """Says that a request was refused before its route was looked for."""
+        self.log.request(
+            "request_refused", request_id=request.request_id.decode("latin-1"), reason=reason
+        )
+
+    def refused(
+        self, call: EntryCall, reason: str, level: float, reported: dict[str, str], version: int
+    ) -> None:
+        """Says that a new request was refused, and the reports of the level that decided it."""
+        self.log.request(
+            "request_refused",
+            request_id=call.request_id,
+            route=call.route.name,
+            rank=call.rank,
+            reason=reason,
+            level=round(level, 2),
+            reported=reported,
+            configuration_version=version,
+        )
+
+    def sent(self, call: EntryCall, moment: float, version: int) -> None:
+        """Says which member was chosen, and from which figures of which age."""
+        peer = call.peer
+        self.log.decision(
+            "request_sent",
+            request_id=call.request_id,
+            route=call.route.name,
+            rank=call.rank,
+            service=call.service,
+            sent_to=call.sent_to,
+            load=round(peer.load, 1),
+            load_age_ms=int((moment - peer.load_at) * 1000.0) if peer.load_at else -1,
+            failures=round(peer.failures, 2),
+            record_epoch=peer.member.epoch,
+            record_serial=peer.member.serial,
+            configuration_version=version,
+        )
+
+    def sent_elsewhere(self, call: EntryCall, reason: str) -> None:
+        """Says that a request did not run where it was sent and goes on to another member."""
+        self.log.request(
+            "request_sent_elsewhere",
+            request_id=call.request_id,
+            route=call.route.name,
+            sent_to=call.sent_to,
+            reason=reason,
+            record_epoch=call.peer.member.epoch,
+        )
+
+    def repeated(self, call: EntryCall, reason: str, status: int) -> None:
+        """Says that a request that may have run is sent again."""
+        self.log.request(
+            "request_repeated",
+            request_id=call.request_id,
+            route=call.route.name,
+            sent_to=call.sent_to,
+            reason=reason,
+            status=status,
+        )
+
+    def not_served(
+        self, call: EntryCall, status: int, reason: str, moment: float, version: int
+    ) -> None:
+        """Says that the final answer is not one of a backend server."""
+        self.log.request(
+            "request_not_served",
+            request_id=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            rank=call.rank,
+            status=status,
+            reason=reason,
+            sends=call.sends,
+            attempts=call.attempts,
+            sent_to=call.sent_to,
+            parent=call.parent.request_id if call.parent else "",
+            elapsed_ms=int((moment - call.request.received) * 1000.0),
+            configuration_version=version,
+        )
+
+    def caller_gone(self, call: EntryCall, moment: float) -> None:
+        """Says that the caller left before its answer."""
+        self.log.request(
+            "caller_gone",
+            request_id=call.request_id,
+            route=call.route.name,
+            sent_to=call.sent_to,
+            elapsed_ms=int((moment - call.request.received) * 1000.0),
+        )
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -187,6 +187,15 @@
             self._open()
         self._write(best, call)
 
+    def tell(self, frame: Frame) -> bool:
+        """Sends a message that has no answer; without a connection, opens one and returns False."""
+        connection = self._least_used()
+        if connection is None:
+            self._open()
+            return False
+        connection.send(frame)
+        return True
+
     def _least_used(self) -> LinkConnection | None:
         best: LinkConnection | None = None
         for connection in self.connections:
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -18,7 +18,8 @@
 from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import from_record, to_record
-from coltsfoottrack._internal.mesh.runner import CallKey, Runner, RunnerCall
+from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_NOT_RUN,
@@ -68,6 +69,8 @@
         self.process = getrandbits(PROCESS_BITS)
         # Epochs that this process has had.
         self.epochs = {directory.own.epoch}
+        # Crashes by node, its epoch and digest, as far as told.
+        self.told: dict[tuple[str, int, bytes], int] = {}
         # Calls that came on a link, by connection.
         self.served: dict[LinkConnection, set[CallKey]] = {}
         # Since when a peer has been known to have a newer configuration than the version below.
@@ -279,7 +282,9 @@
         self._learn(from_record(message), direct=True)
 
     def _suspect(self, connection: LinkConnection, message: Suspect) -> None:
-        self.runner.suspects.merge(SuspectReport(message.digest, message.crashes, message.age_ms))
+        self.runner.crashes.suspects.merge(
+            SuspectReport(message.digest, message.crashes, message.age_ms)
+        )
 
     def _fetch_configuration(self, connection: LinkConnection, message: Any) -> None:
         connection.send(
@@ -313,17 +318,35 @@
         """Tells all connected peers the record of this node."""
         self._broadcast(Frame(member=to_record(self.directory.own)))
 
-    def report_suspect(self, digest: bytes) -> None:
-        """Tells all connected peers of a request that may have crashed a backend server."""
-        report = self.runner.suspects.report(digest)
-        if report is not None:
-            self._broadcast(
-                Frame(
-                    suspect=Suspect(
-                        digest=report.digest, crashes=report.crashes, age_ms=report.age_ms
-                    )
-                )
-            )
+    def spread_suspects(self) -> None:
+        """Tells each node of the service the requests that may have crashed a backend server.
+
+        Called again and again: a node that is out of reach now is told later, and so is one that
+        was started since.
+        """
+        suspects = self.runner.crashes.suspects
+        if not suspects.entries:
+            self.told.clear()
+            return
+        own = self.directory.own
+        for peer in self.directory.by_service.get(own.service, ()):
+            member = peer.member
+            if member.node == own.node or not member.epoch:
+                continue
+            for digest in list(suspects.entries):
+                self._tell_suspect(member, suspects.report(digest))
+
+    def _tell_suspect(self, member: Member, report: SuspectReport | None) -> None:
+        if report is None:
+            return
+        key = (member.node, member.epoch, report.digest)
+        if self.told.get(key, 0) >= report.crashes:
+            return
+        frame = Frame(
+            suspect=Suspect(digest=report.digest, crashes=report.crashes, age_ms=report.age_ms)
+        )
+        if self._peer(member).tell(frame):
+            self.told[key] = report.crashes
 
     def _broadcast(self, frame: Frame) -> None:
         told: set[str] = set()
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -7,11 +7,8 @@
 from asyncio import Task, get_running_loop
 from collections import OrderedDict
 from collections.abc import Callable
-from hashlib import blake2b
 from heapq import heapify, heappop, heappush
-from typing import NamedTuple
 
-from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES, SuspectTable
 from coltsfoottrack._internal.mesh.backend_connection import (
     BackendAnswer,
     BackendConnection,
@@ -19,11 +16,13 @@
 )
 from coltsfoottrack._internal.mesh.backend_state import BackendState
 from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.crash_watch import CrashWatch
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.levels import OwnLevel
 from coltsfoottrack._internal.mesh.lineage import Lineage, Run
 from coltsfoottrack._internal.mesh.model import HeaderNames
 from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
+from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
 from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -42,87 +41,17 @@
 ORPHAN_SECONDS = 0.3
 # A sender that does not answer a claim for this long has gone, or the link to it.
 CLAIM_SECONDS = 1.0
-# Crashes show within this time of the loss of a connection.
-CRASH_SECONDS = 4.0
 # A reset this soon after a request was sent says that the connection had been dropped before.
 DROPPED_SECONDS = 0.005
-QUARANTINE_MS = 120_000.0
 # Weight of the newest run in the mean time of runs.
 TIME_WEIGHT = 0.02
 # Answers are kept for a caller's node that lost its link.
 KEEP_ANSWER_SECONDS = 3.0
 FORGET_SECONDS = 15.0
-DIGEST_BYTES = 16
 # A smaller part of the lowest rank that is refused is no change of state for the log.
 SHEDDING_MARGIN = 0.1
 
 
-class CallKey(NamedTuple):
-    """Names a call: the process that sends it, and its number there."""
-
-    node: str
-    process: int
-    number: int
-
-
-class RunResult(NamedTuple):
-    """What became of a call."""
-
-    result: int
-    reason: str
-    status: int = 0
-    head: bytes = b""
-    body: bytes = b""
-
-
-class RunnerCall:
-    """One call from its arrival to its answer."""
-
-    __slots__ = (
-        "answer",
-        "arrived",
-        "claim",
-        "claimed_at",
-        "connection",
-        "deliver",
-        "digest",
-        "done",
-        "expires",
-        "key",
-        "message",
-        "orphaned_at",
-        "rank",
-        "sent_at",
-        "wait_until",
-    )
-
-    def __init__(
-        self,
-        key: CallKey,
-        message: Request,
-        deliver: Callable[["RunnerCall"], None],
-        claim: Callable[["RunnerCall"], None] | None = None,
-    ) -> None:
-        # Asks the sender whether the call is still to be run; None if that is not needed, or is
-        # granted.
-        self.claim = claim
-        self.claimed_at = 0.0
-        self.key = key
-        self.message = message
-        # Hands the result to whoever waits for it.
-        self.deliver = deliver
-        self.arrived = now()
-        self.expires = self.arrived + message.time_left_ms / 1000.0
-        self.wait_until = self.arrived + message.wait_ms / 1000.0
-        self.rank = message.rank
-        self.sent_at: float | None = None
-        self.connection: BackendConnection | None = None
-        self.answer: RunResult | None = None
-        self.done = False
-        self.orphaned_at: float | None = None
-        self.digest: bytes | None = None
-
-
 class Runner:
     """The calls of one backend server."""
 
@@ -146,7 +75,7 @@
         self.level = OwnLevel()
         # Whether the log has said that less than everything is admitted.
         self.shedding = False
-        self.suspects = SuspectTable(lambda: QUARANTINE_MS, now)
+        self.crashes = CrashWatch(log)
         self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
         # Rank, time that orders those of one rank, number, call.
         self.queue: list[tuple[int, float, int, RunnerCall]] = []
@@ -155,11 +84,8 @@
         self.tasks: set[Task[None]] = set()
         # Mean time of a run, in seconds.
         self.mean_seconds = 0.0
-        # Calls that lost their connection lately, and may have crashed the backend server.
-        self.lost: list[tuple[float, RunnerCall]] = []
         # Number of nodes that share the service's repeat budget.
         self.members: Callable[[], int] = lambda: 1
-        self.report_suspect: Callable[[bytes], None] = lambda digest: None
         self.idle_callback: Callable[[], None] = lambda: None
 
     @property
@@ -179,7 +105,7 @@
             self._refuse(call, self.backend.refusal)
         elif message.backend and message.backend != self.backend.identifier:
             self._refuse(call, "other_backend")
-        elif self._is_quarantined(call):
+        elif self.crashes.is_quarantined(call):
             self._refuse(call, "quarantined")
         elif message.repeat and not self.budget.take(call.arrived, self.members()):
             self._refuse(call, "repeat_budget")
@@ -321,7 +247,7 @@
             return
         if answer is None:
             if reason in ("connection_reset", "connection_closed"):
-                self.lost.append((now(), call))
+                self.crashes.connection_lost(call, now())
                 if connection.was_idle_seconds and not connection.received:
                     self._check_dropped(connection, call)
             self._finish(call, RunResult(RESULT_UNKNOWN, reason))
@@ -493,8 +419,7 @@
             if call.done and call.answer is not None and call.answer.body:
                 call.answer = None
                 call.message = _EMPTY_REQUEST
-        while self.lost and moment - self.lost[0][0] > CRASH_SECONDS:
-            self.lost.pop(0)
+        self.crashes.forget(moment)
 
     def flush(self) -> None:
         """Hands back all waiting calls; used when the backend server or the node leaves."""
@@ -510,37 +435,10 @@
         """Takes note that the backend server has ended without a word."""
         if not self.backend.set_gone(reason):
             return
-        moment = now()
-        for at, call in self.lost:
-            if moment - at < CRASH_SECONDS:
-                self._suspect(call)
-        self.lost = []
+        self.crashes.backend_crashed(now())
         self.pool.close()
         self.flush()
 
-    def _suspect(self, call: RunnerCall) -> None:
-        digest = self._digest(call)
-        crashes = self.suspects.record_crash(digest, self.suspects.crashes(digest))
-        self.log.decision(
-            "crash_suspected",
-            request_id=call.message.request_id,
-            route=call.message.route,
-            crashes=crashes,
-        )
-        self.report_suspect(digest)
-
-    def _digest(self, call: RunnerCall) -> bytes:
-        if call.digest is None:
-            message = call.message
-            line = message.head.split(b"\r\n", 1)[0]
-            call.digest = blake2b(line + b"\n" + message.body, digest_size=DIGEST_BYTES).digest()
-        return call.digest
-
-    def _is_quarantined(self, call: RunnerCall) -> bool:
-        if not self.suspects.entries:
-            return False
-        return self.suspects.crashes(self._digest(call)) >= QUARANTINE_CRASHES
-
 
 def _deliver_nowhere(call: RunnerCall) -> None:
     pass
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/runner_call.py
@@ -0,0 +1,85 @@
+"""One call at the runner."""
+
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import NamedTuple
+
+from coltsfoottrack._internal.mesh.backend_connection import BackendConnection
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.schema.links_pb2 import Request
+
+DIGEST_BYTES = 16
+
+
+class CallKey(NamedTuple):
+    """Names a call: the process that sends it, and its number there."""
+
+    node: str
+    process: int
+    number: int
+
+
+class RunResult(NamedTuple):
+    """What became of a call."""
+
+    result: int
+    reason: str
+    status: int = 0
+    head: bytes = b""
+    body: bytes = b""
+
+
+class RunnerCall:
+    """One call from its arrival to its answer."""
+
+    __slots__ = (
+        "answer",
+        "arrived",
+        "claim",
+        "claimed_at",
+        "connection",
+        "deliver",
+        "digest",
+        "done",
+        "expires",
+        "key",
+        "message",
+        "orphaned_at",
+        "rank",
+        "sent_at",
+        "wait_until",
+    )
+
+    def __init__(
+        self,
+        key: CallKey,
+        message: Request,
+        deliver: Callable[["RunnerCall"], None],
+        claim: Callable[["RunnerCall"], None] | None = None,
+    ) -> None:
+        # Asks the sender whether the call is still to be run; None if that is not needed, or is
+        # granted.
+        self.claim = claim
+        self.claimed_at = 0.0
+        self.key = key
+        self.message = message
+        # Hands the result to whoever waits for it.
+        self.deliver = deliver
+        self.arrived = now()
+        self.expires = self.arrived + message.time_left_ms / 1000.0
+        self.wait_until = self.arrived + message.wait_ms / 1000.0
+        self.rank = message.rank
+        self.sent_at: float | None = None
+        self.connection: BackendConnection | None = None
+        self.answer: RunResult | None = None
+        self.done = False
+        self.orphaned_at: float | None = None
+        self.digest: bytes | None = None
+
+    def content_digest(self) -> bytes:
+        """Returns the digest under which the request would be suspected of a crash."""
+        if self.digest is None:
+            line = self.message.head.split(b"\r\n", 1)[0]
+            content = line + b"\n" + self.message.body
+            self.digest = blake2b(content, digest_size=DIGEST_BYTES).digest()
+        return self.digest
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -26,7 +26,7 @@
         self.most_running = 0
         self.cancelled: list[str] = []
         # What is done in place of a proper answer: lose, truncate, extra, unsealed, fail, unframed,
-        # encoded, shed.
+        # encoded, shed, crash.
         self.fault = ""
         # Runs end only while this is set.
         self.released = Event()
@@ -63,6 +63,9 @@
         """Writes an answer; returns whether the connection stays open."""
         body = f"{self.identifier} {message.method} {message.path}".encode()
         fault = self.fault
+        if fault == "crash":
+            self.close()
+            return False
         if fault == "lose":
             writer.transport.abort()
             return False
@@ -105,6 +108,12 @@
         head += f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode("latin-1") + body)
 
+    async def restart(self) -> None:
+        """Starts again at the same address after a crash."""
+        self.started_ms += 1000
+        self.number = 0
+        await self.open(self.port)
+
     async def report(self, node: str, state: str = "ready", **changes: object) -> int:
         """Sends a heartbeat to a node; returns the status."""
         self.number += 1
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -482,6 +482,51 @@
                 self.assertEqual(answer.headers["request-id"], request_id)
 
 
+class CrashTest(Mesh):
+    """Requests that crash each backend server that runs them."""
+
+    async def test_request_is_refused_after_two_crashes(self):
+        """Guards against one request that takes down a whole service, also by other nodes."""
+        one = await self.start("one")
+        two = await self.start("two")
+        await self.known(2)
+        for node in (one, two):
+            for backend in self.backends:
+                backend.fault = "crash"
+            await self.ask(node, encode("/order/", f"c-{node.settings.node}", "POST", b"bad"))
+            await self.until(
+                lambda: not all(backend.server.is_serving() for backend in self.backends)
+            )
+            for backend, beside in zip(self.backends, (one, two), strict=True):
+                if backend.server.is_serving():
+                    continue
+                # A request that is sent meanwhile shows that nobody listens.
+                beside.runner.backend_gone("connection_refused")
+                await backend.restart()
+                await backend.report(beside.settings.report_address)
+            for other in (one, two):
+                suspects = other.runner.crashes.suspects
+                await self.until(lambda suspects=suspects: suspects.entries)
+        for node in (one, two):
+            suspects = node.runner.crashes.suspects
+            await self.until(lambda suspects=suspects: suspects.quarantined() == 1)
+        for backend in self.backends:
+            backend.fault = ""
+        for node in (one, two):
+            answer = await self.ask(
+                node, encode("/order/", f"again-{node.settings.node}", "POST", b"bad")
+            )
+            self.assertEqual(answer.status, 503)
+            answer = await self.ask(
+                node, encode("/order/", f"good-{node.settings.node}", "POST", b"good")
+            )
+            self.assertEqual(answer.status, 200)
+        runs = sum(
+            backend.runs[f"again-{name}"] for backend in self.backends for name in ("one", "two")
+        )
+        self.assertEqual(runs, 0)
+
+
 class ConfigurationTest(Mesh):
     """The configuration in force."""
 
