Let a leaving node serve others while there is no better one

Nodes restarted 1 s apart are out for 2.3 to 3.3 s each, and a service of two was away whole. Ruled out: lost requests at the restarts themselves (cut_off 0 everywhere). A leaving node now asks others to choose other members and serves for 2.3 s more; then it refuses as before.

test_requests_go_elsewhere_when_a_node_stops expected a refusal of the first request by a node that had no link yet to hear of the leave; it now expects an answer, and all later ones from the other server as before.

--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -34,14 +34,22 @@
         self.cold_until = 0.0
         self.ready = False
         self.left = False
+        # The node is to stop: others are to choose other members if there are any.
         self.node_leaving = False
+        # The node takes no requests any more.
+        self.node_closed = False
         self.refusal = "no_backend"
         self.changed: Callable[[], None] = lambda: None
 
     @property
     def accepting(self) -> bool:
         """Tells whether new requests may be handed over."""
-        return self.ready and not self.left and not self.node_leaving
+        return self.ready and not self.left and not self.node_closed
+
+    @property
+    def preferred(self) -> bool:
+        """Tells whether other nodes may choose this one while there are others."""
+        return self.accepting and not self.node_leaving
 
     @property
     def limit(self) -> int:
@@ -115,11 +123,16 @@
         return True
 
     def set_node_leaving(self) -> None:
-        """Stops new requests since the node itself is to stop."""
+        """Sends others elsewhere, as far as they can, since the node is to stop."""
         self.node_leaving = True
+        self._log_change("node_leaving")
+
+    def close_node(self) -> None:
+        """Stops new requests since the node is about to stop."""
+        self.node_closed = True
         if not self.left:
             self.refusal = "node_leaving"
-        self._log_change("node_leaving")
+        self._log_change("node_closed")
 
     def _log_change(self, state: str) -> None:
         self.log.decision(
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -144,7 +144,7 @@
                 backend=backend.identifier,
                 backend_started_ms=max(0, backend.started_ms),
                 report_number=max(0, backend.number),
-                accepting=backend.accepting,
+                accepting=backend.preferred,
                 left=backend.left,
                 slots=backend.slots,
                 cold_ms=backend.cold_ms,
@@ -294,6 +294,8 @@
             await sleep(TICK_SECONDS)
             if now() - started < LEAVE_SECONDS:
                 continue
+            if not self.backend.node_closed:
+                self.backend.close_node()
             self.entry.close_idle_connections()
             if not self.entry.calls and not self.runner.running:
                 break
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -23,8 +23,10 @@
 TIME_AGE_SECONDS = 3.0
 # A member that could not be reached is not chosen for this long.
 UNREACHABLE_SECONDS = 1.0
-# A member that said that it takes no requests for now is asked again after this time.
-NOT_ACCEPTING_SECONDS = 2.0
+# A member that asked for no requests is chosen if there is no other one. The word that it takes
+# requests again may be lost, so this holds for a while only.
+NOT_ACCEPTING_SECONDS = 5.0
+NOT_ACCEPTING_PENALTY = 10.0
 # A load that was reported this long ago says nothing.
 LOAD_AGE_SECONDS = 2.0
 
@@ -57,9 +59,6 @@
             self.times = {}
         if member.accepting and not self.member.accepting:
             self.blocked_until = 0.0
-        elif not member.accepting and not member.left:
-            # For a while only: the word that it takes requests again may be lost.
-            self.block(NOT_ACCEPTING_SECONDS)
         self.member = member
         self.seen_at = now()
 
@@ -196,6 +195,8 @@
             cost -= LOCAL_BONUS
         elif member.failure_domain != self.own.failure_domain:
             cost += OTHER_DOMAIN_PENALTY
+        if not member.accepting and moment - peer.seen_at < NOT_ACCEPTING_SECONDS:
+            cost += NOT_ACCEPTING_PENALTY
         if member.cold_ms and moment - peer.seen_at < member.cold_ms / 1000.0:
             cost += COLD_PENALTY
         return cost + random() * 0.01
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -365,6 +365,9 @@
         await self.known(3)
         ending = create_task(store.stop())
         await sleep(0.05)
+        # The first one may be how the front node hears of it; the node still serves for 2.3 s.
+        answer = await self.ask(front, encode("/order/", "first", "POST"))
+        self.assertEqual(answer.status, 200)
         for number in range(10):
             answer = await self.ask(front, encode("/order/", f"r{number}", "POST"))
             self.assertEqual(answer.body, b"i-other POST /order/")
@@ -383,6 +386,25 @@
     return data_received
 
 
+class RollingRestartTest(Mesh):
+    """Nodes that are restarted in turn while their backend servers go on."""
+
+    async def test_leaving_node_serves_while_it_is_the_only_one(self):
+        """Guards against refusals by a whole service whose nodes are restarted in turn."""
+        front = await self.start("front", "portal")
+        store = await self.start("store")
+        await self.known(2)
+        ending = create_task(store.stop())
+        await sleep(0.2)
+        for number in range(5):
+            answer = await self.ask(front, encode("/order/", f"r{number}", "POST"))
+            self.assertEqual(answer.status, 200)
+        await self.until(lambda: store.backend.node_closed)
+        answer = await self.ask(front, encode("/order/", "late", "POST"))
+        self.assertEqual(answer.status, 503)
+        await ending
+
+
 class LostNodeTest(Mesh):
     """Nodes that end, and links that break."""
 
