Serve metrics at the port of the deploy file, keep one list of connection headers

The port now comes from the role's environment, and a node whose metrics port is taken serves without. Tests of both. Two fields that nothing read are gone; the headers that are not passed on stood in two modules.

--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -8,6 +8,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.http_headers import CONNECTION_HEADERS
 from coltsfoottrack._internal.mesh.model import HeaderNames
 from coltsfoottrack._internal.mesh.sockets import detect_silence, split_address
 
@@ -19,18 +20,6 @@
 # A backend server may drop an idle connection without notice, and what may run only once cannot
 # be sent again after that. The bound falls to half of the time after which that was seen.
 IDLE_UNREPEATABLE_SECONDS = 3.0
-DROPPED_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-    )
-)
 FIRST_FINAL_STATUS = 200
 
 
@@ -137,7 +126,7 @@
             self.not_run = True
         elif lower == b"content-encoding":
             self.encoded = True
-        elif lower in DROPPED_HEADERS:
+        elif lower in CONNECTION_HEADERS:
             if lower in (b"content-length", b"transfer-encoding"):
                 self.framed = True
             elif lower == b"keep-alive":
--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -9,23 +9,10 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
 from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.http_headers import CONNECTION_HEADERS
 from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
 from coltsfoottrack._internal.mesh.sockets import detect_silence
 
-# Headers that concern one connection only, and those that the node writes itself.
-CONNECTION_HEADERS = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    )
-)
 MAX_PIPELINED = 64
 # A caller that leaves its answers unread for this long is cut off.
 UNREAD_SECONDS = 20.0
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -22,7 +22,7 @@
 from coltsfoottrack._internal.mesh.links import Links
 from coltsfoottrack._internal.mesh.metrics import scrape
 from coltsfoottrack._internal.mesh.model import BackendReport, HeaderNames, Member, MeshSettings
-from coltsfoottrack._internal.mesh.ports import PortAnswer, SmallPort
+from coltsfoottrack._internal.mesh.ports import Answerer, PortAnswer, SmallPort
 from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
@@ -189,17 +189,17 @@
     async def open(self) -> None:
         """Opens all ports. Raises OSError."""
         settings = self.settings
-        names = self.adapter.names
         for address, answer in (
             (settings.report_address, self.answer_report),
             (settings.ready_address, self.answer_ready),
-            (settings.metrics_address, self.answer_metrics),
         ):
-            if not address:
-                continue
-            port = SmallPort(names, answer)
-            await port.open(address)
-            self.ports.append(port)
+            await self._open_port(address, answer)
+        if settings.metrics_address:
+            try:
+                await self._open_port(settings.metrics_address, self.answer_metrics)
+            except OSError as error:
+                # A node without metrics still serves.
+                self.log.decision("metrics_unavailable", problem=str(error))
         await self.links.open(settings.link_address)
         host, number = split_address(settings.caller_address)
         self.server = await get_running_loop().create_server(
@@ -210,6 +210,11 @@
             reuse_address=True,
         )
 
+    async def _open_port(self, address: str, answer: Answerer) -> None:
+        port = SmallPort(self.adapter.names, answer)
+        await port.open(address)
+        self.ports.append(port)
+
     async def run(self) -> None:
         """Serves until SIGTERM, then ends without cutting off a request. Raises OSError."""
         loop = get_running_loop()
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -151,7 +151,6 @@
             body=answer.body,
             load=self.runner.load,
             level=int(self._level(call.message.route) * LEVEL_UNIT),
-            accepting=self.runner.backend.preferred,
             configuration_version=self.keeper.version,
         )
 
@@ -199,7 +198,6 @@
                 number=message.number,
                 result=RESULT_NOT_RUN,
                 reason="other_process",
-                accepting=self.runner.backend.preferred,
                 level=int(self._level(message.route) * LEVEL_UNIT),
                 configuration_version=self.keeper.version,
             )
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -93,7 +93,6 @@
     # Proves that an answer is the backend server's.
     seal: bytes
     expected_backend: bytes
-    load: bytes
     # States that the backend server did not run the request.
     not_run: bytes
     retry_after: bytes
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -8,7 +8,6 @@
     deadline_ms=b"deadline-ms",
     seal=b"response-seal",
     expected_backend=b"expected-instance",
-    load=b"server-load",
     not_run=b"not-executed",
     retry_after=b"retry-after",
     caller_service=b"caller-service",
@@ -28,6 +27,8 @@
 READY = "ready"
 DRAINING = "draining"
 SETTINGS_VARIABLE = "COLTSFOOTTRACK_CONFIG"
+# Port of the metrics, as the deploy file names it for the role; the settings do not hold it.
+METRICS_PORT_VARIABLE = "COLTSFOOTTRACK_METRICS_PORT"
 
 
 def parent_identifier(request_id: str) -> str:
--- a/src/coltsfoottrack/platform/settings.py
+++ b/src/coltsfoottrack/platform/settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
-from coltsfoottrack.platform.names import SETTINGS_VARIABLE
+from coltsfoottrack.platform.names import METRICS_PORT_VARIABLE, SETTINGS_VARIABLE
 
 BYTES_PER_MB = 1024 * 1024
 
@@ -34,7 +34,7 @@
     """Returns the settings of a node. Raises ValueError."""
     bounds = read_lines(fields.get("bounds", "").replace(",", "\n"))
     try:
-        ports = fields["internalPorts"].split(",")
+        metrics_port = environ.get(METRICS_PORT_VARIABLE, "")
         return MeshSettings(
             node=fields["node"],
             failure_domain=fields["zone"],
@@ -43,8 +43,7 @@
             link_address=fields["listen.inbound"],
             ready_address=fields["listen.ready"],
             report_address=fields["listen.control"],
-            # The last of the ports that are free for the product.
-            metrics_address=f"{fields['ip']}:{int(ports[-1])}",
+            metrics_address=f"{fields['ip']}:{int(metrics_port)}" if metrics_port else "",
             backend_address=fields["appAddr"],
             store_address=fields["platform.address"],
             grace_seconds=float(bounds.get("graceS", "6")),
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -1,11 +1,20 @@
 """The routed path with whole nodes, stand-ins for backend servers and for the store."""
 
-from asyncio import create_task, gather, sleep
+from asyncio import create_task, gather, open_connection, sleep
 from time import time
 from unittest.mock import patch
 
 from coltsfoottrack._internal.mesh.link import LinkConnection
-from tests.standins.mesh import STANDARD, Mesh, configuration, encode, read_answer
+from coltsfoottrack._internal.mesh.sockets import split_address
+from tests.standins.backend import StandInBackend
+from tests.standins.mesh import (
+    STANDARD,
+    Mesh,
+    configuration,
+    encode,
+    free_address,
+    read_answer,
+)
 
 
 class WholePathTest(Mesh):
@@ -99,6 +108,27 @@
         await first
         self.assertEqual(node.entry.held_bytes, 0)
 
+    async def test_metrics_and_a_port_that_is_taken(self):
+        """Guards against metrics that nobody can read, and a node that ends for want of them."""
+        backend = StandInBackend("i-store", "stock")
+        await backend.open()
+        self.backends.append(backend)
+        settings = self.settings("store", "stock", backend)
+        node = await self.start_node(settings._replace(metrics_address=free_address()))
+        await backend.report(settings.report_address)
+        await self.known(1)
+        await self.ask(node, encode("/read/a", "r1"))
+        reader, writer = await open_connection(*split_address(node.settings.metrics_address))
+        self.writers.append(writer)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n")
+        text = (await read_answer(reader)).body.decode()
+        self.assertIn('coltsfoottrack_mesh_answers_total{reason="answered",route="read"} 1', text)
+        self.assertIn("coltsfoottrack_mesh_run_seconds_count 1", text)
+        other = self.settings("other", "stock", backend)
+        taken = other._replace(metrics_address=node.settings.metrics_address)
+        second = await self.start_node(taken)
+        self.assertEqual(second.log.counts["metrics_unavailable"], 1)
+
     async def test_changed_settings_are_in_force(self):
         """Guards against a settings file that is read at the start only."""
         node = await self.start("store")
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -2,12 +2,15 @@
 
 from ast import Import, ImportFrom, parse, walk
 from pathlib import Path
+from tomllib import loads
 from unittest import TestCase
+from unittest.mock import patch
 
 from orjson import dumps
 
 from coltsfoottrack._internal.mesh.exceptions import MeshError, ReportError
 from coltsfoottrack.platform.configuration import decode_configuration
+from coltsfoottrack.platform.names import METRICS_PATH
 from coltsfoottrack.platform.reports import read_report
 from coltsfoottrack.platform.settings import from_fields, read_lines
 
@@ -51,8 +54,19 @@
         self.assertEqual(settings.caller_address, "10.0.0.1:2")
         self.assertEqual(settings.link_address, "10.0.0.1:1")
         self.assertEqual(settings.grace_seconds, 5.0)
+        self.assertEqual(settings.metrics_address, "")
         self.assertEqual(settings.retries, (0.1, 12.0, 8.0))
 
+    def test_port_of_the_metrics_is_that_of_the_deploy_file(self):
+        """Guards against metrics at a port that nobody asks."""
+        deploy = loads((SOURCE.parents[1] / "deploy" / "system.toml").read_text(encoding="utf-8"))
+        role = deploy["roles"]["node"]
+        with patch.dict("os.environ", role["env"]):
+            settings = from_fields(read_lines(SETTINGS))
+        port, _, path = role["metrics"].partition("/")
+        self.assertEqual(settings.metrics_address, f"10.0.0.1:{port}")
+        self.assertEqual(f"/{path}", METRICS_PATH)
+
     def test_missing_and_wrong_fields_are_named(self):
         """Guards against an error that does not say which field is wrong."""
         with self.assertRaisesRegex(ValueError, "zone"):
