--- /dev/null
+++ b/tests/functional/test_mesh_soak.py
@@ -0,0 +1,23 @@
+"""A short run of random faults over real nodes of the mesh, with a fixed seed."""
+
+from asyncio import run
+from unittest import TestCase
+
+from tests.soak.mesh_soak import plan_faults, play_seed
+
+SEED = 1
+SECONDS = 6.0
+
+
+class MeshSoakTest(TestCase):
+    """Guards against breaches that only show when several faults meet."""
+
+    def test_no_rule_is_broken(self):
+        verdict = run(play_seed(SEED, SECONDS))
+        self.assertEqual(verdict.violations, [])
+        self.assertTrue(verdict.holds, verdict)
+        self.assertGreater(verdict.statuses.get(200, 0), 100)
+
+    def test_faults_follow_from_the_seed(self):
+        self.assertEqual(plan_faults(3, 30.0), plan_faults(3, 30.0))
+        self.assertNotEqual(plan_faults(3, 30.0), plan_faults(4, 30.0))
