Drop the bodies of answered calls without looking at all remembered ones

A profile of 3,000 requests with the stand-ins showed Runner._forget as the largest of our own: each tick of 50 ms looked at every call of the last 15 seconds, about 10,000 at a busy server. Calls whose bodies are held now stand in a queue of their own, oldest first. The new test fails before: a tick with 20,000 remembered calls took over 100 times one with 10.

--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -5,7 +5,7 @@
 """
 
 from asyncio import Task, get_running_loop
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
@@ -77,6 +77,8 @@
         self.shedding = False
         self.crashes = CrashWatch(log)
         self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
+        # Calls whose request and answer are held, the oldest first.
+        self.kept: deque[RunnerCall] = deque()
         # Rank, time that orders those of one rank, number, call.
         self.queue: list[tuple[int, float, int, RunnerCall]] = []
         self.running: set[RunnerCall] = set()
@@ -101,6 +103,7 @@
             self._attach(known, call)
             return
         self.calls[call.key] = call
+        self.kept.append(call)
         if not self.backend.accepting:
             self._refuse(call, self.backend.refusal)
         elif message.backend and message.backend != self.backend.identifier:
@@ -413,10 +416,13 @@
             if not call.done or moment - call.arrived < FORGET_SECONDS:
                 break
             self.calls.popitem(last=False)
-        for call in self.calls.values():
-            if moment - call.arrived < KEEP_ANSWER_SECONDS:
+        for _ in range(len(self.kept)):
+            if moment - self.kept[0].arrived < KEEP_ANSWER_SECONDS:
                 break
-            if call.done and call.answer is not None and call.answer.body:
+            call = self.kept.popleft()
+            if not call.done:
+                self.kept.append(call)
+            elif call.answer is not None and call.answer.body:
                 call.answer = None
                 call.message = _EMPTY_REQUEST
         self.crashes.forget(moment)
--- /dev/null
+++ b/tests/unit/test_mesh_runner.py
@@ -0,0 +1,80 @@
+"""The runner alone, without a network."""
+
+from os import O_WRONLY, devnull
+from os import open as open_file
+from time import perf_counter
+from unittest import TestCase
+from unittest.mock import patch
+
+from coltsfoottrack._internal.mesh.backend_connection import BackendPool
+from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.clock import now
+from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
+from coltsfoottrack._internal.mesh.lineage import Lineage
+from coltsfoottrack._internal.mesh.model import RetryBounds
+from coltsfoottrack._internal.mesh.repeat_budget import RepeatBudget
+from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
+from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
+from coltsfoottrack._internal.schema.links_pb2 import RESULT_ANSWERED, Request
+from coltsfoottrack.platform.names import HEADERS, parent_identifier
+
+
+def make_runner() -> Runner:
+    """Returns a runner whose backend server has not reported yet."""
+    log = DecisionLog("n", LineWriter(open_file(devnull, O_WRONLY)))
+    return Runner(
+        BackendState("127.0.0.1:9", log),
+        BackendPool("127.0.0.1:9", HEADERS),
+        RepeatBudget(RetryBounds(0.2, 48.0, 10.0)),
+        Lineage(parent_identifier),
+        HEADERS,
+        log,
+        PlainHistogram((1.0,)),
+    )
+
+
+def remember(runner: Runner, count: int) -> None:
+    """Leaves calls in the runner that were answered."""
+    for number in range(count):
+        key = CallKey("n", 1, number)
+        runner.submit(RunnerCall(key, Request(number=number), lambda call: None))
+        runner.calls[key].answer = RunResult(RESULT_ANSWERED, "", 200, b"", b"body")
+
+
+def tick_seconds(runner: Runner) -> float:
+    """Returns the time of the quickest of some ticks while the calls are remembered."""
+    moment = now() + 5.0
+    times = []
+    for _ in range(20):
+        began = perf_counter()
+        runner.tick(moment)
+        times.append(perf_counter() - began)
+    return min(times)
+
+
+class RememberedCallsTest(TestCase):
+    """Calls that were answered stay known, for a sender that asks again."""
+
+    def test_a_tick_does_not_look_at_all_of_them(self):
+        """Pattern: hundreds of calls a second. Guards against ticks that take the processor."""
+        few = make_runner()
+        remember(few, 10)
+        many = make_runner()
+        remember(many, 20_000)
+        # Looking at each of them took a thousand times as long.
+        self.assertLess(tick_seconds(many), 100 * tick_seconds(few))
+
+    def test_bodies_are_dropped_and_the_calls_stay_known(self):
+        """Guards against memory that grows with the calls, and a second run of a known one."""
+        runner = make_runner()
+        remember(runner, 5)
+        with patch("coltsfoottrack._internal.mesh.runner_call.now", lambda: now() + 4.0):
+            remember(runner, 0)
+            late = RunnerCall(CallKey("n", 1, 99), Request(number=99), lambda call: None)
+            runner.submit(late)
+            late.done = False
+        runner.tick(now() + 4.0)
+        self.assertEqual(len(runner.calls), 6)
+        self.assertEqual([call.answer for call in list(runner.calls.values())[:5]], [None] * 5)
+        self.assertEqual(list(runner.kept), [late])
