Name what the test of a stopping node allows

test_requests_go_elsewhere_when_a_node_stops failed in two of two runs: it took the first request to be the one that tells the front node of the leave. Which member is asked first is random, so any one of them may be. The product is unchanged.

--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -395,12 +395,14 @@
         await self.known(3)
         ending = create_task(store.stop())
         await sleep(0.05)
-        # The first one may be how the front node hears of it; the node still serves for 2.3 s.
-        answer = await self.ask(front, encode("/order/", "first", "POST"))
-        self.assertEqual(answer.status, 200)
-        for number in range(10):
+        # The front node has no link to the leaving one yet: the first request that it sends there
+        # is served and brings the word of the leave, and no further one follows.
+        bodies = []
+        for number in range(12):
             answer = await self.ask(front, encode("/order/", f"r{number}", "POST"))
-            self.assertEqual(answer.body, b"i-other POST /order/")
+            self.assertEqual(answer.status, 200)
+            bodies.append(answer.body)
+        self.assertLessEqual(bodies.count(b"i-store POST /order/"), 1)
         store.close()
         ending.cancel()
 
