Remove callbacks and counters of the mesh that nothing used

Found in the read of the whole change: Runner.idle_callback, DecisionLog.on_dropped and two counters of store calls were never set or read, and the unit of a level stood in two modules. Behaviour is unchanged; the tests of the mesh and the adapter and the linter pass.

--- a/src/coltsfoottrack/_internal/mesh/decisions.py
+++ b/src/coltsfoottrack/_internal/mesh/decisions.py
@@ -1,7 +1,6 @@
 """Structured log of the routed path: one JSON line for each decision, bounded, never blocking."""
 
 from collections import deque
-from collections.abc import Callable
 from os import set_blocking, write
 from typing import Any
 
@@ -92,7 +91,6 @@
         self.left_out = 0
         self.left_out_total = 0
         self.counts: dict[str, int] = {}
-        self.on_dropped: Callable[[int], None] = lambda count: None
 
     def decision(self, event: str, **fields: Any) -> None:
         """Logs a change of what the node believes, or of its own state."""
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -7,7 +7,7 @@
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
 from coltsfoottrack._internal.mesh.entry_log import EntryLog
 from coltsfoottrack._internal.mesh.figures import MeshFigures
-from coltsfoottrack._internal.mesh.levels import Admission, ReportedLevels
+from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT, Admission, ReportedLevels
 from coltsfoottrack._internal.mesh.lineage import Lineage
 from coltsfoottrack._internal.mesh.link import LinkCall
 from coltsfoottrack._internal.mesh.links import Links
@@ -21,7 +21,6 @@
     Request,
 )
 
-LEVEL_UNIT = 1000.0
 # Sends of one request, also those that never reached a backend server.
 MAX_SENDS = 5
 # Part of the target latency for which a request below the top rank may wait for a slot.
--- a/src/coltsfoottrack/_internal/mesh/figures.py
+++ b/src/coltsfoottrack/_internal/mesh/figures.py
@@ -17,8 +17,6 @@
         self.answers: dict[tuple[str, str], int] = defaultdict(int)
         self.latency = PlainHistogram(LATENCY_BUCKETS_SECONDS)
         self.run_time = PlainHistogram(LATENCY_BUCKETS_SECONDS)
-        self.store_calls = 0
-        self.store_failures = 0
 
     def count_answer(self, route: str, reason: str) -> None:
         """Counts an answer to a caller."""
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -8,6 +8,8 @@
 
 from coltsfoottrack._internal.mesh.clock import now
 
+# A level of 1.0 in messages between nodes.
+LEVEL_UNIT = 1000.0
 INTERVAL_SECONDS = 0.1
 # Part of the slots that the arriving requests may take.
 TARGET_LOAD = 0.95
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -13,7 +13,7 @@
 from coltsfoottrack._internal.mesh.configuration import ConfigurationKeeper
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory
-from coltsfoottrack._internal.mesh.levels import ReportedLevels
+from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT, ReportedLevels
 from coltsfoottrack._internal.mesh.lineage import Lineage
 from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink
 from coltsfoottrack._internal.mesh.model import Member
@@ -35,7 +35,6 @@
     Suspect,
 )
 
-LEVEL_UNIT = 1000.0
 PROCESS_BITS = 63
 # Members are told to a node that has no configuration; at most this many.
 MAX_MEMBERS_TOLD = 2000
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -88,7 +88,6 @@
         self.mean_seconds = 0.0
         # Number of nodes that share the service's repeat budget.
         self.members: Callable[[], int] = lambda: 1
-        self.idle_callback: Callable[[], None] = lambda: None
 
     @property
     def load(self) -> int:
@@ -292,8 +291,6 @@
         call.done = True
         call.deliver(call)
         self._start_next()
-        if not self.running and not self.queue:
-            self.idle_callback()
 
     def _log_outcome(self, event: str, call: RunnerCall, reason: str) -> None:
         moment = now()
@@ -434,8 +431,6 @@
         for entry in waiting:
             if not entry[3].done:
                 self._refuse(entry[3], self.backend.refusal)
-        if not self.running:
-            self.idle_callback()
 
     def backend_gone(self, reason: str) -> None:
         """Takes note that the backend server has ended without a word."""
