--- /dev/null
+++ b/tests/soak/mesh_cost.py
@@ -0,0 +1,170 @@
+"""What a node costs: start to first answer, memory at rest, processor time for each request.
+
+``python -m tests.soak.mesh_cost --seconds=10 --connections=8`` starts two nodes as processes of
+their own, one beside the caller and one beside a backend server, and sends requests over kept
+connections, one at a time on each. ``--profile=FILE`` runs both nodes under cProfile and writes
+FILE.portal and FILE.stock.
+"""
+
+import sys
+from asyncio import (
+    create_subprocess_exec,
+    create_task,
+    gather,
+    get_running_loop,
+    open_connection,
+    run,
+    sleep,
+)
+from asyncio.subprocess import DEVNULL
+from os import sysconf
+from pathlib import Path
+from signal import SIGTERM
+from tempfile import TemporaryDirectory
+
+from tests.soak.mesh_soak import PROGRAM, Place
+from tests.standins.mesh import configuration, encode, read_answer
+from tests.standins.store import StandInStore
+
+TICKS_PER_SECOND = sysconf("SC_CLK_TCK")
+REST_SECONDS = 3.0
+WARM_SECONDS = 1.0
+START_SECONDS = 10.0
+PAUSE_SECONDS = 0.02
+NAMES = ("caller's node", "server's node")
+
+
+def processor_seconds(pid: int) -> float:
+    """Returns the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def memory_megabytes(pid: int) -> float:
+    """Returns the resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024.0
+    return 0.0
+
+
+class CostMeasurement:
+    """One measurement."""
+
+    def __init__(self, directory: Path, profile: str) -> None:
+        self.store = StandInStore()
+        self.directory = directory
+        self.profile = profile
+        self.places: list[Place] = []
+        self.answered = 0
+        self.failed = 0
+        self.end = 0.0
+
+    async def start(self, service: str) -> Place:
+        """Starts a node and its backend server."""
+        place = Place(self.directory, service, service, self.store)
+        place.backend.slots = 200
+        place.backend.work_seconds = 0.0
+        await place.backend.open()
+        place.write_settings()
+        self.places.append(place)
+        command = [sys.executable]
+        if self.profile:
+            command += ["-m", "cProfile", "-o", f"{self.profile}.{service}"]
+        place.process = await create_subprocess_exec(
+            *command,
+            str(PROGRAM),
+            env={"COLTSFOOTTRACK_CONFIG": str(place.path)},
+            stdout=DEVNULL,
+        )
+        return place
+
+    async def first_answer(self, place: Place) -> float:
+        """Returns the seconds from now until a node takes its caller's first connection."""
+        host, _, port = place.addresses["outbound"].rpartition(":")
+        began = get_running_loop().time()
+        while get_running_loop().time() - began < START_SECONDS:
+            try:
+                reader, writer = await open_connection(host, int(port))
+                writer.write(encode("/read/first", "first"))
+                await read_answer(reader)
+                writer.close()
+                break
+            except OSError:
+                await sleep(PAUSE_SECONDS)
+        return get_running_loop().time() - began
+
+    async def send(self, place: Place, number: int) -> None:
+        """Sends requests on one connection until the time is over."""
+        host, _, port = place.addresses["outbound"].rpartition(":")
+        reader, writer = await open_connection(host, int(port))
+        count = 0
+        while get_running_loop().time() < self.end:
+            count += 1
+            request_id = f"q{number}-{count}"
+            if count % 3:
+                writer.write(encode(f"/read/{count}", request_id))
+            else:
+                writer.write(encode(f"/order/{count}", request_id, "POST", b"x" * 50))
+            answer = await read_answer(reader)
+            if answer.status == 200:
+                self.answered += 1
+            else:
+                self.failed += 1
+            await sleep(PAUSE_SECONDS)
+        writer.close()
+
+    async def load(self, place: Place, seconds: float, connections: int) -> None:
+        """Sends for a while on several connections."""
+        self.end = get_running_loop().time() + seconds
+        await gather(*[self.send(place, number) for number in range(connections)])
+
+    async def measure(self, seconds: float, connections: int) -> None:
+        """Measures and prints the figures."""
+        await self.store.open()
+        self.store.put(
+            "config",
+            "main",
+            configuration(
+                1,
+                read={"pathPrefix": "/read/", "service": "stock"},
+                order={"pathPrefix": "/order/", "service": "stock", "type": "unsafe"},
+            ),
+        )
+        portal = await self.start("portal")
+        first = await self.first_answer(portal)
+        stock = await self.start("stock")
+        tasks = [create_task(place.report()) for place in self.places]
+        await sleep(REST_SECONDS)
+        rest = [memory_megabytes(place.process.pid) for place in self.places]
+        await self.load(portal, WARM_SECONDS, connections)
+        self.answered = 0
+        before = [processor_seconds(place.process.pid) for place in self.places]
+        await self.load(portal, seconds, connections)
+        after = [processor_seconds(place.process.pid) for place in self.places]
+        for task in tasks:
+            task.cancel()
+        for place in self.places:
+            place.process.send_signal(SIGTERM)
+        await gather(*[place.process.wait() for place in self.places])
+        for place in (portal, stock):
+            place.backend.close()
+        self.store.close()
+        print(f"start to first answer {first:.2f} s; memory at rest {max(rest):.0f} MB")
+        print(f"answered {self.answered}, {self.answered / seconds:.0f}/s, failed {self.failed}")
+        for name, start, stop in zip(NAMES, before, after, strict=True):
+            each = (stop - start) / max(1, self.answered) * 1000.0
+            print(f"{name}: {each:.3f} ms of processor time a request")
+
+
+async def measure(options: dict[str, str]) -> None:
+    """Measures as the arguments say."""
+    with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
+        measurement = CostMeasurement(Path(directory), options.get("profile", ""))
+        await measurement.measure(
+            float(options.get("seconds", "10")), int(options.get("connections", "8"))
+        )
+
+
+if __name__ == "__main__":
+    run(measure(dict(argument.removeprefix("--").split("=", 1) for argument in sys.argv[1:])))
