Explain requests and sum up trouble from the nodes' logs

New commands: logs explain follows a request and the calls that it needed, says what each reason means and what the nodes on its way had come to believe; logs summary says what is not served, where and why, with the times for which nodes shed load or had lost the store; logs timeline shows the changes of belief of all nodes. They read files or standard input, pass over what a log collector puts before a line, and say how many lines the nodes left out.

Weighed: asking the nodes over the network.

--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/commands/logs/summary.py
@@ -0,0 +1,49 @@
+"""``coltsfoottrack logs summary``: what is not served, for whom and why."""
+
+from fire.decorators import SetParseFn
+
+from coltsfoottrack._internal.cli.log_files import missing_text, moment_text, read_files
+from coltsfoottrack._internal.cli.output import check_output, emit, table
+from coltsfoottrack._internal.decision_log.reasons import describe
+from coltsfoottrack._internal.decision_log.summary import LogSummary, summarize
+
+
+@SetParseFn(str)
+def summary_of_logs(*files: str, since: str = "", until: str = "", output: str = "text") -> None:
+    """Sums up the nodes' standard output: unserved requests by route and reason, troubled nodes.
+
+    Args:
+        files: Files with the standard output of nodes, - for standard input.
+        since: Only lines from this time on: an age such as 10m, or an RFC 3339 time.
+        until: Only lines up to this time: an age such as 10m, or an RFC 3339 time.
+        output: text or json.
+    """
+    check_output(output)
+    found = read_files(files, since, until)
+    summary = summarize(found.lines)
+    document = {
+        "unserved": [group._asdict() for group in summary.unserved],
+        "periods": [period._asdict() for period in summary.periods],
+        "unreachable": dict(summary.unreachable),
+        "versions": summary.versions,
+        "left_out": found.left_out,
+    }
+    emit(output, document, _lines(summary) + missing_text(found))
+
+
+def _lines(summary: LogSummary) -> list[str]:
+    lines = []
+    if summary.unserved:
+        rows = []
+        for group in summary.unserved:
+            rows.append((group.count, group.route or "-", group.node, describe(group.reason)))
+        lines.extend(table(("unserved", "route", "mostly at", "why"), rows))
+    for period in summary.periods:
+        end = moment_text(period.ended) if period.ended is not None else "now"
+        lines.append(f"{period.node}: {period.state} from {moment_text(period.began)} to {end}")
+    for peer, count in summary.unreachable:
+        lines.append(f"{peer}: could not be reached, {count} times")
+    if summary.versions:
+        versions = ", ".join(f"{node} {version}" for node, version in summary.versions.items())
+        lines.append(f"configuration versions differ: {versions}")
+    return lines or ["nothing was refused or failed, and no node reports trouble"]
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/log_files.py
@@ -0,0 +1,72 @@
+"""Reading of decision logs from files, and their text form."""
+
+import sys
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
+from coltsfoottrack._internal.cli.output import clock_time, parse_moment
+from coltsfoottrack._internal.decision_log.lines import DecisionLines, LogLine, read_lines
+
+STANDARD_INPUT = "-"
+
+
+def read_files(files: Sequence[str], since: str = "", until: str = "") -> DecisionLines:
+    """Reads the lines of all files between two times. Raises CommandError."""
+    if not files:
+        raise CommandError(
+            "name the files with the nodes' standard output, or - to read it from standard input",
+            EXIT_BAD_INPUT,
+        )
+    from_ms = parse_moment(since, "--since")
+    until_ms = parse_moment(until, "--until")
+    found = read_lines(_texts(files))
+    if not found.lines:
+        raise CommandError(f"no line of a decision log in {', '.join(files)}", EXIT_BAD_INPUT)
+    if not from_ms and not until_ms:
+        return found
+    lines = []
+    for line in found.lines:
+        moment = line.at * 1000.0
+        if moment < from_ms or (until_ms and moment > until_ms):
+            continue
+        lines.append(line)
+    return found._replace(lines=lines)
+
+
+def _texts(files: Sequence[str]) -> Iterator[str]:
+    for name in files:
+        if name == STANDARD_INPUT:
+            yield from sys.stdin
+            continue
+        try:
+            with Path(name).open(encoding="utf-8", errors="replace") as stream:
+                yield from stream
+        except OSError as error:
+            raise CommandError(f"{name}: {error.strerror}", EXIT_BAD_INPUT) from error
+
+
+def line_text(line: LogLine) -> str:
+    """Returns the text of a line: time, node, event and fields."""
+    fields = " ".join(f"{name}={value}" for name, value in line.fields.items())
+    return f"{moment_text(line.at)} {line.node} {line.event} {fields}".rstrip()
+
+
+def line_document(line: LogLine) -> dict[str, object]:
+    """Returns the JSON form of a line."""
+    return {"timestamp": line.at, "node": line.node, "event": line.event, **line.fields}
+
+
+def moment_text(at: float) -> str:
+    """Returns the wall clock time of a moment in seconds."""
+    return clock_time(int(at * 1000.0))
+
+
+def missing_text(found: DecisionLines) -> list[str]:
+    """Returns what the lines lack, as far as it is known."""
+    lines = []
+    if found.left_out:
+        lines.append(f"note: the nodes left out {found.left_out} lines about single requests")
+    if found.unreadable:
+        lines.append(f"note: {found.unreadable} lines are not of a decision log")
+    return lines
--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -23,6 +23,7 @@
     "status": ("status", "status"),
     "timeline": ("timeline", "timeline"),
     "explain": ("explain", "explain"),
+    "logs": ("logs", "LogsCommands"),
     "drain": ("drain", "drain"),
     "config": ("config", "ConfigCommands"),
     "node": ("node", "node"),
--- /dev/null
+++ b/src/coltsfoottrack/_internal/decision_log/__init__.py
@@ -0,0 +1,1 @@
+"""Reads the decision logs of the nodes of a mesh, and explains requests from them."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/decision_log/explanation.py
@@ -0,0 +1,144 @@
+"""Finds from decision logs why a request ended as it did."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from coltsfoottrack._internal.decision_log.lines import LogLine
+from coltsfoottrack._internal.decision_log.reasons import describe
+
+# Calls of calls are followed this far; routes are up to 7 deep.
+MAX_DEPTH = 8
+# What a node came to believe this long before may still explain a decision.
+CONTEXT_SECONDS = 30.0
+FINAL_EVENTS = frozenset(
+    ("request_not_served", "request_refused", "request_without_route", "caller_gone")
+)
+CONTEXT_EVENTS = frozenset(
+    (
+        "backend_state",
+        "configuration_in_force",
+        "crash_suspected",
+        "peer_unreachable",
+        "shedding_started",
+        "started",
+        "stopping",
+        "store_lost",
+    )
+)
+
+
+class Explanation(NamedTuple):
+    """What became of a request and why."""
+
+    request_id: str
+    verdict: str
+    # The steps that led to it, the earliest first.
+    steps: list[str]
+    # What the nodes on its way had come to believe shortly before.
+    context: list[LogLine]
+    # Calls that it needed and that were not served.
+    calls: list["Explanation"]
+    lines: list[LogLine]
+
+
+def explain_request(
+    request_id: str, lines: Sequence[LogLine], depth: int = MAX_DEPTH
+) -> Explanation:
+    """Explains a request from the lines of all nodes, ordered by time."""
+    own = []
+    call_ids: dict[str, None] = {}
+    for line in lines:
+        if line.request_id == request_id:
+            own.append(line)
+        elif line.fields.get("parent") == request_id:
+            call_ids[line.request_id] = None
+    calls = []
+    if depth > 0:
+        for call_id in call_ids:
+            calls.append(explain_request(call_id, lines, depth - 1))
+    final = _final_line(own)
+    steps = [_step(line) for line in own if line is not final]
+    context = _context(own, final, lines)
+    return Explanation(request_id, _verdict(final, own, calls), steps, context, calls, own)
+
+
+def _final_line(own: Sequence[LogLine]) -> LogLine | None:
+    final = None
+    for line in own:
+        if line.event in FINAL_EVENTS:
+            final = line
+    return final
+
+
+def _verdict(final: LogLine | None, own: Sequence[LogLine], calls: Sequence[Explanation]) -> str:
+    if final is None:
+        if calls:
+            return "a call that it needed was not served; its own answer is the backend server's"
+        if own:
+            return "no node says that it was refused or failed; its answer is the backend server's"
+        return "no line names it: it was served without trouble, or its lines were left out"
+    where = f"at {final.node}"
+    if final.event == "request_without_route":
+        version = final.fields.get("configuration_version")
+        return f"404 {where}: no route of version {version} fits {final.fields.get('path')}"
+    if final.event == "caller_gone":
+        elapsed = final.fields.get("elapsed_ms")
+        return f"no answer {where}: its caller left after {elapsed} ms"
+    if final.event == "request_refused":
+        return f"503 {where}, never sent: {describe(final.reason)}"
+    status = final.fields.get("status")
+    ran = "it may have run" if final.fields.get("attempts") else "it did not run"
+    return f"{status} {where}, {ran}: {describe(final.reason)}"
+
+
+def _step(line: LogLine) -> str:
+    fields = line.fields
+    if line.event == "request_sent":
+        age = fields.get("load_age_ms", -1)
+        load = "load not known" if age < 0 else f"load {fields.get('load')}, {age} ms old"
+        return f"{line.node} sent it to {fields.get('sent_to')} ({load})"
+    if line.event in ("request_sent_elsewhere", "request_repeated"):
+        again = "repeated it" if line.event == "request_repeated" else "sent it elsewhere"
+        return f"{line.node} {again} after {fields.get('sent_to')}: {describe(line.reason)}"
+    if line.event in ("run_refused", "run_without_answer"):
+        did = "refused it" if line.event == "run_refused" else "got no valid answer for it"
+        return (
+            f"{line.node} {did}: {describe(line.reason)} (waited {fields.get('waited_ms')} ms, "
+            f"ran {fields.get('ran_ms')} ms; {fields.get('running')} of {fields.get('slots')} "
+            f"slots in use, {fields.get('waiting')} waiting)"
+        )
+    return f"{line.node}: {line.event}"
+
+
+def _context(
+    own: Sequence[LogLine], final: LogLine | None, lines: Sequence[LogLine]
+) -> list[LogLine]:
+    """Returns the last word of each kind that a node on the way said shortly before."""
+    if not own:
+        return []
+    end = own[-1].at
+    nodes = _nodes_on_the_way(own, final)
+    last: dict[tuple[str, str], LogLine] = {}
+    for line in lines:
+        if line.at > end:
+            break
+        if line.event not in CONTEXT_EVENTS or line.at < end - CONTEXT_SECONDS:
+            continue
+        if line.node in nodes:
+            last[(line.node, line.event)] = line
+    return sorted(last.values(), key=_time_of)
+
+
+def _nodes_on_the_way(own: Sequence[LogLine], final: LogLine | None) -> set[str]:
+    nodes = set()
+    for line in own:
+        nodes.add(line.node)
+        if line.fields.get("sent_to"):
+            nodes.add(line.fields["sent_to"])
+    if final is not None:
+        nodes.update(final.fields.get("reported", {}))
+    return nodes
+
+
+def _time_of(line: LogLine) -> float:
+    return line.at
--- /dev/null
+++ b/src/coltsfoottrack/_internal/decision_log/summary.py
@@ -0,0 +1,103 @@
+"""Sums up decision logs: what was not served, for whom, and what the nodes say about why."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from coltsfoottrack._internal.decision_log.explanation import FINAL_EVENTS
+from coltsfoottrack._internal.decision_log.lines import LogLine
+
+# Events that begin and end a state of a node, and the field that tells several apart.
+STATES = {
+    "shedding_started": ("shedding", True, ""),
+    "shedding_ended": ("shedding", False, ""),
+    "store_lost": ("store lost", True, "what"),
+    "store_regained": ("store lost", False, "what"),
+    "stopping": ("stopping", True, ""),
+    "stopped": ("stopping", False, ""),
+}
+
+
+class UnservedGroup(NamedTuple):
+    """Requests of one route that were not served for one reason."""
+
+    route: str
+    reason: str
+    count: int
+    # The node that the requests were last sent to, or where they were refused, most often.
+    node: str
+
+
+class StatePeriod(NamedTuple):
+    """A time for which a node was in a state that serves callers worse."""
+
+    node: str
+    state: str
+    began: float
+    # None while it lasts.
+    ended: float | None
+
+
+class LogSummary(NamedTuple):
+    """What decision logs say of a time."""
+
+    unserved: list[UnservedGroup]
+    periods: list[StatePeriod]
+    # Peers that could not be reached, and how often that was said.
+    unreachable: list[tuple[str, int]]
+    # Newest configuration version of each node, where nodes differ.
+    versions: dict[str, int]
+
+
+def summarize(lines: Sequence[LogLine]) -> LogSummary:
+    """Sums up lines that are ordered by time."""
+    groups: Counter[tuple[str, str]] = Counter()
+    nodes: dict[tuple[str, str], Counter[str]] = {}
+    unreachable: Counter[str] = Counter()
+    versions: dict[str, int] = {}
+    for line in lines:
+        if line.event == "peer_unreachable":
+            unreachable[str(line.fields.get("peer"))] += 1
+        elif line.event == "configuration_in_force":
+            versions[line.node] = int(line.fields.get("version", 0))
+        elif line.event in FINAL_EVENTS:
+            reason = line.reason or line.event
+            key = (str(line.fields.get("route", "")), reason)
+            groups[key] += 1
+            node = str(line.fields.get("sent_to") or line.node)
+            nodes.setdefault(key, Counter())[node] += 1
+    unserved = []
+    for (route, reason), count in groups.most_common():
+        node = nodes[(route, reason)].most_common(1)[0][0]
+        unserved.append(UnservedGroup(route, reason, count, node))
+    differing = versions if len(set(versions.values())) > 1 else {}
+    return LogSummary(unserved, _periods(lines), unreachable.most_common(), differing)
+
+
+def _periods(lines: Sequence[LogLine]) -> list[StatePeriod]:
+    open_since: dict[tuple[str, str], float] = {}
+    periods = []
+    for line in lines:
+        if line.event == "started":
+            # The process that was in these states has ended without a word.
+            for key in [key for key in open_since if key[0] == line.node]:
+                periods.append(StatePeriod(*key, open_since.pop(key), line.at))
+            continue
+        known = STATES.get(line.event)
+        if known is None:
+            continue
+        state, begins, field = known
+        if field:
+            state = f"{state} ({line.fields.get(field)})"
+        key = (line.node, state)
+        if begins:
+            open_since.setdefault(key, line.at)
+        elif key in open_since:
+            periods.append(StatePeriod(*key, open_since.pop(key), line.at))
+    for key, began in open_since.items():
+        periods.append(StatePeriod(*key, began, None))
+    return sorted(periods, key=_beginning)
+
+
+def _beginning(period: StatePeriod) -> float:
+    return period.began
--- /dev/null
+++ b/tests/unit/test_decision_log.py
@@ -0,0 +1,184 @@
+"""Explanations from decision logs."""
+
+from unittest import TestCase
+
+from orjson import dumps
+
+from coltsfoottrack._internal.decision_log.explanation import explain_request
+from coltsfoottrack._internal.decision_log.lines import DecisionLines, read_lines
+from coltsfoottrack._internal.decision_log.summary import summarize
+
+
+def line(at: float, node: str, event: str, **fields: object) -> str:
+    """Returns a line as a node writes it."""
+    return dumps({"node": node, "event": event, "timestamp": at, **fields}).decode()
+
+
+def read(*texts: str) -> DecisionLines:
+    """Reads lines."""
+    return read_lines(texts)
+
+
+class ReadingTest(TestCase):
+    """Guards against lines that are lost or break the reader."""
+
+    def test_lines_of_several_nodes_are_ordered_by_time(self):
+        found = read(line(2.0, "b", "stopped"), line(1.0, "a", "started"))
+        self.assertEqual([entry.node for entry in found.lines], ["a", "b"])
+
+    def test_prefix_of_a_log_collector_is_passed_over(self):
+        found = read("12.5 s node-1 | " + line(1.0, "a", "started"))
+        self.assertEqual(found.lines[0].event, "started")
+        self.assertEqual(found.unreadable, 0)
+
+    def test_other_lines_are_counted_and_change_nothing(self):
+        whole = line(1.0, "a", "started")
+        found = read("Traceback (most recent call last):", "{broken", '["list"]', "{}", "", whole)
+        self.assertEqual(len(found.lines), 1)
+        self.assertEqual(found.unreadable, 4)
+
+    def test_lines_that_nodes_left_out_are_counted(self):
+        found = read(
+            line(1.0, "a", "request_refused", request_id="q", left_out_before=7),
+            line(2.0, "a", "request_refused", request_id="r", left_out_before=2),
+        )
+        self.assertEqual(found.left_out, 9)
+
+
+class ExplanationTest(TestCase):
+    """Guards against a wrong cause, or none, for a request that was not served."""
+
+    def test_refused_at_the_entry_names_what_the_reporting_nodes_believed(self):
+        found = read(
+            line(9.0, "store", "shedding_started", load=1.4, waiting=12),
+            line(9.0, "other", "shedding_started", load=1.2, waiting=3),
+            line(
+                10.0,
+                "front",
+                "request_refused",
+                request_id="q1",
+                route="read",
+                reason="admission_level",
+                level=0.7,
+                reported={"store": "0.70, 24 ms old"},
+            ),
+        )
+        told = explain_request("q1", found.lines)
+        self.assertIn("503 at front, never sent", told.verdict)
+        self.assertEqual([entry.node for entry in told.context], ["store"])
+
+    def test_lost_answer_says_that_it_may_have_run(self):
+        found = read(
+            line(1.0, "front", "request_sent", request_id="q1", sent_to="store", load_age_ms=-1),
+            line(
+                2.0,
+                "store",
+                "run_without_answer",
+                request_id="q1",
+                reason="connection_closed",
+                waited_ms=31,
+                ran_ms=19,
+            ),
+            line(
+                3.0,
+                "front",
+                "request_not_served",
+                request_id="q1",
+                status=502,
+                reason="connection_closed",
+                attempts=1,
+                sent_to="store",
+            ),
+        )
+        told = explain_request("q1", found.lines)
+        self.assertIn("502 at front, it may have run", told.verdict)
+        self.assertEqual(len(told.steps), 2)
+        self.assertIn("load not known", told.steps[0])
+        self.assertIn("waited 31 ms, ran 19 ms", told.steps[1])
+
+    def test_refusal_after_waiting_says_that_it_did_not_run(self):
+        found = read(
+            line(
+                3.0,
+                "front",
+                "request_not_served",
+                request_id="q1",
+                status=503,
+                reason="overload",
+                attempts=0,
+            )
+        )
+        self.assertIn("503 at front, it did not run", explain_request("q1", found.lines).verdict)
+
+    def test_failure_of_a_call_explains_the_request_that_needed_it(self):
+        found = read(
+            line(1.0, "a", "request_not_served", request_id="q1.c", parent="q1", status=503),
+            line(2.0, "b", "request_not_served", request_id="q1.c.d", parent="q1.c", status=504),
+        )
+        told = explain_request("q1", found.lines)
+        self.assertIn("a call that it needed", told.verdict)
+        self.assertEqual(told.calls[0].request_id, "q1.c")
+        self.assertEqual(told.calls[0].calls[0].request_id, "q1.c.d")
+
+    def test_calls_that_name_each_other_end(self):
+        found = read(
+            line(1.0, "a", "request_not_served", request_id="x", parent="y", status=503),
+            line(2.0, "a", "request_not_served", request_id="y", parent="x", status=503),
+        )
+        self.assertTrue(explain_request("x", found.lines).calls)
+
+    def test_old_beliefs_and_those_of_other_nodes_are_left_out(self):
+        found = read(
+            line(1.0, "front", "store_lost", what="members"),
+            line(99.0, "elsewhere", "store_lost", what="members"),
+            line(100.0, "front", "caller_gone", request_id="q1", elapsed_ms=12),
+        )
+        told = explain_request("q1", found.lines)
+        self.assertEqual(told.context, [])
+        self.assertIn("its caller left after 12 ms", told.verdict)
+
+    def test_unknown_request_is_not_called_served(self):
+        told = explain_request("q9", read(line(1.0, "a", "started")).lines)
+        self.assertIn("or its lines were left out", told.verdict)
+
+
+class SummaryTest(TestCase):
+    """Guards against a summary that hides where requests fail or for how long."""
+
+    def test_unserved_requests_are_grouped_with_the_node_seen_most(self):
+        texts = []
+        for number, node in enumerate(("s1", "s2", "s2")):
+            texts.append(
+                line(
+                    number,
+                    "front",
+                    "request_not_served",
+                    request_id=f"q{number}",
+                    route="read",
+                    reason="overload",
+                    sent_to=node,
+                )
+            )
+        group = summarize(read(*texts).lines).unserved[0]
+        self.assertEqual((group.route, group.reason, group.count), ("read", "overload", 3))
+        self.assertEqual(group.node, "s2")
+
+    def test_states_end_with_their_event_or_the_next_start(self):
+        summary = summarize(
+            read(
+                line(1.0, "a", "shedding_started"),
+                line(2.0, "a", "shedding_ended"),
+                line(3.0, "b", "store_lost", what="members"),
+                line(4.0, "b", "started"),
+                line(5.0, "c", "store_lost", what="members"),
+            ).lines
+        )
+        ends = [(period.node, period.ended) for period in summary.periods]
+        self.assertEqual(ends, [("a", 2.0), ("b", 4.0), ("c", None)])
+
+    def test_versions_are_shown_only_if_nodes_differ(self):
+        first = line(1.0, "a", "configuration_in_force", version=4)
+        same = read(first, line(1.0, "b", "configuration_in_force", version=4))
+        other = read(first, line(1.0, "b", "configuration_in_force", version=5))
+        self.assertEqual(summarize(same.lines).versions, {})
+        self.assertEqual(summarize(other.lines).versions, {"a": 4, "b": 5})
--- /dev/null
+++ b/tests/unit/test_logs_commands.py
@@ -0,0 +1,67 @@
+"""The commands that read decision logs."""
+
+from contextlib import redirect_stdout
+from io import StringIO
+from json import loads
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from unittest import TestCase
+
+from coltsfoottrack._internal.cli.commands.logs import LogsCommands
+from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
+from tests.unit.test_decision_log import line
+
+
+class LogsCommandsTest(TestCase):
+    """Guards against commands that fail on an operator at night, or answer with nothing."""
+
+    def setUp(self):
+        directory = TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = str(Path(directory.name) / "nodes.log")
+        refused = {"request_id": "q1", "route": "read", "reason": "admission_level"}
+        texts = [
+            line(0.5, "front", "store_lost", what="members", problem="timed out"),
+            line(1.0, "front", "request_refused", **refused, left_out_before=3),
+            "not a line of the log",
+        ]
+        Path(self.path).write_text("\n".join(texts), encoding="utf-8")
+
+    def output(self, command, *arguments, **options):
+        """Returns what a command prints."""
+        printed = StringIO()
+        with redirect_stdout(printed):
+            command(*arguments, **options)
+        return printed.getvalue()
+
+    def test_explain_gives_the_verdict_and_says_what_is_missing(self):
+        text = self.output(LogsCommands.explain, "q1", self.path)
+        self.assertIn("q1: 503 at front, never sent", text)
+        self.assertIn("before: 1970-01-01T00:00:00.500Z front store_lost", text)
+        self.assertIn("left out 3 lines", text)
+        self.assertIn("1 lines are not of a decision log", text)
+
+    def test_summary_says_what_for_whom_and_why(self):
+        text = self.output(LogsCommands.summary, self.path)
+        self.assertIn("read   front", text)
+        self.assertIn("front: store lost (members) from", text)
+        document = loads(self.output(LogsCommands.summary, self.path, output="json"))
+        self.assertEqual(document["unserved"][0]["count"], 1)
+
+    def test_timeline_leaves_out_single_requests_unless_asked(self):
+        self.assertNotIn("request_refused", self.output(LogsCommands.timeline, self.path))
+        text = self.output(LogsCommands.timeline, self.path, requests="yes")
+        self.assertIn("request_refused", text)
+        self.assertIn("no line matches", self.output(LogsCommands.timeline, self.path, node="x"))
+
+    def test_times_bound_what_is_read(self):
+        text = self.output(LogsCommands.timeline, self.path, until="1970-01-01T00:00:00.6Z")
+        self.assertIn("store_lost", text)
+        text = self.output(LogsCommands.timeline, self.path, since="1970-01-01T00:00:00.6Z")
+        self.assertIn("no line matches", text)
+
+    def test_files_that_hold_nothing_are_refused(self):
+        for files in ((), ("/nowhere/nodes.log",), (__file__,)):
+            with self.subTest(files=files), self.assertRaises(CommandError) as raised:
+                LogsCommands.summary(*files)
+            self.assertEqual(raised.exception.exit_status, EXIT_BAD_INPUT)
