Log failures of backend servers that are passed on, and join the callbacks of a call

The four callbacks of a call on a link are one ReplyHandler now, which the entry implements by number; a call that was sent again under a new number no longer answers for the old one.

--- a/src/coltsfoottrack/_internal/decision_log/explanation.py
+++ b/src/coltsfoottrack/_internal/decision_log/explanation.py
@@ -11,7 +11,13 @@
 # What a node came to believe this long before may still explain a decision.
 CONTEXT_SECONDS = 30.0
 FINAL_EVENTS = frozenset(
-    ("request_not_served", "request_refused", "request_without_route", "caller_gone")
+    (
+        "request_not_served",
+        "request_refused",
+        "request_failed_at_backend",
+        "request_without_route",
+        "caller_gone",
+    )
 )
 CONTEXT_EVENTS = frozenset(
     (
@@ -87,6 +93,11 @@
     if final.event == "request_refused":
         return f"503 {where}, never sent: {describe(final.reason)}"
     status = final.fields.get("status")
+    if final.event == "request_failed_at_backend":
+        cause = "as a call that it needed was not served" if calls else "of its own"
+        return (
+            f"{status} {where}: a failure of backend server {final.fields.get('backend')} {cause}"
+        )
     ran = "it may have run" if final.fields.get("attempts") else "it did not run"
     return f"{status} {where}, {ran}: {describe(final.reason)}"
 
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -46,6 +46,9 @@
 UNAVAILABLE_BLOCK_SECONDS = 0.5
 # Answers of a backend server from here on are failures of its own.
 FIRST_FAILURE_STATUS = 500
+# These tell a caller that the request did not run. From a backend server that ran it, which does
+# not say otherwise, they are not passed on.
+MEAN_NOT_RUN = frozenset((408, 421, 429, 503))
 
 
 class Entry:
@@ -202,24 +205,12 @@
         if self.log.takes_sample():
             self.log.sent(call, moment, self.table.version)
         message = self._message(call, peer, left)
-        number = call.number
         if peer.member.node == self.directory.own.node:
-            self.links.run_locally(message, lambda reply: self._replied(number, reply))
+            self.links.run_locally(message, self)
             return
-        self.links.send(
-            peer.member,
-            LinkCall(
-                message,
-                call.route.idempotent,
-                call.expires,
-                lambda reply: self._replied(number, reply),
-                lambda may_have_run, reason: self._unanswered(number, may_have_run, reason),
-                lambda: self._grant(number),
-                lambda: call.granted,
-            ),
-        )
+        self.links.send(peer.member, LinkCall(message, call.route.idempotent, call.expires, self))
 
-    def _grant(self, number: int) -> bool:
+    def grant(self, number: int) -> bool:
         """Lets a member run a request that may run only once, if it was not given up meanwhile."""
         call = self.calls.get(number)
         if call is None or call.done:
@@ -227,6 +218,11 @@
         call.granted = True
         return True
 
+    def is_granted(self, number: int) -> bool:
+        """Tells whether a request was granted and is still waited for."""
+        call = self.calls.get(number)
+        return call is not None and call.granted
+
     def _may_have_run(self, call: EntryCall) -> bool:
         """Tells whether the request may have reached a backend server with its last send."""
         if call.peer is None:
@@ -268,7 +264,7 @@
             configuration_version=self.table.version,
         )
 
-    def _replied(self, number: int, reply: Reply) -> None:
+    def replied(self, number: int, reply: Reply) -> None:
         """Takes the reply of a runner."""
         call = self.calls.get(number)
         if call is None or call.done:
@@ -287,14 +283,14 @@
             self._answer(call, reply)
         elif reply.result == RESULT_UNKNOWN:
             peer.count_result(True)
-            self._unanswered(number, True, reply.reason)
+            self.unanswered(number, True, reply.reason)
         else:
             self._not_run(call, reply.reason, moment)
 
     def _not_run(self, call: EntryCall, reason: str, moment: float) -> None:
         """Takes the word that a request did not run where it was sent."""
         if reason == "other_process" and call.attempts:
-            self._unanswered(call.number, True, reason)
+            self.unanswered(call.number, True, reason)
             return
         call.reason = reason
         if reason in ("other_process", "other_backend"):
@@ -325,7 +321,7 @@
         if (known.member.epoch, known.member.backend) != (used.epoch, used.backend):
             call.tried.discard(used.node)
 
-    def _unanswered(self, number: int, may_have_run: bool, reason: str) -> None:
+    def unanswered(self, number: int, may_have_run: bool, reason: str) -> None:
         """Takes the word that no reply will come."""
         call = self.calls.get(number)
         if call is None or call.done:
@@ -357,13 +353,13 @@
 
     def _answer(self, call: EntryCall, reply: Reply) -> None:
         """Passes on the answer of the backend server."""
-        status = reply.status
-        if status in (408, 421, 429, 503):
-            # These say that the request did not run, and the backend server did not say so.
-            status = 502
-            self._end(call, status, b"", b"", "backend_failed")
+        if reply.status in MEAN_NOT_RUN:
+            self.log.failed_at_backend(call, reply.status, now())
+            self._end(call, 502, b"", b"", "backend_failed")
             return
-        self._end(call, status, reply.head, reply.body, "answered")
+        if reply.status >= FIRST_FAILURE_STATUS:
+            self.log.failed_at_backend(call, reply.status, now())
+        self._end(call, reply.status, reply.head, reply.body, "answered")
 
     def _end_unserved(self, call: EntryCall, reason: str) -> None:
         """Gives the final answer to a request that no backend server has answered well."""
--- a/src/coltsfoottrack/_internal/mesh/entry_log.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -1,5 +1,7 @@
 """Log lines of the entry: what was decided about a request, and from what."""
 
+from typing import Any
+
 from coltsfoottrack._internal.mesh.caller_connection import CallerRequest
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
@@ -35,10 +37,9 @@
         self, call: EntryCall, reason: str, level: float, reported: dict[str, str], version: int
     ) -> None:
         """Says that a new request was refused, and the reports of the level that decided it."""
-        self.log.request(
+        self._about(
             "request_refused",
-            request_id=call.request_id,
-            route=call.route.name,
+            call,
             rank=call.rank,
             reason=reason,
             level=round(level, 2),
@@ -66,10 +67,9 @@
 
     def sent_elsewhere(self, call: EntryCall, reason: str) -> None:
         """Says that a request did not run where it was sent and goes on to another member."""
-        self.log.request(
+        self._about(
             "request_sent_elsewhere",
-            request_id=call.request_id,
-            route=call.route.name,
+            call,
             sent_to=call.sent_to,
             reason=reason,
             record_epoch=call.peer.member.epoch,
@@ -77,23 +77,33 @@
 
     def repeated(self, call: EntryCall, reason: str, status: int) -> None:
         """Says that a request that may have run is sent again."""
-        self.log.request(
-            "request_repeated",
-            request_id=call.request_id,
-            route=call.route.name,
-            sent_to=call.sent_to,
-            reason=reason,
-            status=status,
-        )
+        self._about("request_repeated", call, sent_to=call.sent_to, reason=reason, status=status)
 
     def not_served(
         self, call: EntryCall, status: int, reason: str, moment: float, version: int
     ) -> None:
         """Says that the final answer is not one of a backend server."""
-        self.log.request(
-            "request_not_served",
-            request_id=call.request_id,
-            route=call.route.name,
+        self._final(
+            "request_not_served", call, status, reason, moment, configuration_version=version
+        )
+
+    def failed_at_backend(self, call: EntryCall, status: int, moment: float) -> None:
+        """Says that the final answer is a failure of the backend server."""
+        backend = call.record.backend
+        self._final(
+            "request_failed_at_backend", call, status, "backend_failed", moment, backend=backend
+        )
+
+    def caller_gone(self, call: EntryCall, moment: float) -> None:
+        """Says that the caller left before its answer."""
+        self._about("caller_gone", call, sent_to=call.sent_to, elapsed_ms=_elapsed_ms(call, moment))
+
+    def _final(
+        self, event: str, call: EntryCall, status: int, reason: str, moment: float, **fields: Any
+    ) -> None:
+        self._about(
+            event,
+            call,
             service=call.service,
             rank=call.rank,
             status=status,
@@ -102,16 +112,13 @@
             attempts=call.attempts,
             sent_to=call.sent_to,
             parent=call.parent.request_id if call.parent else "",
-            elapsed_ms=int((moment - call.request.received) * 1000.0),
-            configuration_version=version,
+            elapsed_ms=_elapsed_ms(call, moment),
+            **fields,
         )
 
-    def caller_gone(self, call: EntryCall, moment: float) -> None:
-        """Says that the caller left before its answer."""
-        self.log.request(
-            "caller_gone",
-            request_id=call.request_id,
-            route=call.route.name,
-            sent_to=call.sent_to,
-            elapsed_ms=int((moment - call.request.received) * 1000.0),
-        )
+    def _about(self, event: str, call: EntryCall, **fields: Any) -> None:
+        self.log.request(event, request_id=call.request_id, route=call.route.name, **fields)
+
+
+def _elapsed_ms(call: EntryCall, moment: float) -> int:
+    return int((moment - call.request.received) * 1000.0)
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -139,19 +139,33 @@
         return moment - self.probed_at < SILENT_SECONDS - PROBE_SECONDS
 
 
+class ReplyHandler(Interface):
+    """What waits for the replies to requests, which it knows by their numbers."""
+
+    def replied(self, number: int, reply: Reply) -> None:
+        """Takes a reply."""
+
+    def unanswered(self, number: int, may_have_run: bool, reason: str) -> None:
+        """Takes the word that no reply will come."""
+
+    def grant(self, number: int) -> bool:
+        """Tells whether a request is still to be run; from then on it may run."""
+
+    def is_granted(self, number: int) -> bool:
+        """Tells whether a request was granted and is still waited for."""
+
+
 class LinkCall(NamedTuple):
     """A request on a link and who waits for its reply."""
 
     request: Request
     idempotent: bool
     expires: float
-    # Takes the reply.
-    replied: Callable[[Reply], None]
-    # Takes the word that no reply will come: whether the request may have arrived, and why.
-    failed: Callable[[bool, str], None]
-    # Tells whether the request is still to be run there; from then on it may run.
-    grant: Callable[[], bool]
-    is_granted: Callable[[], bool]
+    handler: ReplyHandler
+
+    def fail(self, may_have_run: bool, reason: str) -> None:
+        """Tells that no reply will come."""
+        self.handler.unanswered(self.request.number, may_have_run, reason)
 
 
 def _encode(frame: Frame) -> bytes:
@@ -251,7 +265,7 @@
             if resent and not refused and not call.idempotent and moment < call.expires:
                 self.waiting.append((call, resent))
                 continue
-            call.failed(resent, reason)
+            call.fail(resent, reason)
         if self.waiting:
             get_running_loop().call_later(RECONNECT_SECONDS, self._open)
 
@@ -262,11 +276,11 @@
         calls = connection.calls
         connection.calls = {}
         for call in calls.values():
-            if not call.idempotent and not call.is_granted():
-                call.failed(False, "peer_silent" if silent else "link_lost")
+            if not call.idempotent and not call.handler.is_granted(call.request.number):
+                call.fail(False, "peer_silent" if silent else "link_lost")
                 continue
             if silent and call.idempotent:
-                call.failed(True, "peer_silent")
+                call.fail(True, "peer_silent")
                 continue
             self.waiting.append((call, True))
         if self.waiting:
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -1,7 +1,6 @@
 """All links of a node: what it tells its peers, and what it does with what they tell."""
 
 from asyncio import Server, get_running_loop
-from collections.abc import Callable
 from functools import partial
 from random import getrandbits
 from typing import Any
@@ -15,7 +14,7 @@
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT, ReportedLevels
 from coltsfoottrack._internal.mesh.lineage import Lineage
-from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink
+from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink, ReplyHandler
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import from_record, to_record
 from coltsfoottrack._internal.mesh.runner import Runner
@@ -113,10 +112,13 @@
             known.block(seconds)
         self.log.decision("peer_unreachable", peer=node, not_chosen_for_s=seconds)
 
-    def run_locally(self, message: Request, replied: Callable[[Reply], None]) -> None:
+    def run_locally(self, message: Request, handler: ReplyHandler) -> None:
         """Runs a call on the own backend server."""
-        key = self._own_key(message.number)
-        self.runner.submit(RunnerCall(key, message, lambda call: replied(self._to_reply(call))))
+
+        def deliver(call: RunnerCall) -> None:
+            handler.replied(call.key.number, self._to_reply(call))
+
+        self.runner.submit(RunnerCall(self._own_key(message.number), message, deliver))
 
     def _own_key(self, number: int) -> CallKey:
         return CallKey(self.directory.own.node, self.process, number)
@@ -217,7 +219,7 @@
     def _claim(self, connection: LinkConnection, message: Claim) -> None:
         """Grants a claim if the call was not given to another node or ended meanwhile."""
         call = connection.calls.get(message.number)
-        granted = call is not None and call.grant()
+        granted = call is not None and call.handler.grant(message.number)
         connection.send(Frame(grant=Grant(number=message.number, granted=granted)))
 
     def _grant(self, connection: LinkConnection, message: Grant) -> None:
@@ -231,7 +233,7 @@
             return
         if connection.calls:
             connection.busy_since = now()
-        call.replied(message)
+        call.handler.replied(message.number, message)
 
     def _cancel(self, connection: LinkConnection, message: Cancel) -> None:
         self.runner.cancel(CallKey(connection.node, connection.process, message.number))
--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -120,6 +120,22 @@
         self.assertEqual(told.calls[0].request_id, "q1.c")
         self.assertEqual(told.calls[0].calls[0].request_id, "q1.c.d")
 
+    def test_failure_of_a_backend_server_names_it_and_the_call_that_failed(self):
+        failed = line(
+            3.0,
+            "front",
+            "request_failed_at_backend",
+            request_id="q1",
+            status=500,
+            backend="i-7",
+            reason="backend_failed",
+        )
+        told = explain_request("q1", read(failed).lines)
+        self.assertIn("500 at front: a failure of backend server i-7 of its own", told.verdict)
+        call = line(1.0, "a", "request_not_served", request_id="c", parent="q1", status=503)
+        told = explain_request("q1", read(call, failed).lines)
+        self.assertIn("as a call that it needed was not served", told.verdict)
+
     def test_calls_that_name_each_other_end(self):
         found = read(
             line(1.0, "a", "request_not_served", request_id="x", parent="y", status=503),
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -1,6 +1,7 @@
 """The routed path with whole nodes, stand-ins for backend servers and for the store."""
 
 from asyncio import create_task, gather, open_connection, sleep
+from collections import Counter
 from time import time
 from unittest.mock import patch
 
@@ -212,6 +213,14 @@
         self.assertEqual(answer.status, 500)
         self.assertEqual(answer.headers["response-seal"], "seal-r1")
 
+    async def test_failure_that_is_passed_on_leaves_a_line(self):
+        """Guards against a failed request that no log names."""
+        await self._order("fail")
+        counts = Counter()
+        for node in self.nodes:
+            counts.update(node.log.counts)
+        self.assertEqual(counts["request_failed_at_backend"], 1)
+
     async def test_shed_order_goes_elsewhere_or_is_refused(self):
         """Guards against the loss of an order that certainly did not run."""
         node = await self.start("one")
