Cut, delay and silence links and set clocks in the soak of the mesh

Each node now reaches its backend server and the store, and is reached by other nodes, through links that the soak breaks (FaultyLink, with one-way cuts); its time of day follows a file. Half of the callers keep their connections until the node closes them. New checks: a node that was only stopped in the planned way, or not struck at all, gives each request a final answer within 4 s, and no request that ran is cut off. Broken runs keep the nodes' logs (--keep).

For this a node can advertise another address than the one it opens (COLTSFOOTTRACK_ADVERTISED_ADDRESS), as behind an address translation.

--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -2,6 +2,8 @@
 
 import sys
 from importlib import import_module
+from os import O_WRONLY, devnull, dup2
+from os import open as open_file
 from typing import Any
 
 import fire.core
@@ -43,6 +45,11 @@
     try:
         words = command_words(sys.argv[1:])
         Fire(load_commands(words), command=words, name="coltsfoottrack")
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read the output, such as a pager, has ended; the rest has no reader.
+        dup2(open_file(devnull, O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_FAILED)
     except SettingsError as error:
         _fail(str(error), EXIT_BAD_INPUT)
     except SecretFileError as error:
--- a/src/coltsfoottrack/_internal/decision_log/explanation.py
+++ b/src/coltsfoottrack/_internal/decision_log/explanation.py
@@ -8,8 +8,6 @@
 
 # Calls of calls are followed this far; routes are up to 7 deep.
 MAX_DEPTH = 8
-# What a node came to believe this long before may still explain a decision.
-CONTEXT_SECONDS = 30.0
 FINAL_EVENTS = frozenset(
     (
         "request_not_served",
@@ -19,18 +17,18 @@
         "caller_gone",
     )
 )
-CONTEXT_EVENTS = frozenset(
-    (
-        "backend_state",
-        "configuration_in_force",
-        "crash_suspected",
-        "peer_unreachable",
-        "shedding_started",
-        "started",
-        "stopping",
-        "store_lost",
-    )
-)
+# Trouble that a node was in, and for how long before it may still explain a decision; what is
+# usual, such as a start, explains only what came right after it.
+CONTEXT_SECONDS = {
+    "crash_suspected": 30.0,
+    "peer_unreachable": 5.0,
+    "shedding_started": 30.0,
+    "stopping": 30.0,
+    "store_lost": 30.0,
+    "backend_state": 3.0,
+    "configuration_in_force": 3.0,
+    "started": 3.0,
+}
 
 
 class Explanation(NamedTuple):
@@ -133,7 +131,9 @@
     for line in lines:
         if line.at > end:
             break
-        if line.event not in CONTEXT_EVENTS or line.at < end - CONTEXT_SECONDS:
+        if line.at < end - CONTEXT_SECONDS.get(line.event, 0.0):
+            continue
+        if line.event not in CONTEXT_SECONDS:
             continue
         if line.node in nodes:
             last[(line.node, line.event)] = line
--- a/src/coltsfoottrack/_internal/experiment/faults.py
+++ b/src/coltsfoottrack/_internal/experiment/faults.py
@@ -26,6 +26,9 @@
         self.caller_port = caller_port
         self.target = target
         self.silent = False
+        # One way alone: data towards the caller, or towards the target, is swallowed.
+        self.silent_to_caller = False
+        self.silent_to_target = False
         self.truncate_after: int | None = None
 
     def abort(self) -> None:
@@ -46,6 +49,8 @@
         self.delay_seconds = 0.0
         # Tells by the caller's port whether a new connection is to be silent.
         self.is_cut_off: Callable[[int], bool] = lambda caller_port: False
+        # Whether new connections swallow data towards the caller, and towards the target.
+        self.one_way = (False, False)
         self.connections: set[LinkConnection] = set()
         self.tasks: set[Task[None]] = set()
         self.server: AbstractServer | None = None
@@ -82,6 +87,21 @@
         for connection in self.connections:
             connection.silent = True
 
+    def cut_one_way(self, to_caller: bool) -> None:
+        """Swallows all data of one direction on open and new connections until healed."""
+        self.one_way = (to_caller, not to_caller)
+        for connection in self.connections:
+            connection.silent_to_caller, connection.silent_to_target = self.one_way
+
+    def heal(self) -> None:
+        """Ends delays and one-way cuts for new connections; ends those that were cut."""
+        self.delay_seconds = 0.0
+        self.one_way = (False, False)
+        self.is_cut_off = lambda caller_port: False
+        for connection in list(self.connections):
+            if connection.silent or connection.silent_to_caller or connection.silent_to_target:
+                connection.abort()
+
     async def _accept(self, reader: StreamReader, writer: StreamWriter) -> None:
         try:
             target_reader, target_writer = await open_connection(LOOPBACK, self.target_port)
@@ -91,6 +111,7 @@
         caller_port = writer.get_extra_info("peername")[1]
         connection = LinkConnection(writer, target_writer, caller_port)
         connection.silent = self.is_cut_off(caller_port)
+        connection.silent_to_caller, connection.silent_to_target = self.one_way
         self.connections.add(connection)
         pumps = [
             create_task(self._pump(connection, reader, target_writer, False)),
@@ -114,7 +135,10 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.delay_seconds:
                     await sleep(self.delay_seconds)
-                if connection.silent:
+                swallowed = (
+                    connection.silent_to_caller if to_caller else connection.silent_to_target
+                )
+                if connection.silent or swallowed:
                     continue
                 if to_caller and connection.truncate_after is not None:
                     data = data[: connection.truncate_after]
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -70,7 +70,7 @@
         self.pool = BackendPool(settings.backend_address, names)
         own = Member(
             node=settings.node,
-            address=settings.link_address,
+            address=settings.advertised_address,
             failure_domain=settings.failure_domain,
             service=settings.service,
             epoch=int(time() * 1000.0),
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -278,6 +278,8 @@
             peer.observe(call.route.name, moment - call.sent_at, moment)
             failed = reply.status >= FIRST_FAILURE_STATUS
             peer.count_result(failed)
+            if failed:
+                call.failed_backend = call.record.backend
             if failed and self._repeat(call, reply, "backend_failed"):
                 return
             self._answer(call, reply)
@@ -354,6 +356,7 @@
     def _answer(self, call: EntryCall, reply: Reply) -> None:
         """Passes on the answer of the backend server."""
         if reply.status in MEAN_NOT_RUN:
+            call.failed_backend = call.failed_backend or call.record.backend
             self.log.failed_at_backend(call, reply.status, now())
             self._end(call, 502, b"", b"", "backend_failed")
             return
--- a/src/coltsfoottrack/_internal/mesh/entry_call.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_call.py
@@ -15,6 +15,7 @@
         "deadline",
         "done",
         "expires",
+        "failed_backend",
         "failure",
         "granted",
         "number",
@@ -56,6 +57,8 @@
         self.reason = ""
         # A failure that the backend server gave, passed on if no repeat does better.
         self.failure: Reply | None = None
+        # Backend server that gave the last failure.
+        self.failed_backend = ""
 
     @property
     def request_id(self) -> str:
--- a/src/coltsfoottrack/_internal/mesh/entry_log.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -89,9 +89,13 @@
 
     def failed_at_backend(self, call: EntryCall, status: int, moment: float) -> None:
         """Says that the final answer is a failure of the backend server."""
-        backend = call.record.backend
         self._final(
-            "request_failed_at_backend", call, status, "backend_failed", moment, backend=backend
+            "request_failed_at_backend",
+            call,
+            status,
+            "backend_failed",
+            moment,
+            backend=call.failed_backend,
         )
 
     def caller_gone(self, call: EntryCall, moment: float) -> None:
@@ -111,7 +115,7 @@
             sends=call.sends,
             attempts=call.attempts,
             sent_to=call.sent_to,
-            parent=call.parent.request_id if call.parent else "",
+            parent=_parent_id(call),
             elapsed_ms=_elapsed_ms(call, moment),
             **fields,
         )
@@ -120,5 +124,9 @@
         self.log.request(event, request_id=call.request_id, route=call.route.name, **fields)
 
 
+def _parent_id(call: EntryCall) -> str:
+    return call.parent.request_id if call.parent is not None else ""
+
+
 def _elapsed_ms(call: EntryCall, moment: float) -> int:
     return int((moment - call.request.received) * 1000.0)
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -116,7 +116,10 @@
     failure_domain: str
     service: str
     caller_address: str
+    # Where the link port is opened.
     link_address: str
+    # Where other nodes reach it.
+    advertised_address: str
     ready_address: str
     report_address: str
     metrics_address: str
--- a/src/coltsfoottrack/platform/settings.py
+++ b/src/coltsfoottrack/platform/settings.py
@@ -4,7 +4,11 @@
 from pathlib import Path
 
 from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
-from coltsfoottrack.platform.names import METRICS_PORT_VARIABLE, SETTINGS_VARIABLE
+from coltsfoottrack.platform.names import (
+    ADVERTISED_VARIABLE,
+    METRICS_PORT_VARIABLE,
+    SETTINGS_VARIABLE,
+)
 
 BYTES_PER_MB = 1024 * 1024
 
@@ -41,6 +45,7 @@
             service=fields["service"],
             caller_address=fields["listen.outbound"],
             link_address=fields["listen.inbound"],
+            advertised_address=environ.get(ADVERTISED_VARIABLE) or fields["listen.inbound"],
             ready_address=fields["listen.ready"],
             report_address=fields["listen.control"],
             metrics_address=f"{fields['ip']}:{int(metrics_port)}" if metrics_port else "",
--- a/tests/functional/test_mesh_soak.py
+++ b/tests/functional/test_mesh_soak.py
@@ -3,7 +3,8 @@
 from asyncio import run
 from unittest import TestCase
 
-from tests.soak.mesh_soak import plan_faults, play_seed
+from tests.soak.mesh_faults import plan_faults
+from tests.soak.mesh_soak import play_seed
 
 SEED = 1
 SECONDS = 6.0
--- a/tests/soak/mesh_cost.py
+++ b/tests/soak/mesh_cost.py
@@ -22,10 +22,11 @@
 from signal import SIGTERM
 from tempfile import TemporaryDirectory
 
-from tests.soak.mesh_soak import PROGRAM, Place
+from tests.soak.mesh_places import Place
 from tests.standins.mesh import configuration, encode, read_answer
 from tests.standins.store import StandInStore
 
+PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "coltsfoottrack-node.py"
 TICKS_PER_SECOND = sysconf("SC_CLK_TCK")
 REST_SECONDS = 3.0
 WARM_SECONDS = 1.0
@@ -65,8 +66,7 @@
         place = Place(self.directory, service, service, self.store)
         place.backend.slots = 200
         place.backend.work_seconds = 0.0
-        await place.backend.open()
-        place.write_settings()
+        await place.open()
         self.places.append(place)
         command = [sys.executable]
         if self.profile:
@@ -74,7 +74,7 @@
         place.process = await create_subprocess_exec(
             *command,
             str(PROGRAM),
-            env={"COLTSFOOTTRACK_CONFIG": str(place.path)},
+            env={"COLTSFOOTTRACK_CONFIG": str(place.settings_path)},
             stdout=DEVNULL,
         )
         return place
--- /dev/null
+++ b/tests/soak/mesh_faults.py
@@ -0,0 +1,257 @@
+"""Faults of the soak: planned from a seed, and brought about from outside the processes."""
+
+from asyncio import gather, get_running_loop, sleep, wait_for
+from collections.abc import Sequence
+from random import Random
+from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
+from typing import NamedTuple
+
+from tests.soak.mesh_places import GRACE_SECONDS, Place
+from tests.standins.mesh import configuration
+from tests.standins.store import StandInStore
+
+# Work may reach a leaving server for this long after its leave was acknowledged.
+DRAIN_SECONDS = 2.0
+KINDS = (
+    "kill_node",
+    "terminate_node",
+    "pause_node",
+    "reload_node",
+    "drain_server",
+    "crash_server",
+    "faulty_server",
+    "slow_server",
+    "store_down",
+    "store_loses_answers",
+    "store_forgets",
+    "change_configuration",
+    "callers_leave",
+    "delay_links",
+    "reset_links",
+    "silence_links",
+    "cut_one_way",
+    "cut_from_store",
+    "set_clock",
+)
+FAULTS = ("lose", "truncate", "extra", "late", "unsealed", "fail", "shed", "unframed")
+MAX_DELAY_MS = 300.0
+MAX_CLOCK_STEP_SECONDS = 5.0
+
+
+class PlannedFault(NamedTuple):
+    """One fault: when it begins and how long it lasts, in seconds, and what it strikes."""
+
+    at: float
+    kind: str
+    target: int
+    seconds: float
+
+
+def plan_faults(seed: int, seconds: float) -> list[PlannedFault]:
+    """Returns faults that come in series and overlap."""
+    random = Random(seed)
+    faults = []
+    at = 0.0
+    while at < seconds:
+        faults.append(
+            PlannedFault(at, random.choice(KINDS), random.randrange(100), random.uniform(0.3, 2.5))
+        )
+        at += random.choice((0.05, 0.4, 0.8, 1.5))
+    return faults
+
+
+class FaultPlayer:
+    """Brings about planned faults."""
+
+    def __init__(self, places: Sequence[Place], store: StandInStore, violations: list[str]) -> None:
+        self.places = places
+        self.store = store
+        self.violations = violations
+        self.version = 0
+        # Callers leave after a short while.
+        self.callers_leave_now = False
+
+    def configure(self) -> None:
+        """Stores the next version of the configuration."""
+        self.version += 1
+        order = {"pathPrefix": "/order/", "service": "stock", "type": "unsafe", "priority": 0}
+        content = configuration(
+            self.version, read={"pathPrefix": "/read/", "service": "stock"}, order=order
+        )
+        self.store.put("config", "main", content)
+
+    async def play(self, faults: Sequence[PlannedFault]) -> None:
+        """Plays all faults at their times."""
+        await gather(*[self._strike(fault) for fault in faults])
+
+    async def _strike(self, fault: PlannedFault) -> None:
+        await sleep(fault.at)
+        place = self.places[fault.target % len(self.places)]
+        servers = [place for place in self.places if place.backend.service != "portal"]
+        server = servers[fault.target % len(servers)]
+        await getattr(self, fault.kind)(place, server, fault)
+
+    async def kill_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Kills a node and starts it again."""
+        if not place.is_running():
+            return
+        began = get_running_loop().time()
+        place.process.send_signal(SIGKILL)
+        await place.process.wait()
+        await sleep(fault.seconds / 3.0)
+        await self._start_again(place)
+        place.set_trouble(began)
+
+    async def _start_again(self, place: Place) -> None:
+        """Starts a node that has ended, unless that was done meanwhile."""
+        if not place.is_running():
+            await place.start()
+
+    async def terminate_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Stops a node as an operator does and starts it again."""
+        if not place.is_running():
+            return
+        process = place.process
+        process.send_signal(SIGTERM)
+        try:
+            await wait_for(process.wait(), GRACE_SECONDS + 1.0)
+        except TimeoutError:
+            if not place.paused:
+                self.violations.append(f"{place.name} still runs after the grace time")
+            process.kill()
+            await process.wait()
+        await self._start_again(place)
+
+    async def pause_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets a node stand still."""
+        if not place.is_running():
+            return
+        process = place.process
+        began = get_running_loop().time()
+        place.paused = True
+        process.send_signal(SIGSTOP)
+        await sleep(fault.seconds)
+        if process.returncode is None:
+            process.send_signal(SIGCONT)
+        place.set_trouble(began)
+
+    async def reload_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Asks a node to read its settings again."""
+        if place.is_running():
+            place.process.send_signal(SIGHUP)
+
+    async def set_clock(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Sets the clock of a node forward or back, and true again later."""
+        step = (fault.target % 11 - 5) / 5.0 * MAX_CLOCK_STEP_SECONDS
+        place.set_clock(step)
+        await sleep(fault.seconds)
+        place.set_clock(0.0)
+
+    async def drain_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets a server leave and checks that no work reaches it any more."""
+        if server.left_at is not None or not server.backend.server.is_serving():
+            return
+        backend = server.backend
+        try:
+            status = await server.send_report("draining")
+        except (OSError, TimeoutError, ValueError, IndexError):
+            return
+        if status != 200:
+            return
+        server.left_at = get_running_loop().time()
+        await sleep(DRAIN_SECONDS)
+        before = len(backend.seen)
+        await sleep(fault.seconds)
+        late = len(backend.seen) - before
+        if late:
+            self.violations.append(f"{late} requests reached {server.name} after it had left")
+        await self._renew(server)
+
+    async def _renew(self, server: Place) -> None:
+        """Starts a server again as a new process at the same address."""
+        server.backend.close()
+        await sleep(0.1)
+        server.backend.fault = ""
+        await server.backend.restart()
+        server.left_at = None
+
+    async def crash_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Ends a server without a word and starts it again."""
+        if server.left_at is not None or not server.backend.server.is_serving():
+            return
+        server.left_at = get_running_loop().time()
+        server.backend.close()
+        await sleep(fault.seconds)
+        await self._renew(server)
+
+    async def faulty_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets a server answer wrongly in one way."""
+        server.backend.fault = FAULTS[fault.target % len(FAULTS)]
+        await sleep(fault.seconds)
+        server.backend.fault = ""
+
+    async def slow_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets a server take much longer."""
+        server.backend.work_seconds = 0.3
+        await sleep(fault.seconds)
+        server.backend.work_seconds = 0.01
+
+    async def store_down(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets the store refuse all calls."""
+        self.store.status = 503
+        await sleep(fault.seconds)
+        self.store.status = None
+
+    async def store_loses_answers(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets the store do what it is asked without saying so."""
+        self.store.lose_answers = True
+        await sleep(fault.seconds)
+        self.store.lose_answers = False
+
+    async def store_forgets(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Drops the history of the store."""
+        self.store.forget_history()
+
+    async def change_configuration(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Puts another version in force."""
+        self.configure()
+
+    async def callers_leave(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets callers leave before their answer."""
+        self.callers_leave_now = True
+        await sleep(fault.seconds)
+        self.callers_leave_now = False
+
+    async def delay_links(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Delays what comes to a node from others and to its server."""
+        for name in ("nodes", "server"):
+            place.links[name].delay(MAX_DELAY_MS * (fault.target % 10 + 1) / 10.0)
+        await sleep(fault.seconds)
+        for name in ("nodes", "server"):
+            place.links[name].delay(0.0)
+
+    async def reset_links(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Ends all connections of other nodes to one, or of it to its server or the store."""
+        place.links[self._link_name(fault)].cut()
+
+    async def silence_links(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Lets open connections swallow everything from now on."""
+        place.links[self._link_name(fault)].silence_open()
+
+    async def cut_one_way(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Swallows all data of one direction between other nodes and one."""
+        link = place.links["nodes"]
+        link.cut_one_way(to_caller=fault.target % 2 == 0)
+        await sleep(fault.seconds)
+        link.heal()
+
+    async def cut_from_store(self, place: Place, server: Place, fault: PlannedFault) -> None:
+        """Cuts a node off from the store without a word."""
+        link = place.links["store"]
+        link.silence_open()
+        link.is_cut_off = lambda caller_port: True
+        await sleep(fault.seconds)
+        link.heal()
+
+    def _link_name(self, fault: PlannedFault) -> str:
+        return ("nodes", "server", "store")[fault.target % 3]
--- /dev/null
+++ b/tests/soak/mesh_places.py
@@ -0,0 +1,129 @@
+"""Nodes of the soak as processes, each with a backend server, and links that can be broken."""
+
+import sys
+from asyncio import create_subprocess_exec, get_running_loop, sleep, wait_for
+from asyncio.subprocess import Process
+from pathlib import Path
+
+from coltsfoottrack._internal.experiment.faults import FaultyLink
+from tests.standins.backend import StandInBackend
+from tests.standins.mesh import free_address
+from tests.standins.store import StandInStore
+
+SHIFTED_NODE = Path(__file__).resolve().parent / "shifted_node.py"
+REPORT_SECONDS = 0.5
+REPORT_ANSWER_SECONDS = 1.0
+GRACE_SECONDS = 6.0
+# What a fault broke may still show for this long after its end.
+AFTERMATH_SECONDS = 1.0
+
+
+def port_of(address: str) -> int:
+    """Returns the port of IP:PORT."""
+    return int(address.rpartition(":")[2])
+
+
+class Place:
+    """A node, its settings, the backend server beside it and the links around it."""
+
+    def __init__(self, directory: Path, name: str, service: str, store: StandInStore) -> None:
+        self.name = name
+        self.backend = StandInBackend(f"i-{name}", service, 20)
+        self.settings_path = directory / f"{name}.conf"
+        self.clock_path = directory / f"{name}.clock"
+        self.log_path = directory / f"{name}.log"
+        self.addresses = {
+            key: free_address() for key in ("inbound", "outbound", "ready", "control")
+        }
+        self.store = store
+        # From other nodes to the node, from it to its backend server, and to the store.
+        self.links: dict[str, FaultyLink] = {}
+        self.process: Process | None = None
+        self.left_at: float | None = None
+        self.paused = False
+        # Times at which the process was killed or stood still, each with its end.
+        self.troubles: list[tuple[float, float]] = []
+
+    async def open(self) -> None:
+        """Opens the backend server and the links, and writes the settings file."""
+        await self.backend.open()
+        targets = {
+            "nodes": port_of(self.addresses["inbound"]),
+            "server": self.backend.port,
+            "store": self.store.port,
+        }
+        for name, target in targets.items():
+            self.links[name] = FaultyLink(port_of(free_address()), target)
+            await self.links[name].start()
+        self.set_clock(0.0)
+        lines = [f"node={self.name}", "zone=east", f"service={self.backend.service}"]
+        lines += [f"listen.{key}={value}" for key, value in self.addresses.items()]
+        lines += ["ip=127.0.0.1", f"appAddr={self.address_of('server')}"]
+        lines += [f"platform.address={self.address_of('store')}", f"bounds=graceS={GRACE_SECONDS}"]
+        self.settings_path.write_text("\n".join(lines), encoding="utf-8")
+
+    def address_of(self, link: str) -> str:
+        """Returns the address of a link."""
+        return f"127.0.0.1:{self.links[link].port}"
+
+    async def start(self) -> None:
+        """Starts the node; its log goes to a file."""
+        environment = {
+            "COLTSFOOTTRACK_CONFIG": str(self.settings_path),
+            "COLTSFOOTTRACK_ADVERTISED_ADDRESS": self.address_of("nodes"),
+        }
+        with self.log_path.open("ab") as log:
+            self.process = await create_subprocess_exec(
+                sys.executable,
+                str(SHIFTED_NODE),
+                str(self.clock_path),
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def set_clock(self, step_seconds: float) -> None:
+        """Shifts the time of day of the node's process."""
+        changed = self.clock_path.with_suffix(".new")
+        changed.write_text(str(step_seconds), encoding="ascii")
+        changed.replace(self.clock_path)
+
+    def is_running(self) -> bool:
+        """Tells whether the node's process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def set_trouble(self, began: float) -> None:
+        """Takes note that callers may have been cut off from a time on until now."""
+        self.troubles.append((began, get_running_loop().time() + AFTERMATH_SECONDS))
+
+    def was_troubled(self, began: float, ended: float) -> bool:
+        """Tells whether callers may have been cut off at any moment of a time."""
+        return any(since <= ended and until >= began for since, until in self.troubles)
+
+    async def send_report(self, state: str) -> int:
+        """Sends one report of the server to the node, returns the status.
+
+        Raises OSError, TimeoutError, and ValueError or IndexError for an answer cut short.
+        """
+        report = self.backend.report(
+            self.addresses["control"], state, address=self.address_of("server")
+        )
+        return await wait_for(report, REPORT_ANSWER_SECONDS)
+
+    async def report(self) -> None:
+        """Reports to the node as long as the server runs."""
+        while True:
+            await sleep(REPORT_SECONDS)
+            if self.backend.server is None or not self.backend.server.is_serving():
+                continue
+            state = "ready" if self.left_at is None else "draining"
+            try:
+                await self.send_report(state)
+            except (OSError, TimeoutError, ValueError, IndexError):
+                continue
+
+    async def close(self) -> None:
+        """Ends what was started."""
+        for link in self.links.values():
+            await link.stop()
+        self.backend.close()
--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -1,15 +1,17 @@
 """Random faults over real nodes of the mesh, from a seed; checks what callers and servers see.
 
-``python -m tests.soak.mesh_soak --seconds=20 --seeds=1-10`` plays one seed after the other. The
-nodes are processes of their own; the store and the backend servers are the stand-ins, in this
-process. A seed gives the same faults at the same times; what the processes make of them depends on
+``python -m tests.soak.mesh_soak --seconds=20 --seeds=1-10`` plays one seed after the other;
+``--keep=DIRECTORY`` keeps the nodes' logs of broken runs. The nodes are processes of their own;
+the store and the backend servers are the stand-ins, in this process, behind links that can be
+broken. A seed gives the same faults at the same times; what the processes make of them depends on
 their timing.
 """
 
 import sys
 from asyncio import (
     IncompleteReadError,
-    create_subprocess_exec,
+    StreamReader,
+    StreamWriter,
     create_task,
     gather,
     get_running_loop,
@@ -18,65 +20,49 @@
     sleep,
     wait_for,
 )
-from asyncio.subprocess import DEVNULL, Process
 from collections import Counter
 from pathlib import Path
-from random import Random
-from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
+from shutil import copytree
+from signal import SIGCONT
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
-from tests.standins.backend import StandInBackend
-from tests.standins.mesh import configuration, encode, free_address, read_answer
+from tests.soak.mesh_faults import FaultPlayer, plan_faults
+from tests.soak.mesh_places import Place
+from tests.standins.mesh import Answer, encode, read_answer
 from tests.standins.store import StandInStore
 
-PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "coltsfoottrack-node.py"
 SERVICES = ("portal", "portal", "stock", "stock", "stock")
-REPORT_SECONDS = 0.5
 REQUEST_SECONDS = 0.02
+# Callers wait for longer than the routes' time-out of 3 s and the 0.5 s after it.
 ANSWER_SECONDS = 4.0
-GRACE_SECONDS = 6.0
+SHORT_ANSWER_SECONDS = 0.05
 START_SECONDS = 4.0
 CALM_SECONDS = 4.0
 # After the last fault all nodes know all others again within this time.
 HEAL_SECONDS = 6.0
-# Work may reach a leaving server for this long after its leave was acknowledged.
-DRAIN_SECONDS = 2.0
 MIN_CALM_SHARE = 0.95
-KINDS = (
-    "kill_node",
-    "terminate_node",
-    "pause_node",
-    "reload_node",
-    "drain_server",
-    "crash_server",
-    "faulty_server",
-    "slow_server",
-    "store_down",
-    "store_loses_answers",
-    "store_forgets",
-    "change_configuration",
-    "callers_leave",
-)
-FAULTS = ("lose", "truncate", "extra", "late", "unsealed", "fail", "shed", "unframed")
-
-
-class PlannedFault(NamedTuple):
-    """One fault: when it begins and how long it lasts, in seconds, and what it strikes."""
+# Each of these many requests uses a connection that is kept for as long as the node keeps it.
+KEPT_CONNECTION_EVERY = 2
+ORDER_EVERY = 3
 
-    at: float
-    kind: str
-    target: int
-    seconds: float
+Connection = tuple[StreamReader, StreamWriter]
 
 
 class Outcome(NamedTuple):
-    """What a caller saw; status 0 is a connection that ended without an answer."""
+    """What a caller saw; status 0 is a request without an answer."""
 
     request_id: str
     is_order: bool
     status: int
     sent_at: float
+    # When the answer came or the caller gave up.
+    ended_at: float
+    place: str
+    # The caller waited for as long as an answer may take.
+    waited: bool
+    # The request was written on an open connection.
+    written: bool
     problem: str
 
 
@@ -93,67 +79,10 @@
         return not self.violations and self.calm_share >= MIN_CALM_SHARE
 
 
-def plan_faults(seed: int, seconds: float) -> list[PlannedFault]:
-    """Returns faults that come in series and overlap."""
-    random = Random(seed)
-    faults = []
-    at = 0.0
-    while at < seconds:
-        faults.append(
-            PlannedFault(at, random.choice(KINDS), random.randrange(100), random.uniform(0.3, 2.5))
-        )
-        at += random.choice((0.05, 0.4, 0.8, 1.5))
-    return faults
-
-
-class Place:
-    """A node, its settings and the backend server beside it."""
-
-    def __init__(self, directory: Path, name: str, service: str, store: StandInStore) -> None:
-        self.name = name
-        self.backend = StandInBackend(f"i-{name}", service, 20)
-        self.path = directory / f"{name}.conf"
-        self.addresses = {
-            key: free_address() for key in ("inbound", "outbound", "ready", "control")
-        }
-        self.store = store
-        self.process: Process | None = None
-        self.left_at: float | None = None
-        self.stopped = False
-
-    def write_settings(self) -> None:
-        """Writes the settings file of the platform."""
-        lines = [f"node={self.name}", "zone=east", f"service={self.backend.service}"]
-        lines += [f"listen.{key}={value}" for key, value in self.addresses.items()]
-        lines += ["ip=127.0.0.1", f"appAddr={self.backend.address}"]
-        lines += [f"platform.address={self.store.address}", f"bounds=graceS={GRACE_SECONDS}"]
-        self.path.write_text("\n".join(lines), encoding="utf-8")
-
-    async def start(self) -> None:
-        """Starts the node."""
-        environment = {"COLTSFOOTTRACK_CONFIG": str(self.path)}
-        self.process = await create_subprocess_exec(
-            sys.executable, str(PROGRAM), env=environment, stdout=DEVNULL
-        )
-
-    async def report(self) -> None:
-        """Reports to the node as long as the server runs."""
-        while True:
-            await sleep(REPORT_SECONDS)
-            if self.backend.server is None or not self.backend.server.is_serving():
-                continue
-            state = "ready" if self.left_at is None else "draining"
-            try:
-                await wait_for(self.backend.report(self.addresses["control"], state), 1.0)
-            except (OSError, TimeoutError, ValueError, IndexError):
-                continue
-
-
 class Soak:
     """One run."""
 
     def __init__(self, directory: Path, seed: int, seconds: float) -> None:
-        self.random = Random(seed)
         self.seed = seed
         self.seconds = seconds
         self.store = StandInStore()
@@ -161,52 +90,31 @@
         self.places: list[Place] = []
         self.outcomes: list[Outcome] = []
         self.violations: list[str] = []
-        self.version = 1
+        self.faults = FaultPlayer(self.places, self.store, self.violations)
         self.numbers = 0
-        self.patience = ANSWER_SECONDS
-
-    def configure(self) -> None:
-        """Stores the next version."""
-        self.version += 1
-        self.store.put(
-            "config",
-            "main",
-            configuration(
-                self.version,
-                read={"pathPrefix": "/read/", "service": "stock"},
-                order={
-                    "pathPrefix": "/order/",
-                    "service": "stock",
-                    "type": "unsafe",
-                    "priority": 0,
-                },
-            ),
-        )
+        # Kept connections that no request uses at the moment, by place.
+        self.kept: dict[str, list[Connection]] = {}
 
     async def play(self) -> Verdict:
         """Plays the faults of the seed and returns what was seen."""
         await self.store.open()
-        self.configure()
-        tasks = []
+        self.faults.configure()
+        reports = []
         for number, service in enumerate(SERVICES):
             place = Place(self.directory, f"{service}{number}", service, self.store)
-            await place.backend.open()
-            place.write_settings()
+            await place.open()
             self.places.append(place)
             await place.start()
-            tasks.append(create_task(place.report()))
+            reports.append(create_task(place.report()))
         try:
             await sleep(START_SECONDS)
             load = create_task(self.send_load(self.seconds + CALM_SECONDS + HEAL_SECONDS))
-            strikes = [
-                create_task(self.strike(fault)) for fault in plan_faults(self.seed, self.seconds)
-            ]
-            await gather(*strikes)
+            await self.faults.play(plan_faults(self.seed, self.seconds))
             await sleep(HEAL_SECONDS)
             calm_from = get_running_loop().time()
             await load
         finally:
-            for task in tasks:
+            for task in reports:
                 task.cancel()
             await self.end()
         self.check()
@@ -218,133 +126,21 @@
     async def end(self) -> None:
         """Ends all processes that were started."""
         for place in self.places:
-            if place.process.returncode is None:
+            if place.is_running():
                 place.process.send_signal(SIGCONT)
                 place.process.kill()
                 await place.process.wait()
-            place.backend.close()
+            await place.close()
         self.store.close()
 
-    async def strike(self, fault: PlannedFault) -> None:
-        """Brings about one fault and ends it."""
-        await sleep(fault.at)
-        place = self.places[fault.target % len(self.places)]
-        server = self.places[2 + fault.target % 3]
-        await getattr(self, fault.kind)(place, server, fault)
-
-    async def kill_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        if place.process.returncode is not None:
-            return
-        place.process.send_signal(SIGKILL)
-        await place.process.wait()
-        await sleep(fault.seconds / 3.0)
-        await self.start_again(place)
-
-    async def start_again(self, place: Place) -> None:
-        """Starts a node that has ended, unless that was done meanwhile."""
-        if place.process.returncode is not None:
-            await place.start()
-
-    async def terminate_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        if place.process.returncode is not None:
-            return
-        process = place.process
-        process.send_signal(SIGTERM)
-        try:
-            await wait_for(process.wait(), GRACE_SECONDS + 1.0)
-        except TimeoutError:
-            if not place.stopped:
-                self.violations.append(f"{place.name} still runs after the grace time")
-            process.kill()
-            await process.wait()
-        await self.start_again(place)
-
-    async def pause_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        if place.process.returncode is not None:
-            return
-        process = place.process
-        place.stopped = True
-        process.send_signal(SIGSTOP)
-        await sleep(fault.seconds)
-        if process.returncode is None:
-            process.send_signal(SIGCONT)
-
-    async def reload_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        if place.process.returncode is None:
-            place.process.send_signal(SIGHUP)
-
-    async def drain_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        if server.left_at is not None or not server.backend.server.is_serving():
-            return
-        backend = server.backend
-        try:
-            status = await wait_for(backend.report(server.addresses["control"], "draining"), 1.0)
-        except (OSError, TimeoutError, ValueError, IndexError):
-            return
-        if status != 200:
-            return
-        server.left_at = get_running_loop().time()
-        await sleep(DRAIN_SECONDS)
-        before = len(backend.seen)
-        await sleep(fault.seconds)
-        late = len(backend.seen) - before
-        if late:
-            self.violations.append(f"{late} requests reached {server.name} after it had left")
-        await self.renew(server)
-
-    async def renew(self, server: Place) -> None:
-        """Starts a server again as a new process at the same address."""
-        server.backend.close()
-        await sleep(0.1)
-        server.backend.fault = ""
-        await server.backend.restart()
-        server.left_at = None
-
-    async def crash_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        if server.left_at is not None or not server.backend.server.is_serving():
-            return
-        server.left_at = get_running_loop().time()
-        server.backend.close()
-        await sleep(fault.seconds)
-        await self.renew(server)
-
-    async def faulty_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        server.backend.fault = FAULTS[fault.target % len(FAULTS)]
-        await sleep(fault.seconds)
-        server.backend.fault = ""
-
-    async def slow_server(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        server.backend.work_seconds = 0.3
-        await sleep(fault.seconds)
-        server.backend.work_seconds = 0.01
-
-    async def store_down(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        self.store.status = 503
-        await sleep(fault.seconds)
-        self.store.status = None
-
-    async def store_loses_answers(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        self.store.lose_answers = True
-        await sleep(fault.seconds)
-        self.store.lose_answers = False
-
-    async def store_forgets(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        self.store.forget_history()
-
-    async def change_configuration(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        self.configure()
-
-    async def callers_leave(self, place: Place, server: Place, fault: PlannedFault) -> None:
-        self.patience = 0.05
-        await sleep(fault.seconds)
-        self.patience = ANSWER_SECONDS
-
     async def send_load(self, seconds: float) -> None:
         """Sends requests to the portal nodes until the time is over."""
         end = get_running_loop().time() + seconds
         sending = set()
+        portals = [place for place in self.places if place.backend.service == "portal"]
         while get_running_loop().time() < end:
-            task = create_task(self.send_one(self.places[self.numbers % 2]))
+            place = portals[self.numbers % len(portals)]
+            task = create_task(self.send_one(place))
             sending.add(task)
             task.add_done_callback(sending.discard)
             await sleep(REQUEST_SECONDS)
@@ -353,30 +149,65 @@
     async def send_one(self, place: Place) -> None:
         """Sends one request and records what its caller sees."""
         self.numbers += 1
-        is_order = self.numbers % 3 == 0
+        is_order = self.numbers % ORDER_EVERY == 0
         request_id = f"q{self.numbers}"
         path = f"/{'order' if is_order else 'read'}/{self.numbers}"
         method = "POST" if is_order else "GET"
+        keeps = self.numbers // len(SERVICES) % KEPT_CONNECTION_EVERY == 0
+        patience = SHORT_ANSWER_SECONDS if self.faults.callers_leave_now else ANSWER_SECONDS
         began = get_running_loop().time()
-        status = 0
-        problem = ""
-        writer = None
+        answer: Answer | None = None
+        connection: Connection | None = None
+        written = False
         try:
-            host, _, port = place.addresses["outbound"].rpartition(":")
-            reader, writer = await open_connection(host, int(port))
+            connection = await self.connect(place, keeps)
+            reader, writer = connection
             writer.write(encode(path, request_id, method, b"x" * 50 if is_order else b""))
-            answer = await wait_for(read_answer(reader), self.patience)
-            status = answer.status
-            if status == 200:
-                problem = self.compare(answer, request_id, method, path)
+            written = True
+            answer = await wait_for(read_answer(reader), patience)
         except (OSError, TimeoutError, IncompleteReadError):
             pass
         finally:
-            if writer is not None:
-                writer.transport.abort()
-        self.outcomes.append(Outcome(request_id, is_order, status, began, problem))
+            if connection is not None:
+                self.put_back(place, connection, answer, keeps)
+        problem = ""
+        if answer is not None and answer.status == 200:
+            problem = self.compare(answer, request_id, method, path)
+        self.outcomes.append(
+            Outcome(
+                request_id,
+                is_order,
+                answer.status if answer is not None else 0,
+                began,
+                get_running_loop().time(),
+                place.name,
+                patience == ANSWER_SECONDS,
+                written,
+                problem,
+            )
+        )
 
-    def compare(self, answer: object, request_id: str, method: str, path: str) -> str:
+    async def connect(self, place: Place, keeps: bool) -> Connection:
+        """Returns a kept connection that is still open, or a new one."""
+        kept = self.kept.setdefault(place.name, [])
+        while keeps and kept:
+            reader, writer = kept.pop()
+            if not reader.at_eof() and not writer.is_closing():
+                return reader, writer
+            writer.transport.abort()
+        host, _, port = place.addresses["outbound"].rpartition(":")
+        return await open_connection(host, int(port))
+
+    def put_back(
+        self, place: Place, connection: Connection, answer: Answer | None, keeps: bool
+    ) -> None:
+        """Keeps a connection for the next request, unless the node closes it."""
+        if answer is None or not keeps or answer.headers.get("connection") == "close":
+            connection[1].transport.abort()
+        else:
+            self.kept[place.name].append(connection)
+
+    def compare(self, answer: Answer, request_id: str, method: str, path: str) -> str:
         """Returns what is wrong with a success, or an empty string."""
         if answer.headers.get("request-id") != request_id:
             return "answer of another request"
@@ -393,6 +224,7 @@
         runs: Counter[str] = Counter()
         for place in self.places:
             runs.update(place.backend.runs)
+        places = {place.name: place for place in self.places}
         for outcome in self.outcomes:
             if outcome.problem:
                 self.violations.append(f"{outcome.request_id}: {outcome.problem}")
@@ -403,12 +235,32 @@
                 self.violations.append(f"order {outcome.request_id} ran though refused")
             if outcome.status in (401, 403, 404):
                 self.violations.append(f"{outcome.request_id} was denied: {outcome.status}")
+            if outcome.status == 0:
+                self.check_unanswered(outcome, places[outcome.place], count)
+
+    def check_unanswered(self, outcome: Outcome, place: Place, count: int) -> None:
+        """Finds requests that a node has taken and left without an answer.
+
+        A connection that is closed before the request was read is no loss, as its caller may send
+        it again; that it ran shows that it was read.
+        """
+        if not outcome.waited or not outcome.written:
+            return
+        if place.was_troubled(outcome.sent_at, outcome.ended_at):
+            return
+        if outcome.ended_at - outcome.sent_at >= ANSWER_SECONDS:
+            self.violations.append(f"{outcome.request_id} got no answer in {ANSWER_SECONDS} s")
+        elif count:
+            self.violations.append(f"{outcome.request_id} ran and was cut off")
 
 
-async def play_seed(seed: int, seconds: float) -> Verdict:
-    """Plays one seed."""
+async def play_seed(seed: int, seconds: float, keep: str = "") -> Verdict:
+    """Plays one seed; the nodes' logs of a broken run are kept in a directory, if one is named."""
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
-        return await Soak(Path(directory), seed, seconds).play()
+        verdict = await Soak(Path(directory), seed, seconds).play()
+        if keep and not verdict.holds:
+            copytree(directory, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
+        return verdict
 
 
 def main() -> int:
@@ -418,7 +270,7 @@
     first, _, last = options.get("seeds", "1").partition("-")
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
-        verdict = run(play_seed(seed, seconds))
+        verdict = run(play_seed(seed, seconds, options.get("keep", "")))
         failed += not verdict.holds
         print(
             f"seed {seed}: {'held' if verdict.holds else 'BROKEN'}; answers {verdict.statuses}, "
--- a/tests/standins/mesh.py
+++ b/tests/standins/mesh.py
@@ -3,10 +3,10 @@
 from asyncio import StreamReader, StreamWriter, get_running_loop, open_connection, sleep, wait_for
 from os import O_WRONLY, devnull
 from os import open as open_file
-from socket import socket
 from typing import Any, NamedTuple
 from unittest import IsolatedAsyncioTestCase
 
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, free_ports
 from coltsfoottrack._internal.mesh.daemon import MeshNode
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
 from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
@@ -34,9 +34,7 @@
 
 def free_address() -> str:
     """Returns an address of the loopback with a free port."""
-    with socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"{LOOPBACK}:{free_ports(1)[0]}"
 
 
 def configuration(version: int, **routes: dict[str, Any]) -> dict[str, Any]:
@@ -112,12 +110,14 @@
 
     def settings(self, name: str, service: str, backend: StandInBackend) -> MeshSettings:
         """Returns the settings of a node."""
+        link_address = free_address()
         return MeshSettings(
             node=name,
             failure_domain="east",
             service=service,
             caller_address=free_address(),
-            link_address=free_address(),
+            link_address=link_address,
+            advertised_address=link_address,
             ready_address=free_address(),
             report_address=free_address(),
             metrics_address="",
--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -146,6 +146,7 @@
     def test_old_beliefs_and_those_of_other_nodes_are_left_out(self):
         found = read(
             line(1.0, "front", "store_lost", what="members"),
+            line(90.0, "front", "started"),
             line(99.0, "elsewhere", "store_lost", what="members"),
             line(100.0, "front", "caller_gone", request_id="q1", elapsed_ms=12),
         )
--- a/tests/unit/test_faulty_link.py
+++ b/tests/unit/test_faulty_link.py
@@ -72,6 +72,30 @@
                 await wait_for(reader.read(10), SHORT_SECONDS)
             await self.connect(link)
 
+    async def test_one_way_cut_swallows_one_direction_until_healed(self) -> None:
+        async with link_to_echo() as link:
+            reader, writer = await self.connect(link)
+            link.cut_one_way(to_caller=True)
+            writer.write(b"lost")
+            with self.assertRaises(TimeoutError):
+                await wait_for(reader.read(10), SHORT_SECONDS)
+            link.heal()
+            # What was swallowed is not made up for: the connection ends.
+            try:
+                self.assertEqual(await wait_for(reader.read(10), LONG_SECONDS), b"")
+            except ConnectionError:
+                pass
+            await self.connect(link)
+
+    async def test_new_connections_through_a_one_way_cut_are_cut_as_well(self) -> None:
+        async with link_to_echo() as link:
+            link.cut_one_way(to_caller=False)
+            reader, writer = await open_connection(LOOPBACK, link.port)
+            self.addAsyncCleanup(self.close, writer)
+            writer.write(b"lost")
+            with self.assertRaises(TimeoutError):
+                await wait_for(reader.read(10), SHORT_SECONDS)
+
     async def test_delay_holds_data_back(self) -> None:
         async with link_to_echo() as link:
             reader, writer = await self.connect(link)
--- a/tests/unit/test_logs_commands.py
+++ b/tests/unit/test_logs_commands.py
@@ -1,14 +1,16 @@
 """The commands that read decision logs."""
 
+import sys
 from contextlib import redirect_stdout
 from io import StringIO
 from json import loads
 from pathlib import Path
+from subprocess import PIPE, Popen
 from tempfile import TemporaryDirectory
 from unittest import TestCase
 
 from coltsfoottrack._internal.cli.commands.logs import LogsCommands
-from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, CommandError
+from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, EXIT_FAILED, CommandError
 from tests.unit.test_decision_log import line
 
 
@@ -54,6 +56,17 @@
         self.assertIn("request_refused", text)
         self.assertIn("no line matches", self.output(LogsCommands.timeline, self.path, node="x"))
 
+    def test_reader_that_ends_early_gets_no_traceback(self):
+        many = "\n".join(line(at, "front", "store_lost", what="x" * 200) for at in range(2000))
+        Path(self.path).write_text(many, encoding="utf-8")
+        command = [sys.executable, "-m", "coltsfoottrack", "logs", "timeline", self.path]
+        with Popen(command, stdout=PIPE, stderr=PIPE) as process:
+            process.stdout.readline()
+            process.stdout.close()
+            errors = process.stderr.read()
+        self.assertEqual(errors, b"")
+        self.assertEqual(process.returncode, EXIT_FAILED)
+
     def test_times_bound_what_is_read(self):
         text = self.output(LogsCommands.timeline, self.path, until="1970-01-01T00:00:00.6Z")
         self.assertIn("store_lost", text)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -10,7 +10,7 @@
 
 from coltsfoottrack._internal.mesh.exceptions import MeshError, ReportError
 from coltsfoottrack.platform.configuration import decode_configuration
-from coltsfoottrack.platform.names import METRICS_PATH
+from coltsfoottrack.platform.names import ADVERTISED_VARIABLE, METRICS_PATH
 from coltsfoottrack.platform.reports import read_report
 from coltsfoottrack.platform.settings import from_fields, read_lines
 
@@ -67,6 +67,14 @@
         self.assertEqual(settings.metrics_address, f"10.0.0.1:{port}")
         self.assertEqual(f"/{path}", METRICS_PATH)
 
+    def test_advertised_address_is_the_link_port_unless_it_is_set(self):
+        """Guards against other nodes that are sent to an address which they cannot reach."""
+        self.assertEqual(from_fields(read_lines(SETTINGS)).advertised_address, "10.0.0.1:1")
+        with patch.dict("os.environ", {ADVERTISED_VARIABLE: "192.0.2.7:9"}):
+            settings = from_fields(read_lines(SETTINGS))
+        self.assertEqual(settings.advertised_address, "192.0.2.7:9")
+        self.assertEqual(settings.link_address, "10.0.0.1:1")
+
     def test_missing_and_wrong_fields_are_named(self):
         """Guards against an error that does not say which field is wrong."""
         with self.assertRaisesRegex(ValueError, "zone"):
