--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -97,7 +97,7 @@
         )
         self.entry.set_service(settings.service)
         self.links = Links(
-            self.directory, self.runner, self.lineage, self.entry.levels, self.keeper, log
+            self.directory, self.runner, self.lineage, self.entry.gate.levels, self.keeper, log
         )
         self.store = adapter.open_store(settings.store_address)
         self.sync = StoreSync(self.store, self.keeper, self.directory, log)
@@ -291,7 +291,7 @@
     async def stop(self) -> None:
         """Takes callers for as long as they may come, and waits for what is in flight."""
         started = now()
-        self.entry.stopping_since = started
+        self.entry.gate.stopping_since = started
         self.log.decision("stopping", in_flight=len(self.entry.calls), load=self.runner.load)
         self.backend.set_node_leaving()
         end = started + self.settings.grace_seconds - END_MARGIN_SECONDS
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -5,9 +5,10 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory, Peer
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
+from coltsfoottrack._internal.mesh.entry_gate import RETRY_AFTER_SECONDS, EntryGate
 from coltsfoottrack._internal.mesh.entry_log import EntryLog
 from coltsfoottrack._internal.mesh.figures import MeshFigures
-from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT, Admission, ReportedLevels
+from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.lineage import Lineage
 from coltsfoottrack._internal.mesh.link import LinkCall
 from coltsfoottrack._internal.mesh.links import Links
@@ -30,15 +31,8 @@
 TOP_WAIT_PART = 0.6
 # A final answer is due this long after the route's time-out.
 ANSWER_MARGIN_SECONDS = 0.1
-# After SIGTERM callers may still come for this long; later ones are refused at once, as their
-# requests might not end within the grace time.
-TAKE_SECONDS = 2.6
-# When callers that were refused for load are asked to come back.
-RETRY_AFTER_LOAD_SECONDS = 0.4
-RETRY_AFTER_SECONDS = 0.2
+# Part of the time left after which callers are asked to come back at the latest.
 MAX_RETRY_AFTER_PART = 0.3
-# Part of the memory that bodies of requests in flight may take.
-HELD_BODIES_PART = 0.25
 # Reasons for which a backend server or its node is left alone for a while.
 UNAVAILABLE = frozenset(
     ("backend_left", "backend_down", "backend_unreachable", "node_leaving", "no_backend")
@@ -74,15 +68,10 @@
         self.figures = figures
         self.links: Links | None = None
         self.table: RouteTable | None = None
-        self.levels = ReportedLevels()
-        self.admission = Admission()
+        self.gate = EntryGate(memory_bytes)
         self.connections: set[CallerConnection] = set()
         self.calls: dict[int, EntryCall] = {}
         self.last_number = 0
-        # Bodies of requests in flight, and their bound, in bytes.
-        self.held_bytes = 0
-        self.held_bound = HELD_BODIES_PART * memory_bytes
-        self.stopping_since: float | None = None
 
     def set_service(self, service: str) -> None:
         """Sets the service whose instance this is."""
@@ -95,7 +84,7 @@
 
     def is_stopping(self) -> bool:
         """Tells whether connections are to be closed after their next answer."""
-        return self.stopping_since is not None
+        return self.gate.is_stopping()
 
     def handle(self, request: CallerRequest) -> None:
         """Takes a whole request."""
@@ -124,7 +113,7 @@
         self.last_number += 1
         call.number = self.last_number
         self.calls[call.number] = call
-        self.held_bytes += len(request.body)
+        self.gate.hold(len(request.body))
         request.cancel = lambda: self._caller_left(call)
         self._send(call, moment)
 
@@ -149,27 +138,17 @@
         self.lineage.called.setdefault(parent.route, {})[call.route.name] = moment
 
     def _admit(self, call: EntryCall, table: RouteTable, moment: float) -> bool:
-        """Refuses a new request for load or since this node stops; tells whether it goes on."""
-        if self.stopping_since is not None and moment - self.stopping_since > TAKE_SECONDS:
-            self._refuse_new(call, "node_stopping", 0.0)
-            return False
-        route = call.route
-        level = self.levels.level(route.name, table.top_rank + 1, moment)
-        if not self.admission.admit(route.name, call.rank, level):
-            self._refuse_new(call, "admission_level", level)
-            return False
-        if self.held_bytes + len(call.request.body) > self.held_bound:
-            self._refuse_new(call, "memory", level)
-            return False
-        return True
-
-    def _refuse_new(self, call: EntryCall, reason: str, level: float) -> None:
-        self.figures.count_answer(call.route.name, reason)
-        reported = self.levels.describe(call.route.name, now())
-        self.log.refused(call, reason, level, reported, self.table.version)
-        left = call.expires - now()
-        wait = RETRY_AFTER_LOAD_SECONDS if reason == "admission_level" else RETRY_AFTER_SECONDS
-        call.request.respond(503, self._retry_after(wait, left), b"")
+        """Refuses a new request that is not let in; tells whether it goes on."""
+        request = call.request
+        refusal = self.gate.refusal(call.route, len(request.body), table.top_rank + 1, moment)
+        if refusal is None:
+            return True
+        self.figures.count_answer(call.route.name, refusal.reason)
+        reported = self.gate.levels.describe(call.route.name, moment)
+        self.log.refused(call, refusal.reason, refusal.level, reported, table.version)
+        left = call.expires - moment
+        request.respond(503, self._retry_after(refusal.retry_after_seconds, left), b"")
+        return False
 
     def _retry_after(self, wait: float, left: float) -> bytes:
         seconds = max(0.02, min(wait, left * MAX_RETRY_AFTER_PART))
@@ -272,7 +251,7 @@
         moment = now()
         peer = call.peer
         peer.report(reply.load, moment)
-        self.levels.report(call.route.name, peer.member.node, reply.level / LEVEL_UNIT)
+        self.gate.levels.report(call.route.name, peer.member.node, reply.level / LEVEL_UNIT)
         if reply.result == RESULT_ANSWERED:
             call.attempts += 1
             peer.observe(call.route.name, moment - call.sent_at, moment)
@@ -344,7 +323,7 @@
             call.failure = failure
         if not route.idempotent or call.attempts >= route.max_attempts:
             return False
-        if self.stopping_since is not None or call.sends >= MAX_SENDS:
+        if self.gate.is_stopping() or call.sends >= MAX_SENDS:
             return False
         call.repeat = True
         call.reason = reason
@@ -389,7 +368,7 @@
     def _close(self, call: EntryCall) -> None:
         call.done = True
         self.calls.pop(call.number, None)
-        self.held_bytes -= len(call.request.body)
+        self.gate.release(len(call.request.body))
 
     def _caller_left(self, call: EntryCall) -> None:
         """Stops the work for a caller that has left."""
