--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/call_memory.py
@@ -0,0 +1,46 @@
+"""Calls that a runner remembers, so that one that is sent again does not run again."""
+
+from collections import OrderedDict, deque
+
+from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
+from coltsfoottrack._internal.schema.links_pb2 import Request
+
+# Answers are kept for a caller's node that lost its link.
+KEEP_ANSWER_SECONDS = 3.0
+FORGET_SECONDS = 15.0
+_EMPTY_REQUEST = Request()
+
+
+class CallMemory:
+    """Calls by their keys, the oldest first."""
+
+    def __init__(self) -> None:
+        self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
+        # Calls whose request and answer are held, the oldest first.
+        self.kept: deque[RunnerCall] = deque()
+
+    def add(self, call: RunnerCall) -> None:
+        """Remembers a call."""
+        self.calls[call.key] = call
+        self.kept.append(call)
+
+    def get(self, key: CallKey) -> RunnerCall | None:
+        """Returns a call, None if it is not remembered."""
+        return self.calls.get(key)
+
+    def forget(self, moment: float) -> None:
+        """Drops calls that were answered long ago, and before that their bodies."""
+        while self.calls:
+            call = next(iter(self.calls.values()))
+            if not call.done or moment - call.arrived < FORGET_SECONDS:
+                break
+            self.calls.popitem(last=False)
+        for _ in range(len(self.kept)):
+            if moment - self.kept[0].arrived < KEEP_ANSWER_SECONDS:
+                break
+            call = self.kept.popleft()
+            if not call.done:
+                self.kept.append(call)
+            elif call.answer is not None and call.answer.body:
+                call.answer = None
+                call.message = _EMPTY_REQUEST
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -138,7 +138,7 @@
 
     def has_run_locally(self, number: int) -> bool:
         """Tells whether a call was handed to the own backend server."""
-        call = self.runner.calls.get(self._own_key(number))
+        call = self.runner.memory.get(self._own_key(number))
         return call is not None and call.sent_at is not None
 
     def _to_reply(self, call: RunnerCall) -> Reply:
@@ -187,7 +187,7 @@
         self.accepted.discard(connection)
         moment = now()
         for key in self.served.pop(connection, ()):
-            call = self.runner.calls.get(key)
+            call = self.runner.memory.get(key)
             if call is not None and not call.done:
                 call.orphaned_at = moment
 
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -5,7 +5,6 @@
 """
 
 from asyncio import Task, get_running_loop
-from collections import OrderedDict, deque
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
@@ -15,6 +14,7 @@
     BackendPool,
 )
 from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.call_memory import CallMemory
 from coltsfoottrack._internal.mesh.clock import now
 from coltsfoottrack._internal.mesh.crash_watch import CrashWatch
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -28,7 +28,6 @@
     RESULT_ANSWERED,
     RESULT_NOT_RUN,
     RESULT_UNKNOWN,
-    Request,
 )
 
 # Calls of runs go before new requests of their rank that came up to this long earlier.
@@ -45,9 +44,6 @@
 DROPPED_SECONDS = 0.005
 # Weight of the newest run in the mean time of runs.
 TIME_WEIGHT = 0.02
-# Answers are kept for a caller's node that lost its link.
-KEEP_ANSWER_SECONDS = 3.0
-FORGET_SECONDS = 15.0
 # A smaller part of the lowest rank that is refused is no change of state for the log.
 SHEDDING_MARGIN = 0.1
 
@@ -76,9 +72,7 @@
         # Whether the log has said that less than everything is admitted.
         self.shedding = False
         self.crashes = CrashWatch(log)
-        self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
-        # Calls whose request and answer are held, the oldest first.
-        self.kept: deque[RunnerCall] = deque()
+        self.memory = CallMemory()
         # Rank, time that orders those of one rank, number, call.
         self.queue: list[tuple[int, float, int, RunnerCall]] = []
         self.running: set[RunnerCall] = set()
@@ -97,12 +91,11 @@
     def submit(self, call: RunnerCall) -> None:
         """Takes a call; it is answered through ``deliver``."""
         message = call.message
-        known = self.calls.get(call.key)
+        known = self.memory.get(call.key)
         if known is not None:
             self._attach(known, call)
             return
-        self.calls[call.key] = call
-        self.kept.append(call)
+        self.memory.add(call)
         if not self.backend.accepting:
             self._refuse(call, self.backend.refusal)
         elif message.backend and message.backend != self.backend.identifier:
@@ -153,7 +146,7 @@
 
     def grant(self, key: CallKey, granted: bool) -> None:
         """Takes the word whether a call that may run only once is still to be run."""
-        call = self.calls.get(key)
+        call = self.memory.get(key)
         if call is None or call.done or call.claim is None or call not in self.running:
             return
         if not granted:
@@ -340,7 +333,7 @@
 
     def cancel(self, key: CallKey) -> None:
         """Drops a call whose caller has left; what may run only once goes on if it has begun."""
-        call = self.calls.get(key)
+        call = self.memory.get(key)
         if call is None or call.done:
             return
         call.deliver = _deliver_nowhere
@@ -386,7 +379,8 @@
             elif call.orphaned_at is not None and moment - call.orphaned_at > ORPHAN_SECONDS:
                 self._abandon(call, "caller_gone")
         self._update_level(moment)
-        self._forget(moment)
+        self.memory.forget(moment)
+        self.crashes.forget(moment)
 
     def _update_level(self, moment: float) -> None:
         level = self.level
@@ -407,23 +401,6 @@
             limit=self.backend.limit,
         )
 
-    def _forget(self, moment: float) -> None:
-        while self.calls:
-            call = next(iter(self.calls.values()))
-            if not call.done or moment - call.arrived < FORGET_SECONDS:
-                break
-            self.calls.popitem(last=False)
-        for _ in range(len(self.kept)):
-            if moment - self.kept[0].arrived < KEEP_ANSWER_SECONDS:
-                break
-            call = self.kept.popleft()
-            if not call.done:
-                self.kept.append(call)
-            elif call.answer is not None and call.answer.body:
-                call.answer = None
-                call.message = _EMPTY_REQUEST
-        self.crashes.forget(moment)
-
     def flush(self) -> None:
         """Hands back all waiting calls; used when the backend server or the node leaves."""
         waiting = self.queue
@@ -443,6 +420,3 @@
 
 def _deliver_nowhere(call: RunnerCall) -> None:
     pass
-
-
-_EMPTY_REQUEST = Request()
--- a/tests/unit/test_mesh_runner.py
+++ b/tests/unit/test_mesh_runner.py
@@ -39,7 +39,7 @@
     for number in range(count):
         key = CallKey("n", 1, number)
         runner.submit(RunnerCall(key, Request(number=number), lambda call: None))
-        runner.calls[key].answer = RunResult(RESULT_ANSWERED, "", 200, b"", b"body")
+        runner.memory.calls[key].answer = RunResult(RESULT_ANSWERED, "", 200, b"", b"body")
 
 
 def tick_seconds(runner: Runner) -> float:
@@ -75,6 +75,8 @@
             runner.submit(late)
             late.done = False
         runner.tick(now() + 4.0)
-        self.assertEqual(len(runner.calls), 6)
-        self.assertEqual([call.answer for call in list(runner.calls.values())[:5]], [None] * 5)
-        self.assertEqual(list(runner.kept), [late])
+        self.assertEqual(len(runner.memory.calls), 6)
+        self.assertEqual(
+            [call.answer for call in list(runner.memory.calls.values())[:5]], [None] * 5
+        )
+        self.assertEqual(list(runner.memory.kept), [late])
