Do not run an order again whose node was restarted before it answered

Cause: a call whose link is lost is sent again, for the process that may have run it. If the node was restarted meanwhile, the new process says that it did not run the call, and the entry took that for the word on the call: 503, or a second run where the new record was known. Ruled out: a claim granted twice, a late write.

A call that was sent again and meets another process now counts as one that may have run: an order ends as 502, a lookup is repeated within the budget. Two unit tests fail before (order: 200 and run twice; lookup: not counted as a repeat).

--- a/src/coltsfoottrack/_internal/decision_log/reasons.py
+++ b/src/coltsfoottrack/_internal/decision_log/reasons.py
@@ -25,6 +25,7 @@
     "no_member_accepts": "no instance of the service took requests",
     "no_member_known": "no instance of the service was known",
     "node_leaving": "the node beside the backend server was stopping",
+    "node_restarted": "the node that had been asked to run it was restarted before it answered",
     "node_stopping": "the node beside the caller was stopping",
     "other_backend": "another backend server was at the address by then",
     "other_process": "the node had been restarted since it was chosen",
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -11,7 +11,7 @@
 from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.lineage import Lineage
 from coltsfoottrack._internal.mesh.link import LinkCall
-from coltsfoottrack._internal.mesh.links import Links
+from coltsfoottrack._internal.mesh.links import NODE_RESTARTED, OTHER_PROCESS, Links
 from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
@@ -270,11 +270,8 @@
 
     def _not_run(self, call: EntryCall, reason: str, moment: float) -> None:
         """Takes the word that a request did not run where it was sent."""
-        if reason == "other_process" and call.attempts:
-            self.unanswered(call.number, True, reason)
-            return
         call.reason = reason
-        if reason in ("other_process", "other_backend"):
+        if reason in (OTHER_PROCESS, "other_backend"):
             self._allow_again(call)
         elif reason in UNAVAILABLE:
             call.peer.block(UNAVAILABLE_BLOCK_SECONDS)
@@ -311,6 +308,8 @@
             self._not_run(call, reason, now())
             return
         call.attempts += 1
+        if reason == NODE_RESTARTED:
+            self._allow_again(call)
         if self._repeat(call, None, reason):
             return
         call.reason = reason
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -35,6 +35,10 @@
 )
 
 PROCESS_BITS = 63
+# Reason of a process that is not the one that a call was meant for.
+OTHER_PROCESS = "other_process"
+# Reason for which no reply of the process that was asked can come any more.
+NODE_RESTARTED = "node_restarted"
 # Members are told to a node that has no configuration; at most this many.
 MAX_MEMBERS_TOLD = 2000
 # A peer with a newer configuration is asked for it when the store has not delivered it by then.
@@ -198,7 +202,7 @@
             reply = Reply(
                 number=message.number,
                 result=RESULT_NOT_RUN,
-                reason="other_process",
+                reason=OTHER_PROCESS,
                 level=int(self._level(message.route) * LEVEL_UNIT),
                 configuration_version=self.keeper.version,
             )
@@ -233,6 +237,10 @@
             return
         if connection.calls:
             connection.busy_since = now()
+        if call.request.resent and message.reason == OTHER_PROCESS:
+            # Its word holds for itself; the process that was asked first may have run the call.
+            call.fail(True, NODE_RESTARTED)
+            return
         call.handler.replied(message.number, message)
 
     def _cancel(self, connection: LinkConnection, message: Cancel) -> None:
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -10,6 +10,7 @@
 from tests.standins.backend import StandInBackend
 from tests.standins.mesh import (
     STANDARD,
+    Answer,
     Mesh,
     configuration,
     encode,
@@ -468,6 +469,45 @@
 class LostNodeTest(Mesh):
     """Nodes that end, and links that break."""
 
+    async def _answer_after_restart(self, path: str, method: str) -> Answer:
+        """Restarts a node between a request's run and its answer, and returns the answer."""
+        front = await self.start("front", "portal")
+        store = await self.start("store")
+        await self.known(2)
+        self.backends[1].released.clear()
+        running = create_task(self.ask(front, encode(path, "r1", method)))
+        await self.until(lambda: self.backends[1].running == 1)
+        store.links.server.close()
+        settings = store.settings._replace(
+            caller_address=free_address(),
+            ready_address=free_address(),
+            report_address=free_address(),
+        )
+        restarted = await self.start_node(settings)
+        await self.backends[1].report(restarted.settings.report_address)
+        for connection in list(store.links.accepted):
+            connection.transport.abort()
+        await self.until(lambda: bool(restarted.links.accepted))
+        await sleep(0.1)
+        self.backends[1].released.set()
+        return await running
+
+    async def test_order_that_ran_before_a_restart_is_not_said_to_be_refused(self):
+        """Guards against a 503 for an order that has run.
+
+        Found by the soak, seed 46: the restarted node truthfully said that it had not run the
+        order, and the entry took that for the word of the process that had been asked to.
+        """
+        answer = await self._answer_after_restart("/order/", "POST")
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.backends[1].runs["r1"], 1)
+
+    async def test_lookup_that_ran_before_a_restart_counts_as_a_repeat(self):
+        """Guards against runs that the bound on repeats does not count."""
+        answer = await self._answer_after_restart("/read/", "GET")
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.nodes[0].figures.repeats, 1)
+
     async def test_order_at_a_killed_node_is_unknown(self):
         """Guards against a second run of an order whose runner has gone."""
         front = await self.start("front", "portal")
