--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -24,7 +24,7 @@
 from collections import Counter
 from pathlib import Path
 from shutil import copytree
-from signal import SIGCONT
+from signal import SIGCONT, SIGTERM, default_int_handler, signal
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
@@ -274,6 +274,8 @@
 
 def main() -> int:
     """Plays the seeds that the arguments name; returns the exit status."""
+    # A run that is ended by hand ends its nodes as well.
+    signal(SIGTERM, default_int_handler)
     options = dict(argument.removeprefix("--").split("=", 1) for argument in sys.argv[1:])
     failed = 0
     for seed, seconds in chosen_seeds(options):
