--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -101,6 +101,7 @@
         self.violations: list[str] = []
         self.faults = FaultPlayer(self.places, self.store, self.violations)
         self.numbers = 0
+        self.ending = False
         # Kept connections that no request uses at the moment, by place.
         self.kept: dict[str, list[Connection]] = {}
 
@@ -117,10 +118,12 @@
             reports.append(create_task(place.report()))
         try:
             await sleep(START_SECONDS)
-            load = create_task(self.send_load(self.seconds + CALM_SECONDS + HEAL_SECONDS))
+            load = create_task(self.send_load())
             await self.faults.play(plan_faults(self.seed, self.seconds))
             await sleep(HEAL_SECONDS)
             calm_from = get_running_loop().time()
+            await sleep(CALM_SECONDS)
+            self.ending = True
             await load
         finally:
             for task in reports:
@@ -142,12 +145,11 @@
             await place.close()
         self.store.close()
 
-    async def send_load(self, seconds: float) -> None:
-        """Sends requests to the portal nodes until the time is over."""
-        end = get_running_loop().time() + seconds
+    async def send_load(self) -> None:
+        """Sends requests to the portal nodes until the run ends."""
         sending = set()
         portals = [place for place in self.places if place.backend.service == "portal"]
-        while get_running_loop().time() < end:
+        while not self.ending:
             place = portals[self.numbers % len(portals)]
             task = create_task(self.send_one(place))
             sending.add(task)
