Run the mesh from YAML files, without a platform

Own header names and reports; a wrong field is named with file and line, and a wrong routes file changes nothing. Fields, units and ranges are in the schema and on docs/settings.md.

--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -29,6 +29,7 @@
     "drain": ("drain", "drain"),
     "config": ("config", "ConfigCommands"),
     "node": ("node", "node"),
+    "mesh": ("mesh", "mesh"),
     "standin": ("standin", "StandInCommands"),
     "reference": ("reference", "ReferenceCommands"),
     "measure": ("measure", "MeasureCommands"),
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -0,0 +1,158 @@
+"""The store of a mesh whose nodes share a directory.
+
+The routes are one file, and each node writes one file of its own with its member record. What was
+changed is found by the files' times of change, which serve as revisions.
+"""
+
+from asyncio import get_running_loop, sleep
+from pathlib import Path
+
+from google.protobuf.message import DecodeError
+
+from coltsfoottrack._internal.mesh.exceptions import StoreConflictError, StoreError
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.records import from_record, to_record
+from coltsfoottrack._internal.mesh.store_sync import (
+    ConfigurationChange,
+    MemberChange,
+    MemberChanges,
+)
+from coltsfoottrack._internal.mesh_local.routes import ROUTES_FILE
+from coltsfoottrack._internal.schema.links_pb2 import MemberRecord
+
+MEMBERS_DIRECTORY = "members"
+# Changes are in force everywhere within this time and the time that a file system takes.
+POLL_SECONDS = 0.2
+# A watch without changes ends after this time, as one over a network does.
+WATCH_SECONDS = 5.0
+NO_REVISION = 0
+
+
+class DirectoryStore:
+    """A directory as one node sees it. All calls raise StoreError."""
+
+    def __init__(self, directory: str) -> None:
+        self.routes = Path(directory) / ROUTES_FILE
+        self.members = Path(directory) / MEMBERS_DIRECTORY
+        # Revision of each member's file, as the node was last told.
+        self.told: dict[str, int] = {}
+
+    async def read_configuration(self) -> ConfigurationChange:
+        """Returns the routes file's content; None if there is none."""
+        revision = _revision(self.routes)
+        if revision == NO_REVISION:
+            return ConfigurationChange(None, NO_REVISION)
+        return ConfigurationChange(_read(self.routes), revision)
+
+    async def watch_configuration(self, revision: int) -> ConfigurationChange:
+        """Waits until the routes file was changed."""
+        end = get_running_loop().time() + WATCH_SECONDS
+        while get_running_loop().time() < end:
+            current = _revision(self.routes)
+            if current not in (revision, NO_REVISION):
+                return ConfigurationChange(_read(self.routes), current)
+            await sleep(POLL_SECONDS)
+        return ConfigurationChange(None, revision)
+
+    async def list_members(self) -> MemberChanges:
+        """Returns all member records."""
+        self.told = {}
+        return self._changes()
+
+    async def watch_members(self, revision: int) -> MemberChanges:
+        """Waits until a member's file was changed or removed."""
+        end = get_running_loop().time() + WATCH_SECONDS
+        while get_running_loop().time() < end:
+            found = self._changes()
+            if found.changes:
+                return found
+            await sleep(POLL_SECONDS)
+        return MemberChanges([], revision)
+
+    def _changes(self) -> MemberChanges:
+        current = self._revisions()
+        changes = []
+        for node, revision in current.items():
+            if self.told.get(node) != revision:
+                changes.append(MemberChange(node, self._read_member(node), revision, False))
+        for node in self.told:
+            if node not in current:
+                changes.append(MemberChange(node, None, NO_REVISION, True))
+        self.told = current
+        return MemberChanges(changes, max(current.values(), default=NO_REVISION))
+
+    def _revisions(self) -> dict[str, int]:
+        revisions = {}
+        try:
+            self.members.mkdir(parents=True, exist_ok=True)
+            for path in self.members.iterdir():
+                if not path.name.startswith("."):
+                    revisions[path.name] = _revision(path)
+        except OSError as error:
+            raise StoreError(f"{self.members}: {error.strerror}") from error
+        return revisions
+
+    def _read_member(self, node: str) -> Member | None:
+        try:
+            return from_record(MemberRecord.FromString(_read(self.members / node)))
+        except (DecodeError, StoreError):
+            # Unreadable, or removed since the directory was read; the next look tells which.
+            return None
+
+    async def read_member(self, node: str) -> MemberChange | None:
+        """Returns one record, None if there is none."""
+        revision = _revision(self.members / node)
+        if revision == NO_REVISION:
+            return None
+        return MemberChange(node, self._read_member(node), revision, False)
+
+    async def create_member(self, member: Member) -> int:
+        """Stores a new record, returns its revision. Raises StoreConflictError."""
+        return self._write(member, NO_REVISION)
+
+    async def replace_member(self, member: Member, revision: int) -> int:
+        """Replaces a record, returns its revision. Raises StoreConflictError."""
+        return self._write(member, revision)
+
+    async def delete_member(self, node: str, revision: int) -> None:
+        """Removes a record. Raises StoreConflictError."""
+        path = self.members / node
+        self._check(path, revision)
+        try:
+            path.unlink(missing_ok=True)
+        except OSError as error:
+            raise StoreError(f"{path}: {error.strerror}") from error
+
+    def _write(self, member: Member, revision: int) -> int:
+        """Writes beside the file and renames, so that no node reads half a record."""
+        path = self.members / member.node
+        self._check(path, revision)
+        beside = self.members / f".{member.node}"
+        try:
+            self.members.mkdir(parents=True, exist_ok=True)
+            beside.write_bytes(to_record(member).SerializeToString())
+            beside.replace(path)
+        except OSError as error:
+            raise StoreError(f"{path}: {error.strerror}") from error
+        return _revision(path)
+
+    def _check(self, path: Path, revision: int) -> None:
+        if _revision(path) != revision:
+            raise StoreConflictError(f"{path} was changed since it was read")
+
+
+def _revision(path: Path) -> int:
+    """Returns the time of change of a file in nanoseconds, NO_REVISION if there is none."""
+    try:
+        return path.stat().st_mtime_ns
+    except FileNotFoundError:
+        return NO_REVISION
+    except OSError as error:
+        raise StoreError(f"{path}: {error.strerror}") from error
+
+
+def _read(path: Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise StoreError(f"{path}: {error.strerror}") from error
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh_local/routes.py
@@ -0,0 +1,76 @@
+"""Reads the routes of a mesh from YAML."""
+
+from coltsfoottrack._internal.mesh.exceptions import MeshError
+from coltsfoottrack._internal.mesh.model import (
+    CallerLimits,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+)
+from coltsfoottrack._internal.schema.mesh_pb2 import LimitsEntry, RouteEntry, RoutesFile
+from coltsfoottrack._internal.settings.exceptions import SettingsError
+from coltsfoottrack._internal.settings.loader import load_text
+from coltsfoottrack._internal.settings.rules import number_or_default
+
+ROUTES_FILE = "routes.yaml"
+
+
+class RoutesError(MeshError):
+    """The routes file breaks the schema, or its routes exclude one another."""
+
+
+def decode_routes(content: bytes) -> RoutingConfiguration:
+    """Returns the routes and limits of a file's content. Raises RoutesError."""
+    try:
+        loaded = load_text(content.decode("utf-8"), RoutesFile, ROUTES_FILE)
+    except (SettingsError, UnicodeDecodeError) as error:
+        raise RoutesError(str(error)) from error
+    _check(loaded)
+    priorities = sorted({int(number_or_default(entry, "priority")) for entry in loaded.routes})
+    ranks = {priority: rank for rank, priority in enumerate(priorities)}
+    routes = []
+    for entry in loaded.routes:
+        routes.append(_route(entry, ranks))
+    return RoutingConfiguration(loaded.version, tuple(routes), _limits(loaded.limits), content)
+
+
+def _check(loaded: RoutesFile) -> None:
+    names = set()
+    places = set()
+    for entry in loaded.routes:
+        place = (entry.host.lower(), entry.prefix)
+        if entry.name in names:
+            raise RoutesError(f"route {entry.name}: the name is given twice")
+        if place in places:
+            raise RoutesError(f"route {entry.name}: host and prefix are those of another route")
+        if not entry.prefix.startswith("/") or not entry.prefix.endswith("/"):
+            raise RoutesError(f"route {entry.name}: prefix must begin and end with a slash")
+        names.add(entry.name)
+        places.add(place)
+
+
+def _route(entry: RouteEntry, ranks: dict[int, int]) -> Route:
+    services = []
+    for part in entry.services:
+        services.append(WeightedService(part.service, int(number_or_default(part, "weight"))))
+    priority = int(number_or_default(entry, "priority"))
+    target = int(number_or_default(entry, "target_latency_ms"))
+    return Route(
+        name=entry.name,
+        host=entry.host.lower(),
+        prefix=entry.prefix,
+        services=tuple(services),
+        idempotent=entry.idempotent,
+        timeout_ms=entry.timeout_ms,
+        target_latency_ms=target or entry.timeout_ms,
+        max_attempts=int(number_or_default(entry, "max_attempts")),
+        priority=priority,
+        rank=ranks[priority],
+    )
+
+
+def _limits(entry: LimitsEntry) -> CallerLimits:
+    values = []
+    for name in CallerLimits._fields:
+        values.append(int(number_or_default(entry, name)))
+    return CallerLimits._make(values)
--- a/src/coltsfoottrack/_internal/settings/reference.py
+++ b/src/coltsfoottrack/_internal/settings/reference.py
@@ -8,6 +8,7 @@
     NodeSettings,
     PlatformSettings,
 )
+from coltsfoottrack._internal.schema.mesh_pb2 import MeshNodeSettings, RoutesFile
 from coltsfoottrack._internal.settings.loader import accepted_values
 from coltsfoottrack._internal.settings.rules import rule_of
 
@@ -22,6 +23,8 @@
 SECTIONS = (
     ("Settings of a node", "`coltsfoottrack node --settings FILE`", NodeSettings),
     ("Fleet configuration", "`coltsfoottrack config get|set|diff`", FleetConfiguration),
+    ("Settings of a node of a mesh", "`coltsfoottrack mesh --settings FILE`", MeshNodeSettings),
+    ("Routes of a mesh", "`routes.yaml` in the shared directory of the nodes", RoutesFile),
     (
         "Settings of the backend server stand-in",
         "`coltsfoottrack standin backend --settings FILE`",
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -5,14 +5,23 @@
 
 from orjson import dumps
 
+from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh_local.names import HEADERS as LOCAL_HEADERS
+from coltsfoottrack.platform.names import HEADERS
 from tests.standins.http import HttpServer, Message, read_message
 
 
 class StandInBackend(HttpServer):
     """Runs requests for a while and answers with a seal; can misbehave as the pages say."""
 
-    def __init__(self, identifier: str, service: str, slots: int = 10) -> None:
+    def __init__(
+        self, identifier: str, service: str, slots: int = 10, names: HeaderNames = HEADERS
+    ) -> None:
         super().__init__()
+        self.request_id_name = names.request_id.decode()
+        self.seal_name = names.seal.decode()
+        self.backend_name = names.expected_backend.decode()
+        self.not_run_line = names.not_run.decode() + ": 1\r\n"
         self.identifier = identifier
         self.service = service
         self.slots = slots
@@ -36,12 +45,12 @@
         """Serves one connection."""
         while (message := await read_message(reader)) is not None:
             self.seen.append(message)
-            request_id = message.headers["request-id"]
-            if message.headers.get("expected-instance", self.identifier) != self.identifier:
-                self._write(writer, 421, request_id, b"", seal=False, extra="Not-Executed: 1\r\n")
+            request_id = message.headers[self.request_id_name]
+            if message.headers.get(self.backend_name, self.identifier) != self.identifier:
+                self._write(writer, 421, request_id, b"", seal=False, extra=self.not_run_line)
                 continue
             if self.fault == "shed":
-                self._write(writer, 503, request_id, b"", seal=False, extra="Not-Executed: 1\r\n")
+                self._write(writer, 503, request_id, b"", seal=False, extra=self.not_run_line)
                 continue
             self.runs[request_id] += 1
             self.order.append(request_id)
@@ -70,12 +79,12 @@
             writer.transport.abort()
             return False
         if fault == "truncate":
-            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id.encode())
-            writer.write(b"\r\nResponse-Seal: s\r\nContent-Length: 100\r\n\r\nshort")
+            writer.write(self._unfinished_head(request_id))
+            writer.write(b"Content-Length: 100\r\n\r\nshort")
             return False
         if fault == "unframed":
-            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: " + request_id.encode())
-            writer.write(b"\r\nResponse-Seal: s\r\n\r\n" + body)
+            writer.write(self._unfinished_head(request_id))
+            writer.write(b"\r\n" + body)
             return False
         if fault == "fail":
             self._write(writer, 500, request_id, b"failed")
@@ -93,6 +102,10 @@
             self._write(writer, 200, request_id, b"a second answer")
         return True
 
+    def _unfinished_head(self, request_id: str) -> bytes:
+        head = f"HTTP/1.1 200 OK\r\n{self.request_id_name}: {request_id}\r\n{self.seal_name}: s\r\n"
+        return head.encode("latin-1")
+
     def _write(
         self,
         writer: StreamWriter,
@@ -102,9 +115,9 @@
         seal: bool = True,
         extra: str = "",
     ) -> None:
-        head = f"HTTP/1.1 {status} Status\r\nRequest-Id: {request_id}\r\n{extra}"
+        head = f"HTTP/1.1 {status} Status\r\n{self.request_id_name}: {request_id}\r\n{extra}"
         if seal:
-            head += f"Response-Seal: seal-{request_id}\r\n"
+            head += f"{self.seal_name}: seal-{request_id}\r\n"
         head += f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode("latin-1") + body)
 
@@ -136,11 +149,45 @@
         return await self._post(node, "deregister", b"")
 
     async def _post(self, node: str, action: str, body: bytes) -> int:
-        host, _, port = node.rpartition(":")
-        reader, writer = await open_connection(host, int(port))
-        path = f"/api/instances/{self.identifier}/{action}"
-        head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(body)}\r\n\r\n"
-        writer.write(head.encode("ascii") + body)
-        line = await reader.readline()
-        writer.close()
-        return int(line.split()[1])
+        return await post(node, f"/api/instances/{self.identifier}/{action}", body)
+
+
+class LocalBackend(StandInBackend):
+    """A backend server of a mesh without a platform."""
+
+    def __init__(self, identifier: str, service: str, slots: int = 10) -> None:
+        super().__init__(identifier, service, slots, LOCAL_HEADERS)
+
+    async def report(self, node: str, state: str = "ready", **changes: object) -> int:
+        """Tells a node of itself; returns the status."""
+        self.number += 1
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "failure_domain": "east",
+            "slots": self.slots,
+            "draining": state != "ready",
+            "cold_ms": 0,
+            "number": self.number,
+            "started_ms": self.started_ms,
+        }
+        fields.update(changes)
+        return await self._post(node, "report", dumps(fields))
+
+    async def deregister(self, node: str) -> int:
+        """Says that it leaves."""
+        return await self._post(node, "leave", b"")
+
+    async def _post(self, node: str, action: str, body: bytes) -> int:
+        return await post(node, f"/backends/{self.identifier}/{action}", body)
+
+
+async def post(node: str, path: str, body: bytes) -> int:
+    """Posts to a port of a node; returns the status."""
+    host, _, port = node.rpartition(":")
+    reader, writer = await open_connection(host, int(port))
+    head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode("ascii") + body)
+    line = await reader.readline()
+    writer.close()
+    return int(line.split()[1])
--- /dev/null
+++ b/tests/unit/test_mesh_local.py
@@ -0,0 +1,227 @@
+"""A mesh whose nodes share a directory."""
+
+from pathlib import Path
+from shutil import rmtree
+from tempfile import mkdtemp
+from unittest import IsolatedAsyncioTestCase, TestCase
+from unittest.mock import patch
+
+from yaml import safe_dump
+
+from coltsfoottrack._internal.mesh.daemon import MeshNode
+from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
+from coltsfoottrack._internal.mesh.exceptions import ReportError, StoreConflictError
+from coltsfoottrack._internal.mesh.model import CallerLimits, Member
+from coltsfoottrack._internal.mesh_local.adapter import local_adapter
+from coltsfoottrack._internal.mesh_local.directory_store import DirectoryStore
+from coltsfoottrack._internal.mesh_local.reports import read_report
+from coltsfoottrack._internal.mesh_local.routes import RoutesError, decode_routes
+from coltsfoottrack._internal.mesh_local.settings import read_settings
+from tests.standins.backend import LocalBackend
+from tests.standins.mesh import Mesh, free_address
+
+READ = {
+    "name": "read",
+    "host": "shop.example",
+    "prefix": "/read/",
+    "services": [{"service": "stock"}],
+    "idempotent": True,
+    "timeout_ms": 3000,
+    "priority": 2,
+}
+ORDER = {**READ, "name": "order", "prefix": "/order/", "idempotent": False, "priority": 0}
+REPORT = (
+    b'{"service": "stock", "address": "10.0.0.1:80", "failure_domain": "east", "slots": 4,'
+    b' "draining": false, "cold_ms": 0, "number": 3, "started_ms": 7}'
+)
+
+
+def routes_text(version: int = 1, *routes: dict[str, object], **more: object) -> bytes:
+    """Returns the content of a routes file."""
+    return safe_dump({"version": version, "routes": list(routes or (READ, ORDER)), **more}).encode()
+
+
+class RoutesTest(TestCase):
+    """Guards against routes that are read otherwise than they were written."""
+
+    def test_defaults_ranks_and_limits(self):
+        found = decode_routes(routes_text(4, limits={"max_body_bytes": 10}))
+        self.assertEqual(found.version, 4)
+        read, order = found.routes
+        self.assertEqual((read.rank, order.rank), (1, 0))
+        self.assertEqual((read.target_latency_ms, read.max_attempts), (3000, 2))
+        self.assertTrue(read.idempotent)
+        self.assertEqual(found.limits, CallerLimits()._replace(max_body_bytes=10))
+
+    def test_weights(self):
+        shares = [{"service": "a", "weight": 3}, {"service": "b"}]
+        route = decode_routes(routes_text(1, {**READ, "services": shares})).routes[0]
+        self.assertEqual(route.services, (("a", 3), ("b", 1)))
+
+    def test_what_is_wrong_is_named(self):
+        for content, problem in (
+            (routes_text(1, {**READ, "prefix": "read"}), "begin and end with a slash"),
+            (routes_text(1, READ, READ), "given twice"),
+            (routes_text(1, READ, {**READ, "name": "other"}), "those of another route"),
+            (routes_text(1, {**READ, "timeout_ms": 0}), "timeout_ms"),
+            (routes_text(1, {**READ, "retries": 2}), "unknown field"),
+            (routes_text(0), "version"),
+            (b"version: [", "not valid YAML"),
+            (b"\xff", "utf-8"),
+        ):
+            with self.subTest(problem=problem), self.assertRaisesRegex(RoutesError, problem):
+                decode_routes(content)
+
+
+class ExamplesTest(TestCase):
+    """Guards against examples that the product refuses."""
+
+    def test_examples_can_be_used(self):
+        examples = Path(__file__).resolve().parents[2] / "examples" / "mesh"
+        self.assertEqual(read_settings(str(examples / "node.yaml")).node, "stock-1")
+        found = decode_routes((examples / "routes.yaml").read_bytes())
+        self.assertEqual([route.rank for route in found.routes], [1, 0])
+
+
+class ReportsTest(TestCase):
+    """Guards against reports that are believed though they cannot be right."""
+
+    def test_report_and_leave(self):
+        report = read_report("POST", "/backends/i-1/report", REPORT)
+        self.assertEqual((report.backend, report.slots, report.number), ("i-1", 4, 3))
+        self.assertEqual(read_report("POST", "/backends/i-1/leave", b""), "i-1")
+
+    def test_others_are_refused(self):
+        for method, path, body in (
+            ("GET", "/backends/i-1/report", REPORT),
+            ("POST", "/backends//report", REPORT),
+            ("POST", "/backends/i-1/stop", REPORT),
+            ("POST", "/i-1/report", REPORT),
+            ("POST", "/backends/i-1/report", b"{"),
+            ("POST", "/backends/i-1/report", b"[]"),
+            ("POST", "/backends/i-1/report", REPORT.replace(b"4", b"-4")),
+            ("POST", "/backends/i-1/report", REPORT.replace(b"4", b"true")),
+            ("POST", "/backends/i-1/report", REPORT.replace(b'"slots": 4,', b"")),
+        ):
+            with self.subTest(path=path, body=body), self.assertRaises(ReportError):
+                read_report(method, path, body)
+
+
+class DirectoryStoreTest(IsolatedAsyncioTestCase):
+    """Guards against changes that a node misses, and records that overwrite later ones."""
+
+    def setUp(self):
+        self.directory = Path(mkdtemp())
+        self.addCleanup(rmtree, self.directory)
+        self.store = DirectoryStore(str(self.directory))
+        patcher = patch("coltsfoottrack._internal.mesh_local.directory_store.WATCH_SECONDS", 0.5)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def member(self, **changes: object) -> Member:
+        """Returns a record."""
+        return Member("n1", "127.0.0.1:1", "east", "stock", **changes)
+
+    async def test_changes_of_members_are_found_once(self):
+        revision = await self.store.create_member(self.member())
+        other = DirectoryStore(str(self.directory))
+        listed = await other.list_members()
+        self.assertEqual([change.member for change in listed.changes], [self.member()])
+        self.assertEqual((await other.watch_members(listed.revision)).changes, [])
+        revision = await self.store.replace_member(self.member(serial=2), revision)
+        changed = await other.watch_members(listed.revision)
+        self.assertEqual(changed.changes[0].member.serial, 2)
+        await self.store.delete_member("n1", revision)
+        removed = await other.watch_members(changed.revision)
+        self.assertEqual([change.deleted for change in removed.changes], [True])
+        self.assertIsNone(await other.read_member("n1"))
+
+    async def test_writes_are_conditional(self):
+        revision = await self.store.create_member(self.member())
+        for write in (
+            self.store.create_member(self.member()),
+            self.store.replace_member(self.member(), revision + 1),
+            self.store.delete_member("n1", revision + 1),
+        ):
+            with self.assertRaises(StoreConflictError):
+                await write
+        self.assertIsNotNone(await self.store.read_member("n1"))
+
+    async def test_record_that_cannot_be_read_is_no_member(self):
+        (self.directory / "members").mkdir()
+        (self.directory / "members" / "n9").write_bytes(b"\xff\xff")
+        listed = await self.store.list_members()
+        self.assertEqual([change.member for change in listed.changes], [None])
+
+    async def test_routes_file_may_come_later_and_change(self):
+        self.assertIsNone((await self.store.read_configuration()).content)
+        routes = self.directory / "routes.yaml"
+        routes.write_bytes(b"first")
+        found = await self.store.read_configuration()
+        self.assertEqual(found.content, b"first")
+        self.assertIsNone((await self.store.watch_configuration(found.revision)).content)
+        routes.unlink()
+        routes.write_bytes(b"second")
+        changed = await self.store.watch_configuration(found.revision)
+        self.assertEqual(changed.content, b"second")
+
+
+class LocalMeshTest(Mesh):
+    """Two nodes and a backend server, from YAML files alone."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.directory = Path(mkdtemp())
+        self.addCleanup(rmtree, self.directory)
+
+    async def start_local(self, name: str, service: str) -> MeshNode:
+        """Starts a node from a settings file, with its backend server."""
+        backend = LocalBackend(f"i-{name}", service)
+        await backend.open()
+        self.backends.append(backend)
+        path = self.directory / f"{name}.yaml"
+        fields = {"name": name, "service": service, "failure_domain": "east"}
+        fields["shared_directory"] = str(self.directory / "shared")
+        for address in ("caller", "link", "ready", "report"):
+            fields[f"{address}_address"] = free_address()
+        fields["backend_address"] = backend.address
+        path.write_text(safe_dump(fields), encoding="utf-8")
+        adapter = local_adapter(str(path))
+        settings = adapter.read_settings()
+        node = MeshNode(settings, adapter, DecisionLog(name, LineWriter(self.null)))
+        self.nodes.append(node)
+        await node.start()
+        await backend.report(settings.report_address)
+        return node
+
+    async def test_requests_are_served_and_a_changed_file_is_in_force(self):
+        """Guards against a product that runs on one platform only."""
+        routes = self.directory / "shared" / "routes.yaml"
+        routes.parent.mkdir()
+        routes.write_bytes(routes_text(1, READ))
+        front = await self.start_local("front", "portal")
+        await self.start_local("store", "stock")
+        await self.known(2)
+        request = b"%s HTTP/1.1\r\nHost: shop.example\r\nCall-Id: q1\r\n\r\n"
+        answer = await self.ask(front, request % b"GET /read/1")
+        self.assertEqual((answer.status, answer.body), (200, b"i-store GET /read/1"))
+        self.assertEqual(answer.headers["backend-answer"], "seal-q1")
+        self.assertEqual((await self.ask(front, request % b"POST /order/1")).status, 404)
+        routes.write_bytes(routes_text(2))
+        await self.until(lambda: front.keeper.version == 2)
+        self.assertEqual((await self.ask(front, request % b"POST /order/1")).status, 200)
+
+    async def test_settings_that_cannot_be_used_name_file_and_field(self):
+        path = self.directory / "bad.yaml"
+        for text, problem in (
+            ("name: x", "bad.yaml:1: service: missing"),
+            ("nam: x", "unknown field"),
+        ):
+            path.write_text(text, encoding="utf-8")
+            with self.subTest(text=text), self.assertRaisesRegex(ValueError, problem):
+                read_settings(str(path))
+        await self.start_local("front", "portal")
+        good = (self.directory / "front.yaml").read_text(encoding="utf-8")
+        path.write_text(good.replace("caller_address: 127.0.0.1:", "caller_address: x"))
+        with self.assertRaisesRegex(ValueError, "caller_address.*is not IP:PORT"):
+            read_settings(str(path))
