Show from the metrics what the nodes of a mesh are doing

Prometheus text is parsed by prometheus_client. mesh is a group now: mesh run, mesh status. Five tests, two with nodes.

--- a/src/coltsfoottrack/_internal/cli/commands/mesh.py
+++ b/src/coltsfoottrack/_internal/cli/commands/mesh/run.py
@@ -1,4 +1,4 @@
-"""``coltsfoottrack mesh``: a node of a mesh whose nodes share a directory."""
+"""``coltsfoottrack mesh run``: a node of a mesh whose nodes share a directory."""
 
 from asyncio import run
 
@@ -8,7 +8,7 @@
 from coltsfoottrack._internal.mesh_local.adapter import local_adapter
 
 
-def mesh(settings: str) -> None:
+def run_mesh_node(settings: str) -> None:
     """Runs a node until SIGTERM; its routes are in routes.yaml of the shared directory.
 
     Args:
--- a/src/coltsfoottrack/_internal/cli/main.py
+++ b/src/coltsfoottrack/_internal/cli/main.py
@@ -29,7 +29,7 @@
     "drain": ("drain", "drain"),
     "config": ("config", "ConfigCommands"),
     "node": ("node", "node"),
-    "mesh": ("mesh", "mesh"),
+    "mesh": ("mesh", "MeshCommands"),
     "standin": ("standin", "StandInCommands"),
     "reference": ("reference", "ReferenceCommands"),
     "measure": ("measure", "MeasureCommands"),
--- /dev/null
+++ b/src/coltsfoottrack/_internal/cli/mesh_readings.py
@@ -0,0 +1,89 @@
+"""Readings of the metrics of nodes of a mesh."""
+
+from collections import defaultdict
+from typing import NamedTuple
+
+from prometheus_client.parser import text_string_to_metric_families
+from urllib3 import PoolManager, Retry, Timeout
+from urllib3.exceptions import HTTPError
+
+from coltsfoottrack._internal.mesh.metrics import PREFIX
+
+METRICS_PATH = "/metrics"
+READ_TIMEOUT_SECONDS = 2.0
+# Reason of an answer that is the backend server's own.
+ANSWERED = "answered"
+
+
+class NodeReading(NamedTuple):
+    """What the metrics of a node say."""
+
+    address: str
+    # Plain metrics by name, without the common prefix.
+    values: dict[str, float]
+    # Answers by route and reason.
+    answers: dict[tuple[str, str], float]
+    # Why there is no reading, empty if there is one.
+    problem: str
+
+
+class RouteRates(NamedTuple):
+    """Answers of one route in a second, over all nodes."""
+
+    route: str
+    answered: float
+    # Answers that are not a backend server's, by reason.
+    others: dict[str, float]
+
+
+def read_nodes(addresses: list[str]) -> list[NodeReading]:
+    """Reads the metrics of all nodes; a node that does not answer has a problem."""
+    pool = PoolManager(timeout=Timeout(READ_TIMEOUT_SECONDS), retries=Retry(0))
+    return [_read_node(pool, address) for address in addresses]
+
+
+def _read_node(pool: PoolManager, address: str) -> NodeReading:
+    try:
+        answer = pool.request("GET", f"http://{address}{METRICS_PATH}")
+        if answer.status != 200:
+            return NodeReading(address, {}, {}, f"status {answer.status}")
+        return parse_reading(address, answer.data.decode("utf-8"))
+    except (HTTPError, ValueError) as error:
+        return NodeReading(address, {}, {}, str(error))
+
+
+def parse_reading(address: str, text: str) -> NodeReading:
+    """Returns the reading of a node's metrics. Raises ValueError if they cannot be read."""
+    values: dict[str, float] = {}
+    answers: dict[tuple[str, str], float] = {}
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            name = sample.name.removeprefix(f"{PREFIX}_")
+            if name == sample.name:
+                continue
+            if name == "answers_total":
+                answers[(sample.labels["route"], sample.labels["reason"])] = sample.value
+            elif not sample.labels:
+                values[name] = sample.value
+    if not values:
+        raise ValueError("no metrics of a node of a mesh")
+    return NodeReading(address, values, answers, "")
+
+
+def route_rates(
+    before: list[NodeReading], after: list[NodeReading], seconds: float
+) -> list[RouteRates]:
+    """Returns the rates of all routes between two readings of the same nodes."""
+    rates: dict[str, dict[str, float]] = defaultdict(lambda: defaultdict(float))
+    for first, second in zip(before, after, strict=True):
+        if first.problem or second.problem:
+            continue
+        for (route, reason), count in second.answers.items():
+            grown = count - first.answers.get((route, reason), 0.0)
+            # A node that was restarted counts from 0.
+            rates[route][reason] += (grown if grown >= 0.0 else count) / seconds
+    found = []
+    for route, reasons in sorted(rates.items()):
+        others = {reason: rate for reason, rate in reasons.items() if reason != ANSWERED and rate}
+        found.append(RouteRates(route, reasons.get(ANSWERED, 0.0), others))
+    return found
--- a/src/coltsfoottrack/_internal/decision_log/reasons.py
+++ b/src/coltsfoottrack/_internal/decision_log/reasons.py
@@ -21,6 +21,7 @@
     "link_lost": "the connection to the other node was lost",
     "memory": "the bodies in flight at the node took all the memory set aside for them",
     "no_backend": "no backend server had reported to the node yet",
+    "no_route": "no route fits",
     "no_configuration": "the node had no configuration yet",
     "no_member_accepts": "no instance of the service took requests",
     "no_member_known": "no instance of the service was known",
--- a/src/coltsfoottrack/_internal/settings/reference.py
+++ b/src/coltsfoottrack/_internal/settings/reference.py
@@ -23,7 +23,7 @@
 SECTIONS = (
     ("Settings of a node", "`coltsfoottrack node --settings FILE`", NodeSettings),
     ("Fleet configuration", "`coltsfoottrack config get|set|diff`", FleetConfiguration),
-    ("Settings of a node of a mesh", "`coltsfoottrack mesh --settings FILE`", MeshNodeSettings),
+    ("Settings of a node of a mesh", "`coltsfoottrack mesh run --settings FILE`", MeshNodeSettings),
     ("Routes of a mesh", "`routes.yaml` in the shared directory of the nodes", RoutesFile),
     (
         "Settings of the backend server stand-in",
--- /dev/null
+++ b/tests/unit/test_mesh_status.py
@@ -0,0 +1,77 @@
+"""The command that shows what the nodes of a mesh are doing."""
+
+from asyncio import to_thread
+from contextlib import redirect_stdout
+from io import StringIO
+from json import loads
+from unittest import TestCase
+
+from coltsfoottrack._internal.cli.commands.mesh import MeshCommands
+from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, EXIT_UNREACHABLE, CommandError
+from coltsfoottrack._internal.cli.mesh_readings import NodeReading, parse_reading, route_rates
+from tests.standins.mesh import Mesh, encode, free_address
+
+
+def reading(answers: dict[tuple[str, str], float], problem: str = "") -> NodeReading:
+    """Returns a reading."""
+    return NodeReading("a", {}, answers, problem)
+
+
+class ReadingsTest(TestCase):
+    """Guards against rates that are wrong when a node is restarted or does not answer."""
+
+    def test_rates_add_up_over_nodes(self):
+        before = [reading({("read", "answered"): 10.0}), reading({})]
+        after = [
+            reading({("read", "answered"): 30.0, ("read", "overload"): 4.0}),
+            reading({("read", "answered"): 2.0}),
+        ]
+        rates = route_rates(before, after, 2.0)
+        self.assertEqual(rates, [("read", 11.0, {"overload": 2.0})])
+
+    def test_restarted_node_counts_from_nothing_and_silent_nodes_do_not_count(self):
+        before = [reading({("read", "answered"): 1000.0}), reading({}, "timed out")]
+        after = [reading({("read", "answered"): 6.0}), reading({("read", "answered"): 9.0})]
+        self.assertEqual(route_rates(before, after, 2.0), [("read", 3.0, {})])
+
+    def test_metrics_of_another_program_are_refused(self):
+        with self.assertRaises(ValueError):
+            parse_reading("a", "# TYPE up gauge\nup 1\n")
+
+
+class MeshStatusTest(Mesh):
+    """Guards against a status that cannot be had from real nodes."""
+
+    async def status(self, *addresses: str, **options: str) -> str:
+        """Returns what the command prints."""
+        printed = StringIO()
+        with redirect_stdout(printed):
+            await to_thread(MeshCommands.status, *addresses, seconds="0.3", **options)
+        return printed.getvalue()
+
+    async def test_status_of_real_nodes(self):
+        node = await self.start("one")
+        self.nodes.remove(node)
+        node.close()
+        metrics = free_address()
+        node = await self.start_node(node.settings._replace(metrics_address=metrics))
+        await self.backends[0].report(node.settings.report_address)
+        await self.known(1)
+        await self.ask(node, encode("/read/1", "q1"))
+        text = await self.status(metrics, free_address())
+        self.assertIn(metrics, text)
+        self.assertIn("read: answered 0.0/s", text)
+        self.assertIn("refused", text)
+        document = loads(await self.status(metrics, output="json"))
+        self.assertEqual(document["nodes"][0]["values"]["requests_total"], 1.0)
+
+    async def test_bad_arguments_and_silent_nodes_have_their_exit_status(self):
+        with self.assertRaises(CommandError) as raised:
+            await self.status()
+        self.assertEqual(raised.exception.exit_status, EXIT_BAD_INPUT)
+        with self.assertRaises(CommandError) as raised:
+            await self.status(free_address())
+        self.assertEqual(raised.exception.exit_status, EXIT_UNREACHABLE)
+        with self.assertRaises(CommandError) as raised:
+            await to_thread(MeshCommands.status, "127.0.0.1:1", seconds="soon")
+        self.assertEqual(raised.exception.exit_status, EXIT_BAD_INPUT)
