--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -1,8 +1,8 @@
 """Random faults over real nodes of the mesh, from a seed; checks what callers and servers see.
 
 ``python -m tests.soak.mesh_soak --seconds=20 --seeds=1-10`` plays one seed after the other,
-``--seeds=regressions`` those that have failed before; ``--keep=DIRECTORY`` keeps the nodes' logs of
-broken runs. The nodes are processes of their own;
+``--seeds=regressions`` those that have failed before; ``--nodes=24`` takes more nodes than 5;
+``--keep=DIRECTORY`` keeps the nodes' logs of broken runs. The nodes are processes of their own;
 the store and the backend servers are the stand-ins, in this process, behind links that can be
 broken. A seed gives the same faults at the same times; what the processes make of them depends on
 their timing.
@@ -33,6 +33,8 @@
 from tests.standins.mesh import Answer, encode, read_answer
 from tests.standins.store import StandInStore
 
+NODES = 5
+# Two of five nodes stand beside callers, the others beside servers that are called.
 SERVICES = ("portal", "portal", "stock", "stock", "stock")
 REQUEST_SECONDS = 0.02
 # Callers wait for longer than the routes' time-out of 3 s and the 0.5 s after it.
@@ -43,8 +45,9 @@
 # After the last fault all nodes know all others again within this time.
 HEAL_SECONDS = 6.0
 MIN_CALM_SHARE = 0.95
-# Each of these many requests uses a connection that is kept for as long as the node keeps it.
-KEPT_CONNECTION_EVERY = 2
+# Every other run of requests of this length uses connections that are kept for as long as the node
+# keeps them; both kinds then hold orders and lookups.
+KEPT_CONNECTION_RUN = 5
 ORDER_EVERY = 3
 
 # Seeds of 15 s that have failed, and the cause.
@@ -91,7 +94,8 @@
 class Soak:
     """One run."""
 
-    def __init__(self, directory: Path, seed: int, seconds: float) -> None:
+    def __init__(self, directory: Path, seed: int, seconds: float, nodes: int = NODES) -> None:
+        self.nodes = nodes
         self.seed = seed
         self.seconds = seconds
         self.store = StandInStore()
@@ -110,7 +114,8 @@
         await self.store.open()
         self.faults.configure()
         reports = []
-        for number, service in enumerate(SERVICES):
+        for number in range(self.nodes):
+            service = SERVICES[number % len(SERVICES)]
             place = Place(self.directory, f"{service}{number}", service, self.store)
             await place.open()
             self.places.append(place)
@@ -164,7 +169,7 @@
         request_id = f"q{self.numbers}"
         path = f"/{'order' if is_order else 'read'}/{self.numbers}"
         method = "POST" if is_order else "GET"
-        keeps = self.numbers // len(SERVICES) % KEPT_CONNECTION_EVERY == 0
+        keeps = self.numbers // KEPT_CONNECTION_RUN % 2 == 0
         patience = SHORT_ANSWER_SECONDS if self.faults.callers_leave_now else ANSWER_SECONDS
         began = get_running_loop().time()
         answer: Answer | None = None
@@ -265,10 +270,10 @@
             self.violations.append(f"{outcome.request_id} ran and was cut off")
 
 
-async def play_seed(seed: int, seconds: float, keep: str = "") -> Verdict:
+async def play_seed(seed: int, seconds: float, keep: str = "", nodes: int = NODES) -> Verdict:
     """Plays one seed; the nodes' logs of a broken run are kept in a directory, if one is named."""
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
-        verdict = await Soak(Path(directory), seed, seconds).play()
+        verdict = await Soak(Path(directory), seed, seconds, nodes).play()
         if keep and not verdict.holds:
             copytree(directory, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
         return verdict
@@ -279,9 +284,10 @@
     # A run that is ended by hand ends its nodes as well.
     signal(SIGTERM, default_int_handler)
     options = dict(argument.removeprefix("--").split("=", 1) for argument in sys.argv[1:])
+    nodes = int(options.get("nodes", NODES))
     failed = 0
     for seed, seconds in chosen_seeds(options):
-        verdict = run(play_seed(seed, seconds, options.get("keep", "")))
+        verdict = run(play_seed(seed, seconds, options.get("keep", ""), nodes))
         failed += not verdict.holds
         print(
             f"seed {seed}: {'held' if verdict.holds else 'BROKEN'}; answers {verdict.statuses}, "
