Start a node of the soak once when two faults end together

A node that two faults had ended was started twice; one process failed to listen, and the other was no longer known to the soak and outlived it.

--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -99,14 +99,9 @@
         place.process.send_signal(SIGKILL)
         await place.process.wait()
         await sleep(fault.seconds / 3.0)
-        await self._start_again(place)
+        await place.start()
         place.set_trouble(began)
 
-    async def _start_again(self, place: Place) -> None:
-        """Starts a node that has ended, unless that was done meanwhile."""
-        if not place.is_running():
-            await place.start()
-
     async def terminate_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
         """Stops a node as an operator does and starts it again."""
         if not place.is_running():
@@ -120,7 +115,7 @@
                 self.violations.append(f"{place.name} still runs after the grace time")
             process.kill()
             await process.wait()
-        await self._start_again(place)
+        await place.start()
 
     async def pause_node(self, place: Place, server: Place, fault: PlannedFault) -> None:
         """Lets a node stand still."""
--- a/tests/soak/mesh_places.py
+++ b/tests/soak/mesh_places.py
@@ -1,7 +1,7 @@
 """Nodes of the soak as processes, each with a backend server, and links that can be broken."""
 
 import sys
-from asyncio import create_subprocess_exec, get_running_loop, sleep, wait_for
+from asyncio import Lock, create_subprocess_exec, get_running_loop, sleep, wait_for
 from asyncio.subprocess import Process
 from pathlib import Path
 
@@ -39,6 +39,7 @@
         # From other nodes to the node, from it to its backend server, and to the store.
         self.links: dict[str, FaultyLink] = {}
         self.process: Process | None = None
+        self.starting = Lock()
         self.left_at: float | None = None
         self.paused = False
         # Times at which the process was killed or stood still, each with its end.
@@ -67,7 +68,13 @@
         return f"127.0.0.1:{self.links[link].port}"
 
     async def start(self) -> None:
-        """Starts the node; its log goes to a file."""
+        """Starts the node unless it runs; its log goes to a file."""
+        # Two faults may end at the same time, and each starts again what it has ended.
+        async with self.starting:
+            if not self.is_running():
+                await self._start()
+
+    async def _start(self) -> None:
         environment = {
             "COLTSFOOTTRACK_CONFIG": str(self.settings_path),
             "COLTSFOOTTRACK_ADVERTISED_ADDRESS": self.address_of("nodes"),
