--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -1,13 +1,25 @@
 """Explanations from decision logs."""
 
+from pathlib import Path
+from re import compile as compile_pattern
 from unittest import TestCase
 
 from orjson import dumps
 
 from coltsfoottrack._internal.decision_log.explanation import explain_request
 from coltsfoottrack._internal.decision_log.lines import DecisionLines, read_lines
+from coltsfoottrack._internal.decision_log.reasons import REASONS
 from coltsfoottrack._internal.decision_log.summary import summarize
 
+MESH = Path(__file__).resolve().parents[2] / "src" / "coltsfoottrack" / "_internal" / "mesh"
+# Where the mesh gives a reason: refusals, results, failures and what follows from them.
+REASON = compile_pattern(
+    r"(?:Refusal\(|RunResult\(\s*RESULT_\w+,|_refuse\(call,|_refuse_unrouted\(request,|_fail\("
+    r"|\.fail\(\w+,|_end_unserved\(call,|_give_up\(call,|refusal = |reason = |_abandon\(call,"
+    r"|backend_gone\(|return)"
+    r' ?"([a-z_]+)"'
+)
+
 
 def line(at: float, node: str, event: str, **fields: object) -> str:
     """Returns a line as a node writes it."""
@@ -159,6 +171,17 @@
         self.assertIn("or its lines were left out", told.verdict)
 
 
+class ReasonsTest(TestCase):
+    """Guards against reasons that an operator is shown as bare names."""
+
+    def test_every_reason_in_the_mesh_is_described(self):
+        found = set()
+        for path in MESH.glob("*.py"):
+            found.update(REASON.findall(path.read_text(encoding="utf-8")))
+        self.assertGreater(len(found), 20)
+        self.assertEqual(found - set(REASONS), set())
+
+
 class SummaryTest(TestCase):
     """Guards against a summary that hides where requests fail or for how long."""
 
