Use what the project has in the soak's tools and read decision logs once

Found in a read of the whole change. mesh_cost read processor time and memory from procfs itself, where process_usage has both; it also left the links of its places open. The soak and the stand-ins took addresses apart in five places (split_address) and wrote the standard routes again (STANDARD). logs explain went over all lines once for each call that it followed, and twice more for what the nodes believed; the lines are sorted into an index once now. Two places of mesh status computed the growth of a counter in two ways.

What nodes run on the platform (mesh/, platform/, deploy/) is untouched.

--- a/src/coltsfoottrack/_internal/cli/commands/mesh/status.py
+++ b/src/coltsfoottrack/_internal/cli/commands/mesh/status.py
@@ -12,6 +12,7 @@
 from coltsfoottrack._internal.cli.mesh_readings import (
     NodeReading,
     RouteRates,
+    growth,
     read_nodes,
     route_rates,
 )
@@ -65,11 +66,11 @@
             continue
         values = second.values
         versions.add(values["configuration_version"])
-        grown = values["requests_total"] - first.values.get("requests_total", 0.0)
+        grown = growth(first.values.get("requests_total", 0.0), values["requests_total"])
         rows.append(
             (
                 second.address,
-                f"{max(0.0, grown) / seconds:.0f}" if not first.problem else "-",
+                f"{grown / seconds:.0f}" if not first.problem else "-",
                 int(values["running"]),
                 int(values["waiting"]),
                 f"{values['level']:.2f}",
--- a/src/coltsfoottrack/_internal/cli/mesh_readings.py
+++ b/src/coltsfoottrack/_internal/cli/mesh_readings.py
@@ -8,8 +8,8 @@
 from urllib3.exceptions import HTTPError
 
 from coltsfoottrack._internal.mesh.metrics import PREFIX
+from coltsfoottrack._internal.mesh_local.names import METRICS_PATH
 
-METRICS_PATH = "/metrics"
 READ_TIMEOUT_SECONDS = 2.0
 # Reason of an answer that is the backend server's own.
 ANSWERED = "answered"
@@ -70,6 +70,11 @@
     return NodeReading(address, values, answers, "")
 
 
+def growth(before: float, after: float) -> float:
+    """Returns by how much a counter has grown; that of a restarted node counts from 0."""
+    return after - before if after >= before else after
+
+
 def route_rates(
     before: list[NodeReading], after: list[NodeReading], seconds: float
 ) -> list[RouteRates]:
@@ -79,9 +84,8 @@
         if first.problem or second.problem:
             continue
         for (route, reason), count in second.answers.items():
-            grown = count - first.answers.get((route, reason), 0.0)
-            # A node that was restarted counts from 0.
-            rates[route][reason] += (grown if grown >= 0.0 else count) / seconds
+            grown = growth(first.answers.get((route, reason), 0.0), count)
+            rates[route][reason] += grown / seconds
     found = []
     for route, reasons in sorted(rates.items()):
         others = {reason: rate for reason, rate in reasons.items() if reason != ANSWERED and rate}
--- a/src/coltsfoottrack/_internal/decision_log/explanation.py
+++ b/src/coltsfoottrack/_internal/decision_log/explanation.py
@@ -1,6 +1,7 @@
 """Finds from decision logs why a request ended as it did."""
 
 from collections.abc import Sequence
+from operator import attrgetter
 from typing import NamedTuple
 
 from coltsfoottrack._internal.decision_log.lines import LogLine
@@ -45,24 +46,39 @@
     lines: list[LogLine]
 
 
-def explain_request(
-    request_id: str, lines: Sequence[LogLine], depth: int = MAX_DEPTH
-) -> Explanation:
+class LineIndex:
+    """The lines of all nodes by what an explanation asks for, each list ordered by time."""
+
+    def __init__(self, lines: Sequence[LogLine]) -> None:
+        self.by_request: dict[str, list[LogLine]] = {}
+        # Identifiers of the calls that a request needed, in the order of their first lines.
+        self.calls: dict[str, dict[str, None]] = {}
+        # What nodes came to believe.
+        self.beliefs: list[LogLine] = []
+        for line in lines:
+            if line.event in CONTEXT_SECONDS:
+                self.beliefs.append(line)
+            if line.request_id:
+                self.by_request.setdefault(line.request_id, []).append(line)
+            parent = line.fields.get("parent")
+            if parent and parent != line.request_id:
+                self.calls.setdefault(parent, {})[line.request_id] = None
+
+
+def explain_request(request_id: str, lines: Sequence[LogLine]) -> Explanation:
     """Explains a request from the lines of all nodes, ordered by time."""
-    own = []
-    call_ids: dict[str, None] = {}
-    for line in lines:
-        if line.request_id == request_id:
-            own.append(line)
-        elif line.fields.get("parent") == request_id:
-            call_ids[line.request_id] = None
+    return _explain(request_id, LineIndex(lines), MAX_DEPTH)
+
+
+def _explain(request_id: str, index: LineIndex, depth: int) -> Explanation:
+    own = index.by_request.get(request_id, [])
     calls = []
     if depth > 0:
-        for call_id in call_ids:
-            calls.append(explain_request(call_id, lines, depth - 1))
+        for call_id in index.calls.get(request_id, ()):
+            calls.append(_explain(call_id, index, depth - 1))
     final = _final_line(own)
     steps = [_step(line) for line in own if line is not final]
-    context = _context(own, final, lines)
+    context = _context(own, final, index.beliefs)
     return Explanation(request_id, _verdict(final, own, calls), steps, context, calls, own)
 
 
@@ -120,7 +136,7 @@
 
 
 def _context(
-    own: Sequence[LogLine], final: LogLine | None, lines: Sequence[LogLine]
+    own: Sequence[LogLine], final: LogLine | None, beliefs: Sequence[LogLine]
 ) -> list[LogLine]:
     """Returns the last word of each kind that a node on the way said shortly before."""
     if not own:
@@ -128,16 +144,12 @@
     end = own[-1].at
     nodes = _nodes_on_the_way(own, final)
     last: dict[tuple[str, str], LogLine] = {}
-    for line in lines:
+    for line in beliefs:
         if line.at > end:
             break
-        if line.at < end - CONTEXT_SECONDS.get(line.event, 0.0):
-            continue
-        if line.event not in CONTEXT_SECONDS:
-            continue
-        if line.node in nodes:
+        if line.node in nodes and line.at >= end - CONTEXT_SECONDS[line.event]:
             last[(line.node, line.event)] = line
-    return sorted(last.values(), key=_time_of)
+    return sorted(last.values(), key=attrgetter("at"))
 
 
 def _nodes_on_the_way(own: Sequence[LogLine], final: LogLine | None) -> set[str]:
@@ -149,7 +161,3 @@
     if final is not None:
         nodes.update(final.fields.get("reported", {}))
     return nodes
-
-
-def _time_of(line: LogLine) -> float:
-    return line.at
--- a/src/coltsfoottrack/_internal/decision_log/lines.py
+++ b/src/coltsfoottrack/_internal/decision_log/lines.py
@@ -1,6 +1,7 @@
 """Lines of decision logs, as the nodes write them to standard output."""
 
 from collections.abc import Iterable
+from operator import attrgetter
 from typing import Any, NamedTuple
 
 from orjson import JSONDecodeError, loads
@@ -73,9 +74,5 @@
             continue
         left_out += int(line.fields.get("left_out_before", 0))
         lines.append(line)
-    lines.sort(key=_time_of)
+    lines.sort(key=attrgetter("at"))
     return DecisionLines(lines, unreadable, left_out)
-
-
-def _time_of(line: LogLine) -> float:
-    return line.at
--- a/src/coltsfoottrack/_internal/decision_log/summary.py
+++ b/src/coltsfoottrack/_internal/decision_log/summary.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Sequence
+from operator import attrgetter
 from typing import NamedTuple
 
 from coltsfoottrack._internal.decision_log.explanation import FINAL_EVENTS
@@ -96,8 +97,4 @@
             periods.append(StatePeriod(*key, open_since.pop(key), line.at))
     for key, began in open_since.items():
         periods.append(StatePeriod(*key, began, None))
-    return sorted(periods, key=_beginning)
-
-
-def _beginning(period: StatePeriod) -> float:
-    return period.began
+    return sorted(periods, key=attrgetter("began"))
--- a/tests/soak/mesh_cost.py
+++ b/tests/soak/mesh_cost.py
@@ -17,17 +17,18 @@
     sleep,
 )
 from asyncio.subprocess import DEVNULL
-from os import sysconf
 from pathlib import Path
 from signal import SIGTERM
 from tempfile import TemporaryDirectory
 
+from coltsfoottrack._internal.experiment.process_usage import cpu_seconds, resident_bytes
+from coltsfoottrack._internal.mesh.sockets import split_address
 from tests.soak.mesh_places import Place
-from tests.standins.mesh import configuration, encode, read_answer
+from tests.soak.shifted_node import PROGRAM
+from tests.standins.mesh import STANDARD, encode, read_answer
 from tests.standins.store import StandInStore
 
-PROGRAM = Path(__file__).resolve().parents[2] / "deploy" / "coltsfoottrack-node.py"
-TICKS_PER_SECOND = sysconf("SC_CLK_TCK")
+MEGABYTE = 1024 * 1024
 REST_SECONDS = 3.0
 WARM_SECONDS = 1.0
 START_SECONDS = 10.0
@@ -35,20 +36,6 @@
 NAMES = ("caller's node", "server's node")
 
 
-def processor_seconds(pid: int) -> float:
-    """Returns the processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
-def memory_megabytes(pid: int) -> float:
-    """Returns the resident memory of a process."""
-    for line in Path(f"/proc/{pid}/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024.0
-    return 0.0
-
-
 class CostMeasurement:
     """One measurement."""
 
@@ -81,11 +68,10 @@
 
     async def first_answer(self, place: Place) -> float:
         """Returns the seconds from now until a node takes its caller's first connection."""
-        host, _, port = place.addresses["outbound"].rpartition(":")
         began = get_running_loop().time()
         while get_running_loop().time() - began < START_SECONDS:
             try:
-                reader, writer = await open_connection(host, int(port))
+                reader, writer = await open_connection(*split_address(place.addresses["outbound"]))
                 writer.write(encode("/read/first", "first"))
                 await read_answer(reader)
                 writer.close()
@@ -96,8 +82,7 @@
 
     async def send(self, place: Place, number: int) -> None:
         """Sends requests on one connection until the time is over."""
-        host, _, port = place.addresses["outbound"].rpartition(":")
-        reader, writer = await open_connection(host, int(port))
+        reader, writer = await open_connection(*split_address(place.addresses["outbound"]))
         count = 0
         while get_running_loop().time() < self.end:
             count += 1
@@ -122,33 +107,25 @@
     async def measure(self, seconds: float, connections: int) -> None:
         """Measures and prints the figures."""
         await self.store.open()
-        self.store.put(
-            "config",
-            "main",
-            configuration(
-                1,
-                read={"pathPrefix": "/read/", "service": "stock"},
-                order={"pathPrefix": "/order/", "service": "stock", "type": "unsafe"},
-            ),
-        )
+        self.store.put("config", "main", STANDARD)
         portal = await self.start("portal")
         first = await self.first_answer(portal)
-        stock = await self.start("stock")
+        await self.start("stock")
         tasks = [create_task(place.report()) for place in self.places]
         await sleep(REST_SECONDS)
-        rest = [memory_megabytes(place.process.pid) for place in self.places]
+        rest = [resident_bytes(place.process.pid) / MEGABYTE for place in self.places]
         await self.load(portal, WARM_SECONDS, connections)
         self.answered = 0
-        before = [processor_seconds(place.process.pid) for place in self.places]
+        before = [cpu_seconds(place.process.pid) for place in self.places]
         await self.load(portal, seconds, connections)
-        after = [processor_seconds(place.process.pid) for place in self.places]
+        after = [cpu_seconds(place.process.pid) for place in self.places]
         for task in tasks:
             task.cancel()
         for place in self.places:
             place.process.send_signal(SIGTERM)
         await gather(*[place.process.wait() for place in self.places])
-        for place in (portal, stock):
-            place.backend.close()
+        for place in self.places:
+            await place.close()
         self.store.close()
         print(f"start to first answer {first:.2f} s; memory at rest {max(rest):.0f} MB")
         print(f"answered {self.answered}, {self.answered / seconds:.0f}/s, failed {self.failed}")
--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from tests.soak.mesh_places import GRACE_SECONDS, Place
-from tests.standins.mesh import configuration
+from tests.standins.mesh import STANDARD
 from tests.standins.store import StandInStore
 
 # Work may reach a leaving server for this long after its leave was acknowledged.
@@ -74,11 +74,7 @@
     def configure(self) -> None:
         """Stores the next version of the configuration."""
         self.version += 1
-        order = {"pathPrefix": "/order/", "service": "stock", "type": "unsafe", "priority": 0}
-        content = configuration(
-            self.version, read={"pathPrefix": "/read/", "service": "stock"}, order=order
-        )
-        self.store.put("config", "main", content)
+        self.store.put("config", "main", {**STANDARD, "version": self.version})
 
     async def play(self, faults: Sequence[PlannedFault]) -> None:
         """Plays all faults at their times."""
--- a/tests/soak/mesh_places.py
+++ b/tests/soak/mesh_places.py
@@ -6,6 +6,8 @@
 from pathlib import Path
 
 from coltsfoottrack._internal.experiment.faults import FaultyLink
+from coltsfoottrack._internal.experiment.fleet import free_ports
+from coltsfoottrack._internal.mesh.sockets import split_address
 from tests.standins.backend import StandInBackend
 from tests.standins.mesh import free_address
 from tests.standins.store import StandInStore
@@ -18,11 +20,6 @@
 AFTERMATH_SECONDS = 1.0
 
 
-def port_of(address: str) -> int:
-    """Returns the port of IP:PORT."""
-    return int(address.rpartition(":")[2])
-
-
 class Place:
     """A node, its settings, the backend server beside it and the links around it."""
 
@@ -49,12 +46,12 @@
         """Opens the backend server and the links, and writes the settings file."""
         await self.backend.open()
         targets = {
-            "nodes": port_of(self.addresses["inbound"]),
+            "nodes": split_address(self.addresses["inbound"])[1],
             "server": self.backend.port,
             "store": self.store.port,
         }
         for name, target in targets.items():
-            self.links[name] = FaultyLink(port_of(free_address()), target)
+            self.links[name] = FaultyLink(free_ports(1)[0], target)
             await self.links[name].start()
         self.set_clock(0.0)
         lines = [f"node={self.name}", "zone=east", f"service={self.backend.service}"]
--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -28,6 +28,7 @@
 from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
+from coltsfoottrack._internal.mesh.sockets import split_address
 from tests.soak.mesh_faults import FaultPlayer, plan_faults
 from tests.soak.mesh_places import Place
 from tests.standins.mesh import Answer, encode, read_answer
@@ -211,8 +212,7 @@
             if not reader.at_eof() and not writer.is_closing():
                 return reader, writer
             writer.transport.abort()
-        host, _, port = place.addresses["outbound"].rpartition(":")
-        return await open_connection(host, int(port))
+        return await open_connection(*split_address(place.addresses["outbound"]))
 
     def put_back(
         self, place: Place, connection: Connection, answer: Answer | None, keeps: bool
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -6,6 +6,7 @@
 from orjson import dumps
 
 from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh.sockets import split_address
 from coltsfoottrack._internal.mesh_local.names import HEADERS as LOCAL_HEADERS
 from coltsfoottrack.platform.names import HEADERS
 from tests.standins.http import HttpServer, Message, read_message
@@ -184,8 +185,7 @@
 
 async def post(node: str, path: str, body: bytes) -> int:
     """Posts to a port of a node; returns the status."""
-    host, _, port = node.rpartition(":")
-    reader, writer = await open_connection(host, int(port))
+    reader, writer = await open_connection(*split_address(node))
     head = f"POST {path} HTTP/1.1\r\nHost: node\r\nContent-Length: {len(body)}\r\n\r\n"
     writer.write(head.encode("ascii") + body)
     line = await reader.readline()
--- a/tests/standins/mesh.py
+++ b/tests/standins/mesh.py
@@ -10,6 +10,7 @@
 from coltsfoottrack._internal.mesh.daemon import MeshNode
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
 from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
+from coltsfoottrack._internal.mesh.sockets import split_address
 from coltsfoottrack.platform.adapter import ADAPTER
 from tests.standins.backend import StandInBackend
 from tests.standins.store import StandInStore
@@ -166,8 +167,7 @@
 
     async def connect(self, node: MeshNode) -> tuple[StreamReader, StreamWriter]:
         """Opens a caller's connection."""
-        host, _, port = node.settings.caller_address.rpartition(":")
-        reader, writer = await open_connection(host, int(port))
+        reader, writer = await open_connection(*split_address(node.settings.caller_address))
         self.writers.append(writer)
         return reader, writer
 
