--- a/tests/soak/mesh_pairs.py
+++ b/tests/soak/mesh_pairs.py
@@ -37,6 +37,7 @@
         self.links: dict[str, FaultyLink] = {}
         self.process: Process | None = None
         self.starting = Lock()
+        self.started_at = 0.0
         self.out_of_service_since: float | None = None
         self.paused = False
         # Periods in which the process was killed or suspended: start, end.
@@ -76,6 +77,7 @@
             "COLTSFOOTTRACK_CONFIG": str(self.settings_path),
             "COLTSFOOTTRACK_ADVERTISED_ADDRESS": self.address_of("nodes"),
         }
+        self.started_at = get_running_loop().time()
         with self.log_path.open("ab") as log:
             self.process = await create_subprocess_exec(
                 sys.executable,
