Let a few nodes follow the store and tell the others

Others subscribe to two of them over the links; a notice each 0.4 s carries version, digest of the members and the age of the sender's knowledge. Who is subscribed to follows the store, so no agreement is needed. Sources that fall silent (0.9 s) or blind (2 s) are replaced by the next of the order; a node whose knowledge is older than 1.2 s without a live source reads the store itself. Change: store_sync.py is replaced by watchers, subscriptions, publisher, distribution, discovery, store_watch, own_record, member_updates and backoff; a member record is written once and on a change of address, service or leave; lists of members allow old data; batches of changes are one log line; the known state is no longer pushed by each peer that connects. Tests: tests/unit/test_mesh_distribution.py, 60 to 196 nodes with the real parts in simulated time: watchers killed, frozen, turned away, all of them; outage and lost history; partition and meeting; power loss; lost records; clock set back.

--- a/src/coltsfoottrack/_internal/experiment/virtual_time.py
+++ b/src/coltsfoottrack/_internal/experiment/virtual_time.py
@@ -1,6 +1,7 @@
 """An event loop with simulated time."""
 
 from asyncio import SelectorEventLoop
+from heapq import heappop
 
 
 class VirtualLoop(SelectorEventLoop):
@@ -15,7 +16,9 @@
         return self.now
 
     def _run_once(self) -> None:
-        if not self._ready:
-            due = [handle._when for handle in self._scheduled if not handle._cancelled]
-            self.now = max(self.now, min(due, default=self.now))
+        while self._scheduled and self._scheduled[0]._cancelled:
+            self._timer_cancelled_count -= 1
+            heappop(self._scheduled)._scheduled = False
+        if not self._ready and self._scheduled:
+            self.now = max(self.now, self._scheduled[0]._when)
         super()._run_once()
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -1,5 +1,6 @@
 """Local view of the members of the mesh, and the choice of a member for a request."""
 
+from hashlib import blake2b
 from random import random
 from typing import NamedTuple
 
@@ -29,6 +30,18 @@
 NOT_ACCEPTING_PENALTY = 10.0
 # A reported load older than this is ignored.
 MAX_LOAD_AGE_SECONDS = 2.0
+# The record of a member that has left is kept for this long, so that an older record of it that
+# arrives late is recognized.
+LEFT_RETENTION_SECONDS = 60.0
+DIGEST_BYTES = 8
+
+
+def record_digest(member: Member) -> int:
+    """Returns a digest of the version of a record, 0 if the member has left."""
+    if member.left:
+        return 0
+    version = f"{member.node} {member.epoch} {member.serial}".encode()
+    return int.from_bytes(blake2b(version, digest_size=DIGEST_BYTES).digest(), "big")
 
 
 class AnswerTime(NamedTuple):
@@ -101,6 +114,10 @@
         self.own = own
         self.peers: dict[str, Peer] = {own.node: Peer(own)}
         self.by_service: dict[str, list[Peer]] = {}
+        # Increases with each change of the set of members that have not left.
+        self.generation = 0
+        # Exclusive or of the digests of all records, to compare the known members of two nodes.
+        self.digest = record_digest(own)
         self._rebuild_index()
 
     def _rebuild_index(self) -> None:
@@ -108,6 +125,37 @@
         for peer in self.peers.values():
             services.setdefault(peer.member.service, []).append(peer)
         self.by_service = services
+        self.generation += 1
+
+    def known_members(self) -> list[Member]:
+        """Returns the records of all members that have not left, this node's own included."""
+        members = []
+        for peer in self.peers.values():
+            if not peer.member.left:
+                members.append(peer.member)
+        return members
+
+    def _replace(self, peer: Peer, member: Member) -> None:
+        """Replaces the record of a member."""
+        self.digest ^= record_digest(peer.member) ^ record_digest(member)
+        if member.left != peer.member.left:
+            self.generation += 1
+        peer.update(member)
+
+    def _delete(self, node: str) -> None:
+        self.digest ^= record_digest(self.peers.pop(node).member)
+
+    def discard_left(self, now: float) -> None:
+        """Forgets the members that left long ago."""
+        removed = False
+        for node, peer in list(self.peers.items()):
+            if node == self.own.node or not peer.member.left:
+                continue
+            if now - peer.updated_at > LEFT_RETENTION_SECONDS:
+                self._delete(node)
+                removed = True
+        if removed:
+            self._rebuild_index()
 
     def put(self, member: Member, direct: bool = False) -> bool:
         """Stores a record if it is newer than the known one; returns whether it was stored.
@@ -118,6 +166,7 @@
         peer = self.peers.get(member.node)
         if peer is None:
             self.peers[member.node] = Peer(member)
+            self.digest ^= record_digest(member)
             self._remove_others_at(member)
             self._rebuild_index()
             return True
@@ -125,7 +174,7 @@
         if not member.is_newer_than(peer.member) and not (direct and is_other_process):
             return False
         moved = member.service != peer.member.service or member.address != peer.member.address
-        peer.update(member)
+        self._replace(peer, member)
         if moved:
             self._remove_others_at(member)
             self._rebuild_index()
@@ -137,18 +186,19 @@
             if name in (member.node, self.own.node):
                 continue
             if peer.member.address == member.address and member.epoch > peer.member.epoch:
-                del self.peers[name]
+                self._delete(name)
 
     def remove(self, node: str) -> None:
-        """Removes a member whose record was deleted."""
-        if node != self.own.node and self.peers.pop(node, None) is not None:
+        """Removes a member at whose address another node has answered."""
+        if node != self.own.node and node in self.peers:
+            self._delete(node)
             self._rebuild_index()
 
     def set_own(self, member: Member) -> None:
         """Replaces the record of this node."""
         moved = member.service != self.own.service
         self.own = member
-        self.peers[member.node].update(member)
+        self._replace(self.peers[member.node], member)
         if moved:
             self._rebuild_index()
 
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -189,6 +189,8 @@
         self.block = block
         self.connections: list[LinkConnection] = []
         self.waiting: list[tuple[LinkCall, bool]] = []
+        # Messages without a reply that wait for a connection.
+        self.waiting_messages: list[Frame] = []
         self.task: Task[None] | None = None
 
     def send(self, call: LinkCall) -> None:
@@ -202,6 +204,11 @@
             self._open()
         self._write(best, call)
 
+    def connect(self) -> None:
+        """Opens a connection if there is none."""
+        if self._least_used() is None:
+            self._open()
+
     def send_message(self, frame: Frame) -> bool:
         """Sends a message without a reply; returns False and connects if there is no connection."""
         connection = self._least_used()
@@ -211,6 +218,11 @@
         connection.send(frame)
         return True
 
+    def send_when_connected(self, frame: Frame) -> None:
+        """Sends a message without a reply, after connecting if there is no connection."""
+        if not self.send_message(frame):
+            self.waiting_messages.append(frame)
+
     def _least_used(self) -> LinkConnection | None:
         best: LinkConnection | None = None
         for connection in self.connections:
@@ -247,6 +259,10 @@
             return
         self.task = None
         self.connections.append(connection)
+        messages = self.waiting_messages
+        self.waiting_messages = []
+        for frame in messages:
+            connection.send(frame)
         waiting = self.waiting
         self.waiting = []
         for call, resent in waiting:
@@ -262,6 +278,7 @@
         reason = "connection_refused" if refused else "connect_timeout"
         if not self._least_used():
             self.block(self.member.node, SILENT_BLOCK_SECONDS if not refused else 0.5)
+        self.waiting_messages = []
         waiting = self.waiting
         self.waiting = []
         now = current_time()
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -12,11 +12,12 @@
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.distribution import Distribution
 from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT, ReportedLevels
 from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink, ReplyHandler
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
-from coltsfoottrack._internal.mesh.records import from_record, to_record
+from coltsfoottrack._internal.mesh.records import to_record
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
@@ -24,8 +25,6 @@
     RESULT_NOT_RUN,
     Cancel,
     Claim,
-    Configuration,
-    FetchConfiguration,
     Frame,
     Grant,
     Hello,
@@ -39,10 +38,6 @@
 OTHER_PROCESS = "other_process"
 # Reason of a call without a reply because the process to which it was sent was replaced.
 NODE_RESTARTED = "node_restarted"
-# Maximum number of members sent to a node that has no configuration.
-MAX_MEMBERS_SENT = 2000
-# Grace period for the store to deliver a newer configuration before a peer is asked for it.
-CONFIGURATION_GRACE_SECONDS = 0.25
 # A route counts as a dependency of another for this long after the last call.
 CALLED_ROUTE_SECONDS = 10.0
 
@@ -57,6 +52,7 @@
         parent_requests: ParentRequests,
         levels: ReportedLevels,
         active_configuration: ActiveConfiguration,
+        distribution: Distribution,
         log: DecisionLog,
     ) -> None:
         self.directory = directory
@@ -64,8 +60,11 @@
         self.parent_requests = parent_requests
         self.levels = levels
         self.active_configuration = active_configuration
+        self.distribution = distribution
         self.log = log
         self.peer_links: dict[str, PeerLink] = {}
+        # Links to addresses whose nodes are not known yet.
+        self.contacts: dict[str, PeerLink] = {}
         self.accepted: set[LinkConnection] = set()
         self.server: Server | None = None
         self.process = getrandbits(PROCESS_BITS)
@@ -75,9 +74,6 @@
         self.reported_suspects: dict[tuple[str, int, bytes], int] = {}
         # Unanswered calls received, by connection.
         self.calls_by_connection: dict[LinkConnection, set[CallKey]] = {}
-        # Since when a peer is known to have a configuration newer than behind_version.
-        self.behind_since: float | None = None
-        self.behind_version = 0
         self.handlers = {
             "request": self._handle_request,
             "reply": self._handle_reply,
@@ -85,10 +81,8 @@
             "claim": self._handle_claim,
             "grant": self._handle_grant,
             "hello": self._handle_hello,
-            "member": self._handle_member,
             "suspect": self._handle_suspect,
-            "fetch_configuration": self._handle_fetch_configuration,
-            "configuration": self._handle_configuration,
+            **distribution.handlers,
         }
 
     async def open(self, address: str) -> None:
@@ -102,6 +96,20 @@
         """Sends a call to a member."""
         self._peer(member).send(call)
 
+    def send_message(self, member: Member, frame: Frame) -> None:
+        """Sends a message without a reply to a member, after connecting if needed."""
+        self._peer(member).send_when_connected(frame)
+
+    def contact(self, address: str) -> None:
+        """Connects to a node of which only the address is known; its first message names it."""
+        if address == self.directory.own.address:
+            return
+        peer = self.contacts.get(address)
+        if peer is None:
+            unknown = Member(node="", address=address, failure_domain="", service="")
+            peer = self.contacts[address] = PeerLink(unknown, self, lambda node, seconds: None)
+        peer.connect()
+
     def _peer(self, member: Member) -> PeerLink:
         peer = self.peer_links.get(member.node)
         if peer is None or peer.member.address != member.address:
@@ -114,6 +122,7 @@
         known = self.directory.peers.get(node)
         if known is not None:
             known.block(seconds)
+        self.distribution.subscriptions.handle_unreachable(node)
         self.log.decision("peer_unreachable", peer=node, not_chosen_for_s=seconds)
 
     def run_locally(self, message: Request, handler: ReplyHandler) -> None:
@@ -185,6 +194,7 @@
 
     def handle_link_lost(self, connection: LinkConnection) -> None:
         """Handles a lost connection; calls received on an accepted one become orphans."""
+        self.distribution.subscriptions.handle_connection_lost(connection)
         if connection.peer is not None:
             connection.peer.handle_lost(connection, silent=False)
             return
@@ -196,7 +206,7 @@
                 call.orphaned_at = now
 
     def _handle_request(self, connection: LinkConnection, message: Request) -> None:
-        self._compare_version(connection, message.configuration_version)
+        self.distribution.compare_version(connection, message.configuration_version)
         key = CallKey(connection.node, connection.process, message.number)
         if message.epoch and message.epoch not in self.epochs:
             reply = Reply(
@@ -231,7 +241,7 @@
         self.runner.grant(key, message.granted)
 
     def _handle_reply(self, connection: LinkConnection, message: Reply) -> None:
-        self._compare_version(connection, message.configuration_version)
+        self.distribution.compare_version(connection, message.configuration_version)
         call = connection.calls.pop(message.number, None)
         if call is None:
             return
@@ -250,86 +260,18 @@
         member = connection.member
         if connection.peer is None:
             self.accepted.add(connection)
-        elif member.node != connection.peer.member.node:
+        elif connection.peer.member.node and member.node != connection.peer.member.node:
             # The address now belongs to another node.
             self.directory.remove(connection.peer.member.node)
             connection.transport.abort()
-        self._update_member(member, direct=True)
-        for record in message.members:
-            self._update_member(from_record(record))
-        if message.configuration:
-            self.active_configuration.apply_if_newer(message.configuration, f"peer {member.node}")
-        if (
-            not message.configuration_version
-            and self.active_configuration.version
-            and not message.members
-        ):
-            self._send_known_state(connection)
-        self._compare_version(connection, message.configuration_version)
-
-    def _send_known_state(self, connection: LinkConnection) -> None:
-        """Sends the known state to a node that has none, as the store may be unavailable."""
-        hello = self.hello()
-        for peer in list(self.directory.peers.values())[:MAX_MEMBERS_SENT]:
-            hello.members.append(to_record(peer.member))
-        hello.configuration = self.active_configuration.content
-        connection.send(Frame(hello=hello))
-
-    def _update_member(self, member: Member, direct: bool = False) -> None:
-        if member.node == self.directory.own.node:
-            return
-        if self.directory.put(member, direct):
-            self.log.decision(
-                "member_learned",
-                member=member.node,
-                backend=member.backend,
-                accepting=member.accepting,
-                epoch=member.epoch,
-                serial=member.serial,
-                source="link",
-            )
-
-    def _handle_member(self, connection: LinkConnection, message: Any) -> None:
-        self._update_member(from_record(message), direct=True)
+        self.distribution.members.learn((member,), "hello", direct=True)
+        self.distribution.compare_version(connection, message.configuration_version)
 
     def _handle_suspect(self, connection: LinkConnection, message: Suspect) -> None:
         self.runner.crash_watch.suspects.merge(
             SuspectReport(message.digest, message.crashes, message.age_ms)
         )
 
-    def _handle_fetch_configuration(self, connection: LinkConnection, message: Any) -> None:
-        connection.send(
-            Frame(
-                configuration=Configuration(
-                    version=self.active_configuration.version,
-                    content=self.active_configuration.content,
-                )
-            )
-        )
-
-    def _handle_configuration(self, connection: LinkConnection, message: Configuration) -> None:
-        if message.content:
-            self.active_configuration.apply_if_newer(message.content, f"peer {connection.node}")
-
-    def _compare_version(self, connection: LinkConnection, version: int) -> None:
-        """Asks a peer for its newer configuration if the store has not delivered it in time.
-
-        A peer that is behind as well does not reset the time for which this node has been behind.
-        """
-        if version <= self.active_configuration.version:
-            return
-        now = current_time()
-        if self.behind_since is None or self.active_configuration.version != self.behind_version:
-            self.behind_since = now
-            self.behind_version = self.active_configuration.version
-        elif now - self.behind_since > CONFIGURATION_GRACE_SECONDS:
-            self.behind_since = now
-            connection.send(Frame(fetch_configuration=FetchConfiguration()))
-
-    def announce(self) -> None:
-        """Sends the member record of this node to all connected peers."""
-        self._broadcast(Frame(member=to_record(self.directory.own)))
-
     def broadcast_suspects(self) -> None:
         """Sends requests suspected of crashing a backend server to all nodes of the service.
 
@@ -360,17 +302,6 @@
         if self._peer(member).send_message(frame):
             self.reported_suspects[key] = report.crashes
 
-    def _broadcast(self, frame: Frame) -> None:
-        sent_to: set[str] = set()
-        connections = list(self.accepted)
-        for peer in self.peer_links.values():
-            connections.extend(peer.connections)
-        for connection in connections:
-            if connection.node in sent_to or not connection.is_open():
-                continue
-            sent_to.add(connection.node)
-            connection.send(frame)
-
     def tick(self, now: float) -> None:
         """Closes silent and unused connections."""
         for peer in list(self.peer_links.values()):
@@ -380,7 +311,7 @@
         """Closes all links."""
         if self.server is not None:
             self.server.close()
-        for peer in self.peer_links.values():
+        for peer in (*self.peer_links.values(), *self.contacts.values()):
             peer.close()
         for connection in list(self.accepted):
             connection.transport.close()
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -0,0 +1,61 @@
+"""Applies member records that this node receives and passes them on to its subscribers."""
+
+from collections.abc import Callable, Iterable
+
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.model import Member
+
+# Changes that arrive together are logged one by one up to this number, and as one line beyond it.
+MAX_SINGLE_LINES = 3
+
+
+class MemberUpdates:
+    """The one way by which records of other nodes enter the directory."""
+
+    def __init__(self, directory: Directory, log: DecisionLog) -> None:
+        self.directory = directory
+        self.log = log
+        # Called with each record that was new here.
+        self.on_learned: Callable[[Member], None] = lambda member: None
+        # Called with each record of this node itself.
+        self.on_own_record: Callable[[Member], None] = lambda member: None
+
+    def learn(self, members: Iterable[Member], source: str, direct: bool = False) -> None:
+        """Stores the records that are newer than the known ones.
+
+        ``direct`` states that the record comes from the node that it describes.
+        """
+        learned = []
+        for member in members:
+            if member.node == self.directory.own.node:
+                self.on_own_record(member)
+                continue
+            if not self.directory.put(member, direct):
+                continue
+            learned.append(member)
+            self.on_learned(member)
+        if len(learned) > MAX_SINGLE_LINES:
+            left = [member.node for member in learned if member.left]
+            self.log.decision("members_learned", members=len(learned), left=left, source=source)
+            return
+        for member in learned:
+            self.log.decision(
+                "member_learned",
+                member=member.node,
+                backend=member.backend,
+                accepting=member.accepting,
+                left=member.left,
+                epoch=member.epoch,
+                serial=member.serial,
+                source=source,
+            )
+
+    def remove(self, record: Member, source: str) -> None:
+        """Marks a member as left whose stored record was deleted, unless its process was newer."""
+        known = self.directory.peers.get(record.node)
+        if known is None or record.node == self.directory.own.node:
+            return
+        if known.member.left or known.member.epoch != record.epoch:
+            return
+        self.learn([known.member._replace(left=True, serial=known.member.serial + 1)], source)
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -129,3 +129,7 @@
     grace_seconds: float
     retries: RetryBounds
     memory_bytes: int
+    # Link addresses of nodes that may be reachable; used while no other node is known.
+    seed_addresses: tuple[str, ...] = ()
+    # All nodes of the mesh start at about the same time, with nothing stored by earlier ones.
+    first_start: bool = False
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/store.py
@@ -0,0 +1,57 @@
+"""Interface to the platform's store, as a node uses it."""
+
+from typing import NamedTuple
+from typing import Protocol as Interface
+
+from coltsfoottrack._internal.mesh.model import Member
+
+
+class ConfigurationChange(NamedTuple):
+    """The configuration object, or None if it did not change, and the revision to continue from."""
+
+    content: bytes | None
+    revision: int
+
+
+class MemberChange(NamedTuple):
+    """A stored member record; ``member`` is None if it is unreadable or no longer known."""
+
+    node: str
+    member: Member | None
+    revision: int
+    deleted: bool
+
+
+class MemberChanges(NamedTuple):
+    """Changed records and the revision to continue from."""
+
+    changes: list[MemberChange]
+    revision: int
+
+
+class Store(Interface):
+    """The store's calls used by a node. All raise StoreError."""
+
+    async def read_configuration(self) -> ConfigurationChange:
+        """Returns the newest configuration."""
+
+    async def watch_configuration(self, revision: int) -> ConfigurationChange:
+        """Waits for a change. Raises StoreHistoryLostError."""
+
+    async def list_members(self) -> MemberChanges:
+        """Returns all member records; they may be seconds old."""
+
+    async def watch_members(self, revision: int) -> MemberChanges:
+        """Waits for changes, which may arrive seconds late. Raises StoreHistoryLostError."""
+
+    async def read_member(self, node: str) -> MemberChange | None:
+        """Returns the newest record of a node, None if there is none."""
+
+    async def create_member(self, member: Member) -> int:
+        """Stores a new record and returns its revision. Raises StoreConflictError."""
+
+    async def replace_member(self, member: Member, revision: int) -> int:
+        """Replaces a record and returns its new revision. Raises StoreConflictError."""
+
+    async def delete_member(self, node: str, revision: int) -> None:
+        """Removes a record. Raises StoreConflictError."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -0,0 +1,150 @@
+"""Follows configuration and members in the store while this node has to."""
+
+from asyncio import Task, get_running_loop, sleep
+from collections.abc import Callable, Coroutine
+from random import uniform
+from typing import Any
+
+from coltsfoottrack._internal.mesh.backoff import (
+    MAX_PAUSE_SECONDS,
+    MIN_PAUSE_SECONDS,
+    Backoff,
+)
+from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.exceptions import StoreError, StoreHistoryLostError
+from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
+from coltsfoottrack._internal.mesh.store import MemberChange, Store
+
+# Each answer of a watch costs one call; the pause lets one answer collect the changes of this time.
+# Changes also pass between the nodes, so they need not be read at once.
+MEMBER_PAUSE_SECONDS = 1.0
+
+
+class StoreWatch:
+    """The watches of configuration and members; idle unless started."""
+
+    def __init__(
+        self,
+        store: Store,
+        active_configuration: ActiveConfiguration,
+        members: MemberUpdates,
+        log: DecisionLog,
+    ) -> None:
+        self.store = store
+        self.active_configuration = active_configuration
+        self.members = members
+        self.log = log
+        self.tasks: list[Task[None]] = []
+        # Whether the last call for the configuration succeeded, and when a call last did.
+        self.following = False
+        self.confirmed_at: float | None = None
+        # Called when the store has confirmed the configuration again.
+        self.on_confirmed: Callable[[], None] = lambda: None
+
+    @property
+    def started(self) -> bool:
+        """Whether this node follows the store, or tries to."""
+        return bool(self.tasks)
+
+    def start(self) -> None:
+        """Starts following the store."""
+        if not self.tasks:
+            self.log.decision("store_watch_started")
+            self._start(self._follow_configuration())
+            self._start(self._follow_members())
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(get_running_loop().create_task(work))
+
+    def stop(self) -> None:
+        """Stops following the store."""
+        if not self.tasks:
+            return
+        self.log.decision("store_watch_stopped")
+        for task in self.tasks:
+            task.cancel()
+        self.tasks = []
+        if self.following:
+            self.confirmed_at = current_time()
+        self.following = False
+
+    def last_confirmed(self, now: float) -> float | None:
+        """Returns the time up to which the store has confirmed the configuration, None if never."""
+        return now if self.following else self.confirmed_at
+
+    async def _follow_configuration(self) -> None:
+        revision: int | None = None
+        backoff = Backoff("configuration", self.log)
+        while True:
+            try:
+                if revision is None:
+                    change = await self.store.read_configuration()
+                else:
+                    change = await self.store.watch_configuration(revision)
+            except StoreHistoryLostError:
+                self._set_following(False)
+                revision = None
+                continue
+            except StoreError as error:
+                self._set_following(False)
+                await sleep(backoff.record_failure(error))
+                # A read tells at once whether the store is back; a watch may wait for a change.
+                revision = None
+                continue
+            backoff.record_success()
+            if change.content is not None:
+                self.active_configuration.apply_if_newer(
+                    change.content, f"store revision {change.revision}"
+                )
+            self._set_following(True)
+            if change.content is None and revision is None:
+                # No configuration is stored yet.
+                await sleep(uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS))
+                continue
+            revision = change.revision
+
+    def _set_following(self, following: bool) -> None:
+        if self.following and not following:
+            self.confirmed_at = current_time()
+        regained = following and not self.following
+        self.following = following
+        if regained:
+            self.on_confirmed()
+
+    async def _follow_members(self) -> None:
+        revision: int | None = None
+        backoff = Backoff("members", self.log)
+        while True:
+            try:
+                if revision is None:
+                    found = await self.store.list_members()
+                else:
+                    found = await self.store.watch_members(revision)
+            except StoreHistoryLostError:
+                revision = None
+                continue
+            except StoreError as error:
+                await sleep(backoff.record_failure(error))
+                continue
+            backoff.record_success()
+            revision = found.revision
+            apply_member_changes(self.members, found.changes, f"store revision {revision}")
+            if found.changes:
+                await sleep(MEMBER_PAUSE_SECONDS)
+
+
+def apply_member_changes(members: MemberUpdates, changes: list[MemberChange], source: str) -> None:
+    """Applies member records that were read from the store."""
+    learned = []
+    for change in changes:
+        if change.member is None:
+            if not change.deleted:
+                members.log.decision("member_unreadable", member=change.node, source=source)
+            continue
+        if change.deleted:
+            members.remove(change.member, source)
+            continue
+        learned.append(change.member)
+    members.learn(learned, source)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -0,0 +1,288 @@
+"""Keeps this node informed: subscribes to watchers and decides when it must look itself.
+
+A node subscribes to a few watchers. Each notice carries the time since the store last confirmed
+what its sender knows, so that "nothing new" differs from "nobody looks". A node whose sources fall
+silent or do not reach the store turns to the next watchers, and reads the store itself once its own
+knowledge is too old.
+"""
+
+from collections.abc import Callable
+from random import uniform
+
+from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.decisions import DecisionLog
+from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.link import LinkConnection
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.publisher import Publisher
+from coltsfoottrack._internal.mesh.records import to_record
+from coltsfoottrack._internal.mesh.store_watch import StoreWatch
+from coltsfoottrack._internal.mesh.watchers import (
+    SOURCES,
+    WATCHER_SOURCES,
+    choose_sources,
+    is_watcher,
+    watcher_order,
+)
+from coltsfoottrack._internal.schema.links_pb2 import Frame, Members, Notice, Subscribe, Unsubscribe
+
+# A source that sends no notice for this long counts as lost; more than two notice intervals.
+SILENT_SECONDS = 0.9
+# A lost source is not chosen again for this long.
+AVOID_SECONDS = 5.0
+RENEW_SECONDS = 5.0
+# How often a node checks that it uses the watchers that all nodes prefer.
+REVIEW_SECONDS = 3.0
+# A source whose knowledge is older than this does not reach the store.
+BLIND_SECONDS = 2.0
+# Pause between two changes of sources that do not reach the store.
+BLIND_REPLACE_SECONDS = 1.0
+# Without a source, a node looks itself once its knowledge is older than this. A configuration must
+# be in force within 2 s on the platform's strictest deployments.
+MAX_AGE_SECONDS = 1.2
+# With sources that do not reach the store, it leaves them time to find one that does.
+MAX_AGE_WITH_SOURCES_SECONDS = 4.0
+# Random parts of the two, so that not all nodes look at the same time.
+AGE_JITTER_SECONDS = 0.3
+AGE_WITH_SOURCES_JITTER_SECONDS = 2.0
+# A node follows the store for at least this long after the last reason to do so.
+KEEP_WATCHING_SECONDS = 5.0
+# Members that differ from those of a source for this long are exchanged.
+DIFFERENCE_SECONDS = 3.0
+
+
+class Source:
+    """A watcher to which this node has subscribed."""
+
+    def __init__(self, member: Member, now: float) -> None:
+        self.member = member
+        self.subscribed_at = now
+        self.renewed_at = now
+        # Time of the last notice, or of the subscription if there was none.
+        self.heard_at = now
+        # Connection on which notices arrive, None before the first one.
+        self.connection: LinkConnection | None = None
+        # Up to when the store has confirmed the source's knowledge, None if never.
+        self.confirmed_at: float | None = None
+        self.differs_since: float | None = None
+
+
+class Subscriptions:
+    """The sources of this node, and whether it has to follow the store itself."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        publisher: Publisher,
+        watch: StoreWatch,
+        log: DecisionLog,
+        first_look_seconds: float,
+    ) -> None:
+        self.directory = directory
+        self.publisher = publisher
+        self.watch = watch
+        self.log = log
+        self.sources: dict[str, Source] = {}
+        # Until when a lost member is not chosen, by node.
+        self.avoided: dict[str, float] = {}
+        # Latest time up to which the store has confirmed what any source knew.
+        self.heard_confirmed = current_time() + first_look_seconds
+        self.reviewed_at = 0.0
+        self.replaced_at = 0.0
+        self.last_reason_at = 0.0
+        self.directory_generation = -1
+        self.order: list[Member] = []
+        self.wanted_sources = SOURCES
+        self.jitter = uniform(0.0, 1.0)
+        # Whether other nodes were looked for, so that knowing none means being alone.
+        self.searched = False
+        # Sends a message to a member, connecting first if there is no connection.
+        self.send: Callable[[Member, Frame], None] = lambda member, frame: None
+
+    def age(self, now: float) -> float:
+        """Returns the time since the store confirmed what this node knows, in seconds."""
+        confirmed = self.heard_confirmed
+        own = self.watch.last_confirmed(now)
+        if own is not None and own > confirmed:
+            confirmed = own
+        return max(0.0, now - confirmed)
+
+    def is_informed(self, now: float) -> bool:
+        """Returns whether this node follows the store or hears from a node that does."""
+        return self.watch.following or bool(self._live_sources(now))
+
+    def _live_sources(self, now: float) -> list[Source]:
+        live = []
+        for source in self.sources.values():
+            if source.connection is not None and now - source.heard_at < SILENT_SECONDS:
+                live.append(source)
+        return live
+
+    def handle_subscribe(self, connection: LinkConnection, all_members: bool, now: float) -> None:
+        """Adds a subscriber; this node follows the store from then on."""
+        self.publisher.subscribe(connection, all_members, now)
+        self._update_watch(now)
+
+    def handle_notice(self, connection: LinkConnection, notice: Notice, now: float) -> None:
+        """Records what a source has confirmed."""
+        source = self.sources.get(connection.node)
+        if source is None:
+            connection.send(Frame(unsubscribe=Unsubscribe()))
+            return
+        source.connection = connection
+        source.heard_at = now
+        confirmed = now - notice.age_ms / 1000.0
+        if source.confirmed_at is None or confirmed > source.confirmed_at:
+            source.confirmed_at = confirmed
+        self.heard_confirmed = max(self.heard_confirmed, confirmed)
+        self._compare_members(source, notice.members_digest, now)
+
+    def _compare_members(self, source: Source, digest: int, now: float) -> None:
+        """Exchanges all records with a source if the known members differ for too long."""
+        if digest == self.directory.digest:
+            source.differs_since = None
+            return
+        if source.differs_since is None:
+            source.differs_since = now
+        elif now - source.differs_since > DIFFERENCE_SECONDS:
+            source.differs_since = now
+            records = [to_record(member) for member in self.directory.known_members()]
+            source.connection.send(Frame(members=Members(members=records)))
+            source.connection.send(self._subscribe(all_members=True))
+            self.log.decision("members_exchanged", source=source.member.node, sent=len(records))
+
+    def _subscribe(self, all_members: bool) -> Frame:
+        return Frame(
+            subscribe=Subscribe(member=to_record(self.directory.own), all_members=all_members)
+        )
+
+    def announce(self) -> None:
+        """Sends the record of this node to its sources and subscribers."""
+        self.publisher.add_changed(self.directory.own)
+        for source in self.sources.values():
+            if source.connection is not None and source.connection.is_open():
+                source.connection.send(Frame(member=to_record(self.directory.own)))
+        self.publisher.publish()
+
+    def handle_connection_lost(self, connection: LinkConnection) -> None:
+        """Replaces a source whose connection was lost."""
+        self.publisher.unsubscribe(connection)
+        source = self.sources.get(connection.node)
+        if source is not None and source.connection is connection:
+            self._drop(source, "connection_lost")
+
+    def handle_unreachable(self, node: str) -> None:
+        """Replaces a source that cannot be reached."""
+        source = self.sources.get(node)
+        if source is not None and source.connection is None:
+            self._drop(source, "unreachable")
+
+    def _drop(self, source: Source, reason: str) -> None:
+        now = current_time()
+        del self.sources[source.member.node]
+        self.avoided[source.member.node] = now + AVOID_SECONDS
+        self.log.decision("source_lost", source=source.member.node, reason=reason)
+        self._subscribe_missing(now)
+
+    def tick(self, now: float) -> None:
+        """Replaces lost sources, sends due notices, starts and stops following the store."""
+        for node, until in list(self.avoided.items()):
+            if now > until:
+                del self.avoided[node]
+        for source in list(self.sources.values()):
+            if now - source.heard_at > SILENT_SECONDS:
+                self._drop(source, "silent")
+            elif now - source.renewed_at > RENEW_SECONDS and source.connection is not None:
+                source.renewed_at = now
+                source.connection.send(self._subscribe(all_members=False))
+        self._replace_blind(now)
+        if now - self.reviewed_at > REVIEW_SECONDS:
+            self._review(now)
+        self._subscribe_missing(now)
+        self._update_watch(now)
+        self.publisher.tick(now)
+
+    def _candidates(self) -> list[Member]:
+        if self.directory_generation != self.directory.generation:
+            self.directory_generation = self.directory.generation
+            self.order = watcher_order(self.directory.known_members())
+            watches = is_watcher(self.directory.own, self.order)
+            self.wanted_sources = WATCHER_SOURCES if watches else SOURCES
+        return self.order
+
+    def _subscribe_missing(self, now: float) -> None:
+        order = self._candidates()
+        missing = self.wanted_sources - len(self.sources)
+        if missing <= 0:
+            return
+        excluded = self.avoided.keys() | self.sources.keys()
+        for member in choose_sources(self.directory.own, order, excluded, missing):
+            self._add(member, now)
+
+    def _add(self, member: Member, now: float) -> None:
+        self.sources[member.node] = Source(member, now)
+        self.send(member, self._subscribe(all_members=True))
+
+    def _replace_blind(self, now: float) -> None:
+        """Replaces a source that does not reach the store, if there is another one to try."""
+        if now - self.replaced_at < BLIND_REPLACE_SECONDS:
+            return
+        for source in self.sources.values():
+            reference = source.confirmed_at
+            if reference is None:
+                reference = source.subscribed_at
+            if now - reference < BLIND_SECONDS or now - source.subscribed_at < BLIND_SECONDS:
+                continue
+            excluded = self.avoided.keys() | self.sources.keys()
+            found = choose_sources(self.directory.own, self._candidates(), excluded, 1)
+            if found:
+                self.replaced_at = now
+                self._unsubscribe(source)
+                self.avoided[source.member.node] = now + AVOID_SECONDS
+                self.log.decision(
+                    "source_replaced",
+                    source=source.member.node,
+                    age_ms=int((now - reference) * 1000.0),
+                    replacement=found[0].node,
+                )
+                self._add(found[0], now)
+            return
+
+    def _unsubscribe(self, source: Source) -> None:
+        del self.sources[source.member.node]
+        if source.connection is not None:
+            source.connection.send(Frame(unsubscribe=Unsubscribe()))
+
+    def _review(self, now: float) -> None:
+        """Moves to the preferred watchers, one source at a time."""
+        self.reviewed_at = now
+        own = self.directory.own
+        order = self._candidates()
+        preferred = choose_sources(own, order, self.avoided.keys(), self.wanted_sources)
+        names = {member.node for member in preferred}
+        missing = [member for member in preferred if member.node not in self.sources]
+        for source in list(self.sources.values()):
+            if source.member.node not in names and missing:
+                self._unsubscribe(source)
+                self._add(missing[0], now)
+                return
+
+    def _update_watch(self, now: float) -> None:
+        if self._must_watch(now):
+            self.last_reason_at = now
+            self.watch.start()
+        elif self.watch.started and now - self.last_reason_at > KEEP_WATCHING_SECONDS:
+            self.watch.stop()
+
+    def _must_watch(self, now: float) -> bool:
+        if self.publisher.subscribers:
+            return True
+        is_alone = not self.sources and not self.avoided
+        if is_alone and self.searched:
+            return True
+        age = self.age(now)
+        if self._live_sources(now):
+            limit = MAX_AGE_WITH_SOURCES_SECONDS + AGE_WITH_SOURCES_JITTER_SECONDS * self.jitter
+        else:
+            limit = MAX_AGE_SECONDS + AGE_JITTER_SECONDS * self.jitter
+        return age > limit
--- a/src/coltsfoottrack/_internal/mesh_local/directory_store.py
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -12,7 +12,7 @@
 from coltsfoottrack._internal.mesh.exceptions import StoreConflictError, StoreError
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import from_record, to_record
-from coltsfoottrack._internal.mesh.store_sync import (
+from coltsfoottrack._internal.mesh.store import (
     ConfigurationChange,
     MemberChange,
     MemberChanges,
--- a/src/coltsfoottrack/platform/settings.py
+++ b/src/coltsfoottrack/platform/settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
+from coltsfoottrack._internal.mesh.sockets import split_address
 from coltsfoottrack.platform.names import (
     ADVERTISED_ADDRESS_VARIABLE,
     METRICS_PORT_VARIABLE,
@@ -59,8 +60,24 @@
                 window_seconds=float(bounds.get("budgetWindowS", "10")),
             ),
             memory_bytes=int(float(fields.get("limits.memoryMb", "300"))) * BYTES_PER_MB,
+            seed_addresses=_seed_addresses(fields),
+            first_start=fields.get("bootstrap") == "true",
         )
     except KeyError as error:
         raise ValueError(f"settings: field {error.args[0]} is missing") from error
     except ValueError as error:
         raise ValueError(f"settings: {error}") from error
+
+
+def _seed_addresses(fields: dict[str, str]) -> tuple[str, ...]:
+    """Returns the link addresses of the seeds, which the platform names by their report port.
+
+    All instances use the same ports.
+    """
+    link_port = split_address(fields["listen.inbound"])[1]
+    addresses = []
+    for seed in fields.get("seeds", "").split(","):
+        host = seed.strip().rpartition(":")[0]
+        if host:
+            addresses.append(f"{host}:{link_port}")
+    return tuple(addresses)
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+from random import randint
 from typing import Any
 
 from orjson import JSONDecodeError, dumps, loads
@@ -10,7 +11,7 @@
     StoreHistoryLostError,
 )
 from coltsfoottrack._internal.mesh.model import Member
-from coltsfoottrack._internal.mesh.store_sync import (
+from coltsfoottrack._internal.mesh.store import (
     ConfigurationChange,
     MemberChange,
     MemberChanges,
@@ -26,11 +27,14 @@
 )
 
 REQUEST_TIMEOUT_SECONDS = 1.5
-# Longest wait of one configuration watch. It bounds the time after which a watch that the store no
-# longer serves is detected: the platform limits how late a change may be applied after an outage.
-CONFIGURATION_WATCH_MS = 6_000
+# Wait of one configuration watch, random between these bounds. The store may forget a watch in an
+# outage; as the watches of several nodes end at different times, one of them soon finds the change.
+MIN_CONFIGURATION_WATCH_MS = 6_000
+MAX_CONFIGURATION_WATCH_MS = 12_000
 # Nodes also announce member changes to each other, so a lost watch may be detected later here.
-MEMBER_WATCH_MS = 15_000
+MEMBER_WATCH_MS = 20_000
+# Reads that may be seconds old cost the platform less and do not count towards its rate limit.
+STALE_READ = "allowStale=1"
 JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
 NOT_FOUND = 404
 CONFLICT = 409
@@ -75,7 +79,8 @@
 
     async def watch_configuration(self, revision: int) -> ConfigurationChange:
         """Waits for a newer configuration; its content is None if none arrived in time."""
-        page = await self._watch(CONFIGURATION_KIND, revision, CONFIGURATION_WATCH_MS)
+        wait_ms = randint(MIN_CONFIGURATION_WATCH_MS, MAX_CONFIGURATION_WATCH_MS)
+        page = await self._watch(f"{CONFIGURATION_KIND}?watch={revision}", wait_ms)
         content = None
         for event in _field(page, "events"):
             item = _field(event, "object")
@@ -85,15 +90,15 @@
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
-    async def _watch(self, kind: str, revision: int, wait_ms: int) -> Any:
-        path = f"{kind}?watch={revision}&waitMs={wait_ms}"
-        _, page = await self._call("GET", path, seconds=REQUEST_TIMEOUT_SECONDS + wait_ms / 1000.0)
+    async def _watch(self, path: str, wait_ms: int) -> Any:
+        seconds = REQUEST_TIMEOUT_SECONDS + wait_ms / 1000.0
+        _, page = await self._call("GET", f"{path}&waitMs={wait_ms}", seconds=seconds)
         return page
 
     async def list_members(self) -> MemberChanges:
-        """Returns the member records of all pages."""
+        """Returns the member records of all pages, which may be seconds old."""
         changes: list[MemberChange] = []
-        path = MEMBER_KIND
+        path = f"{MEMBER_KIND}?{STALE_READ}"
         revision = None
         while True:
             _, page = await self._call("GET", path)
@@ -103,11 +108,12 @@
                 changes.append(_member_change(item, False))
             if not page.get("hasMore") or not changes:
                 return MemberChanges(changes, revision)
-            path = f"{MEMBER_KIND}?after={changes[-1].node}"
+            path = f"{MEMBER_KIND}?{STALE_READ}&after={changes[-1].node}"
 
     async def watch_members(self, revision: int) -> MemberChanges:
         """Waits for changed records; returns none if there were no changes in time."""
-        page = await self._watch(MEMBER_KIND, revision, MEMBER_WATCH_MS)
+        path = f"{MEMBER_KIND}?{STALE_READ}&watch={revision}"
+        page = await self._watch(path, MEMBER_WATCH_MS)
         changes = []
         for event in _field(page, "events"):
             changes.append(_member_change(_field(event, "object"), bool(event.get("deleted"))))
@@ -159,7 +165,7 @@
     metadata = _field(item, "metadata")
     node = _field(metadata, "name")
     revision = _field(metadata, "revision")
-    member = None if deleted else _decode_member(node, item.get("spec"))
+    member = _decode_member(node, item.get("spec"))
     return MemberChange(node, member, revision, deleted)
 
 
--- /dev/null
+++ b/tests/unit/test_mesh_distribution.py
@@ -0,0 +1,274 @@
+"""Members and configurations in a mesh where few nodes follow the store, in simulated time."""
+
+from asyncio import sleep
+from unittest import TestCase
+
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.watchers import choose_sources, watcher_count, watcher_order
+from tests.unit.simulated_mesh import SimulatedMesh, SimulatedNode, run_simulated
+
+# The platform's strictest bound on the time until a stored configuration is in force.
+IN_FORCE_SECONDS = 2.0
+START_SECONDS = 8.0
+NODES = 60
+DOMAINS = 3
+
+
+def missing(mesh: SimulatedMesh, version: int) -> list[str]:
+    """Returns the running nodes at which a version is not in force."""
+    return [node.name for node in mesh.running() if node.configuration.version < version]
+
+
+def has_all_members(mesh: SimulatedMesh) -> bool:
+    """Returns whether each running node knows all running nodes."""
+    names = {node.name for node in mesh.running()}
+    for node in mesh.running():
+        if not names <= {member.node for member in node.directory.known_members()}:
+            return False
+    return True
+
+
+class WatcherChoiceTest(TestCase):
+    """Choice of the nodes that follow the store."""
+
+    def members(self, count: int, domains: int) -> list[Member]:
+        """Returns a number of members, spread over failure domains."""
+        members = []
+        for number in range(count):
+            domain = f"domain-{number % domains}"
+            members.append(Member(f"node-{number}", f"10.0.0.1:{number}", domain, "stock"))
+        return members
+
+    def test_subscribers_of_a_watcher_do_not_grow_with_the_nodes(self):
+        """Guards against watchers that need more time and bandwidth in a larger mesh."""
+        for count in (12, 79, 196, 1000):
+            members = self.members(count, 5)
+            order = watcher_order(members)
+            subscribers: dict[str, int] = {}
+            for own in members:
+                for source in choose_sources(own, order, (), 2):
+                    subscribers[source.node] = subscribers.get(source.node, 0) + 1
+            with self.subTest(count=count):
+                self.assertLessEqual(len(subscribers), watcher_count(count) + 1)
+                self.assertLessEqual(max(subscribers.values()), 90)
+
+    def test_watchers_are_spread_over_the_failure_domains(self):
+        """Guards against the loss of all watchers with one failure domain."""
+        first = watcher_order(self.members(196, 5))[: watcher_count(196)]
+        per_domain = [
+            len([m for m in first if m.failure_domain == f"domain-{n}"]) for n in range(5)
+        ]
+        self.assertGreaterEqual(min(per_domain), 2)
+
+    def test_watchers_subscribe_across_failure_domains(self):
+        members = self.members(40, 4)
+        order = watcher_order(members)
+        for watcher in order[: watcher_count(40)]:
+            for source in choose_sources(watcher, order, (), 2):
+                self.assertNotEqual(source.failure_domain, watcher.failure_domain)
+
+    def test_excluded_watchers_are_replaced_by_the_next(self):
+        members = self.members(40, 4)
+        order = watcher_order(members)
+        lost = {member.node for member in order[: watcher_count(40)]}
+        chosen = choose_sources(members[0], order, lost, 2)
+        self.assertEqual(len(chosen), 2)
+        self.assertFalse(lost & {member.node for member in chosen})
+
+
+class DistributionTest(TestCase):
+    """Changes while watchers, the network or the store fail."""
+
+    async def started(self, count: int = NODES, domains: int = DOMAINS) -> SimulatedMesh:
+        """Returns a mesh whose nodes were started together."""
+        mesh = SimulatedMesh()
+        mesh.add_all(count, domains)
+        await sleep(START_SECONDS)
+        self.assertEqual(missing(mesh, 1), [])
+        self.assertTrue(has_all_members(mesh))
+        return mesh
+
+    async def check_change(self, mesh: SimulatedMesh, version: int) -> None:
+        """Stores a version and checks that it is in force in time."""
+        mesh.store.put_configuration(version)
+        await sleep(IN_FORCE_SECONDS)
+        self.assertEqual(missing(mesh, version), [])
+
+    def test_start_of_all_nodes_costs_few_calls(self):
+        """Guards against calls to the store that grow with nodes times changes."""
+
+        async def scenario() -> None:
+            mesh = await self.started(196, 5)
+            self.assertLessEqual(mesh.store.calls, 2.0 * 196)
+            self.assertLessEqual(len(mesh.watching()), watcher_count(196) + 4)
+            before = mesh.store.calls
+            for version in range(2, 7):
+                await self.check_change(mesh, version)
+                await sleep(3.0)
+            # Five changes and 25 s of watches by 13 nodes.
+            self.assertLessEqual(mesh.store.calls - before, 0.8 * 196)
+
+        run_simulated(scenario())
+
+    def test_change_reaches_all_nodes_within_two_tenths_of_a_second(self):
+        async def scenario() -> None:
+            mesh = await self.started()
+            mesh.store.put_configuration(5)
+            await sleep(0.2)
+            self.assertEqual(missing(mesh, 5), [])
+
+        run_simulated(scenario())
+
+    def test_change_right_after_all_watchers_were_killed(self):
+        """Guards against nodes that nobody tells of a change."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            for node in mesh.watching():
+                node.stop()
+            await self.check_change(mesh, 2)
+
+        run_simulated(scenario())
+
+    def test_change_right_after_all_watchers_froze(self):
+        """Guards against nodes that wait for sources which stay connected but say nothing."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            for node in mesh.watching():
+                node.frozen = True
+                node.watch.stop()
+            await self.check_change(mesh, 2)
+
+        run_simulated(scenario())
+
+    def test_change_while_most_watchers_are_turned_away_by_the_store(self):
+        """Guards against watchers that pass on old knowledge as if it were new."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            for node in mesh.watching()[1:]:
+                mesh.store.refused.add(node.name)
+            mesh.store.notify()
+            await self.check_change(mesh, 2)
+
+        run_simulated(scenario())
+
+    def test_change_while_all_watchers_are_turned_away_by_the_store(self):
+        """Guards against a mesh that stays behind although most nodes can reach the store."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            for node in mesh.watching():
+                mesh.store.refused.add(node.name)
+            mesh.store.notify()
+            mesh.store.put_configuration(2)
+            # The platform allows 5 s more while the store fails.
+            await sleep(IN_FORCE_SECONDS + 5.0)
+            self.assertEqual(missing(mesh, 2), [])
+
+        run_simulated(scenario())
+
+    def test_change_after_an_outage_and_a_lost_history(self):
+        """Guards against nodes that stay behind after the store returns."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            before = mesh.store.calls
+            mesh.store.is_down = True
+            mesh.store.notify()
+            await sleep(6.0)
+            # Not each node may call a store that is down again and again.
+            self.assertLess(mesh.store.calls - before, 6.0 * NODES)
+            mesh.store.is_down = False
+            mesh.store.forget_history()
+            await sleep(3.0)
+            await self.check_change(mesh, 2)
+
+        run_simulated(scenario())
+
+    def test_halves_of_a_partition_follow_the_store_and_meet_again(self):
+        """Guards against a half without watchers, and against members that stay unknown."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            for number in range(NODES // 2):
+                mesh.group[f"node-{number}"] = 1
+            await self.check_change(mesh, 2)
+            joined = mesh.add("late", "domain-0")
+            mesh.group["late"] = 1
+            await sleep(5.0)
+            mesh.group = {}
+            await sleep(10.0)
+            self.assertTrue(has_all_members(mesh))
+            self.assertIn("late", {m.node for m in joined.directory.known_members()})
+            await self.check_change(mesh, 3)
+
+        run_simulated(scenario())
+
+    def test_all_nodes_find_each_other_after_a_power_loss(self):
+        """Guards against a mesh that does not form again from old records."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            nodes = list(mesh.nodes.values())
+            for node in nodes:
+                node.stop()
+            mesh.store.put_configuration(2)
+            for node in nodes:
+                mesh.add(node.name, node.directory.own.failure_domain, epoch=2)
+            await sleep(IN_FORCE_SECONDS)
+            self.assertEqual(missing(mesh, 2), [])
+            self.assertTrue(has_all_members(mesh))
+
+        run_simulated(scenario())
+
+    def test_leave_reaches_all_nodes_within_a_second(self):
+        """Guards against requests that still go to a node that has left."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            leaving = mesh.nodes["node-7"]
+            own = leaving.directory.own
+            leaving.directory.set_own(own._replace(left=True, serial=own.serial + 1))
+            leaving.subscriptions.announce()
+            await sleep(1.0)
+            for node in mesh.running():
+                self.assertTrue(node.directory.peers["node-7"].member.left, node.name)
+
+        run_simulated(scenario())
+
+    def test_record_lost_on_the_way_is_found_by_comparison(self):
+        """Guards against members that stay unknown since one message was lost."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            node = mesh.nodes["node-9"]
+            node.directory.remove("node-11")
+            await sleep(5.0)
+            self.assertIn("node-11", node.directory.peers)
+
+        run_simulated(scenario())
+
+    def test_restarted_node_whose_clock_was_set_back_is_believed(self):
+        """Guards against a node whose records count as old for as long as its clock is behind."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            mesh.nodes["node-5"].stop()
+            again = mesh.add("node-5", "domain-2", epoch=0)
+            again.members.on_own_record = lambda member: adopt_later_epoch(again, member)
+            await sleep(5.0)
+            for node in mesh.running():
+                self.assertEqual(node.directory.peers["node-5"].member.epoch, 2, node.name)
+
+        run_simulated(scenario())
+
+
+def adopt_later_epoch(node: SimulatedNode, member: Member) -> None:
+    """Does what a complete node does with a record of its own from a later epoch."""
+    own = node.directory.own
+    if member.epoch > own.epoch:
+        later = own._replace(epoch=member.epoch + 1, serial=own.serial + 1)
+        node.directory.set_own(later)
+        node.subscriptions.announce()
--- a/tests/unit/test_mesh_leaving.py
+++ b/tests/unit/test_mesh_leaving.py
@@ -38,7 +38,7 @@
         backend = self.backends[0]
         await backend.report(store.settings.report_address, "draining")
         await self.wait_until(
-            lambda: store.sync.own_written is not None and store.sync.own_written.left
+            lambda: store.own_record.written is not None and store.own_record.written.left_backend
         )
         store.close()
         await sleep(0.02)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -48,6 +48,16 @@
 class SettingsTest(TestCase):
     """The platform's settings file."""
 
+    def test_seeds_are_reached_at_their_link_ports(self):
+        """Guards against a node that contacts the report port of a seed."""
+        settings = from_fields(parse_fields(f"{SETTINGS}seeds=10.0.0.2:4,10.0.0.3:4\n"))
+        self.assertEqual(settings.seed_addresses, ("10.0.0.2:1", "10.0.0.3:1"))
+        self.assertEqual(from_fields(parse_fields(f"{SETTINGS}seeds=\n")).seed_addresses, ())
+
+    def test_only_a_first_start_waits_for_the_records_of_others(self):
+        self.assertTrue(from_fields(parse_fields(f"{SETTINGS}bootstrap=true\n")).first_start)
+        self.assertFalse(from_fields(parse_fields(f"{SETTINGS}bootstrap=false\n")).first_start)
+
     def test_fields_are_read_by_their_platform_names(self):
         """Guards against a field that is read by a wrong name."""
         settings = from_fields(parse_fields(SETTINGS))
