Place requests at members with free slots, and shed by levels that watchers pass on

Cause: at 196 nodes an entry meets a member every few seconds, so it knew neither load nor level of most: requests queued at full members while others had free slots, calls waited until the time of their parents was over, and shedding began with the first late answers. Weighed: loads exchanged within a service and zone (70 messages a node and second), free members that announce themselves, or a member without a free slot that returns what it has not begun.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -23,6 +23,7 @@
 from coltsfoottrack._internal.mesh.distribution import Distribution
 from coltsfoottrack._internal.mesh.entry import Entry
 from coltsfoottrack._internal.mesh.exceptions import ReportError
+from coltsfoottrack._internal.mesh.level_reports import LevelReporter
 from coltsfoottrack._internal.mesh.links import Links
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
 from coltsfoottrack._internal.mesh.metrics import scrape
@@ -117,9 +118,15 @@
             self.parent_requests,
             self.entry.gate.levels,
             self.active_configuration,
-            Distribution(self.members, self.subscriptions, self.active_configuration),
+            Distribution(
+                self.members,
+                self.subscriptions,
+                self.active_configuration,
+                self.entry.gate.levels.summaries,
+            ),
             log,
         )
+        self.level_reporter = LevelReporter(self.runner, self.parent_requests)
         self.subscriptions.send = self.links.send_message
         self.discovery.contact = self.links.contact
         self.entry.links = self.links
@@ -161,6 +168,7 @@
         """Applies a new configuration to entry and runner, and announces it."""
         self.entry.table = table
         self.runner.level.set_ranks(table.top_rank + 1)
+        self.publisher.levels.ranks = table.top_rank + 1
         self.publisher.publish()
 
     def restore(self, member: Member) -> None:
@@ -324,7 +332,11 @@
     async def _tick_membership(self) -> None:
         while True:
             await sleep(MEMBERSHIP_TICK_SECONDS)
-            self.subscriptions.tick(current_time())
+            now = current_time()
+            levels = self.level_reporter.due(now)
+            if levels:
+                self.subscriptions.report_levels(levels, now)
+            self.subscriptions.tick(now)
 
     async def _sweep(self) -> None:
         checked = current_time()
--- a/src/coltsfoottrack/_internal/mesh/decisions.py
+++ b/src/coltsfoottrack/_internal/mesh/decisions.py
@@ -92,14 +92,18 @@
         self.left_out_total = 0
         self.counts: dict[str, int] = {}
 
+    def count(self, event: str) -> None:
+        """Counts a frequent decision that has no line of its own."""
+        self.counts[event] = self.counts.get(event, 0) + 1
+
     def decision(self, event: str, **fields: Any) -> None:
         """Logs a change of the node's known state or of its own state."""
-        self.counts[event] = self.counts.get(event, 0) + 1
+        self.count(event)
         self.logger.msg(event, **fields)
 
     def request(self, event: str, **fields: Any) -> None:
         """Logs a decision about one request, within the rate limit."""
-        self.counts[event] = self.counts.get(event, 0) + 1
+        self.count(event)
         if self.bucket.available(current_time()) < 1.0:
             self.left_out += 1
             self.left_out_total += 1
--- a/src/coltsfoottrack/_internal/mesh/distribution.py
+++ b/src/coltsfoottrack/_internal/mesh/distribution.py
@@ -8,11 +8,13 @@
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
 from coltsfoottrack._internal.mesh.records import from_record
+from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
 from coltsfoottrack._internal.schema.links_pb2 import (
     Configuration,
     FetchConfiguration,
     Frame,
+    LevelReport,
     MemberRecord,
     Members,
     Notice,
@@ -32,10 +34,12 @@
         members: MemberUpdates,
         subscriptions: Subscriptions,
         active_configuration: ActiveConfiguration,
+        summaries: RouteSummaries,
     ) -> None:
         self.members = members
         self.subscriptions = subscriptions
         self.active_configuration = active_configuration
+        self.summaries = summaries
         # Since when a peer is known to have a configuration newer than behind_version.
         self.behind_since: float | None = None
         self.behind_version = 0
@@ -47,6 +51,7 @@
             "subscribe": self._handle_subscribe,
             "unsubscribe": self._handle_unsubscribe,
             "notice": self._handle_notice,
+            "level_report": self._handle_level_report,
             "fetch_configuration": self._handle_fetch_configuration,
             "configuration": self._handle_configuration,
         }
@@ -65,10 +70,16 @@
         self.subscriptions.publisher.unsubscribe(connection)
 
     def _handle_notice(self, connection: LinkConnection, message: Notice) -> None:
+        now = current_time()
         self._learn_records(connection, message.members)
-        self.subscriptions.handle_notice(connection, message, current_time())
+        self.summaries.record(connection.node, message.levels, now)
+        self.subscriptions.handle_notice(connection, message, now)
         self.compare_version(connection, message.configuration_version, grace_seconds=0.0)
 
+    def _handle_level_report(self, connection: LinkConnection, message: LevelReport) -> None:
+        levels = self.subscriptions.publisher.levels
+        levels.record(connection.node, message.levels, current_time())
+
     def _learn_records(self, connection: LinkConnection, records: Iterable[MemberRecord]) -> None:
         members = [from_record(record) for record in records]
         self.members.learn(members, f"link to {connection.node}")
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -1,5 +1,7 @@
 """Accepts requests of callers and the local backend server and tracks each until its answer."""
 
+from random import uniform
+
 from coltsfoottrack._internal.mesh.caller_connection import CallerConnection, CallerRequest
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -7,13 +9,13 @@
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
 from coltsfoottrack._internal.mesh.entry_gate import RETRY_AFTER_SECONDS, EntryGate
 from coltsfoottrack._internal.mesh.entry_log import EntryLog
-from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.link import LinkCall
 from coltsfoottrack._internal.mesh.links import NODE_RESTARTED, OTHER_PROCESS, Links
 from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
+from coltsfoottrack._internal.mesh.route_summaries import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.routes import RouteTable
-from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.mesh.runner import BUSY, Runner
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -24,6 +26,8 @@
 
 # Maximum number of sends of one request, including those that never reached a backend server.
 MAX_SENDS = 5
+# Maximum number of members without a free slot that return a request before one has to queue it.
+MAX_DECLINES = 2
 # Fraction of the target latency that a request below the top rank may wait for a slot.
 WAIT_FRACTION = 0.3
 MIN_WAIT_SECONDS = 0.04
@@ -33,6 +37,7 @@
 ANSWER_MARGIN_SECONDS = 0.1
 # Upper bound on the Retry-After value, as a fraction of the remaining time.
 MAX_RETRY_AFTER_FRACTION = 0.3
+RETRY_AFTER_SPREAD = 0.5
 # Reasons for which a member is not chosen for UNAVAILABLE_BLOCK_SECONDS.
 UNAVAILABLE_REASONS = frozenset(
     ("backend_left", "backend_down", "backend_unreachable", "node_leaving", "no_backend")
@@ -146,11 +151,16 @@
         self.statistics.count_answer(call.route.name, refusal.reason)
         reported = self.gate.levels.describe(call.route.name, now)
         self.log.refused(call, refusal.reason, refusal.level, reported, table.version)
-        remaining = call.expires - now
+        remaining = call.deadline - now
         request.respond(503, self._retry_after(refusal.retry_after_seconds, remaining), b"")
         return False
 
     def _retry_after(self, wait: float, remaining: float) -> bytes:
+        """Returns the header that tells a caller when to come back, within its time left.
+
+        The times are spread, so that callers refused together do not return together.
+        """
+        wait *= uniform(1.0 - RETRY_AFTER_SPREAD, 1.0 + RETRY_AFTER_SPREAD)
         seconds = max(0.02, min(wait, remaining * MAX_RETRY_AFTER_FRACTION))
         return self.headers.retry_after + b": %.2f\r\n" % seconds
 
@@ -167,8 +177,7 @@
             return
         peer = None
         if call.sends < MAX_SENDS:
-            target = call.route.target_latency_ms / 1000.0
-            peer = self.directory.choose(call.service, call.tried, call.route.name, target)
+            peer = self._choose(call)
         if peer is None:
             if not call.reason:
                 known = self.directory.knows(call.service)
@@ -189,6 +198,16 @@
             return
         self.links.send(peer.member, LinkCall(message, call.route.idempotent, call.expires, self))
 
+    def _choose(self, call: EntryCall) -> Peer | None:
+        """Returns the member for the next send; one that has declined only if there is no other."""
+        target = call.route.target_latency_ms / 1000.0
+        peer = self.directory.choose(call.service, call.tried, call.route.name, target)
+        if peer is None and call.declined:
+            call.tried -= call.declined
+            peer = self.directory.choose(call.service, call.tried, call.route.name, target)
+            call.may_decline = False
+        return peer
+
     def grant(self, number: int) -> bool:
         """Grants the claim to run a non-idempotent request; returns False if it has ended."""
         call = self.calls.get(number)
@@ -241,6 +260,7 @@
             head=request.head,
             body=request.body,
             configuration_version=self.table.version,
+            may_decline=call.may_decline,
         )
 
     def handle_reply(self, number: int, reply: Reply) -> None:
@@ -270,6 +290,9 @@
 
     def _handle_not_run(self, call: EntryCall, reason: str, now: float) -> None:
         """Handles a reply that the request did not run; sends it to another member if allowed."""
+        if reason == BUSY:
+            self._handle_declined(call, now)
+            return
         call.reason = reason
         if reason in (OTHER_PROCESS, "other_backend"):
             self._allow_reselection(call)
@@ -290,6 +313,14 @@
             return
         self._send(call, now)
 
+    def _handle_declined(self, call: EntryCall, now: float) -> None:
+        """Sends a request elsewhere that reached a member without a free slot."""
+        call.sends -= 1
+        call.declined.add(call.peer.member.node)
+        call.may_decline = len(call.declined) < MAX_DECLINES
+        self.statistics.declined += 1
+        self._send(call, now)
+
     def _allow_reselection(self, call: EntryCall) -> None:
         """Lets a member be chosen again if a newer record of it has arrived since."""
         used = call.chosen_record
--- a/src/coltsfoottrack/_internal/mesh/entry_call.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_call.py
@@ -14,12 +14,14 @@
         "attempts",
         "chosen_record",
         "deadline",
+        "declined",
         "done",
         "expires",
         "failed_backend",
         "failed_reply",
         "granted",
         "is_retry",
+        "may_decline",
         "number",
         "parent",
         "peer",
@@ -44,10 +46,14 @@
         self.number = 0
         self.peer: Peer | None = None
         self.tried: set[str] = set()
+        # Members that had no free slot; they are chosen again if there is no other.
+        self.declined: set[str] = set()
         self.sends = 0
         # Number of sends that may have run.
         self.attempts = 0
         self.is_retry = False
+        # Whether a member without a free slot returns the request at once.
+        self.may_decline = True
         self.sent_at = 0.0
         # Whether the member's claim was granted; the request may have run since.
         self.granted = False
--- a/src/coltsfoottrack/_internal/mesh/entry_gate.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_gate.py
@@ -9,7 +9,7 @@
 # might not finish within the grace period.
 ACCEPT_WHILE_STOPPING_SECONDS = 2.6
 # Retry-After for requests refused because of load, and for all others.
-OVERLOAD_RETRY_AFTER_SECONDS = 0.4
+OVERLOAD_RETRY_AFTER_SECONDS = 0.6
 RETRY_AFTER_SECONDS = 0.2
 # Fraction of the memory that bodies of requests in flight may use.
 MAX_BODY_MEMORY_FRACTION = 0.25
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -7,14 +7,14 @@
 from math import ceil
 
 from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.route_shares import RouteShares
+from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 
-# Value of a level of 1.0 in messages between nodes.
-LEVEL_UNIT = 1000.0
 INTERVAL_SECONDS = 0.1
 # Target fraction of the slots in use by arriving requests.
 TARGET_LOAD = 0.95
 # Load added for each second that a new request would wait in the queue.
-LOAD_PER_DELAY_SECOND = 1.0
+LOAD_PER_DELAY_SECOND = 5.0
 # Change of the level in one interval for an excess load of 1.0. A change of admission reaches the
 # arrivals at the called services up to 0.4 s later; a higher gain would oscillate.
 CHANGE_PER_LOAD = 0.1
@@ -32,6 +32,8 @@
 STALE_RISE_PER_SECOND = 0.5
 # Reported levels older than this are dropped.
 REPORT_RETENTION_SECONDS = 3.0
+# Number of reports in one log line.
+MAX_DESCRIBED = 4
 
 
 class OwnLevel:
@@ -52,6 +54,16 @@
         self.load = 0.0
         # When the least important rank still admitted fell to MIN_ADMITTED_SHARE.
         self.at_floor_since: float | None = None
+        # Splits the share of the least important rank still admitted among its routes.
+        self.shares = RouteShares()
+
+    def of_route(self, route: str) -> float:
+        """Returns the level of one route: that of the rank, with the share of the route."""
+        last_admitted_rank = max(0, ceil(self.level) - 1)
+        share = self.level - last_admitted_rank
+        if share >= 1.0:
+            return self.level
+        return last_admitted_rank + self.shares.share(last_admitted_rank, route, share)
 
     def set_ranks(self, ranks: int) -> None:
         """Sets the number of ranks; a change resets the level to admit everything."""
@@ -71,6 +83,8 @@
         self.updated = now
         self.rate += ARRIVALS_WEIGHT * (self.arrived / elapsed - self.rate)
         self.arrived = 0
+        last_admitted_rank = max(0, ceil(self.level) - 1)
+        self.shares.update(last_admitted_rank, self.level - last_admitted_rank, now)
         load = self.rate * run_seconds / slots
         load += LOAD_PER_DELAY_SECOND * waiting * run_seconds / slots
         self.load = load
@@ -102,6 +116,8 @@
     def __init__(self) -> None:
         # Route -> node -> level and time of the report.
         self.reports: dict[str, dict[str, tuple[float, float]]] = {}
+        # Means over many members, from the sources of this node.
+        self.summaries = RouteSummaries()
 
     def record(self, route: str, node: str, level: float) -> None:
         """Records the level that a reply carried."""
@@ -111,7 +127,13 @@
         nodes[node] = (level, current_time())
 
     def level(self, route: str, ranks: int, now: float) -> float:
-        """Returns the mean level of a route over the nodes that serve it; drops old reports."""
+        """Returns the mean level of a route over the nodes that serve it; drops old reports.
+
+        The summaries of this node's sources go first, as they cover more members and come sooner.
+        """
+        summarized = self.summaries.level(route, now)
+        if summarized is not None:
+            return min(float(ranks), summarized)
         nodes = self.reports.get(route)
         if not nodes:
             return float(ranks)
@@ -129,9 +151,15 @@
         return total / count if count else float(ranks)
 
     def describe(self, route: str, now: float) -> dict[str, str]:
-        """Returns level and age of each report about a route, for the log."""
+        """Returns level and age of the summaries and newest reports about a route, for the log."""
         described = {}
-        for node, (level, at) in self.reports.get(route, {}).items():
+        for source, summary in self.summaries.routes.get(route, {}).items():
+            age_ms = int((now - summary.at) * 1000.0)
+            described[f"{summary.members} members by {source}"] = (
+                f"{summary.level:.2f}, {age_ms} ms old"
+            )
+        newest = sorted(self.reports.get(route, {}).items(), key=lambda item: -item[1][1])
+        for node, (level, at) in newest[:MAX_DESCRIBED]:
             described[node] = f"{level:.2f}, {int((now - at) * 1000.0)} ms old"
         return described
 
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -13,11 +13,12 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.distribution import Distribution
-from coltsfoottrack._internal.mesh.levels import LEVEL_UNIT, ReportedLevels
+from coltsfoottrack._internal.mesh.levels import ReportedLevels
 from coltsfoottrack._internal.mesh.link import LinkCall, LinkConnection, PeerLink, ReplyHandler
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.records import to_record
+from coltsfoottrack._internal.mesh.route_summaries import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
@@ -38,8 +39,6 @@
 OTHER_PROCESS = "other_process"
 # Reason of a call without a reply because the process to which it was sent was replaced.
 NODE_RESTARTED = "node_restarted"
-# A route counts as a dependency of another for this long after the last call.
-CALLED_ROUTE_SECONDS = 10.0
 
 
 class Links:
@@ -171,13 +170,10 @@
     def _level(self, route: str) -> float:
         """Returns the lowest level of this node and of the routes called for a route."""
         own = self.runner.level
-        level = own.level
-        called = self.parent_requests.called_routes.get(route)
-        if called:
-            now = current_time()
-            for below, at in called.items():
-                if now - at < CALLED_ROUTE_SECONDS:
-                    level = min(level, self.levels.level(below, own.ranks, now))
+        level = own.of_route(route)
+        now = current_time()
+        for below in self.parent_requests.recently_called(route, now):
+            level = min(level, self.levels.level(below, own.ranks, now))
         return level
 
     def hello(self) -> Message:
--- a/src/coltsfoottrack/_internal/mesh/metrics.py
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -39,6 +39,11 @@
     counter("decisions_total", "Decisions by kind, also those without a log line.", decisions)
     counter("requests_total", "Requests of callers and calls.", {(): statistics.requests})
     counter("repeats_total", "Requests sent to another backend server.", {(): statistics.retries})
+    counter(
+        "declined_total",
+        "Requests returned by a member without a free slot.",
+        {(): statistics.declined},
+    )
     counter(
         "log_lines_left_out_total",
         "Log lines that were left out by the bound or that nobody read.",
--- a/src/coltsfoottrack/_internal/mesh/parent_requests.py
+++ b/src/coltsfoottrack/_internal/mesh/parent_requests.py
@@ -3,6 +3,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+# A route counts as called for another for this long after the last call.
+CALLED_ROUTE_SECONDS = 10.0
+
 
 class RunningRequest(NamedTuple):
     """A request running at the local backend server."""
@@ -40,3 +43,10 @@
         """Returns the parent request of a call, None if it is not running here."""
         identifier = self.parent_identifier(request_id)
         return self.running.get(identifier) if identifier else None
+
+    def recently_called(self, route: str, now: float) -> list[str]:
+        """Returns the routes that requests of a route have lately called."""
+        called = self.called_routes.get(route)
+        if not called:
+            return []
+        return [below for below, at in called.items() if now - at < CALLED_ROUTE_SECONDS]
--- a/src/coltsfoottrack/_internal/mesh/publisher.py
+++ b/src/coltsfoottrack/_internal/mesh/publisher.py
@@ -5,6 +5,7 @@
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration
 from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.level_reports import LevelCollector
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import to_record
@@ -27,6 +28,8 @@
     def __init__(self, directory: Directory, active_configuration: ActiveConfiguration) -> None:
         self.directory = directory
         self.active_configuration = active_configuration
+        # Levels that the subscribers report.
+        self.levels = LevelCollector()
         # Time of the last subscription by connection.
         self.subscribers: dict[LinkConnection, float] = {}
         # Records to be sent with the next notice, by node.
@@ -70,7 +73,8 @@
         for connection, renewed_at in list(self.subscribers.items()):
             if now - renewed_at > SUBSCRIPTION_SECONDS or not connection.is_open():
                 del self.subscribers[connection]
-        if self.changed or now - self.sent_at >= NOTICE_INTERVAL_SECONDS:
+        # While members shed, each tick sends their levels.
+        if self.changed or self.levels.sheds or now - self.sent_at >= NOTICE_INTERVAL_SECONDS:
             self.publish()
 
     def _notice(self, members: Iterable[Member], now: float) -> Frame:
@@ -80,5 +84,6 @@
                 age_ms=min(MAX_AGE_MS, int(self.age(now) * 1000.0)),
                 members_digest=self.directory.digest,
                 members=[to_record(member) for member in members],
+                levels=self.levels.summaries(now),
             )
         )
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -48,6 +48,11 @@
 MEAN_TIME_WEIGHT = 0.02
 # The start of shedding is logged once more than this share of the least important rank is shed.
 SHEDDING_MARGIN = 0.1
+# A request is declined, if its sender allows it, when it would probably wait for longer than this.
+# Another node is reached within a few milliseconds.
+DECLINE_WAIT_SECONDS = 0.008
+# Reason of a declined request.
+BUSY = "busy"
 
 
 class Runner:
@@ -79,6 +84,8 @@
         self.queue: list[tuple[int, float, int, RunnerCall]] = []
         self.running: set[RunnerCall] = set()
         self.arrivals = 0
+        # Time of the last request by route.
+        self.served_routes: dict[str, float] = {}
         self.tasks: set[Task[None]] = set()
         # Moving average of the run time, in seconds.
         self.mean_seconds = 0.0
@@ -98,6 +105,7 @@
             self._attach(known, call)
             return
         self.call_cache.add(call)
+        self.served_routes[message.route] = call.arrived
         if not self.backend.accepting:
             self._refuse(call, self.backend.refusal)
         elif message.backend and message.backend != self.backend.identifier:
@@ -106,6 +114,8 @@
             self._refuse(call, "quarantined")
         elif message.repeat and not self.retry_budget.try_take(call.arrived, self.node_count()):
             self._refuse(call, "repeat_budget")
+        elif message.may_decline and self.expected_wait() > DECLINE_WAIT_SECONDS:
+            self._refuse(call, BUSY)
         else:
             self.level.count_arrival()
             if len(self.running) < self.backend.limit and not self.queue:
@@ -113,6 +123,12 @@
             else:
                 self._enqueue(call)
 
+    def expected_wait(self) -> float:
+        """Returns the time in seconds that a new request would probably wait for a slot."""
+        if len(self.running) < self.backend.limit and not self.queue:
+            return 0.0
+        return (len(self.queue) + 1) * self.mean_seconds / self.backend.limit
+
     def _attach(self, known: RunnerCall, call: RunnerCall) -> None:
         """Delivers the result of the first copy to a call that was sent again."""
         known.deliver = call.deliver
@@ -266,12 +282,16 @@
     def _record_run_time(self, call: RunnerCall) -> None:
         took = current_time() - call.sent_at
         self.run_time.observe(took)
+        self.level.shares.record_run(call.rank, call.message.route, took)
         if not self.mean_seconds:
             self.mean_seconds = took
         self.mean_seconds += MEAN_TIME_WEIGHT * (took - self.mean_seconds)
 
     def _refuse(self, call: RunnerCall, reason: str) -> None:
-        self._log_outcome("run_refused", call, reason)
+        if reason == BUSY:
+            self.log.count("run_declined")
+        else:
+            self._log_outcome("run_refused", call, reason)
         call.answer = RunResult(RESULT_NOT_RUN, reason)
         call.done = True
         call.deliver(call)
--- a/src/coltsfoottrack/_internal/mesh/statistics.py
+++ b/src/coltsfoottrack/_internal/mesh/statistics.py
@@ -13,6 +13,8 @@
     def __init__(self) -> None:
         self.requests = 0
         self.retries = 0
+        # Requests that a member without a free slot returned.
+        self.declined = 0
         # Answers by route and reason; the reason of a backend server's answer is "answered".
         self.answers: dict[tuple[str, str], int] = defaultdict(int)
         self.latency = PlainHistogram(LATENCY_BUCKETS_SECONDS)
--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -24,7 +24,15 @@
     is_watcher,
     watcher_order,
 )
-from coltsfoottrack._internal.schema.links_pb2 import Frame, Members, Notice, Subscribe, Unsubscribe
+from coltsfoottrack._internal.schema.links_pb2 import (
+    Frame,
+    LevelReport,
+    Members,
+    Notice,
+    RouteLevel,
+    Subscribe,
+    Unsubscribe,
+)
 
 # A source that sends no notice for this long counts as lost; more than two notice intervals.
 SILENT_SECONDS = 0.9
@@ -159,10 +167,19 @@
     def announce(self) -> None:
         """Sends the record of this node to its sources and subscribers."""
         self.publisher.add_changed(self.directory.own)
+        self.send_to_sources(Frame(member=to_record(self.directory.own)))
+        self.publisher.publish()
+
+    def send_to_sources(self, frame: Frame) -> None:
+        """Sends a message to all sources that have answered."""
         for source in self.sources.values():
             if source.connection is not None and source.connection.is_open():
-                source.connection.send(Frame(member=to_record(self.directory.own)))
-        self.publisher.publish()
+                source.connection.send(frame)
+
+    def report_levels(self, levels: list[RouteLevel], now: float) -> None:
+        """Reports the levels of the routes that this node serves."""
+        self.publisher.levels.record(self.directory.own.node, levels, now)
+        self.send_to_sources(Frame(level_report=LevelReport(levels=levels)))
 
     def handle_connection_lost(self, connection: LinkConnection) -> None:
         """Replaces a source whose connection was lost."""
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -31,6 +31,7 @@
 from coltsfoottrack._internal.mesh.model import CallerLimits, Member, RoutingConfiguration
 from coltsfoottrack._internal.mesh.own_record import OwnRecord
 from coltsfoottrack._internal.mesh.publisher import Publisher
+from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 from coltsfoottrack._internal.mesh.store import ConfigurationChange, MemberChange, MemberChanges
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
@@ -215,7 +216,9 @@
         )
         self.discovery = Discovery(client, self.members, self.subscriptions, (), log)
         self.record = OwnRecord(client, self.directory, log)
-        self.distribution = Distribution(self.members, self.subscriptions, self.configuration)
+        self.distribution = Distribution(
+            self.members, self.subscriptions, self.configuration, RouteSummaries()
+        )
         self.publisher.age = self.subscriptions.age
         self.watch.on_confirmed = self.publisher.publish
         self.members.on_learned = self.publisher.add_changed
