Bound heads and incomplete answers that come without end

The parser collects a header of any length, so a server could send 32 MB for each slot, and a caller as much as the link carries until the header timeout. Ruled out: a lower bound for one answer alone, as a hundred slots of it are still more than the memory. Change: a head or its trailers may take 64 KB; incomplete answers of a node share an eighth of its memory, beyond which the largest fails; a caller's incomplete header block is rejected with 431 at the configured limit. Conclusion: memory stays within its part whatever a server sends.

--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -10,10 +10,15 @@
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.http_headers import CONNECTION_HEADERS
 from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh.receive_budget import ReceiveBudget
 from coltsfoottrack._internal.mesh.sockets import detect_silence, split_address
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Bound on the status line and headers of an answer, and on its trailers.
+MAX_HEAD_BYTES = 64 * 1024
+# Bound on all incomplete answers of a node, if it is not told how much memory it has.
+DEFAULT_HELD_BYTES = 64 * 1024 * 1024
 # Idle connections are closed this long before the backend server would close them.
 IDLE_MARGIN_SECONDS = 1.5
 DEFAULT_IDLE_SECONDS = 4.0
@@ -40,8 +45,9 @@
 class BackendConnection(Protocol):
     """One connection to the backend server; carries one request at a time."""
 
-    def __init__(self, names: HeaderNames) -> None:
+    def __init__(self, names: HeaderNames, budget: ReceiveBudget) -> None:
         self.names = names
+        self.budget = budget
         self.transport: Transport | None = None
         self.parser: HttpResponseParser | None = None
         self.on_finished: Finished | None = None
@@ -50,6 +56,10 @@
         self.header_lines: list[bytes] = []
         self.chunks: list[bytes] = []
         self.received = 0
+        # Bytes since the last complete header block, and size of the headers of this answer.
+        self.received_in_head = 0
+        self.head_size = 0
+        self.in_body = False
         self.response_id: bytes | None = None
         self.has_seal = False
         self.not_run = False
@@ -77,6 +87,8 @@
         self.is_head_request = is_head_request
         self.parser = HttpResponseParser(self)
         self.received = 0
+        self.received_in_head = 0
+        self.in_body = False
         self.transport.write(request)
 
     def data_received(self, data: bytes) -> None:
@@ -88,10 +100,15 @@
         if self.received > MAX_RESPONSE_BYTES:
             self._fail("answer_too_large")
             return
+        self.received_in_head += len(data)
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             self._fail("answer_not_http")
+            return
+        # The parser itself collects a header of any length.
+        if not self.in_body and self.received_in_head > MAX_HEAD_BYTES:
+            self._fail("answer_too_large")
 
     def eof_received(self) -> bool:
         """Completes a response without a length; any other one is truncated."""
@@ -113,6 +130,8 @@
     def on_message_begin(self) -> None:
         """Starts a response."""
         self.in_response = True
+        self.in_body = False
+        self.head_size = 0
         self.header_lines = []
         self.chunks = []
         self.response_id = None
@@ -123,6 +142,10 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Evaluates a header and keeps it if it is to be forwarded."""
+        self.head_size += len(name) + len(value)
+        if self.head_size > MAX_HEAD_BYTES:
+            self._fail("answer_too_large")
+            return
         lower = name.lower()
         names = self.names
         if lower == names.request_id:
@@ -143,13 +166,22 @@
 
     def on_headers_complete(self) -> None:
         """Completes the response to a HEAD request, which never has a body."""
+        if self.parser.get_status_code() >= FIRST_FINAL_STATUS:
+            self.in_body = True
+            self.received_in_head = 0
         if self.is_head_request and self.parser.get_status_code() >= FIRST_FINAL_STATUS:
             self.reusable = False
             self._complete()
 
     def on_body(self, chunk: bytes) -> None:
         """Collects a part of the body."""
-        self.chunks.append(chunk)
+        if self.on_finished is not None:
+            self.chunks.append(chunk)
+            self.budget.add(self, len(chunk))
+
+    def fail_too_large(self) -> None:
+        """Fails the request in flight, as its answer takes too much memory."""
+        self._fail("answer_too_large")
 
     def on_message_complete(self) -> None:
         """Completes a response."""
@@ -186,6 +218,7 @@
         self.on_finished = None
         self.idle_since = current_time()
         self.chunks = []
+        self.budget.release(self)
         finished(BackendResponse(status, head, body, not_run), "")
 
     def _fail(self, reason: str) -> None:
@@ -199,6 +232,8 @@
         """Closes the connection at once, without notifying the request in flight."""
         self.reusable = False
         self.on_finished = None
+        self.chunks = []
+        self.budget.release(self)
         if self.transport is not None:
             self.transport.abort()
 
@@ -212,9 +247,12 @@
 class BackendPool:
     """Pool of connections to the local backend server."""
 
-    def __init__(self, address: str, names: HeaderNames) -> None:
+    def __init__(
+        self, address: str, names: HeaderNames, held_bytes: int = DEFAULT_HELD_BYTES
+    ) -> None:
         self.address = address
         self.names = names
+        self.budget = ReceiveBudget(held_bytes)
         self.idle: list[BackendConnection] = []
         self.opened = 0
         # Idle time after which a connection carries no non-idempotent request.
@@ -237,7 +275,9 @@
         host, port = split_address(self.address)
         self.opened += 1
         _, connection = await wait_for(
-            get_running_loop().create_connection(lambda: BackendConnection(self.names), host, port),
+            get_running_loop().create_connection(
+                lambda: BackendConnection(self.names, self.budget), host, port
+            ),
             CONNECT_TIMEOUT_SECONDS,
         )
         return connection
--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -99,6 +99,9 @@
         self.chunks: list[bytes] = []
         self.url = b""
         self.head_size = 0
+        self.in_head = False
+        # Bytes received of an incomplete header block.
+        self.received_in_head = 0
         self.body_size = 0
         self.has_duplicate = False
         self.expects_continue = False
@@ -141,16 +144,25 @@
             return
         if self.receiving_since is None:
             self.receiving_since = current_time()
+        continued = self.current if self.in_head else None
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
             if not self.closing:
                 self._reject(400)
             return
+        # The parser itself collects a header of any length.
+        if continued is not None and self.in_head and self.current is continued:
+            self.received_in_head += len(data)
+            too_large = self.received_in_head > self.handler.limits().max_header_bytes
+            if too_large and not self.closing:
+                self._reject(431)
 
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.current = CallerRequest(self)
+        self.in_head = True
+        self.received_in_head = 0
         self.header_lines = []
         self.chunks = []
         self.url = b""
@@ -193,6 +205,7 @@
 
     def on_headers_complete(self) -> None:
         """Sends 100 Continue if the caller waits for it."""
+        self.in_head = False
         if self.expects_continue and not self.closing and not self.waiting:
             self.transport.write(CONTINUE)
 
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -51,6 +51,8 @@
 # Part of the grace period reserved for the exit of the process itself.
 EXIT_MARGIN_SECONDS = 0.6
 DELETE_TIMEOUT_SECONDS = 0.3
+# Incomplete answers may take this part of the memory.
+HELD_ANSWERS_DIVISOR = 8
 
 
 class Adapter(NamedTuple):
@@ -82,7 +84,9 @@
         self.statistics = MeshStatistics()
         self.backend = BackendState(settings.backend_address, log)
         self.parent_requests = ParentRequests(adapter.parent_identifier)
-        self.pool = BackendPool(settings.backend_address, names)
+        self.pool = BackendPool(
+            settings.backend_address, names, settings.memory_bytes // HELD_ANSWERS_DIVISOR
+        )
         own = Member(
             node=settings.node,
             address=settings.advertised_address,
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -1,7 +1,15 @@
 """Stand-ins for backend servers, with and without the platform."""
 
-from asyncio import Event, StreamReader, StreamWriter, open_connection, sleep
+from asyncio import (
+    Event,
+    StreamReader,
+    StreamWriter,
+    get_running_loop,
+    open_connection,
+    sleep,
+)
 from collections import Counter
+from typing import NamedTuple
 
 from orjson import dumps
 
@@ -11,6 +19,33 @@
 from coltsfoottrack.platform.names import HEADERS
 from tests.standins.http import HttpServer, Message, read_message
 
+ENDLESS_WRITE_BYTES = 64 * 1024
+
+
+class EndlessAnswer(NamedTuple):
+    """An answer without end: what follows the first headers, and what is repeated."""
+
+    first: bytes
+    repeated: bytes
+    status_line: bytes = b"HTTP/1.1 200 OK\r\n"
+
+
+ENDLESS_STARTS = {
+    "endless_header": EndlessAnswer(b"X-Long: ", b"x" * 1024),
+    "endless_headers": EndlessAnswer(b"", b"X-More: value\r\n"),
+    "endless_interim": EndlessAnswer(
+        b"", b"\r\nHTTP/1.1 100 Continue\r\n", b"HTTP/1.1 100 Continue\r\n"
+    ),
+    "endless_body": EndlessAnswer(b"\r\n", b"x" * 1024),
+    "endless_chunks": EndlessAnswer(
+        b"Transfer-Encoding: chunked\r\n\r\n", b"400\r\n" + b"x" * 1024 + b"\r\n"
+    ),
+    "endless_extension": EndlessAnswer(b"Transfer-Encoding: chunked\r\n\r\n1;", b"x" * 1024),
+    "endless_trailers": EndlessAnswer(
+        b"Transfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: value\r\n"
+    ),
+}
+
 
 class StandInBackend(HttpServer):
     """Backend server of the platform that runs requests for a fixed time and can inject faults."""
@@ -36,8 +71,10 @@
         self.peak_running = 0
         self.cancelled: list[str] = []
         # Fault in place of a correct answer: lose, truncate, extra, unsealed, fail, unframed,
-        # encoded, late, shed or crash.
+        # encoded, late, shed, crash or one of ENDLESS_STARTS.
         self.fault = ""
+        # Bytes written of answers without end, by request.
+        self.endless: Counter[str] = Counter()
         # Runs finish only while this is set.
         self.released = Event()
         self.released.set()
@@ -69,6 +106,16 @@
             if not self._answer(writer, message, request_id):
                 return
 
+    async def _write_endless(self, writer: StreamWriter, fault: str, request_id: str) -> None:
+        """Writes bytes without end until the connection is closed."""
+        start = ENDLESS_STARTS[fault]
+        names = f"{self.request_id_name}: {request_id}\r\n{self.seal_name}: s\r\n".encode()
+        writer.write(start.status_line + names + start.first)
+        while not writer.is_closing():
+            writer.write(start.repeated * (ENDLESS_WRITE_BYTES // len(start.repeated)))
+            self.endless[request_id] += ENDLESS_WRITE_BYTES
+            await sleep(0.001)
+
     def _answer(self, writer: StreamWriter, message: Message, request_id: str) -> bool:
         """Writes an answer; returns whether the connection stays open."""
         body = f"{self.identifier} {message.method} {message.path}".encode()
@@ -76,6 +123,9 @@
         if fault == "crash":
             self.close()
             return False
+        if fault in ENDLESS_STARTS:
+            get_running_loop().create_task(self._write_endless(writer, fault, request_id))
+            return True
         if fault == "lose":
             writer.transport.abort()
             return False
