--- a/src/coltsfoottrack/_internal/mesh/member_updates.py
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -51,11 +51,14 @@
                 source=source,
             )
 
-    def remove(self, record: Member, source: str) -> None:
-        """Marks a member as left whose stored record was deleted, unless its process was newer."""
-        known = self.directory.peers.get(record.node)
-        if known is None or record.node == self.directory.own.node:
+    def remove(self, node: str, record: Member | None, source: str) -> None:
+        """Marks a member as left whose stored record was deleted, unless its process was newer.
+
+        ``record`` is the deleted record if the store still tells it.
+        """
+        known = self.directory.peers.get(node)
+        if known is None or node == self.directory.own.node or known.member.left:
             return
-        if known.member.left or known.member.epoch != record.epoch:
+        if record is not None and known.member.epoch != record.epoch:
             return
         self.learn([known.member._replace(left=True, serial=known.member.serial + 1)], source)
--- a/src/coltsfoottrack/_internal/mesh/store.py
+++ b/src/coltsfoottrack/_internal/mesh/store.py
@@ -14,7 +14,7 @@
 
 
 class MemberChange(NamedTuple):
-    """A stored member record; ``member`` is None if it is unreadable or no longer known."""
+    """A stored member record; ``member`` is None if it is unreadable, or deleted and not told."""
 
     node: str
     member: Member | None
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -139,12 +139,11 @@
     """Applies member records that were read from the store."""
     learned = []
     for change in changes:
-        if change.member is None:
-            if not change.deleted:
-                members.log.decision("member_unreadable", member=change.node, source=source)
-            continue
         if change.deleted:
-            members.remove(change.member, source)
+            members.remove(change.node, change.member, source)
+            continue
+        if change.member is None:
+            members.log.decision("member_unreadable", member=change.node, source=source)
             continue
         learned.append(change.member)
     members.learn(learned, source)
--- a/tests/unit/test_mesh_local.py
+++ b/tests/unit/test_mesh_local.py
@@ -1,5 +1,6 @@
 """A mesh without a platform, whose nodes share a directory."""
 
+from asyncio import sleep
 from pathlib import Path
 from shutil import rmtree
 from tempfile import mkdtemp
@@ -213,6 +214,19 @@
         await self.wait_until(lambda: front.active_configuration.version == 2)
         self.assertEqual((await self.send_request(front, request % b"POST /order/1")).status, 200)
 
+    async def test_member_whose_file_was_removed_is_no_longer_chosen(self):
+        """Guards against requests to a node that an operator has removed by hand."""
+        front = await self.start_local("front", "portal")
+        await self.start_local("store", "stock")
+        await self.wait_until(lambda: "store" in front.directory.peers)
+        path = self.directory / "shared" / "members" / "store"
+        await self.wait_until(path.exists)
+        front.watch.start()
+        await self.wait_until(lambda: front.watch.following or front.watch.started)
+        await sleep(0.5)
+        path.unlink()
+        await self.wait_until(lambda: front.directory.peers["store"].member.left)
+
     async def test_settings_errors_name_file_and_field(self):
         path = self.directory / "bad.yaml"
         for text, problem in (
