--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -36,8 +36,10 @@
 
 # A source that sends no notice for this long counts as lost; more than two notice intervals.
 SILENT_SECONDS = 0.9
-# A lost source is not chosen again for this long.
+# A lost source is not chosen again for this long, one that was unreachable for less: it may just be
+# starting, as after a power loss.
 AVOID_SECONDS = 5.0
+AVOID_UNREACHABLE_SECONDS = 1.0
 RENEW_SECONDS = 5.0
 # How often a node checks that it uses the watchers that all nodes prefer.
 REVIEW_SECONDS = 3.0
@@ -48,9 +50,11 @@
 # Without a source, a node looks itself once its knowledge is older than this. A configuration must
 # be in force within 2 s on the platform's strictest deployments.
 MAX_AGE_SECONDS = 1.2
+# A node without a configuration cannot serve, and waits for its sources for less.
+MAX_AGE_WITHOUT_CONFIGURATION_SECONDS = 0.4
 # With sources that do not reach the store, it leaves them time to find one that does.
 MAX_AGE_WITH_SOURCES_SECONDS = 4.0
-# Random parts of the two, so that not all nodes look at the same time.
+# Random parts of these, so that not all nodes look at the same time.
 AGE_JITTER_SECONDS = 0.3
 AGE_WITH_SOURCES_JITTER_SECONDS = 2.0
 # A node follows the store for at least this long after the last reason to do so.
@@ -192,12 +196,12 @@
         """Replaces a source that cannot be reached."""
         source = self.sources.get(node)
         if source is not None and source.connection is None:
-            self._drop(source, "unreachable")
+            self._drop(source, "unreachable", AVOID_UNREACHABLE_SECONDS)
 
-    def _drop(self, source: Source, reason: str) -> None:
+    def _drop(self, source: Source, reason: str, avoid_seconds: float = AVOID_SECONDS) -> None:
         now = current_time()
         del self.sources[source.member.node]
-        self.avoided[source.member.node] = now + AVOID_SECONDS
+        self.avoided[source.member.node] = now + avoid_seconds
         self.log.decision("source_lost", source=source.member.node, reason=reason)
         self._subscribe_missing(now)
 
@@ -300,6 +304,8 @@
         age = self.age(now)
         if self._live_sources(now):
             limit = MAX_AGE_WITH_SOURCES_SECONDS + AGE_WITH_SOURCES_JITTER_SECONDS * self.jitter
+        elif not self.publisher.active_configuration.version:
+            limit = MAX_AGE_WITHOUT_CONFIGURATION_SECONDS + AGE_JITTER_SECONDS * self.jitter
         else:
             limit = MAX_AGE_SECONDS + AGE_JITTER_SECONDS * self.jitter
         return age > limit
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -198,6 +198,7 @@
     ) -> None:
         self.network = network
         self.name = name
+        self.started_at = _loop().time()
         self.first_start = first_start
         self.alive = True
         # A frozen node neither runs nor answers; its connections stay open.
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -223,6 +223,28 @@
 
         run_simulated(scenario())
 
+    def test_nodes_that_start_one_by_one_after_a_power_loss_serve_soon(self):
+        """Guards against nodes that wait for sources which are not up yet."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            nodes = list(mesh.nodes.values())
+            for node in nodes:
+                node.stop()
+            calls = mesh.store.calls
+            for node in nodes:
+                mesh.add(node.name, node.directory.own.failure_domain, epoch=2)
+                await sleep(0.7 / NODES)
+            await sleep(2.0)
+            waits = [node.in_force[1] - node.started_at for node in mesh.running()]
+            self.assertLess(max(waits), 0.8)
+            await sleep(10.0)
+            # Not each node may follow the store from then on.
+            self.assertLessEqual(mesh.store.calls - calls, 4.0 * NODES)
+            self.assertLessEqual(len(mesh.watching()), NODES // 4)
+
+        run_simulated(scenario())
+
     def test_leave_reaches_all_nodes_within_a_second(self):
         """Guards against requests that still go to a node that has left."""
 
