Detect links whose peer receives nothing though it sends

Trace: the node that dropped all it received went on to send notices to the entry, each 0.4 s. Any byte counted as a sign of life, so the link was probed and never found silent, and the orders waited there until they expired. Ruled out: load of the machine; the log shows no other message from that node, and the order of the requests decides whether the silent node is a source of the entry. Change: only answers (replies, claims, grants, configurations, answers to probes) and large frames under way count as signs of life.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -15,36 +15,24 @@
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration, Decoder
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory
-from coltsfoottrack._internal.mesh.discovery import (
-    FIRST_START_JITTER_SECONDS,
-    FIRST_START_SECONDS,
-    Discovery,
-)
-from coltsfoottrack._internal.mesh.distribution import Distribution
 from coltsfoottrack._internal.mesh.entry import Entry
 from coltsfoottrack._internal.mesh.exceptions import ReportError
 from coltsfoottrack._internal.mesh.level_reports import LevelReporter
 from coltsfoottrack._internal.mesh.links import Links
-from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
+from coltsfoottrack._internal.mesh.membership import Membership
 from coltsfoottrack._internal.mesh.metrics import scrape
 from coltsfoottrack._internal.mesh.model import BackendReport, HeaderNames, Member, MeshSettings
-from coltsfoottrack._internal.mesh.own_record import OwnRecord
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.ports import HttpPort, PortHandler, PortResponse
-from coltsfoottrack._internal.mesh.publisher import Publisher
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.mesh.store import Store
-from coltsfoottrack._internal.mesh.store_watch import StoreWatch
-from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
 
 TICK_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
-# Bounds the delay until changed member records are passed on, and until a lost source is noticed.
-MEMBERSHIP_TICK_SECONDS = 0.2
 SETTINGS_CHECK_SECONDS = 5.0
 # Callers stop using a node after two failed readiness checks, one second apart.
 READINESS_DRAIN_SECONDS = 2.3
@@ -115,24 +103,26 @@
             settings.memory_bytes,
         )
         self.entry.set_service(settings.service)
-        self._create_membership()
+        self.membership = Membership(
+            settings,
+            adapter.open_store(settings.store_address),
+            self.directory,
+            self.active_configuration,
+            self.entry.gate.levels.summaries,
+            log,
+        )
         self.links = Links(
             self.directory,
             self.runner,
             self.parent_requests,
             self.entry.gate.levels,
             self.active_configuration,
-            Distribution(
-                self.members,
-                self.subscriptions,
-                self.active_configuration,
-                self.entry.gate.levels.summaries,
-            ),
+            self.membership.distribution,
             log,
         )
-        self.level_reporter = LevelReporter(self.runner, self.parent_requests)
-        self.subscriptions.send = self.links.send_message
-        self.discovery.contact = self.links.contact
+        self.membership.connect(
+            self.links, LevelReporter(self.runner, self.parent_requests), self.restore
+        )
         self.entry.links = self.links
         self.runner.node_count = lambda: self.directory.members_of(self.directory.own.service)
         self.runner.crash_watch.on_new_suspects = self.links.broadcast_suspects
@@ -144,36 +134,11 @@
         self.stopping = Event()
         self.closed = False
 
-    def _create_membership(self) -> None:
-        """Creates the parts by which this node learns of members and configurations."""
-        settings = self.settings
-        log = self.log
-        self.store = self.adapter.open_store(settings.store_address)
-        self.members = MemberUpdates(self.directory, log)
-        self.own_record = OwnRecord(self.store, self.directory, log)
-        self.publisher = Publisher(self.directory, self.active_configuration)
-        self.watch = StoreWatch(self.store, self.active_configuration, self.members, log)
-        first_look_seconds = 0.0
-        if settings.first_start:
-            first_look_seconds = FIRST_START_SECONDS + FIRST_START_JITTER_SECONDS
-        self.subscriptions = Subscriptions(
-            self.directory, self.publisher, self.watch, log, first_look_seconds
-        )
-        self.discovery = Discovery(
-            self.store, self.members, self.subscriptions, settings.seed_addresses, log
-        )
-        self.publisher.age = self.subscriptions.age
-        self.watch.on_confirmed = self.publisher.publish
-        self.members.on_learned = self.publisher.add_changed
-        self.members.on_own_record = self.restore
-        self.own_record.on_previous = self.restore
-
     def apply_configuration(self, table: RouteTable) -> None:
         """Applies a new configuration to entry and runner, and announces it."""
         self.entry.table = table
         self.runner.level.set_ranks(table.top_rank + 1)
-        self.publisher.levels.ranks = table.top_rank + 1
-        self.publisher.publish()
+        self.membership.apply_ranks(table.top_rank + 1)
 
     def restore(self, member: Member) -> None:
         """Restores the state that an earlier process of this node has recorded.
@@ -187,7 +152,7 @@
         if member.epoch > own.epoch:
             self.links.epochs.add(member.epoch + 1)
             self.directory.set_own(own._replace(epoch=member.epoch + 1, serial=own.serial + 1))
-            self.subscriptions.announce()
+            self.membership.announce()
         self.backend.restore(
             member.backend, member.backend_started_ms, member.report_number, not member.left
         )
@@ -212,8 +177,7 @@
         if not backend.accepting:
             self.runner.refuse_waiting()
         if not self.closed:
-            self.subscriptions.announce()
-            self.own_record.changed.set()
+            self.membership.announce()
 
     def is_ready(self) -> bool:
         """Returns whether the node accepts requests of callers."""
@@ -294,9 +258,7 @@
             epoch=self.directory.own.epoch,
         )
         for work in (
-            self.discovery.run(self.settings.first_start),
-            self.own_record.write_changes(),
-            self._tick_membership(),
+            *self.membership.work(),
             self._tick(),
             self._sweep(),
         ):
@@ -333,15 +295,6 @@
                 self.links.tick(now)
             self.runner.tick(now)
 
-    async def _tick_membership(self) -> None:
-        while True:
-            await sleep(MEMBERSHIP_TICK_SECONDS)
-            now = current_time()
-            levels = self.level_reporter.due(now)
-            if levels:
-                self.subscriptions.report_levels(levels, now)
-            self.subscriptions.tick(now)
-
     async def _sweep(self) -> None:
         checked = current_time()
         while True:
@@ -353,7 +306,6 @@
             self.entry.sweep(current_time())
             self.pool.sweep()
             self.links.broadcast_suspects()
-            self.directory.discard_left(current_time())
             self.log.writer.flush()
 
     async def stop(self) -> None:
@@ -379,7 +331,7 @@
             self.server.close()
         self.entry.close_idle_connections()
         if self.backend.left:
-            await self.own_record.delete(DELETE_TIMEOUT_SECONDS)
+            await self.membership.own_record.delete(DELETE_TIMEOUT_SECONDS)
         # Lets the transports write the last answers.
         await sleep(TICK_SECONDS)
         self.close()
@@ -396,7 +348,7 @@
         self.closed = True
         for task in self.tasks:
             task.cancel()
-        self.watch.stop()
+        self.membership.close()
         if self.server is not None:
             self.server.close()
         for port in self.ports:
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -31,6 +31,22 @@
 # A silent peer is not chosen for this long.
 SILENT_BLOCK_SECONDS = 2.0
 IDLE_CLOSE_SECONDS = 60.0
+# Messages that a peer sends of its own accord. They do not show that it receives what is sent to
+# it, as a connection may be cut in one direction only.
+UNSOLICITED = frozenset(
+    (
+        "subscribe",
+        "unsubscribe",
+        "notice",
+        "members",
+        "member",
+        "level_report",
+        "suspect",
+        "request",
+    )
+)
+# An incomplete frame of this size counts as an answer that is under way.
+LARGE_FRAME_BYTES = 16 * 1024
 
 
 class LinkHandler(Interface):
@@ -74,8 +90,6 @@
 
     def data_received(self, data: bytes) -> None:
         """Decodes complete frames and dispatches them; aborts the connection on a bad one."""
-        self.last_received = current_time()
-        self.probed = False
         buffer = self.buffer
         buffer += data
         start = 0
@@ -100,6 +114,13 @@
             return
         if start:
             del buffer[:start]
+        if len(buffer) > LARGE_FRAME_BYTES:
+            self._note_answer()
+
+    def _note_answer(self) -> None:
+        """Records that the peer receives and answers."""
+        self.last_received = current_time()
+        self.probed = False
 
     def _dispatch(self, frame: Frame) -> None:
         kind = frame.WhichOneof("message")
@@ -107,9 +128,13 @@
             return
         message = getattr(frame, kind)
         if kind == "ping":
+            if message.answer:
+                self._note_answer()
             if not message.answer:
                 self.send(Frame(ping=Ping(answer=True)))
             return
+        if kind not in UNSOLICITED:
+            self._note_answer()
         if kind == "hello":
             self.member = from_record(message.member)
             self.process = message.process
--- a/tests/unit/test_mesh_leaving.py
+++ b/tests/unit/test_mesh_leaving.py
@@ -38,7 +38,8 @@
         backend = self.backends[0]
         await backend.report(store.settings.report_address, "draining")
         await self.wait_until(
-            lambda: store.own_record.written is not None and store.own_record.written.left_backend
+            lambda: store.membership.own_record.written is not None
+            and store.membership.own_record.written.left_backend
         )
         store.close()
         await sleep(0.02)
--- a/tests/unit/test_mesh_local.py
+++ b/tests/unit/test_mesh_local.py
@@ -221,8 +221,10 @@
         await self.wait_until(lambda: "store" in front.directory.peers)
         path = self.directory / "shared" / "members" / "store"
         await self.wait_until(path.exists)
-        front.watch.start()
-        await self.wait_until(lambda: front.watch.following or front.watch.started)
+        front.membership.watch.start()
+        await self.wait_until(
+            lambda: front.membership.watch.following or front.membership.watch.started
+        )
         await sleep(0.5)
         path.unlink()
         await self.wait_until(lambda: front.directory.peers["store"].member.left)
--- a/tests/unit/test_mesh_lost_nodes.py
+++ b/tests/unit/test_mesh_lost_nodes.py
@@ -136,13 +136,13 @@
         store = await self.start("store")
         await self.wait_for_members(2)
         self.assertEqual((await self.send_request(front, encode("/read/", "r1"))).status, 200)
-        await self.wait_until(lambda: store.own_record.written is not None)
+        await self.wait_until(lambda: store.membership.own_record.written is not None)
         store.close()
         await sleep(0.02)
         with patch("coltsfoottrack._internal.mesh.daemon.time", lambda: time() - 100.0):
             again = await self.start_node(store.settings)
         await self.backends[1].report(again.settings.report_address)
-        await self.wait_until(lambda: again.own_record.written is not None)
+        await self.wait_until(lambda: again.membership.own_record.written is not None)
         for number in range(5):
             answer = await self.send_request(front, encode("/order/", f"o{number}", "POST"))
             self.assertEqual(answer.status, 200)
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -373,8 +373,8 @@
         await self.wait_for_members(3)
         for node in (front, self.nodes[2]):
             # The watch hangs: it neither returns nor fails, and no notices arrive.
-            node.watch.stop()
-            node.watch.start = lambda: None
+            node.membership.watch.stop()
+            node.membership.watch.start = lambda: None
             node.links.handlers["notice"] = lambda connection, message: None
         self.store.put("config", "main", {**DEFAULT_CONFIGURATION, "version": 8})
         await self.wait_until(lambda: self.nodes[1].active_configuration.version == 8)
@@ -389,6 +389,6 @@
         node = await self.start("store")
         await sleep(0.2)
         self.store.lose_answers = False
-        await self.wait_until(lambda: node.own_record.written is not None)
+        await self.wait_until(lambda: node.membership.own_record.written is not None)
         item = self.store.objects[("coltsfoottrack-members", "store")]
         self.assertEqual(item["spec"]["backend"], "i-store")
