A node whose knowledge the store has never confirmed says so

Ruled out: a wrong configuration by that; versions are compared apart from the age. Change: such notices carry an age of their own, which counts as none; the time after which a node looks itself is kept apart from confirmations. Test: test_node_that_has_just_started_confirms_nothing (the age was 0 before).

--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -59,7 +59,7 @@
         self.distribution = Distribution(
             self.members, self.subscriptions, active_configuration, summaries
         )
-        self.publisher.age = self.subscriptions.age
+        self.publisher.last_confirmed = self.subscriptions.last_confirmed
         self.watch.on_confirmed = self.publisher.publish
         self.members.on_learned = self.publisher.add_changed
         self.level_reporter: LevelReporter | None = None
--- a/src/coltsfoottrack/_internal/mesh/publisher.py
+++ b/src/coltsfoottrack/_internal/mesh/publisher.py
@@ -15,7 +15,8 @@
 NOTICE_INTERVAL_SECONDS = 0.4
 # A subscription that is not renewed for this long has ended.
 SUBSCRIPTION_SECONDS = 15.0
-MAX_AGE_MS = 2**32 - 1
+# Age in notices of a node whose knowledge the store has never confirmed.
+UNKNOWN_AGE_MS = 2**32 - 1
 
 
 class Publisher:
@@ -35,8 +36,8 @@
         # Records to be sent with the next notice, by node.
         self.changed: dict[str, Member] = {}
         self.sent_at = 0.0
-        # Returns the time since the store confirmed this node's knowledge, in seconds.
-        self.age: Callable[[float], float] = lambda now: 0.0
+        # Returns up to when the store has confirmed this node's knowledge, None if never.
+        self.last_confirmed: Callable[[float], float | None] = lambda now: None
 
     def subscribe(self, connection: LinkConnection, all_members: bool, now: float) -> None:
         """Adds or renews a subscription and sends the present state to the subscriber."""
@@ -81,9 +82,15 @@
         return Frame(
             notice=Notice(
                 configuration_version=self.active_configuration.version,
-                age_ms=min(MAX_AGE_MS, int(self.age(now) * 1000.0)),
+                age_ms=self._age_ms(now),
                 members_digest=self.directory.digest,
                 members=[to_record(member) for member in members],
                 levels=self.levels.summaries(now),
             )
         )
+
+    def _age_ms(self, now: float) -> int:
+        confirmed = self.last_confirmed(now)
+        if confirmed is None:
+            return UNKNOWN_AGE_MS
+        return min(UNKNOWN_AGE_MS, max(0, int((now - confirmed) * 1000.0)))
--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -14,7 +14,7 @@
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from coltsfoottrack._internal.mesh.model import Member
-from coltsfoottrack._internal.mesh.publisher import Publisher
+from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS, Publisher
 from coltsfoottrack._internal.mesh.records import to_record
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.watchers import (
@@ -97,8 +97,10 @@
         self.sources: dict[str, Source] = {}
         # Until when a lost member is not chosen, by node.
         self.avoided: dict[str, float] = {}
-        # Latest time up to which the store has confirmed what any source knew.
-        self.heard_confirmed = current_time() + first_look_seconds
+        # Latest time up to which the store has confirmed what any source knew, None if never.
+        self.heard_confirmed: float | None = None
+        # Until then, a node that knows nothing leaves the store to others.
+        self.look_after = current_time() + first_look_seconds
         self.reviewed_at = 0.0
         self.replaced_at = 0.0
         self.last_reason_at = 0.0
@@ -111,13 +113,12 @@
         # Sends a message to a member, connecting first if there is no connection.
         self.send: Callable[[Member, Frame], None] = lambda member, frame: None
 
-    def age(self, now: float) -> float:
-        """Returns the time since the store confirmed what this node knows, in seconds."""
-        confirmed = self.heard_confirmed
+    def last_confirmed(self, now: float) -> float | None:
+        """Returns up to when the store has confirmed what this node knows, None if never."""
         own = self.watch.last_confirmed(now)
-        if own is not None and own > confirmed:
-            confirmed = own
-        return max(0.0, now - confirmed)
+        if own is None or self.heard_confirmed is None:
+            return own if self.heard_confirmed is None else self.heard_confirmed
+        return max(own, self.heard_confirmed)
 
     def is_informed(self, now: float) -> bool:
         """Returns whether this node follows the store or hears from a node that does."""
@@ -143,10 +144,10 @@
             return
         source.connection = connection
         source.heard_at = now
-        confirmed = now - notice.age_ms / 1000.0
-        if source.confirmed_at is None or confirmed > source.confirmed_at:
-            source.confirmed_at = confirmed
-        self.heard_confirmed = max(self.heard_confirmed, confirmed)
+        if notice.age_ms != UNKNOWN_AGE_MS:
+            confirmed = now - notice.age_ms / 1000.0
+            source.confirmed_at = max(confirmed, source.confirmed_at or confirmed)
+            self.heard_confirmed = max(confirmed, self.heard_confirmed or confirmed)
         self._compare_members(source, notice.members_digest, now)
 
     def _compare_members(self, source: Source, digest: int, now: float) -> None:
@@ -301,7 +302,8 @@
         is_alone = not self.sources and not self.avoided
         if is_alone and self.searched:
             return True
-        age = self.age(now)
+        confirmed = self.last_confirmed(now)
+        age = now - (confirmed if confirmed is not None else self.look_after)
         if self._live_sources(now):
             limit = MAX_AGE_WITH_SOURCES_SECONDS + AGE_WITH_SOURCES_JITTER_SECONDS * self.jitter
         elif not self.publisher.active_configuration.version:
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -220,7 +220,7 @@
         self.distribution = Distribution(
             self.members, self.subscriptions, self.configuration, RouteSummaries()
         )
-        self.publisher.age = self.subscriptions.age
+        self.publisher.last_confirmed = self.subscriptions.last_confirmed
         self.watch.on_confirmed = self.publisher.publish
         self.members.on_learned = self.publisher.add_changed
         self.configuration.on_change = self.record_change
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -4,7 +4,9 @@
 from unittest import TestCase
 
 from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS
 from coltsfoottrack._internal.mesh.watchers import choose_sources, watcher_count, watcher_order
+from coltsfoottrack._internal.schema.links_pb2 import Frame
 from tests.unit.simulated_mesh import SimulatedMesh, SimulatedNode, run_simulated
 
 # The platform's strictest bound on the time until a stored configuration is in force.
@@ -28,6 +30,16 @@
     return True
 
 
+class FrameCollector:
+    """A connection that collects what is sent on it."""
+
+    def __init__(self, frames: list[Frame]) -> None:
+        self.frames = frames
+
+    def send(self, frame: Frame) -> None:
+        self.frames.append(frame)
+
+
 class WatcherChoiceTest(TestCase):
     """Choice of the nodes that follow the store."""
 
@@ -130,6 +142,24 @@
 
         run_simulated(scenario())
 
+    def test_node_that_has_just_started_confirms_nothing(self):
+        """Guards against subscribers that take the word of a node which knows nothing yet."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            mesh.store.is_down = True
+            late = mesh.add("late", "domain-0")
+            frames: list[Frame] = []
+            late.publisher.subscribe(FrameCollector(frames), False, late.started_at)
+            self.assertEqual(frames[0].notice.age_ms, UNKNOWN_AGE_MS)
+            asker = mesh.nodes["node-3"]
+            source = next(iter(asker.subscriptions.sources.values()))
+            confirmed = source.confirmed_at
+            asker.subscriptions.handle_notice(source.connection, frames[0].notice, confirmed + 9.0)
+            self.assertEqual(source.confirmed_at, confirmed)
+
+        run_simulated(scenario())
+
     def test_change_right_after_all_watchers_froze(self):
         """Guards against nodes that wait for sources which stay connected but say nothing."""
 
