--- a/src/coltsfoottrack/_internal/mesh/route_summaries.py
+++ b/src/coltsfoottrack/_internal/mesh/route_summaries.py
@@ -42,6 +42,8 @@
 
         Returns None if no source has heard of enough members of the route.
         """
+        if not self.routes:
+            return None
         lowest = None
         pending = [route]
         seen = {route}
@@ -64,4 +66,11 @@
             mean = total / members
             if lowest is None or mean < lowest:
                 lowest = mean
+        if lowest is None:
+            self._discard_old(now)
         return lowest
+
+    def _discard_old(self, now: float) -> None:
+        for route, sources in list(self.routes.items()):
+            if all(now - summary.at > SUMMARY_RETENTION_SECONDS for summary in sources.values()):
+                del self.routes[route]
