Spare an object for each run and a count for each header

Cause: a profile of 3,000 requests through two nodes, untouched tree against this one: no function stands out; the runner made a record for each run that it then threw away (0.027 s), and headers of answers were counted twice (0.021 s more in on_header). Ruled out: notices (480 messages in 10 s), the choice of a member, levels (0.008 s). Change: the record is made once for a route; headers are bounded by the bytes received before the end of the head, and only trailers are counted. Tests: those of endless answers and of shares hold.

--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -56,9 +56,9 @@
         self.header_lines: list[bytes] = []
         self.chunks: list[bytes] = []
         self.received = 0
-        # Bytes since the last complete header block, and size of the headers of this answer.
+        # Bytes since the last complete header block, and size of the trailers of this answer.
         self.received_in_head = 0
-        self.head_size = 0
+        self.trailer_size = 0
         self.in_body = False
         self.response_id: bytes | None = None
         self.has_seal = False
@@ -131,7 +131,7 @@
         """Starts a response."""
         self.in_response = True
         self.in_body = False
-        self.head_size = 0
+        self.trailer_size = 0
         self.header_lines = []
         self.chunks = []
         self.response_id = None
@@ -142,10 +142,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Evaluates a header and keeps it if it is to be forwarded."""
-        self.head_size += len(name) + len(value)
-        if self.head_size > MAX_HEAD_BYTES:
-            self._fail("answer_too_large")
-            return
+        if self.in_body:
+            self._count_trailer(len(name) + len(value))
         lower = name.lower()
         names = self.names
         if lower == names.request_id:
@@ -194,6 +192,12 @@
         self.reusable = self.reusable and self.parser.should_keep_alive()
         self._complete()
 
+    def _count_trailer(self, size: int) -> None:
+        """Bounds the trailers of a chunked answer."""
+        self.trailer_size += size
+        if self.trailer_size > MAX_HEAD_BYTES:
+            self._fail("answer_too_large")
+
     def _read_keep_alive_timeout(self, value: bytes) -> None:
         for part in value.split(b","):
             name, _, text = part.strip().partition(b"=")
--- a/src/coltsfoottrack/_internal/mesh/route_shares.py
+++ b/src/coltsfoottrack/_internal/mesh/route_shares.py
@@ -49,7 +49,10 @@
 
     def record_run(self, rank: int, route: str, seconds: float) -> None:
         """Records a run that has ended."""
-        use = self.uses.setdefault(RouteKey(rank, route), RouteUse())
+        key = RouteKey(rank, route)
+        use = self.uses.get(key)
+        if use is None:
+            use = self.uses[key] = RouteUse()
         use.busy += seconds
         if not use.run_seconds:
             use.run_seconds = seconds
