Take the shares within a rank out again

Tests: those of the shares go with them; the others hold. Conclusion: one mechanism less that nothing shows to be of use.

--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -7,7 +7,6 @@
 from math import ceil
 
 from coltsfoottrack._internal.mesh.clock import current_time
-from coltsfoottrack._internal.mesh.route_shares import RouteShares
 from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 
 INTERVAL_SECONDS = 0.1
@@ -54,16 +53,6 @@
         self.load = 0.0
         # When the least important rank still admitted fell to MIN_ADMITTED_SHARE.
         self.at_floor_since: float | None = None
-        # Splits the share of the least important rank still admitted among its routes.
-        self.shares = RouteShares()
-
-    def of_route(self, route: str) -> float:
-        """Returns the level of one route: that of the rank, with the share of the route."""
-        last_admitted_rank = max(0, ceil(self.level) - 1)
-        share = self.level - last_admitted_rank
-        if share >= 1.0:
-            return self.level
-        return last_admitted_rank + self.shares.share(last_admitted_rank, route, share)
 
     def set_ranks(self, ranks: int) -> None:
         """Sets the number of ranks; a change resets the level to admit everything."""
@@ -83,8 +72,6 @@
         self.updated = now
         self.rate += ARRIVALS_WEIGHT * (self.arrived / elapsed - self.rate)
         self.arrived = 0
-        last_admitted_rank = max(0, ceil(self.level) - 1)
-        self.shares.update(last_admitted_rank, self.level - last_admitted_rank, now)
         load = self.rate * run_seconds / slots
         load += LOAD_PER_DELAY_SECOND * waiting * run_seconds / slots
         self.load = load
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -170,7 +170,7 @@
     def _level(self, route: str) -> float:
         """Returns the lowest level of this node and of the routes called for a route."""
         own = self.runner.level
-        level = own.of_route(route)
+        level = own.level
         now = current_time()
         for below in self.parent_requests.recently_called(route, now):
             level = min(level, self.levels.level(below, own.ranks, now))
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -282,7 +282,6 @@
     def _record_run_time(self, call: RunnerCall) -> None:
         took = current_time() - call.sent_at
         self.run_time.observe(took)
-        self.level.shares.record_run(call.rank, call.message.route, took)
         if not self.mean_seconds:
             self.mean_seconds = took
         self.mean_seconds += MEAN_TIME_WEIGHT * (took - self.mean_seconds)
--- a/tests/unit/test_mesh_level_reports.py
+++ b/tests/unit/test_mesh_level_reports.py
@@ -1,14 +1,13 @@
-"""Admission levels that reach an entry by way of watchers, and the split of a rank among routes.
+"""Admission levels that reach an entry by way of watchers.
 
-The patterns: a surge at hundreds of nodes, where an entry hears from few members of a service and
-from these late; and routes of one rank of which one needs many times the slot time of the others.
+The pattern is a surge at hundreds of nodes, where an entry hears from few members of a service, and
+from these late.
 """
 
 from unittest import TestCase
 
 from coltsfoottrack._internal.mesh.level_reports import LevelCollector
 from coltsfoottrack._internal.mesh.levels import OwnLevel, ReportedLevels
-from coltsfoottrack._internal.mesh.route_shares import FLOOR_SHARE, RouteShares
 from coltsfoottrack._internal.mesh.route_summaries import SUMMARY_RETENTION_SECONDS, RouteSummaries
 from coltsfoottrack._internal.schema.links_pb2 import RouteLevel
 
@@ -72,45 +71,6 @@
         self.assertAlmostEqual(levels.level("read", 2, NOW + SUMMARY_RETENTION_SECONDS + 0.1), 2.0)
 
 
-class RouteSharesTest(TestCase):
-    """Routes of one rank that need different slot times."""
-
-    def settled(self, share: float) -> RouteShares:
-        """Returns shares after some seconds of runs: 10 slots of short ones, 10 of long ones."""
-        shares = RouteShares()
-        now = NOW
-        for _ in range(100):
-            now += 0.101
-            for _ in range(20):
-                shares.record_run(1, "short", 0.05)
-            shares.record_run(1, "long", 1.0)
-            shares.record_run(0, "important", 0.5)
-            shares.update(1, share, now)
-        return shares
-
-    def test_short_runs_go_first_and_long_ones_keep_a_floor(self):
-        """Guards against one expensive lookup that takes the place of twenty cheap ones."""
-        shares = self.settled(0.7)
-        self.assertGreater(shares.share(1, "short", 0.7), 0.95)
-        self.assertGreaterEqual(shares.share(1, "long", 0.7), FLOOR_SHARE)
-        self.assertLess(shares.share(1, "long", 0.7), 0.6)
-        self.assertEqual(shares.share(0, "important", 0.7), 1.0)
-
-    def test_a_share_below_the_floor_is_the_same_for_all(self):
-        shares = self.settled(0.2)
-        self.assertAlmostEqual(shares.share(1, "short", 1.0), 0.2)
-        self.assertAlmostEqual(shares.share(1, "long", 1.0), 0.2)
-
-    def test_level_of_a_route_carries_its_share(self):
-        level = OwnLevel()
-        level.set_ranks(2)
-        level.level = 1.7
-        level.shares = self.settled(0.7)
-        self.assertGreater(level.of_route("short"), 1.9)
-        self.assertLess(level.of_route("long"), 1.6)
-        self.assertAlmostEqual(level.of_route("never seen"), 1.7)
-
-
 class QueueDelayTest(TestCase):
     """A queue that grows although arrivals match the slots, as after a burst."""
 
