Log the rate limit that a backend server names, and show it in the metrics

Change: the limit is read from complete answers; backend_rate_limit tells each change with the arrivals at that moment; two gauges in the metrics. Nothing is decided from it yet. Ruled out: a counter at each sender, since all requests to a backend server pass the node beside it, whose arrivals are what the limit is about. Conclusion: the hypotheses can be told apart at the node beside the backend server.

--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -7,6 +7,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from coltsfoottrack._internal.mesh.backend_rate import parse_rate
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.http_headers import CONNECTION_HEADERS
 from coltsfoottrack._internal.mesh.model import HeaderNames
@@ -37,6 +38,8 @@
     body: bytes
     # The backend server reports that it did not run the request.
     not_run: bool
+    # Requests per second that the backend server asks for, None if it names no limit.
+    rate_limit: float | None = None
 
 
 Finished = Callable[[BackendResponse | None, str], None]
@@ -63,6 +66,7 @@
         self.response_id: bytes | None = None
         self.has_seal = False
         self.not_run = False
+        self.rate_limit: float | None = None
         self.has_content_encoding = False
         self.has_framing = False
         self.in_response = False
@@ -137,6 +141,7 @@
         self.response_id = None
         self.has_seal = False
         self.not_run = False
+        self.rate_limit = None
         self.has_content_encoding = False
         self.has_framing = False
 
@@ -152,6 +157,8 @@
             self.has_seal = True
         elif lower == names.not_run:
             self.not_run = True
+        elif lower == names.rate_limit:
+            self.rate_limit = parse_rate(value)
         elif lower == b"content-encoding":
             self.has_content_encoding = True
         elif lower in CONNECTION_HEADERS:
@@ -223,7 +230,7 @@
         self.idle_since = current_time()
         self.chunks = []
         self.budget.release(self)
-        finished(BackendResponse(status, head, body, not_run), "")
+        finished(BackendResponse(status, head, body, not_run, self.rate_limit), "")
 
     def _fail(self, reason: str) -> None:
         finished = self.on_finished
--- a/src/coltsfoottrack/_internal/mesh/metrics.py
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -1,5 +1,6 @@
 """Metrics of a mesh node, built from its statistics at each scrape."""
 
+from math import nan
 from typing import TYPE_CHECKING
 
 from coltsfoottrack._internal.observability.process import resident_bytes
@@ -52,6 +53,12 @@
     gauge("running", "Requests that run at the backend server.", len(node.runner.running))
     gauge("waiting", "Requests that wait for a slot.", len(node.runner.queue))
     gauge("level", "Admission level of the backend server.", node.runner.level.level)
+    gauge(
+        "backend_rate_limit",
+        "Requests per second that the backend server asks for, NaN if it names no limit.",
+        nan if node.runner.rate.limit is None else node.runner.rate.limit,
+    )
+    gauge("arrivals", "Requests per second at the backend server.", node.runner.level.rate)
     gauge("configuration_version", "Version in force.", node.active_configuration.version)
     gauge("members", "Known members.", len(node.directory.peers))
     gauge("backend_connections_opened", "Connections to the backend server.", node.pool.opened)
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -97,6 +97,8 @@
     not_run: bytes
     retry_after: bytes
     caller_service: bytes
+    # Requests per second that the backend server takes from all nodes together.
+    rate_limit: bytes
 
 
 class RetryBounds(NamedTuple):
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -13,6 +13,7 @@
     BackendPool,
     BackendResponse,
 )
+from coltsfoottrack._internal.mesh.backend_rate import BackendRate
 from coltsfoottrack._internal.mesh.backend_state import BackendState
 from coltsfoottrack._internal.mesh.call_cache import CallCache
 from coltsfoottrack._internal.mesh.clock import current_time
@@ -76,6 +77,7 @@
         self.log = log
         self.run_time = run_time
         self.level = OwnLevel()
+        self.rate = BackendRate(log)
         # Whether the start of shedding was logged and its end was not.
         self.shedding = False
         self.crash_watch = CrashWatch(log)
@@ -256,6 +258,8 @@
         reason: str,
     ) -> None:
         self.pool.give_back(connection)
+        if answer is not None:
+            self.rate.observe(answer.rate_limit, self.backend.identifier, self.level.rate)
         if call.done:
             return
         if answer is None:
--- a/src/coltsfoottrack/_internal/mesh_local/names.py
+++ b/src/coltsfoottrack/_internal/mesh_local/names.py
@@ -11,6 +11,7 @@
     not_run=b"not-run",
     retry_after=b"retry-after",
     caller_service=b"calling-service",
+    rate_limit=b"rate-limit",
 )
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -11,6 +11,7 @@
     not_run=b"not-executed",
     retry_after=b"retry-after",
     caller_service=b"caller-service",
+    rate_limit=b"server-limit",
 )
 READY_PATH = "/api/ready"
 METRICS_PATH = "/metrics"
