Show in a test that no node keeps a backend server's rate limit

Cause: not mended here; see docs/incidents/backend-rate-limit-ignored.md. Ruled out: a test of the runner alone, which would not show a limit kept by each sender for itself.

--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -58,6 +58,7 @@
         self.seal_name = names.seal.decode()
         self.backend_name = names.expected_backend.decode()
         self.not_run_line = names.not_run.decode() + ": 1\r\n"
+        self.rate_limit_name = names.rate_limit.decode()
         self.identifier = identifier
         self.service = service
         self.slots = slots
@@ -66,6 +67,10 @@
         self.work_seconds = 0.01
         self.runs: Counter[str] = Counter()
         self.received: list[Message] = []
+        # Time of each arrival, in seconds of the event loop.
+        self.arrivals: list[float] = []
+        # Rate limit that each answer names; empty for none.
+        self.rate_limit = ""
         self.order: list[str] = []
         self.running = 0
         self.peak_running = 0
@@ -83,6 +88,7 @@
         """Serves one connection."""
         while (message := await read_message(reader)) is not None:
             self.received.append(message)
+            self.arrivals.append(get_running_loop().time())
             request_id = message.headers[self.request_id_name]
             if message.headers.get(self.backend_name, self.identifier) != self.identifier:
                 self._write(writer, 421, request_id, b"", seal=False, extra=self.not_run_line)
@@ -167,6 +173,8 @@
         extra: str = "",
     ) -> None:
         head = f"HTTP/1.1 {status} Status\r\n{self.request_id_name}: {request_id}\r\n{extra}"
+        if self.rate_limit:
+            head += f"{self.rate_limit_name}: {self.rate_limit}\r\n"
         if seal:
             head += f"{self.seal_name}: seal-{request_id}\r\n"
         head += f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
