Keep the rate limit that a backend server names

Cause: a node passed the limit on to the caller and decided nothing from it. Class of fault: what a backend server says of itself in its answers was read for the connection, not for its state. Ruled out: senders that each keep the limit for themselves, as all requests pass the one node beside the backend server; the restart at 13 s, as the breach is at 9.0 s. Change: that node paces what it starts at the limit, with bursts of a quarter of a second, and counts the limit as capacity: for the admission level, the expected wait by which a request is declined, and the load that entries choose by. A single answer without the limit does not end it; a new process does. A limit near 0 still lets through one request in 2 s, as only an answer tells that it has changed. OwnLevel.update takes the time between requests at which the backend server is full, in place of run time and slots; the tests pass the same quotient.

--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -1,6 +1,7 @@
 """The node's known state of its local backend server."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -16,6 +17,14 @@
 MIN_SLOTS_WITH_HEADROOM = 8
 
 
+class Lifetime(NamedTuple):
+    """Identifies one process of a backend server."""
+
+    backend: str
+    # Start of the process, Unix time in milliseconds.
+    started_ms: int
+
+
 class BackendState:
     """Identity and state of the local backend server, from its reports.
 
@@ -41,6 +50,11 @@
         self.refusal = "no_backend"
         self.changed: Callable[[], None] = lambda: None
 
+    @property
+    def lifetime(self) -> Lifetime:
+        """The present process of the backend server."""
+        return Lifetime(self.identifier, self.started_ms)
+
     @property
     def accepting(self) -> bool:
         """Whether new requests may be sent to the backend server."""
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -64,16 +64,19 @@
         """Counts a request that was started or queued."""
         self.arrived += 1
 
-    def update(self, run_seconds: float, slots: int, waiting: int, now: float) -> None:
-        """Adjusts the level once per interval; ``run_seconds`` is the mean run time."""
+    def update(self, seconds_per_request: float, waiting: int, now: float) -> None:
+        """Adjusts the level once per interval.
+
+        ``seconds_per_request`` is the time between requests at which the backend server is full.
+        """
         elapsed = now - self.updated
         if elapsed < INTERVAL_SECONDS:
             return
         self.updated = now
         self.rate += ARRIVALS_WEIGHT * (self.arrived / elapsed - self.rate)
         self.arrived = 0
-        load = self.rate * run_seconds / slots
-        load += LOAD_PER_DELAY_SECOND * waiting * run_seconds / slots
+        load = self.rate * seconds_per_request
+        load += LOAD_PER_DELAY_SECOND * waiting * seconds_per_request
         self.load = load
         change = CHANGE_PER_LOAD * (load - TARGET_LOAD)
         if change > 0.0:
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -4,7 +4,7 @@
 for each request whether it was sent to the backend server.
 """
 
-from asyncio import Task, get_running_loop
+from asyncio import Task, TimerHandle, get_running_loop
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
 
@@ -77,7 +77,9 @@
         self.log = log
         self.run_time = run_time
         self.level = OwnLevel()
-        self.rate = BackendRate(log)
+        self.rate = BackendRate(backend, log)
+        # Starts the next call once the rate limit allows it.
+        self.start_timer: TimerHandle | None = None
         # Whether the start of shedding was logged and its end was not.
         self.shedding = False
         self.crash_watch = CrashWatch(log)
@@ -96,8 +98,11 @@
 
     @property
     def load(self) -> int:
-        """Number of running and waiting requests."""
-        return len(self.running) + len(self.queue)
+        """Number of running and waiting requests, or the slots that the rate limit keeps busy."""
+        requests = len(self.running) + len(self.queue)
+        if self.rate.limit is None:
+            return requests
+        return max(requests, int(self.level.load * self.backend.slots))
 
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
@@ -120,16 +125,27 @@
             self._refuse(call, BUSY)
         else:
             self.level.count_arrival()
-            if len(self.running) < self.backend.limit and not self.queue:
+            if self._can_start(call.arrived):
                 self._start(call)
             else:
                 self._enqueue(call)
 
     def expected_wait(self) -> float:
         """Returns the time in seconds that a new request would probably wait for a slot."""
-        if len(self.running) < self.backend.limit and not self.queue:
+        now = current_time()
+        if self._can_start(now):
             return 0.0
-        return (len(self.queue) + 1) * self.mean_seconds / self.backend.limit
+        requests = len(self.queue) + 1
+        for_slot = 0.0
+        if self.queue or len(self.running) >= self.backend.limit:
+            for_slot = requests * self.mean_seconds / self.backend.limit
+        return max(for_slot, self.rate.seconds_until(requests, now))
+
+    def _can_start(self, now: float) -> bool:
+        """Returns whether a new request may be started at once."""
+        if self.queue or len(self.running) >= self.backend.limit:
+            return False
+        return self.rate.seconds_until(1, now) <= 0.0
 
     def _attach(self, known: RunnerCall, call: RunnerCall) -> None:
         """Delivers the result of the first copy to a call that was sent again."""
@@ -153,8 +169,11 @@
         entry = (call.rank, queued_as_of, self.arrivals, call)
         heappush(self.queue, entry)
 
+        self._start_next()
+
     def _start(self, call: RunnerCall) -> None:
         self.running.add(call)
+        self.rate.take()
         if call.claim is None:
             self._dispatch(call)
         else:
@@ -219,6 +238,7 @@
         elif not message.repeat:
             self.retry_budget.count_first(now)
         call.sent_at = now
+        call.lifetime = self.backend.lifetime
         call.connection = connection
         self.parent_requests.begin(
             RunningRequest(
@@ -259,7 +279,7 @@
     ) -> None:
         self.pool.give_back(connection)
         if answer is not None:
-            self.rate.observe(answer.rate_limit, self.backend.identifier, self.level.rate)
+            self.rate.observe(answer.rate_limit, call.lifetime, self.level.rate)
         if call.done:
             return
         if answer is None:
@@ -302,7 +322,9 @@
 
     def _finish(self, call: RunnerCall, result: RunResult) -> None:
         """Delivers the result of a started call and starts the next ones."""
-        if call.sent_at is not None:
+        if call.sent_at is None:
+            self.rate.give_back()
+        else:
             self.parent_requests.end(call.message.request_id)
         self.running.discard(call)
         if result.result != RESULT_ANSWERED:
@@ -340,6 +362,10 @@
             return
         now = current_time()
         while queue and len(self.running) < self.backend.limit:
+            wait = self.rate.seconds_until(1, now)
+            if wait > 0.0:
+                self._start_next_after(wait)
+                return
             call = heappop(queue)[3]
             if call.done:
                 continue
@@ -349,6 +375,15 @@
                 continue
             self._start(call)
 
+    def _start_next_after(self, seconds: float) -> None:
+        if self.start_timer is not None:
+            return
+        self.start_timer = get_running_loop().call_later(seconds, self._handle_start_timer)
+
+    def _handle_start_timer(self) -> None:
+        self.start_timer = None
+        self._start_next()
+
     def _expiry_reason(self, call: RunnerCall, now: float) -> str:
         """Returns why a waiting call must not be started, or an empty string."""
         if now > call.wait_until:
@@ -412,7 +447,8 @@
 
     def _update_level(self, now: float) -> None:
         level = self.level
-        level.update(self.mean_seconds, self.backend.limit, len(self.queue), now)
+        interval = self.rate.seconds_per_request(self.mean_seconds, self.backend.limit)
+        level.update(interval, len(self.queue), now)
         if self.shedding:
             changed = level.level >= level.ranks
         else:
--- a/src/coltsfoottrack/_internal/mesh/runner_call.py
+++ b/src/coltsfoottrack/_internal/mesh/runner_call.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.backend_connection import BackendConnection
+from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.schema.links_pb2 import Request
 
@@ -43,6 +44,7 @@
         "done",
         "expires",
         "key",
+        "lifetime",
         "message",
         "orphaned_at",
         "rank",
@@ -70,6 +72,8 @@
         self.wait_until = self.arrived + message.wait_ms / 1000.0
         self.rank = message.rank
         self.sent_at: float | None = None
+        # Process of the backend server to which the request was sent.
+        self.lifetime: Lifetime | None = None
         self.connection: BackendConnection | None = None
         self.answer: RunResult | None = None
         self.done = False
--- a/tests/unit/test_mesh_level_reports.py
+++ b/tests/unit/test_mesh_level_reports.py
@@ -83,5 +83,5 @@
         for _ in range(10):
             now += 0.101
             level.arrived = 9
-            level.update(0.05, 5, 10, now)
+            level.update(0.05 / 5, 10, now)
         self.assertLess(level.level, 1.7)
--- a/tests/unit/test_mesh_parts.py
+++ b/tests/unit/test_mesh_parts.py
@@ -134,7 +134,7 @@
             waiting = max(0, waiting + arrived - 10)
             delays.append(waiting * 0.01)
             own.arrived = arrived
-            own.update(0.1, 10, waiting, now)
+            own.update(0.1 / 10, waiting, now)
             taken = 0
             for rank, count in demand.items():
                 for _ in range(count):
@@ -155,7 +155,7 @@
         for _ in range(100):
             now += STEP_SECONDS
             own.arrived = 30
-            own.update(0.1, 10, 20, now)
+            own.update(0.1 / 10, 20, now)
         admission = Admission()
         admitted = sum(admission.admit("r", 1, own.level) for _ in range(100))
         self.assertGreaterEqual(admitted, int(100 * MIN_ADMITTED_SHARE) - 1)
@@ -169,7 +169,7 @@
         for _ in range(100):
             now += STEP_SECONDS
             own.arrived = 5
-            own.update(0.1, 10, 0, now)
+            own.update(0.1 / 10, 0, now)
         self.assertEqual(own.level, 2.0)
 
     def test_stale_reports_expire(self):
--- a/tests/unit/test_mesh_rate_limit.py
+++ b/tests/unit/test_mesh_rate_limit.py
@@ -1,8 +1,14 @@
 """Backend servers that name a rate limit in their answers."""
 
 from asyncio import Task, create_task, gather, get_running_loop, sleep
+from os import O_WRONLY, devnull
+from os import open as open_file
+from unittest import TestCase
 
+from coltsfoottrack._internal.mesh.backend_rate import BackendRate, parse_rate
+from coltsfoottrack._internal.mesh.backend_state import BackendState, Lifetime
 from coltsfoottrack._internal.mesh.daemon import MeshNode
+from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
 from tests.standins.backend import StandInBackend
 from tests.standins.mesh import Answer, MeshTestCase, encode
 
@@ -12,6 +18,75 @@
 ALLOWED = 1.5 * LIMIT_PER_SECOND * WINDOW_SECONDS + 5
 
 
+def make_rate() -> BackendRate:
+    """Returns the rate of a backend server whose process has reported."""
+    log = DecisionLog("n", LineWriter(open_file(devnull, O_WRONLY)))
+    backend = BackendState("127.0.0.1:9", log)
+    backend.identifier = "i-1"
+    return BackendRate(backend, log)
+
+
+class BackendRateTest(TestCase):
+    """Pacing at a named rate, without a network."""
+
+    def test_any_window_stays_within_the_limit(self):
+        """Guards against bursts after a pause that exceed the limit of a window."""
+        rate = make_rate()
+        rate.observe(LIMIT_PER_SECOND, rate.backend.lifetime, 0.0)
+        now = rate.named_at
+        sent = []
+        for step in range(2000):
+            now += 0.01
+            # Nothing arrives for 5 s out of 10.
+            if step % 1000 < 500 or rate.seconds_until(1, now) > 0.0:
+                continue
+            rate.take()
+            sent.append(now)
+        for first, start in enumerate(sent):
+            within = [at for at in sent[first:] if at < start + WINDOW_SECONDS]
+            self.assertLessEqual(len(within), ALLOWED)
+        self.assertGreaterEqual(len(sent), 9.0 * LIMIT_PER_SECOND)
+
+    def test_waiting_requests_pass_at_the_limit(self):
+        """Guards against a wait that ignores the requests ahead."""
+        rate = make_rate()
+        rate.observe(10.0, rate.backend.lifetime, 0.0)
+        self.assertAlmostEqual(rate.seconds_until(5, rate.named_at), 0.5, delta=0.01)
+
+    def test_limit_of_an_earlier_process_ends(self):
+        """Guards against a restarted server that gets less than it takes."""
+        rate = make_rate()
+        earlier = rate.backend.lifetime
+        rate.observe(10.0, earlier, 0.0)
+        rate.backend.started_ms += 1
+        self.assertEqual(rate.seconds_until(100, rate.named_at), 0.0)
+        rate.observe(10.0, earlier, 0.0)
+        self.assertIsNone(rate.limit)
+
+    def test_single_answer_without_the_limit_does_not_end_it(self):
+        """Guards against a burst after one answer that lacks the limit."""
+        rate = make_rate()
+        lifetime = Lifetime("i-1", 0)
+        rate.observe(10.0, lifetime, 0.0)
+        rate.observe(None, lifetime, 0.0)
+        self.assertEqual(rate.limit, 10.0)
+        rate.named_at -= 2.0
+        rate.observe(None, lifetime, 0.0)
+        self.assertIsNone(rate.limit)
+
+    def test_server_that_takes_nothing_is_asked_now_and_then(self):
+        """Guards against a limit of 0 whose end is never learnt."""
+        rate = make_rate()
+        rate.observe(0.0, rate.backend.lifetime, 0.0)
+        self.assertLessEqual(rate.seconds_until(1, rate.named_at), 2.0)
+
+    def test_unreadable_limits_are_ignored(self):
+        """Guards against limits that no server means."""
+        for value in (b"", b"nan", b"-1", b"inf", b"ten", b"1,5"):
+            self.assertIsNone(parse_rate(value), value)
+        self.assertEqual(parse_rate(b"24.7"), 24.7)
+
+
 class RateLimitTest(MeshTestCase):
     """The rate limit of a backend server holds for all nodes together."""
 
