Show in a test that a restarted node forgets the rate limit

Cause: not mended here. A node that starts knows no limit before the first answer, and may have started as many requests as there are slots by then. Only a restart of the machine at which a request began excuses it; here the node beside the backend server is restarted, and the others had told their callers. Ruled out: a load above the limit before the restart does not show it, since the entries shed by then.

--- a/tests/unit/test_mesh_rate_limit.py
+++ b/tests/unit/test_mesh_rate_limit.py
@@ -131,3 +131,23 @@
         served = [answer for answer in answers if answer.status == 200]
         # What the backend server asks for is used.
         self.assertGreaterEqual(len(served), 0.8 * LIMIT_PER_SECOND * WINDOW_SECONDS)
+
+    async def test_limit_holds_over_a_restart_of_the_node(self):
+        """Guards against a restarted node that does not know the limit before the first answer."""
+        front = await self.start("front", "portal")
+        store = await self.start("store", slots=100)
+        await self.wait_for_members(2)
+        backend = self.backends[1]
+        backend.rate_limit = str(LIMIT_PER_SECOND)
+        await self.send_request(front, encode("/read/", "first"))
+        named = get_running_loop().time()
+        store.close()
+        await sleep(0.02)
+        again = await self.start_node(store.settings)
+        await backend.report(again.settings.report_address)
+        await self.wait_until(lambda: bool(again.links.accepted))
+        # No answer comes before many more requests have arrived.
+        backend.work_seconds = 1.5
+        await self.send_at_rate([front], 100.0, 2.0)
+        self.assert_within_limit(backend, named)
+        self.assertGreaterEqual(len(backend.arrivals), LIMIT_PER_SECOND)
