Tell a restarted node the rate limit that its backend server has named

Callers saw: nothing; the backend server could get as many requests at once as it has slots, though it had named a limit to the nodes that sent them (LIMIT excuses only the machine where a request began). Cause: the limit was state of one process, the same class as a leave that a restarted node forgets. Ruled out: storing it, which the store's outages would undo and each change would cost a write; passing it on with the member records, which would reach all nodes at each change and those that need it too late. Change: an answer carries the limit to the node that had sent the request, and each later request carries what its sender knows to the node beside the server, which takes it over until the server has answered it once. No message and no state for each pair of nodes beyond those that exchange requests.

--- a/src/coltsfoottrack/_internal/mesh/backend_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_rate.py
@@ -36,13 +36,16 @@
         # Requests per second, None while the backend server names no limit.
         self.limit: float | None = None
         self.named_at = 0.0
+        # The process that named the limit, and the one that answered last.
         self.lifetime: Lifetime | None = None
+        self.answered_lifetime: Lifetime | None = None
         self.bucket = TokenBucket(MIN_RATE_PER_SECOND, MIN_BURST, current_time())
 
     def observe(
         self, limit: float | None, lifetime: Lifetime | None, arrivals_per_second: float
     ) -> None:
         """Applies the limit that a complete answer names; ``lifetime`` is that of its sender."""
+        self.answered_lifetime = lifetime
         if limit is None and self.limit is None:
             return
         self._discard_earlier()
@@ -57,6 +60,16 @@
         if limit != self.limit:
             self._set(limit, now, arrivals_per_second)
 
+    def adopt(self, limit: float, started_ms: int) -> None:
+        """Applies the limit that a sender knows, until the present process has answered itself."""
+        lifetime = self.backend.lifetime
+        if self.answered_lifetime == lifetime or started_ms != lifetime.started_ms:
+            return
+        self.lifetime = lifetime
+        self.named_at = current_time()
+        if limit != self.limit:
+            self._set(limit, self.named_at, 0.0)
+
     def _discard_earlier(self) -> None:
         """Drops the limit of an earlier process of the backend server."""
         if self.limit is not None and self.lifetime != self.backend.lifetime:
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -51,6 +51,13 @@
     at: float
 
 
+class KnownRateLimit(NamedTuple):
+    """A rate limit in requests per second, and the start of the process that named it."""
+
+    per_second: float
+    backend_started_ms: int
+
+
 class Peer:
     """One member and this node's local view of it."""
 
@@ -63,6 +70,8 @@
         self.blocked_until = 0.0
         self.updated_at = current_time()
         self.answer_times: dict[str, AnswerTime] = {}
+        # Rate limit that the backend server has last named, None if none.
+        self.rate_limit: KnownRateLimit | None = None
 
     def update(self, member: Member) -> None:
         """Replaces the record."""
@@ -80,6 +89,10 @@
         self.load = float(load)
         self.load_at = now
 
+    def record_rate_limit(self, per_second: float, backend_started_ms: int) -> None:
+        """Records the rate limit of the backend server."""
+        self.rate_limit = KnownRateLimit(per_second, backend_started_ms)
+
     def record_result(self, failed: bool) -> None:
         """Records whether a run at the backend server failed."""
         self.failures += FAILURE_WEIGHT * ((1.0 if failed else 0.0) - self.failures)
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -20,6 +20,7 @@
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
     RESULT_UNKNOWN,
+    RateLimit,
     Reply,
     Request,
 )
@@ -244,6 +245,9 @@
         self.last_number += 1
         call.number = self.last_number
         self.calls[call.number] = call
+        known_rate_limit = None
+        if peer.rate_limit is not None:
+            known_rate_limit = RateLimit(**peer.rate_limit._asdict())
         return Request(
             number=call.number,
             backend=peer.member.backend,
@@ -261,6 +265,7 @@
             body=request.body,
             configuration_version=self.table.version,
             may_decline=call.may_decline,
+            known_rate_limit=known_rate_limit,
         )
 
     def handle_reply(self, number: int, reply: Reply) -> None:
@@ -277,6 +282,7 @@
             peer.record_time(call.route.name, now - call.sent_at, now)
             failed = reply.status >= FIRST_FAILURE_STATUS
             peer.record_result(failed)
+            self._record_rate_limit(peer, reply)
             if failed:
                 call.failed_backend = call.chosen_record.backend
             if failed and self._retry(call, reply, "backend_failed"):
@@ -288,6 +294,14 @@
         else:
             self._handle_not_run(call, reply.reason, now)
 
+    def _record_rate_limit(self, peer: Peer, reply: Reply) -> None:
+        """Keeps the rate limit of the member's backend server, which its node may forget."""
+        if reply.HasField("rate_limit"):
+            limit = reply.rate_limit
+            peer.record_rate_limit(limit.per_second, limit.backend_started_ms)
+        else:
+            peer.rate_limit = None
+
     def _handle_not_run(self, call: EntryCall, reason: str, now: float) -> None:
         """Handles a reply that the request did not run; sends it to another member if allowed."""
         if reason == BUSY:
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -29,6 +29,7 @@
     Frame,
     Grant,
     Hello,
+    RateLimit,
     Reply,
     Request,
     Suspect,
@@ -165,8 +166,15 @@
             load=self.runner.load,
             level=int(self._level(call.message.route) * LEVEL_UNIT),
             configuration_version=self.active_configuration.version,
+            rate_limit=self._rate_limit(),
         )
 
+    def _rate_limit(self) -> RateLimit | None:
+        rate = self.runner.rate
+        if rate.limit is None:
+            return None
+        return RateLimit(per_second=rate.limit, backend_started_ms=rate.lifetime.started_ms)
+
     def _level(self, route: str) -> float:
         """Returns the lowest level of this node and of the routes called for a route."""
         own = self.runner.level
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -107,6 +107,9 @@
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
         message = call.message
+        if message.HasField("known_rate_limit"):
+            known_limit = message.known_rate_limit
+            self.rate.adopt(known_limit.per_second, known_limit.backend_started_ms)
         known = self.call_cache.get(call.key)
         if known is not None:
             self._attach(known, call)
