--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -99,6 +99,8 @@
     caller_service: bytes
     # Requests per second that the backend server takes from all nodes together.
     rate_limit: bytes
+    # States that the backend server is about to leave.
+    leaving: bytes
 
 
 class RetryBounds(NamedTuple):
--- a/src/coltsfoottrack/_internal/mesh_local/names.py
+++ b/src/coltsfoottrack/_internal/mesh_local/names.py
@@ -12,6 +12,7 @@
     retry_after=b"retry-after",
     caller_service=b"calling-service",
     rate_limit=b"rate-limit",
+    leaving=b"leaving",
 )
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -12,6 +12,7 @@
     retry_after=b"retry-after",
     caller_service=b"caller-service",
     rate_limit=b"server-limit",
+    leaving=b"server-leaving",
 )
 READY_PATH = "/api/ready"
 METRICS_PATH = "/metrics"
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -59,6 +59,7 @@
         self.backend_name = names.expected_backend.decode()
         self.not_run_line = names.not_run.decode() + ": 1\r\n"
         self.rate_limit_name = names.rate_limit.decode()
+        self.leaving_line = names.leaving.decode() + ": 1\r\n"
         self.identifier = identifier
         self.service = service
         self.slots = slots
@@ -71,6 +72,8 @@
         self.arrivals: list[float] = []
         # Rate limit that each answer names; empty for none.
         self.rate_limit = ""
+        # Whether each answer says that the server leaves.
+        self.leaving = False
         self.order: list[str] = []
         self.running = 0
         self.peak_running = 0
@@ -175,6 +178,8 @@
         head = f"HTTP/1.1 {status} Status\r\n{self.request_id_name}: {request_id}\r\n{extra}"
         if self.rate_limit:
             head += f"{self.rate_limit_name}: {self.rate_limit}\r\n"
+        if self.leaving:
+            head += self.leaving_line
         if seal:
             head += f"{self.seal_name}: seal-{request_id}\r\n"
         head += f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
