Heed a leave that a backend server states in an answer

Callers saw: nothing; a leaving server got requests until its leave was reported too, and again if the node beside it was restarted and got a late report only (DRAIN). Cause: as with the rate limit, what a backend server says of itself in an answer was passed on and not read. Found by looking for the same cause elsewhere. Ruled out: leaving the second case to the record in the store, which an outage prevents, and to other nodes, as no other may know. The time after which the record of a member that left is forgotten is the same. A later process of the server is used.

--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -27,6 +27,8 @@
 # that cannot be retried. The limit falls to half of the idle time after which a drop was seen.
 NON_IDEMPOTENT_IDLE_SECONDS = 3.0
 FIRST_FINAL_STATUS = 200
+# Value of the header by which a backend server states that it leaves.
+LEAVING = b"1"
 
 
 class BackendResponse(NamedTuple):
@@ -40,6 +42,8 @@
     not_run: bool
     # Requests per second that the backend server asks for, None if it names no limit.
     rate_limit: float | None = None
+    # The backend server states that it leaves.
+    leaving: bool = False
 
 
 Finished = Callable[[BackendResponse | None, str], None]
@@ -67,6 +71,7 @@
         self.has_seal = False
         self.not_run = False
         self.rate_limit: float | None = None
+        self.leaving = False
         self.has_content_encoding = False
         self.has_framing = False
         self.in_response = False
@@ -142,6 +147,7 @@
         self.has_seal = False
         self.not_run = False
         self.rate_limit = None
+        self.leaving = False
         self.has_content_encoding = False
         self.has_framing = False
 
@@ -159,6 +165,8 @@
             self.not_run = True
         elif lower == names.rate_limit:
             self.rate_limit = parse_rate(value)
+        elif lower == names.leaving:
+            self.leaving = value.strip() == LEAVING
         elif lower == b"content-encoding":
             self.has_content_encoding = True
         elif lower in CONNECTION_HEADERS:
@@ -230,7 +238,8 @@
         self.idle_since = current_time()
         self.chunks = []
         self.budget.release(self)
-        finished(BackendResponse(status, head, body, not_run, self.rate_limit), "")
+        response = BackendResponse(status, head, body, not_run, self.rate_limit, self.leaving)
+        finished(response, "")
 
     def _fail(self, reason: str) -> None:
         finished = self.on_finished
--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -121,11 +121,18 @@
 
     def leave(self, identifier: str) -> None:
         """Handles the announcement that the backend server leaves."""
-        if identifier != self.identifier or self.left:
-            return
+        if identifier == self.identifier and not self.left:
+            self._leave("left")
+
+    def leave_by_answer(self, lifetime: Lifetime) -> None:
+        """Handles an answer in which a process of the backend server states that it leaves."""
+        if lifetime == self.lifetime and not self.left:
+            self._leave("left_by_answer")
+
+    def _leave(self, state: str) -> None:
         self.left = True
         self.refusal = "backend_left"
-        self._log_change("left")
+        self._log_change(state)
 
     def mark_crashed(self, reason: str) -> bool:
         """Records a crash; returns whether it was new. The next report clears it."""
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -4,6 +4,7 @@
 from random import random
 from typing import NamedTuple
 
+from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.model import Member
 
@@ -131,6 +132,8 @@
         self.generation = 0
         # Exclusive or of the digests of all records, to compare the known members of two nodes.
         self.digest = record_digest(own)
+        # Processes of backend servers that said in an answer that they leave, and when.
+        self.left_processes: dict[Lifetime, float] = {}
         self._rebuild_index()
 
     def _rebuild_index(self) -> None:
@@ -160,6 +163,9 @@
 
     def discard_left(self, now: float) -> None:
         """Forgets the members that left long ago."""
+        for lifetime, learnt_at in list(self.left_processes.items()):
+            if now - learnt_at > LEFT_RETENTION_SECONDS:
+                del self.left_processes[lifetime]
         removed = False
         for node, peer in list(self.peers.items()):
             if node == self.own.node or not peer.member.left:
@@ -177,6 +183,10 @@
         older: the clock of the instance may have been set back before the start.
         """
         peer = self.peers.get(member.node)
+        lifetime = Lifetime(member.backend, member.backend_started_ms)
+        if lifetime in self.left_processes:
+            # A leave is final, also for a node that was restarted and does not know of it.
+            member = member._replace(left=True)
         if peer is None:
             self.peers[member.node] = Peer(member)
             self.digest ^= record_digest(member)
@@ -193,6 +203,18 @@
             self._rebuild_index()
         return True
 
+    def mark_left(self, node: str, lifetime: Lifetime) -> bool:
+        """Records that a backend server said that it leaves; returns whether this is new."""
+        if lifetime in self.left_processes or node == self.own.node:
+            return False
+        self.left_processes[lifetime] = current_time()
+        peer = self.peers.get(node)
+        if peer is not None and not peer.member.left:
+            member = peer.member
+            if (member.backend, member.backend_started_ms) == lifetime:
+                self._replace(peer, member._replace(left=True))
+        return True
+
     def _remove_others_at(self, member: Member) -> None:
         """Removes earlier members at an address that now belongs to another node."""
         for name, peer in list(self.peers.items()):
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -2,6 +2,7 @@
 
 from random import uniform
 
+from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.caller_connection import CallerConnection, CallerRequest
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -282,7 +283,7 @@
             peer.record_time(call.route.name, now - call.sent_at, now)
             failed = reply.status >= FIRST_FAILURE_STATUS
             peer.record_result(failed)
-            self._record_rate_limit(peer, reply)
+            self._record_backend_state(call, peer, reply)
             if failed:
                 call.failed_backend = call.chosen_record.backend
             if failed and self._retry(call, reply, "backend_failed"):
@@ -294,8 +295,12 @@
         else:
             self._handle_not_run(call, reply.reason, now)
 
-    def _record_rate_limit(self, peer: Peer, reply: Reply) -> None:
-        """Keeps the rate limit of the member's backend server, which its node may forget."""
+    def _record_backend_state(self, call: EntryCall, peer: Peer, reply: Reply) -> None:
+        """Keeps rate limit and leave of the member's backend server, which its node may forget."""
+        if reply.left_started_ms:
+            lifetime = Lifetime(call.chosen_record.backend, reply.left_started_ms)
+            if self.directory.mark_left(peer.member.node, lifetime):
+                self.log.member_left(call, lifetime)
         if reply.HasField("rate_limit"):
             limit = reply.rate_limit
             peer.record_rate_limit(limit.per_second, limit.backend_started_ms)
--- a/src/coltsfoottrack/_internal/mesh/entry_log.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.caller_connection import CallerRequest
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
@@ -17,6 +18,16 @@
         """Returns whether to log the present ordinary request."""
         return self.log.try_sample()
 
+    def member_left(self, call: EntryCall, lifetime: Lifetime) -> None:
+        """Logs that an answer states that a backend server leaves."""
+        self.log.decision(
+            "member_left_by_answer",
+            member=call.sent_to,
+            backend=lifetime.backend,
+            started_ms=lifetime.started_ms,
+            request_id=call.request_id,
+        )
+
     def without_route(self, request: CallerRequest, version: int) -> None:
         """Logs that no route matches a request."""
         self.log.request(
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -167,8 +167,16 @@
             level=int(self._level(call.message.route) * LEVEL_UNIT),
             configuration_version=self.active_configuration.version,
             rate_limit=self._rate_limit(),
+            left_started_ms=self._left_started_ms(call),
         )
 
+    def _left_started_ms(self, call: RunnerCall) -> int:
+        """Returns the start of the process that ran a call if it has left, 0 otherwise."""
+        backend = self.runner.backend
+        if not backend.left or call.lifetime != backend.lifetime:
+            return 0
+        return backend.started_ms
+
     def _rate_limit(self) -> RateLimit | None:
         rate = self.runner.rate
         if rate.limit is None:
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -283,6 +283,8 @@
         self.pool.give_back(connection)
         if answer is not None:
             self.rate.observe(answer.rate_limit, call.lifetime, self.level.rate)
+            if answer.leaving:
+                self.backend.leave_by_answer(call.lifetime)
         if call.done:
             return
         if answer is None:
