Log that the store came back from an older copy of itself

Cause: on call could not tell a return of the store with all that it had from one with an older copy, nor whether a watch or a record went on from before (docs/incidents/store-restored-from-an-older-copy.md). Nothing is decided from it yet. Ruled out by reading: that an older configuration replaces a newer one in a running process.

--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -22,6 +22,7 @@
 from coltsfoottrack._internal.mesh.publisher import Publisher
 from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 from coltsfoottrack._internal.mesh.store import Store
+from coltsfoottrack._internal.mesh.store_era import StoreEra
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
 
@@ -44,6 +45,8 @@
         self.first_start = settings.first_start
         self.directory = directory
         self.members = MemberUpdates(directory, log)
+        self.era = StoreEra(log)
+        store.on_era = lambda era: self.era.observe(era, "store")
         self.own_record = OwnRecord(store, directory, log)
         self.publisher = Publisher(directory, active_configuration)
         self.watch = StoreWatch(store, active_configuration, self.members, log)
--- a/src/coltsfoottrack/_internal/mesh/store.py
+++ b/src/coltsfoottrack/_internal/mesh/store.py
@@ -1,5 +1,6 @@
 """Interface to the platform's store, as a node uses it."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 from typing import Protocol as Interface
 
@@ -32,6 +33,9 @@
 class Store(Interface):
     """The store's calls used by a node. All raise StoreError."""
 
+    # Called with the era that an answer names; see StoreEra.
+    on_era: Callable[[int], None]
+
     async def read_configuration(self) -> ConfigurationChange:
         """Returns the newest configuration."""
 
--- a/src/coltsfoottrack/_internal/mesh_local/directory_store.py
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import get_running_loop, sleep
+from collections.abc import Callable
 from pathlib import Path
 
 from google.protobuf.message import DecodeError
@@ -36,6 +37,8 @@
         self.members = Path(directory) / MEMBERS_DIRECTORY
         # Revision of each member's file that was last reported to the node.
         self.reported_revisions: dict[str, int] = {}
+        # Never called: a directory tells nothing of copies.
+        self.on_era: Callable[[int], None] = lambda era: None
 
     async def read_configuration(self) -> ConfigurationChange:
         """Returns the routes file's content, None if the file does not exist."""
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -14,6 +14,8 @@
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
 )
+# Header of the store; rises each time that it comes back from an older copy.
+STORE_ERA = "store-era"
 READY_PATH = "/api/ready"
 METRICS_PATH = "/metrics"
 OBJECTS_PATH = "/api/objects"
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's metadata store."""
 
+from collections.abc import Callable
 from random import randint
 from typing import Any
 
@@ -17,13 +18,18 @@
     MemberChanges,
 )
 from coltsfoottrack._internal.routing.exceptions import RoutingError
-from coltsfoottrack._internal.routing.http_connection import ConnectionPool, encode_request
+from coltsfoottrack._internal.routing.http_connection import (
+    ConnectionPool,
+    HttpReply,
+    encode_request,
+)
 from coltsfoottrack.platform.configuration import encode_spec
 from coltsfoottrack.platform.names import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
     MEMBER_KIND,
     OBJECTS_PATH,
+    STORE_ERA,
 )
 
 REQUEST_TIMEOUT_SECONDS = 1.5
@@ -47,6 +53,8 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.pool = ConnectionPool()
+        # Called with the era that an answer names.
+        self.on_era: Callable[[int], None] = lambda era: None
 
     async def _call(
         self, method: str, path: str, body: bytes = b"", seconds: float = REQUEST_TIMEOUT_SECONDS
@@ -57,6 +65,7 @@
             reply = await self.pool.exchange(self.address, request, True, seconds)
         except RoutingError as error:
             raise StoreError(f"{method} {path}: {error}") from error
+        self._read_era(reply)
         if reply.status == GONE:
             raise StoreHistoryLostError(f"{method} {path}: revision is no longer available")
         if reply.status not in (200, 201, 204, NOT_FOUND, CONFLICT):
@@ -68,6 +77,11 @@
         except JSONDecodeError as error:
             raise StoreError(f"{method} {path}: response is not JSON") from error
 
+    def _read_era(self, reply: HttpReply) -> None:
+        era = reply.headers.get(STORE_ERA, "")
+        if era.isdecimal():
+            self.on_era(int(era))
+
     async def read_configuration(self) -> ConfigurationChange:
         """Returns the stored configuration; its content is None if there is none."""
         _, page = await self._call("GET", CONFIGURATION_KIND)
