Show in tests what a node loses when the store comes back from an older copy

Cause: not mended here. Revisions and acknowledgements are taken to hold for ever. Ruled out: a watch of the configuration that goes on from before after a reset, since it reads anew.

--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's metadata store."""
 
 from asyncio import Event, StreamReader, StreamWriter, timeout
-from typing import Any
+from copy import deepcopy
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, urlsplit
 
 from orjson import dumps, loads
@@ -9,12 +10,23 @@
 from tests.standins.http import HttpServer, Message, read_message
 
 
+class StoreCopy(NamedTuple):
+    """What the store held at some time."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class StandInStore(HttpServer):
-    """Objects with revisions, conditional writes and watches; can fail or lose answers."""
+    """Objects with revisions, conditional writes and watches; can fail or lose answers.
+
+    It can also come back from an older copy of itself.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.revision = 1
+        self.era = 1
         self.objects: dict[tuple[str, str], dict[str, Any]] = {}
         # Revision, kind, object, and whether it was deleted.
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -48,6 +60,24 @@
         """Discards the history, which the real store may do at any time."""
         self.forgotten_before = self.revision + 1
 
+    def copy(self) -> StoreCopy:
+        """Returns what the store holds now."""
+        return StoreCopy(self.revision, deepcopy(self.objects))
+
+    def restore(self, copy: StoreCopy, forgets_watches: bool = False) -> None:
+        """Loses all that was stored since a copy was made.
+
+        Resets all connections, or leaves them open and never answers the watches on them.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self.objects = deepcopy(copy.objects)
+        self.history = [entry for entry in self.history if entry[0] <= copy.revision]
+        if forgets_watches:
+            return
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Serves one connection."""
         while (message := await read_message(reader)) is not None:
@@ -56,7 +86,8 @@
             if self.lose_answers and message.method != "GET":
                 return
             content = dumps(body)
-            head = f"HTTP/1.1 {status} Status\r\nContent-Length: {len(content)}\r\n\r\n"
+            head = f"HTTP/1.1 {status} Status\r\nStore-Era: {self.era}\r\n"
+            head += f"Content-Length: {len(content)}\r\n\r\n"
             writer.write(head.encode("ascii") + content)
 
     async def _answer(self, message: Message) -> tuple[int, Any]:
@@ -100,11 +131,14 @@
         return 200, self._store(kind, name, body)
 
     async def _watch(self, kind: str, revision: int, wait_ms: int) -> tuple[int, Any]:
-        if revision + 1 < self.forgotten_before:
+        if revision + 1 < self.forgotten_before or revision > self.revision:
             return 410, {}
         try:
+            era = self.era
             async with timeout(wait_ms / 1000.0):
                 while True:
+                    if era != self.era:
+                        await Event().wait()
                     events = []
                     for at, of, item, deleted in self.history:
                         if at > revision and of == kind:
