Begin the watches anew when the store comes back from an older copy

Callers would see: a route that was added is answered 404 for up to 12 s, or a member that joined in an outage is not used, if every node that follows the store meets this (CONFIG). Cause: a revision was taken to mean the same for ever. The watch of the members went on from its old revision after each error; if that revision had been given out again, what was written at lower ones was missed. A watch that the returned store has forgotten, on a connection that stays open, waited for its end. Class of fault: an acknowledged state of another system is kept without the era in which it holds. Ruled out: the watch of the configuration after an error, which reads anew already. Change: the era of the store is learnt from each answer and from notices; at a rise both watches read anew. An answer of an earlier era than one already seen counts as failed. Cost: two calls of each node that follows the store, for each return.

--- a/src/coltsfoottrack/_internal/mesh/distribution.py
+++ b/src/coltsfoottrack/_internal/mesh/distribution.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
 from coltsfoottrack._internal.mesh.records import from_record
 from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
+from coltsfoottrack._internal.mesh.store_era import StoreEra
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
 from coltsfoottrack._internal.schema.links_pb2 import (
     Configuration,
@@ -35,11 +36,13 @@
         subscriptions: Subscriptions,
         active_configuration: ActiveConfiguration,
         summaries: RouteSummaries,
+        era: StoreEra,
     ) -> None:
         self.members = members
         self.subscriptions = subscriptions
         self.active_configuration = active_configuration
         self.summaries = summaries
+        self.era = era
         # Since when a peer is known to have a configuration newer than behind_version.
         self.behind_since: float | None = None
         self.behind_version = 0
@@ -71,6 +74,8 @@
 
     def _handle_notice(self, connection: LinkConnection, message: Notice) -> None:
         now = current_time()
+        if message.store_era:
+            self.era.observe(message.store_era - 1, f"notice of {connection.node}")
         self._learn_records(connection, message.members)
         self.summaries.record(connection.node, message.levels, now)
         self.subscriptions.handle_notice(connection, message, now)
--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -48,7 +48,7 @@
         self.era = StoreEra(log)
         store.on_era = lambda era: self.era.observe(era, "store")
         self.own_record = OwnRecord(store, directory, log)
-        self.publisher = Publisher(directory, active_configuration)
+        self.publisher = Publisher(directory, active_configuration, self.era)
         self.watch = StoreWatch(store, active_configuration, self.members, log)
         first_look_seconds = 0.0
         if settings.first_start:
@@ -60,10 +60,11 @@
             store, self.members, self.subscriptions, settings.seed_addresses, log
         )
         self.distribution = Distribution(
-            self.members, self.subscriptions, active_configuration, summaries
+            self.members, self.subscriptions, active_configuration, summaries, self.era
         )
         self.publisher.last_confirmed = self.subscriptions.last_confirmed
         self.watch.on_confirmed = self.publisher.publish
+        self.era.on_restored.append(self.watch.restart)
         self.members.on_learned = self.publisher.add_changed
         self.level_reporter: LevelReporter | None = None
 
--- a/src/coltsfoottrack/_internal/mesh/publisher.py
+++ b/src/coltsfoottrack/_internal/mesh/publisher.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import to_record
+from coltsfoottrack._internal.mesh.store_era import StoreEra
 from coltsfoottrack._internal.schema.links_pb2 import Frame, Notice
 
 # A subscriber that hears nothing for longer looks for another source.
@@ -26,8 +27,11 @@
     does not grow with the number of nodes.
     """
 
-    def __init__(self, directory: Directory, active_configuration: ActiveConfiguration) -> None:
+    def __init__(
+        self, directory: Directory, active_configuration: ActiveConfiguration, era: StoreEra
+    ) -> None:
         self.directory = directory
+        self.era = era
         self.active_configuration = active_configuration
         # Levels that the subscribers report.
         self.levels = LevelCollector()
@@ -86,6 +90,7 @@
                 members_digest=self.directory.digest,
                 members=[to_record(member) for member in members],
                 levels=self.levels.summaries(now),
+                store_era=0 if self.era.number is None else self.era.number + 1,
             )
         )
 
--- a/src/coltsfoottrack/_internal/mesh/store_era.py
+++ b/src/coltsfoottrack/_internal/mesh/store_era.py
@@ -4,6 +4,7 @@
 second time, so neither revisions nor acknowledgements hold beyond the era in which they were given.
 """
 
+from asyncio import get_running_loop
 from collections.abc import Callable
 
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -16,7 +17,7 @@
         self.log = log
         # None until the store or another node has told it.
         self.number: int | None = None
-        # Called when the store has come back from an older copy.
+        # Called when the store has come back from an older copy, after the call that learnt it.
         self.on_restored: list[Callable[[], None]] = []
 
     def observe(self, number: int, source: str) -> None:
@@ -29,4 +30,4 @@
             return
         self.log.decision("store_restored", era=number, before=before, source=source)
         for handle in self.on_restored:
-            handle()
+            get_running_loop().call_soon(handle)
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -52,20 +52,34 @@
         """Starts following the store."""
         if not self.tasks:
             self.log.decision("store_watch_started")
-            self._start(self._follow_configuration())
-            self._start(self._follow_members())
+            self._start_following()
+
+    def _start_following(self) -> None:
+        self._start(self._follow_configuration())
+        self._start(self._follow_members())
 
     def _start(self, work: Coroutine[Any, Any, None]) -> None:
         self.tasks.append(get_running_loop().create_task(work))
 
-    def stop(self) -> None:
-        """Stops following the store."""
+    def restart(self) -> None:
+        """Reads everything anew, as earlier revisions mean nothing to a restored store."""
         if not self.tasks:
             return
-        self.log.decision("store_watch_stopped")
+        self._cancel()
+        self._set_following(False)
+        self._start_following()
+
+    def _cancel(self) -> None:
         for task in self.tasks:
             task.cancel()
         self.tasks = []
+
+    def stop(self) -> None:
+        """Stops following the store."""
+        if not self.tasks:
+            return
+        self.log.decision("store_watch_stopped")
+        self._cancel()
         if self.following:
             self.confirmed_at = current_time()
         self.following = False
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -53,7 +53,9 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.pool = ConnectionPool()
-        # Called with the era that an answer names.
+        # Latest era that an answer has named.
+        self.era = 0
+        # Called with the era of each answer.
         self.on_era: Callable[[int], None] = lambda era: None
 
     async def _call(
@@ -65,7 +67,7 @@
             reply = await self.pool.exchange(self.address, request, True, seconds)
         except RoutingError as error:
             raise StoreError(f"{method} {path}: {error}") from error
-        self._read_era(reply)
+        self._check_era(reply, f"{method} {path}")
         if reply.status == GONE:
             raise StoreHistoryLostError(f"{method} {path}: revision is no longer available")
         if reply.status not in (200, 201, 204, NOT_FOUND, CONFLICT):
@@ -77,10 +79,16 @@
         except JSONDecodeError as error:
             raise StoreError(f"{method} {path}: response is not JSON") from error
 
-    def _read_era(self, reply: HttpReply) -> None:
-        era = reply.headers.get(STORE_ERA, "")
-        if era.isdecimal():
-            self.on_era(int(era))
+    def _check_era(self, reply: HttpReply, call: str) -> None:
+        """Tells the era of an answer; raises StoreError if a later one is known."""
+        text = reply.headers.get(STORE_ERA, "")
+        if not text.isdecimal():
+            return
+        era = int(text)
+        if era < self.era:
+            raise StoreError(f"{call}: answer of era {era}, the store is at {self.era}")
+        self.era = era
+        self.on_era(era)
 
     async def read_configuration(self) -> ConfigurationChange:
         """Returns the stored configuration; its content is None if there is none."""
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -33,6 +33,7 @@
 from coltsfoottrack._internal.mesh.publisher import Publisher
 from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 from coltsfoottrack._internal.mesh.store import ConfigurationChange, MemberChange, MemberChanges
+from coltsfoottrack._internal.mesh.store_era import StoreEra
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
 from coltsfoottrack._internal.schema.links_pb2 import Frame
@@ -209,7 +210,8 @@
         self.configuration = ActiveConfiguration(decode, log)
         client = StoreClient(network.store, name)
         self.members = MemberUpdates(self.directory, log)
-        self.publisher = Publisher(self.directory, self.configuration)
+        era = StoreEra(log)
+        self.publisher = Publisher(self.directory, self.configuration, era)
         self.watch = StoreWatch(client, self.configuration, self.members, log)
         first_look = FIRST_START_SECONDS + FIRST_START_JITTER_SECONDS if first_start else 0.0
         self.subscriptions = Subscriptions(
@@ -218,7 +220,7 @@
         self.discovery = Discovery(client, self.members, self.subscriptions, (), log)
         self.record = OwnRecord(client, self.directory, log)
         self.distribution = Distribution(
-            self.members, self.subscriptions, self.configuration, RouteSummaries()
+            self.members, self.subscriptions, self.configuration, RouteSummaries(), era
         )
         self.publisher.last_confirmed = self.subscriptions.last_confirmed
         self.watch.on_confirmed = self.publisher.publish
