Write a node's record again when the store comes back from an older copy

Callers would see: requests to a backend server that had left, if its node is restarted after the return and gets a late report only (DRAIN); 503 at new nodes, which find nobody in the store. Cause: a node took an acknowledged record for stored for ever. Ruled out: that the nodes that follow the store write for all, which would need them to compare records. Change: at a rise of the store's era, which notices bring to every node, each node writes its record again, under the revision that it had, so that an intact record costs one call that changes nothing. The writes of all nodes are spread to 200 a second; a leave is written at once. Conclusion: mended; shown by tests only. Records that the store had deleted come back with the copy and stay: a new node finds out that such a member is gone when it connects.

--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -65,6 +65,7 @@
         self.publisher.last_confirmed = self.subscriptions.last_confirmed
         self.watch.on_confirmed = self.publisher.publish
         self.era.on_restored.append(self.watch.restart)
+        self.era.on_restored.append(self.own_record.handle_restored)
         self.members.on_learned = self.publisher.add_changed
         self.level_reporter: LevelReporter | None = None
 
--- a/src/coltsfoottrack/_internal/mesh/own_record.py
+++ b/src/coltsfoottrack/_internal/mesh/own_record.py
@@ -2,11 +2,12 @@
 
 The record lets new nodes find this one, and keeps the leave of its backend server if all processes
 end at once. All else about members passes between the nodes, so the record is written only when
-its address, service or leave changes.
+its address, service or leave changes, and when the store has lost what it acknowledged.
 """
 
 from asyncio import Event, sleep, wait_for
 from collections.abc import Callable
+from random import uniform
 from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.backoff import Backoff
@@ -16,6 +17,10 @@
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.store import Store
 
+# Rate at which all nodes together write their records again to a restored store, which leaves room
+# for other writes.
+REWRITES_PER_SECOND = 200.0
+
 
 class LastingState(NamedTuple):
     """The part of a member record that must be stored again when it changes."""
@@ -49,6 +54,8 @@
         self.changed = Event()
         self.revision: int | None = None
         self.written: LastingState | None = None
+        # The store came back from an older copy, which may lack the record.
+        self.restored = False
         # Called with a record that an earlier process of this node has written.
         self.on_previous: Callable[[Member], None] = lambda member: None
         self.backoff = Backoff("own_record", log)
@@ -58,6 +65,8 @@
         while True:
             await self.changed.wait()
             self.changed.clear()
+            if self.restored:
+                await self._await_turn()
             member = self.directory.own
             if not member.backend or LastingState.of(member) == self.written:
                 continue
@@ -71,20 +80,42 @@
                 continue
             self.backoff.record_success()
 
+    def handle_restored(self) -> None:
+        """Writes the record again, as the store may have lost it."""
+        self.written = None
+        self.restored = True
+        self.changed.set()
+
+    async def _await_turn(self) -> None:
+        """Spreads the writes of all nodes to a restored store; a leave is written at once."""
+        if self.directory.own.left:
+            return
+        seconds = uniform(0.0, len(self.directory.peers) / REWRITES_PER_SECOND)
+        try:
+            await wait_for(self.changed.wait(), seconds)
+        except TimeoutError:
+            return
+        self.changed.clear()
+
     async def _write(self, member: Member) -> None:
         """Writes conditionally, so that a delayed earlier write cannot take effect afterwards."""
+        was_restored = self.restored
+        self.restored = False
+        if self.revision is not None:
+            try:
+                self.revision = await self.store.replace_member(member, self.revision)
+            except StoreConflictError as error:
+                self.revision = None
+                if not was_restored:
+                    raise StoreError("member record was modified concurrently") from error
         if self.revision is None:
             try:
                 self.revision = await self.store.create_member(member)
             except StoreConflictError:
                 await self._read_previous()
                 return
-        else:
-            try:
-                self.revision = await self.store.replace_member(member, self.revision)
-            except StoreConflictError as error:
-                raise StoreError("member record was modified concurrently") from error
-        self.written = LastingState.of(member)
+        if not self.restored:
+            self.written = LastingState.of(member)
         self.log.decision(
             "own_record_written",
             revision=self.revision,
