Split queue and log lines off the runner

Change: call_queue.py orders the waiting calls and tells which have expired, runner_log.py writes the lines about outcomes and shedding. Expired calls are taken out of the queue before any of them is refused, since a refusal can submit the next try of a local request to the same queue. Ruled out: moving claims and connections as well, which share the state of a running call. Conclusion: no change of behaviour meant.

--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -6,7 +6,6 @@
 
 from asyncio import Task, TimerHandle, get_running_loop
 from collections.abc import Callable
-from heapq import heapify, heappop, heappush
 
 from coltsfoottrack._internal.mesh.backend_connection import (
     BackendConnection,
@@ -16,6 +15,12 @@
 from coltsfoottrack._internal.mesh.backend_rate import BackendRate
 from coltsfoottrack._internal.mesh.backend_state import BackendState
 from coltsfoottrack._internal.mesh.call_cache import CallCache
+from coltsfoottrack._internal.mesh.call_queue import (
+    MIN_TIME_LEFT_SECONDS,
+    ORPHAN_GRACE_SECONDS,
+    CallQueue,
+    expiry_reason,
+)
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.crash_watch import CrashWatch
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -24,6 +29,7 @@
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
+from coltsfoottrack._internal.mesh.runner_log import RunnerLog
 from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -31,24 +37,15 @@
     RESULT_UNKNOWN,
 )
 
-# Calls made for a running request are queued ahead of new requests of their rank that arrived up
-# to this long earlier.
-CALL_HEAD_START_SECONDS = 0.15
-# A request with less time left than this cannot finish and is not sent.
-MIN_TIME_LEFT_SECONDS = 0.005
 # Grace period after the deadline, at which the backend server itself answers, before the run is
 # abandoned.
 OVERDUE_GRACE_SECONDS = 0.25
-# Grace period before a call whose link was lost is dropped.
-ORPHAN_GRACE_SECONDS = 0.3
 # Timeout for the answer to a claim; after it the sender or the link to it counts as lost.
 CLAIM_TIMEOUT_SECONDS = 1.0
 # A reset this soon after sending shows that the backend server had dropped the idle connection.
 DROPPED_RESET_SECONDS = 0.005
 # Weight of the newest run in the moving average of run times.
 MEAN_TIME_WEIGHT = 0.02
-# The start of shedding is logged once more than this share of the least important rank is shed.
-SHEDDING_MARGIN = 0.1
 # A request is declined, if its sender allows it, when it would probably wait for longer than this.
 # Another node is reached within a few milliseconds.
 DECLINE_WAIT_SECONDS = 0.008
@@ -74,20 +71,16 @@
         self.retry_budget = retry_budget
         self.parent_requests = parent_requests
         self.names = names
-        self.log = log
         self.run_time = run_time
         self.level = OwnLevel()
+        self.log = RunnerLog(log, backend, self.level)
         self.rate = BackendRate(backend, log)
         # Starts the next call once the rate limit allows it.
         self.start_timer: TimerHandle | None = None
-        # Whether the start of shedding was logged and its end was not.
-        self.shedding = False
         self.crash_watch = CrashWatch(log)
         self.call_cache = CallCache()
-        # Rank, time that orders calls of one rank, sequence number, call.
-        self.queue: list[tuple[int, float, int, RunnerCall]] = []
+        self.queue = CallQueue()
         self.running: set[RunnerCall] = set()
-        self.arrivals = 0
         # Time of the last request by route.
         self.served_routes: dict[str, float] = {}
         self.tasks: set[Task[None]] = set()
@@ -131,7 +124,8 @@
             if self._can_start(call.arrived):
                 self._start(call)
             else:
-                self._enqueue(call)
+                self.queue.push(call)
+                self._start_next()
 
     def expected_wait(self) -> float:
         """Returns the time in seconds that a new request would probably wait for a slot."""
@@ -164,16 +158,6 @@
             known.answer = RunResult(RESULT_UNKNOWN, "answer_forgotten")
         call.deliver(known)
 
-    def _enqueue(self, call: RunnerCall) -> None:
-        self.arrivals += 1
-        # Running requests that wait for calls hold slots elsewhere, so calls go first, but a new
-        # request does not wait for all calls that arrive later.
-        queued_as_of = call.arrived - (CALL_HEAD_START_SECONDS if call.message.nested else 0.0)
-        entry = (call.rank, queued_as_of, self.arrivals, call)
-        heappush(self.queue, entry)
-
-        self._start_next()
-
     def _start(self, call: RunnerCall) -> None:
         self.running.add(call)
         self.rate.take()
@@ -317,7 +301,7 @@
 
     def _refuse(self, call: RunnerCall, reason: str) -> None:
         if reason == BUSY:
-            self.log.count("run_declined")
+            self.log.declined()
         else:
             self._log_outcome("run_refused", call, reason)
         call.answer = RunResult(RESULT_NOT_RUN, reason)
@@ -341,25 +325,7 @@
         self._start_next()
 
     def _log_outcome(self, event: str, call: RunnerCall, reason: str) -> None:
-        now = current_time()
-        ran = now - call.sent_at if call.sent_at is not None else 0.0
-        self.log.request(
-            event,
-            request_id=call.message.request_id,
-            route=call.message.route,
-            rank=call.rank,
-            reason=reason,
-            caller_node=call.key.node,
-            backend=self.backend.identifier,
-            report_number=self.backend.number,
-            running=len(self.running),
-            waiting=len(self.queue),
-            slots=self.backend.slots,
-            level=round(self.level.level, 2),
-            waited_ms=int((now - call.arrived - ran) * 1000.0),
-            ran_ms=int(ran * 1000.0),
-            time_left_ms=int((call.expires - now) * 1000.0),
-        )
+        self.log.outcome(event, call, reason, len(self.running), len(self.queue))
 
     def _start_next(self) -> None:
         queue = self.queue
@@ -371,10 +337,10 @@
             if wait > 0.0:
                 self._start_next_after(wait)
                 return
-            call = heappop(queue)[3]
+            call = queue.pop()
             if call.done:
                 continue
-            refusal = self._expiry_reason(call, now)
+            refusal = expiry_reason(call, now)
             if refusal:
                 self._refuse(call, refusal)
                 continue
@@ -389,16 +355,6 @@
         self.start_timer = None
         self._start_next()
 
-    def _expiry_reason(self, call: RunnerCall, now: float) -> str:
-        """Returns why a waiting call must not be started, or an empty string."""
-        if now > call.wait_until:
-            return "overload"
-        if call.expires - now < MIN_TIME_LEFT_SECONDS:
-            return "expired"
-        if call.orphaned_at is not None and now - call.orphaned_at > ORPHAN_GRACE_SECONDS:
-            return "caller_gone"
-        return ""
-
     def cancel(self, key: CallKey) -> None:
         """Drops a call whose caller has disconnected; a non-idempotent run continues."""
         call = self.call_cache.get(key)
@@ -420,21 +376,10 @@
 
     def tick(self, now: float) -> None:
         """Drops calls that waited too long, abandons overdue runs and updates the level."""
-        queue = self.queue
-        if queue:
-            kept = []
-            for entry in queue:
-                call = entry[3]
-                if call.done:
-                    continue
-                refusal = self._expiry_reason(call, now)
-                if refusal:
+        if self.queue:
+            for call, refusal in self.queue.remove_expired(now):
+                if not call.done:
                     self._refuse(call, refusal)
-                else:
-                    kept.append(entry)
-            if len(kept) < len(queue):
-                heapify(kept)
-                self.queue = kept
             self._start_next()
         for call in list(self.running):
             if call.done:
@@ -451,32 +396,16 @@
         self.crash_watch.discard_old(now)
 
     def _update_level(self, now: float) -> None:
-        level = self.level
+        waiting = len(self.queue)
         interval = self.rate.seconds_per_request(self.mean_seconds, self.backend.limit)
-        level.update(interval, len(self.queue), now)
-        if self.shedding:
-            changed = level.level >= level.ranks
-        else:
-            changed = level.level < level.ranks - SHEDDING_MARGIN
-        if not changed:
-            return
-        self.shedding = not self.shedding
-        self.log.decision(
-            "shedding_started" if self.shedding else "shedding_ended",
-            load=round(level.load, 2),
-            arrivals_per_s=int(level.rate),
-            mean_run_ms=int(self.mean_seconds * 1000.0),
-            waiting=len(self.queue),
-            limit=self.backend.limit,
-        )
+        self.level.update(interval, waiting, now)
+        self.log.note_level(self.mean_seconds, waiting)
 
     def refuse_waiting(self) -> None:
         """Refuses all waiting calls; used when the backend server or the node leaves."""
-        waiting = self.queue
-        self.queue = []
-        for entry in waiting:
-            if not entry[3].done:
-                self._refuse(entry[3], self.backend.refusal)
+        for call in self.queue.remove_all():
+            if not call.done:
+                self._refuse(call, self.backend.refusal)
 
     def handle_backend_crash(self, reason: str) -> None:
         """Handles a crash of the backend server."""
