Soak servers that name limits and leave by their answers, and a restored store

Change: three kinds of fault, drawn apart so that the seeds give the same faults of the old kinds, and the regression seeds only those. Checked: the limit in any 4 s over the nodes that were told, no request to a server later than 2 s after a node had passed on that it leaves, and a record of each node in the store.

--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -7,8 +7,9 @@
 from typing import NamedTuple
 
 from tests.soak.mesh_pairs import GRACE_SECONDS, MeshPair
+from tests.soak.mesh_told import Episode
 from tests.standins.mesh import DEFAULT_CONFIGURATION
-from tests.standins.store import StandInStore
+from tests.standins.store import StandInStore, StoreCopy
 
 # Requests may reach a draining server for this long after its report was acknowledged.
 DRAIN_SECONDS = 2.0
@@ -37,6 +38,12 @@
     "cut_from_store",
     "set_clock",
 )
+# Drawn apart from KINDS, so that the seeds go on to give the same faults of those kinds.
+LATER_KINDS = ("name_limit", "leave_by_answers", "restore_store")
+LATER_PAUSE_SECONDS = 6.0
+LIMIT_PER_SECOND = 3.0
+LIMIT_SECONDS = 9.0
+COPY_INTERVAL_SECONDS = 0.5
 FAULTS = ("lose", "truncate", "extra", "late", "unsealed", "fail", "shed", "unframed")
 MAX_DELAY_MS = 300.0
 MAX_CLOCK_STEP_SECONDS = 5.0
@@ -64,6 +71,18 @@
     return faults
 
 
+def plan_later_faults(seed: int, seconds: float) -> list[PlannedFault]:
+    """Returns a schedule of faults of LATER_KINDS."""
+    random = Random(f"later {seed}")
+    faults = []
+    at = random.uniform(0.0, LATER_PAUSE_SECONDS)
+    while at < seconds:
+        kind = random.choice(LATER_KINDS)
+        faults.append(PlannedFault(at, kind, random.randrange(100), random.uniform(0.3, 2.5)))
+        at += random.uniform(0.0, LATER_PAUSE_SECONDS)
+    return faults
+
+
 class FaultPlayer:
     """Injects planned faults."""
 
@@ -76,6 +95,16 @@
         self.version = 0
         # Callers close their connections after SHORT_ANSWER_SECONDS.
         self.callers_leave_now = False
+        # What servers told in their answers.
+        self.episodes: list[Episode] = []
+        # Copies of the store, the oldest first.
+        self.copies: list[StoreCopy] = []
+
+    async def copy_store(self) -> None:
+        """Copies the store at intervals until cancelled."""
+        while True:
+            self.copies.append(self.store.copy())
+            await sleep(COPY_INTERVAL_SECONDS)
 
     def configure(self) -> None:
         """Stores the next version of the configuration."""
@@ -157,7 +186,7 @@
 
     async def drain_server(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
         """Drains a server and checks that it gets no more requests."""
-        if server.out_of_service_since is not None or not server.backend.server.is_serving():
+        if not self._is_in_service(server):
             return
         backend = server.backend
         try:
@@ -178,6 +207,7 @@
     async def _restart_server(self, server: MeshPair) -> None:
         """Restarts a server at the same address, without its faults."""
         server.backend.close()
+        self._end_episodes(server)
         await sleep(0.1)
         server.backend.fault = ""
         await server.backend.restart()
@@ -185,7 +215,7 @@
 
     async def crash_server(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
         """Closes a server without draining and restarts it."""
-        if server.out_of_service_since is not None or not server.backend.server.is_serving():
+        if not self._is_in_service(server):
             return
         server.out_of_service_since = get_running_loop().time()
         server.backend.close()
@@ -265,5 +295,52 @@
         await sleep(fault.seconds)
         link.heal()
 
+    def _is_in_service(self, server: MeshPair) -> bool:
+        return server.out_of_service_since is None and server.backend.server.is_serving()
+
+    def _begin_episode(self, server: MeshPair, limit: float | None) -> Episode:
+        episode = Episode(server, get_running_loop().time(), limit)
+        self.episodes.append(episode)
+        return episode
+
+    def _end_episodes(self, server: MeshPair) -> None:
+        """Makes a server tell nothing more; what it told does not bind its next process."""
+        server.backend.rate_limit = ""
+        server.backend.leaving = False
+        for episode in self.episodes:
+            if episode.server is server and episode.is_open:
+                episode.ended = get_running_loop().time()
+
+    async def name_limit(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
+        """Makes a server name a rate limit in its answers."""
+        backend = server.backend
+        if backend.rate_limit or backend.leaving or not self._is_in_service(server):
+            return
+        episode = self._begin_episode(server, LIMIT_PER_SECOND)
+        backend.rate_limit = str(LIMIT_PER_SECOND)
+        await sleep(LIMIT_SECONDS)
+        if episode.is_open:
+            self._end_episodes(server)
+
+    async def leave_by_answers(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
+        """Makes a server state in its answers, and nowhere else, that it leaves."""
+        if server.backend.leaving or not self._is_in_service(server):
+            return
+        self._end_episodes(server)
+        episode = self._begin_episode(server, None)
+        server.backend.leaving = True
+        await sleep(DRAIN_SECONDS + fault.seconds)
+        if episode.is_open and server.out_of_service_since is None:
+            await self._restart_server(server)
+
+    async def restore_store(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
+        """Brings the store back from an older copy; the operator writes again what it lacks."""
+        copy = self.copies[fault.target % len(self.copies)]
+        self.store.status = 503
+        await sleep(fault.seconds / 2.0)
+        self.store.restore(copy)
+        self.store.put("config", "main", {**DEFAULT_CONFIGURATION, "version": self.version})
+        self.store.status = None
+
     def _link_name(self, fault: PlannedFault) -> str:
         return ("nodes", "server", "store")[fault.target % 3]
--- a/tests/soak/mesh_pairs.py
+++ b/tests/soak/mesh_pairs.py
@@ -42,6 +42,8 @@
         self.paused = False
         # Periods in which the process was killed or suspended: start, end.
         self.disruptions: list[tuple[float, float]] = []
+        # Times at which its process was started.
+        self.starts: list[float] = []
 
     async def open(self) -> None:
         """Opens the backend server and the links, and writes the settings file."""
@@ -78,6 +80,7 @@
             "COLTSFOOTTRACK_ADVERTISED_ADDRESS": self.address_of("nodes"),
         }
         self.started_at = get_running_loop().time()
+        self.starts.append(self.started_at)
         with self.log_path.open("ab") as log:
             self.process = await create_subprocess_exec(
                 sys.executable,
@@ -106,6 +109,12 @@
         """Returns whether callers may have been disconnected at any time in a period."""
         return any(since <= ended and until >= began for since, until in self.disruptions)
 
+    def was_interrupted(self, began: float, ended: float) -> bool:
+        """Returns whether the process was started, killed or suspended in a period."""
+        if self.was_disrupted(began, ended):
+            return True
+        return any(began <= started <= ended for started in self.starts)
+
     async def send_report(self, state: str) -> int:
         """Sends one report of the server to the node; returns the status.
 
--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -28,8 +28,10 @@
 from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.sockets import split_address
-from tests.soak.mesh_faults import FaultPlayer, plan_faults
+from coltsfoottrack.platform.names import MEMBER_KIND
+from tests.soak.mesh_faults import FaultPlayer, plan_faults, plan_later_faults
 from tests.soak.mesh_pairs import MeshPair
+from tests.soak.mesh_told import SentRequest
 from tests.standins.mesh import Answer, encode, read_answer
 from tests.standins.store import StandInStore
 
@@ -94,8 +96,17 @@
 class Soak:
     """One run."""
 
-    def __init__(self, directory: Path, seed: int, seconds: float, nodes: int = NODES) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        seed: int,
+        seconds: float,
+        nodes: int = NODES,
+        later_faults: bool = True,
+    ) -> None:
         self.nodes = nodes
+        # Whether faults of the kinds are injected that were added later.
+        self.later_faults = later_faults
         self.seed = seed
         self.seconds = seconds
         self.store = StandInStore()
@@ -113,7 +124,7 @@
         """Injects the faults of the seed under load and returns the verdict."""
         await self.store.open()
         self.faults.configure()
-        reports = []
+        reports = [create_task(self.faults.copy_store())]
         for number in range(self.nodes):
             service = SERVICES[number % len(SERVICES)]
             pair = MeshPair(self.directory, f"{service}{number}", service, self.store)
@@ -124,17 +135,22 @@
         try:
             await sleep(START_SECONDS)
             load = create_task(self.send_load())
-            await self.faults.play(plan_faults(self.seed, self.seconds))
+            faults = plan_faults(self.seed, self.seconds)
+            if self.later_faults:
+                faults += plan_later_faults(self.seed, self.seconds)
+            await self.faults.play(faults)
             await sleep(HEAL_SECONDS)
             calm_from = get_running_loop().time()
             await sleep(CALM_SECONDS)
             self.ending = True
             await load
+            self.check_records()
         finally:
             for task in reports:
                 task.cancel()
             await self.stop_processes()
         self.check_outcomes()
+        self.check_episodes()
         calm = [outcome for outcome in self.outcomes if outcome.sent_at >= calm_from]
         served = sum(outcome.status == 200 for outcome in calm)
         statuses = Counter(outcome.status for outcome in self.outcomes)
@@ -187,6 +203,8 @@
             if connection is not None:
                 self.release(pair, connection, answer, keeps)
         problem = ""
+        if answer is not None:
+            self.note_told(pair, answer)
         if answer is not None and answer.status == 200:
             problem = self.find_answer_problem(answer, request_id, method, path)
         self.outcomes.append(
@@ -203,6 +221,17 @@
             )
         )
 
+    def note_told(self, pair: MeshPair, answer: Answer) -> None:
+        """Records what a server told in an answer that a node has passed on."""
+        told_limit = "server-limit" in answer.headers
+        if not told_limit and "server-leaving" not in answer.headers:
+            return
+        now = get_running_loop().time()
+        for episode in self.faults.episodes:
+            is_of_server = answer.body.startswith(episode.server.backend.identifier.encode())
+            if is_of_server and now <= episode.ended and (episode.limit is None) != told_limit:
+                episode.tell(pair, now)
+
     async def connect(self, pair: MeshPair, keeps: bool) -> Connection:
         """Returns an idle connection that is still open, or a new one."""
         kept = self.kept.setdefault(pair.name, [])
@@ -253,6 +282,25 @@
             if outcome.status == 0:
                 self.check_unanswered(outcome, pairs[outcome.pair_name], count)
 
+    def check_records(self) -> None:
+        """Checks that the store holds the record of each node again."""
+        for pair in self.pairs:
+            if (MEMBER_KIND, pair.name) not in self.store.objects:
+                self.violations.append(f"the store lacks the record of {pair.name}")
+
+    def check_episodes(self) -> None:
+        """Checks what reached the servers that named a limit or left by their answers."""
+        sent = []
+        for outcome in self.outcomes:
+            sent.append(SentRequest(outcome.request_id, outcome.pair_name, outcome.sent_at))
+        pairs = {pair.name: pair for pair in self.pairs}
+
+        def was_disrupted(portal: str, began: float, ended: float) -> bool:
+            return pairs[portal].was_interrupted(began, ended)
+
+        for episode in self.faults.episodes:
+            self.violations.extend(episode.violations(sent, was_disrupted))
+
     def check_unanswered(self, outcome: Outcome, pair: MeshPair, count: int) -> None:
         """Records a violation if a node accepted a request but did not answer it.
 
@@ -269,10 +317,12 @@
             self.violations.append(f"{outcome.request_id} ran and was cut off")
 
 
-async def play_seed(seed: int, seconds: float, keep: str = "", nodes: int = NODES) -> Verdict:
+async def play_seed(
+    seed: int, seconds: float, keep: str = "", nodes: int = NODES, later_faults: bool = True
+) -> Verdict:
     """Runs one seed; keeps the nodes' logs of a failed run in ``keep``, if it is not empty."""
     with TemporaryDirectory(prefix="coltsfoottrack-") as directory:
-        verdict = await Soak(Path(directory), seed, seconds, nodes).play()
+        verdict = await Soak(Path(directory), seed, seconds, nodes, later_faults).play()
         if keep and not verdict.passed:
             copytree(directory, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
         return verdict
@@ -286,7 +336,8 @@
     nodes = int(options.get("nodes", NODES))
     failed = 0
     for seed, seconds in chosen_seeds(options):
-        verdict = run(play_seed(seed, seconds, options.get("keep", ""), nodes))
+        later_faults = options.get("seeds") != "regressions"
+        verdict = run(play_seed(seed, seconds, options.get("keep", ""), nodes, later_faults))
         failed += not verdict.passed
         print(
             f"seed {seed}: {'held' if verdict.passed else 'BROKEN'}; answers {verdict.statuses}, "
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -185,6 +185,13 @@
         head += f"Keep-Alive: timeout=10\r\nContent-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode("latin-1") + body)
 
+    def arrival_times(self) -> dict[str, float]:
+        """Returns the time of the last arrival of each request."""
+        times = {}
+        for message, at in zip(self.received, self.arrivals, strict=True):
+            times[message.headers[self.request_id_name]] = at
+        return times
+
     async def restart(self) -> None:
         """Restarts at the same address after a crash."""
         self.started_ms += 1000
