Let a stopping node end only once no connection of a caller is left

Cause: between the last look at what was in flight and the end of the process lay 50 ms in which a connection that had just been accepted, or that had sent part of a request, could bring a request that was passed on. Change: the port is closed once nothing is in flight; the node ends when all connections are gone too, or at the end of the grace period. Conclusion: mended; the class (a request taken after the last look) has no other place: links refuse by then.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -322,13 +322,17 @@
             if not self.backend.node_closed:
                 self.backend.close_node()
             self.entry.close_idle_connections()
-            if not self.entry.calls and not self.runner.running:
+            if self.entry.calls or self.runner.running:
+                continue
+            # A connection that was accepted meanwhile may bring one more request.
+            if self.server.is_serving():
+                self.server.close()
+            elif not self.entry.connections:
                 break
         unanswered = len(self.entry.calls)
         self.entry.abandon_all()
         self.closed = True
-        if self.server is not None:
-            self.server.close()
+        self.server.close()
         self.entry.close_idle_connections()
         if self.backend.left:
             await self.membership.own_record.delete(DELETE_TIMEOUT_SECONDS)
--- a/tests/unit/test_mesh_leaving.py
+++ b/tests/unit/test_mesh_leaving.py
@@ -1,10 +1,12 @@
 """Leaving nodes and backend servers, and rolling restarts of nodes."""
 
-from asyncio import create_task, gather, sleep
+from asyncio import create_task, gather, sleep, wait_for
 
+from coltsfoottrack._internal.mesh.daemon import READINESS_DRAIN_SECONDS
 from tests.standins.mesh import (
     MeshTestCase,
     encode,
+    read_answer,
 )
 
 
@@ -114,6 +116,30 @@
         self.assertEqual(answer.headers["connection"], "close")
         await ending
 
+    async def test_request_that_arrives_as_the_node_ends_gets_an_answer(self):
+        """Guards against a request that is read, passed on and cut off by the end of the process.
+
+        Hunt at nadrau-mesh, trouble-2 --seed 361124209614: LOST.
+        """
+        front = await self.start("front", "portal")
+        await self.start("store")
+        await self.wait_for_members(2)
+        self.backends[1].work_seconds = 0.3
+        request = encode("/order/", "late", "POST", b"body")
+        reader, writer = await self.connect(front)
+        ending = create_task(front.stop())
+        await sleep(READINESS_DRAIN_SECONDS - 0.2)
+        writer.write(request[:-1])
+        await self.wait_until(lambda: front.backend.node_closed)
+        writer.write(request[-1:])
+        await ending
+        # The process would end here.
+        self.assertEqual(len(front.entry.calls), 0)
+        self.assertEqual(len(front.entry.connections), 0)
+        answer = await wait_for(read_answer(reader), 3.0)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.headers["connection"], "close")
+
     async def test_requests_go_to_other_nodes_when_a_node_stops(self):
         """Guards against refusals while another backend server is available."""
         front = await self.start("front", "portal")
