Bound the load that a node reports while a rate limit is the bottleneck

Cause: found on reading the change: the load is slots times the load of each slot, which a limit near 0 and a long queue raise without bound; a reply carries it in 32 bits, and building the reply would raise an error, so the caller would get no answer. Ruled out: a wider field, since the choice of a member needs no more than that it is full. Change: at most ten times the slots are reported. Names and comments of the pacing are plainer. Conclusion: mended.

--- a/src/coltsfoottrack/_internal/mesh/backend_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_rate.py
@@ -1,4 +1,4 @@
-"""The rate limit that the local backend server names, kept by the only node that sends to it."""
+"""Enforces the rate limit that the local backend server names; only this node sends to it."""
 
 from math import inf
 
@@ -7,9 +7,9 @@
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 
-# Requests that may be sent at once after a pause, in seconds of the limit, and at least.
+# Burst that may be sent after a pause: what the limit allows in this time, but at least this much.
 BURST_SECONDS = 0.25
-MIN_BURST = 1.0
+MIN_BURST_REQUESTS = 1.0
 # Only an answer tells that the limit has changed, so a backend server that takes nothing still gets
 # this many requests per second.
 MIN_RATE_PER_SECOND = 0.5
@@ -39,7 +39,7 @@
         # The process that named the limit, and the one that answered last.
         self.lifetime: Lifetime | None = None
         self.answered_lifetime: Lifetime | None = None
-        self.bucket = TokenBucket(MIN_RATE_PER_SECOND, MIN_BURST, current_time())
+        self.bucket = TokenBucket(MIN_RATE_PER_SECOND, MIN_BURST_REQUESTS, current_time())
 
     def observe(
         self, limit: float | None, lifetime: Lifetime | None, arrivals_per_second: float
@@ -61,7 +61,7 @@
             self._set(limit, now, arrivals_per_second)
 
     def adopt(self, limit: float, started_ms: int) -> None:
-        """Applies the limit that a sender knows, until the present process has answered itself."""
+        """Applies the limit that a sender knows, unless the present process has answered here."""
         lifetime = self.backend.lifetime
         if self.answered_lifetime == lifetime or started_ms != lifetime.started_ms:
             return
@@ -88,7 +88,7 @@
         if limit is None:
             return
         rate = max(MIN_RATE_PER_SECOND, limit)
-        self.bucket = TokenBucket(rate, max(MIN_BURST, rate * BURST_SECONDS), now)
+        self.bucket = TokenBucket(rate, max(MIN_BURST_REQUESTS, rate * BURST_SECONDS), now)
         self.bucket.level = min(self.bucket.burst, level)
 
     def seconds_until(self, requests: int, now: float) -> float:
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -44,6 +44,8 @@
 CLAIM_TIMEOUT_SECONDS = 1.0
 # A reset this soon after sending shows that the backend server had dropped the idle connection.
 DROPPED_RESET_SECONDS = 0.005
+# Upper bound, per slot, on the load that is reported while the rate limit is the bottleneck.
+MAX_REPORTED_LOAD = 10.0
 # Weight of the newest run in the moving average of run times.
 MEAN_TIME_WEIGHT = 0.02
 # A request is declined, if its sender allows it, when it would probably wait for longer than this.
@@ -95,7 +97,7 @@
         requests = len(self.running) + len(self.queue)
         if self.rate.limit is None:
             return requests
-        return max(requests, int(self.level.load * self.backend.slots))
+        return max(requests, int(min(self.level.load, MAX_REPORTED_LOAD) * self.backend.slots))
 
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
--- a/tests/unit/test_mesh_rate_limit.py
+++ b/tests/unit/test_mesh_rate_limit.py
@@ -9,8 +9,10 @@
 from coltsfoottrack._internal.mesh.backend_state import BackendState, Lifetime
 from coltsfoottrack._internal.mesh.daemon import MeshNode
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
+from coltsfoottrack._internal.schema.links_pb2 import Reply
 from tests.standins.backend import StandInBackend
 from tests.standins.mesh import Answer, MeshTestCase, encode
+from tests.unit.test_mesh_runner import make_runner
 
 WINDOW_SECONDS = 4.0
 LIMIT_PER_SECOND = 10.0
@@ -87,6 +89,18 @@
         self.assertEqual(parse_rate(b"24.7"), 24.7)
 
 
+class ReportedLoadTest(TestCase):
+    """The load that a runner reports while its backend server names a limit."""
+
+    def test_reported_load_is_bounded(self):
+        """Guards against a load that no message can carry, under a low limit and a long queue."""
+        runner = make_runner()
+        runner.backend.slots = 100_000
+        runner.rate.observe(0.0, runner.backend.lifetime, 0.0)
+        runner.level.load = 1e6
+        self.assertEqual(Reply(load=runner.load).load, 1_000_000)
+
+
 class RateLimitTest(MeshTestCase):
     """The rate limit of a backend server holds for all nodes together."""
 
