Test the return of the store in a mesh of 196 nodes, and state its cost

Cause: the tests of the restored store have seven nodes at most. Ruled out: 1,000 nodes in the test, whose start takes minutes to simulate.

--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -4,6 +4,7 @@
 """
 
 from asyncio import Event, Task, all_tasks, gather, sleep, timeout
+from collections.abc import Callable
 from contextlib import ExitStack
 from importlib import import_module
 from os import O_WRONLY, devnull
@@ -75,6 +76,16 @@
         # Names of nodes that the store does not answer; all of them if is_down.
         self.refused: set[str] = set()
         self.is_down = False
+        self.era = 0
+
+    def restore(self, revision: int) -> None:
+        """Comes back without the records written after a revision; ends all watches."""
+        self.era += 1
+        self.revision = revision
+        for name, item in list(self.members.items()):
+            if item.revision > revision:
+                del self.members[name]
+        self.forget_history()
 
     def put_configuration(self, version: int) -> None:
         """Stores a new configuration."""
@@ -100,11 +111,13 @@
     def __init__(self, store: SimulatedStore, name: str) -> None:
         self.store = store
         self.name = name
+        self.on_era: Callable[[int], None] = lambda era: None
 
     async def _call(self, price: float = 1.0) -> None:
         self.store.calls += price
         await sleep(STORE_CALL_SECONDS)
         self._check()
+        self.on_era(self.store.era)
 
     def _check(self) -> None:
         if self.store.is_down or self.name in self.store.refused:
@@ -160,7 +173,8 @@
 
     async def replace_member(self, member: Member, revision: int) -> int:
         await self._call()
-        if self.store.members[member.node].revision != revision:
+        stored = self.store.members.get(member.node)
+        if stored is None or stored.revision != revision:
             raise StoreConflictError("changed")
         return self._put(member)
 
@@ -211,6 +225,7 @@
         client = StoreClient(network.store, name)
         self.members = MemberUpdates(self.directory, log)
         era = StoreEra(log)
+        client.on_era = lambda number: era.observe(number, "store")
         self.publisher = Publisher(self.directory, self.configuration, era)
         self.watch = StoreWatch(client, self.configuration, self.members, log)
         first_look = FIRST_START_SECONDS + FIRST_START_JITTER_SECONDS if first_start else 0.0
@@ -224,6 +239,8 @@
         )
         self.publisher.last_confirmed = self.subscriptions.last_confirmed
         self.watch.on_confirmed = self.publisher.publish
+        era.on_restored.append(self.watch.restart)
+        era.on_restored.append(self.record.handle_restored)
         self.members.on_learned = self.publisher.add_changed
         self.configuration.on_change = self.record_change
         self.subscriptions.send = self.send
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -1,9 +1,10 @@
 """Members and configurations in a mesh where few nodes follow the store, in simulated time."""
 
-from asyncio import sleep
+from asyncio import get_running_loop, sleep
 from unittest import TestCase
 
 from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.own_record import REWRITES_PER_SECOND
 from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS
 from coltsfoottrack._internal.mesh.watchers import choose_sources, watcher_count, watcher_order
 from coltsfoottrack._internal.schema.links_pb2 import Frame
@@ -324,3 +325,32 @@
         later = own._replace(epoch=member.epoch + 1, serial=own.serial + 1)
         node.directory.set_own(later)
         node.subscriptions.announce()
+
+
+class RestoredStoreTest(TestCase):
+    """A store that comes back from an older copy of itself, in a large mesh."""
+
+    async def _restore(self, nodes: int, revision: int) -> tuple[float, float]:
+        """Returns the time until the records of all nodes are stored again, and the calls."""
+        mesh = SimulatedMesh()
+        mesh.add_all(nodes, DOMAINS)
+        await sleep(START_SECONDS)
+        self.assertEqual(len(mesh.store.members), nodes)
+        mesh.store.calls = 0.0
+        mesh.store.restore(revision)
+        began = get_running_loop().time()
+        while len(mesh.store.members) < nodes:
+            await sleep(0.1)
+            self.assertLess(get_running_loop().time() - began, 30.0)
+        seconds = get_running_loop().time() - began
+        await sleep(5.0)
+        return seconds, mesh.store.calls
+
+    def test_records_are_written_again_at_a_bounded_rate(self):
+        """Guards against records that stay lost, and against all nodes that write at once."""
+        for nodes in (12, 196):
+            with self.subTest(nodes=nodes):
+                seconds, calls = run_simulated(self._restore(nodes, 1))
+                self.assertLess(seconds, 2.0 + nodes / REWRITES_PER_SECOND)
+                # A refused and a repeated write of each node, and what the watchers read.
+                self.assertLess(calls, 2 * nodes + 12 * watcher_count(nodes))
