Name what the soak checks of announcements in the field's words

Cause: read as a newcomer, mesh_told.py, Episode and tell() need a second read. Change: announcement, passed on; a named tuple in place of a bare one. No check changes. Ruled out: nothing. Conclusion: names only.

--- a/tests/soak/mesh_told.py
+++ b/tests/soak/mesh_announcements.py
@@ -1,4 +1,4 @@
-"""What backend servers tell in their answers during a soak, and what must not reach them then."""
+"""What backend servers announce in their answers, and what must not reach them afterwards."""
 
 from collections.abc import Callable, Iterable
 from math import inf
@@ -10,7 +10,7 @@
 # The limit counts from this long after it was first named.
 LIMIT_STABLE_SECONDS = 3.0
 # A node that passed on such an answer is bound this much later.
-TOLD_SECONDS = 0.5
+BINDING_DELAY_SECONDS = 0.5
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 # Requests may reach a leaving server for this long after a node passed its answer on.
@@ -25,7 +25,14 @@
     sent_at: float
 
 
-class Episode:
+class PassedOn(NamedTuple):
+    """The process of a node that passed an announcement on, and when it first did."""
+
+    process: int
+    at: float
+
+
+class Announcement:
     """A time during which the answers of a server name a limit, or state that it leaves."""
 
     def __init__(self, server: MeshPair, began: float, limit: float | None) -> None:
@@ -34,36 +41,37 @@
         self.ended = inf
         # Requests per second; None if the server leaves.
         self.limit = limit
-        # Process of each portal node that passed on such an answer, and when it first did.
-        self.told: dict[str, tuple[int, float]] = {}
+        # The latest process of each portal node that passed on such an answer.
+        self.passed_on: dict[str, PassedOn] = {}
 
     @property
     def is_open(self) -> bool:
-        """Whether the server still tells it."""
+        """Whether the server still announces it."""
         return self.ended == inf
 
-    def tell(self, portal: MeshPair, now: float) -> None:
-        """Records that a portal node has passed on an answer of the episode."""
+    def record_passed_on(self, portal: MeshPair, now: float) -> None:
+        """Records that a portal node has passed on an answer of the announcement."""
         process = portal.process.pid
-        if self.told.get(portal.name, (0, 0.0))[0] != process:
-            self.told[portal.name] = (process, now)
+        known = self.passed_on.get(portal.name)
+        if known is None or known.process != process:
+            self.passed_on[portal.name] = PassedOn(process, now)
 
     def violations(
         self, sent: Iterable[SentRequest], was_disrupted: Callable[[str, float, float], bool]
     ) -> list[str]:
-        """Returns what reached the server against what it had told."""
+        """Returns what reached the server against its announcement."""
         arrivals = self.server.backend.arrival_times()
         counted = []
         for request in sent:
             arrived = arrivals.get(request.request_id)
-            told = self.told.get(request.portal)
-            if arrived is None or told is None or not self.began <= arrived <= self.ended:
+            passed_on = self.passed_on.get(request.portal)
+            if arrived is None or passed_on is None or not self.began <= arrived <= self.ended:
                 continue
-            if was_disrupted(request.portal, told[1], arrived):
+            if was_disrupted(request.portal, passed_on.at, arrived):
                 continue
-            if self.limit is None and request.sent_at > told[1] + DRAIN_SECONDS:
+            if self.limit is None and request.sent_at > passed_on.at + DRAIN_SECONDS:
                 return [f"{request.request_id} reached {self.server.name}, which leaves"]
-            if self.limit is not None and arrived > told[1] + TOLD_SECONDS:
+            if self.limit is not None and arrived > passed_on.at + BINDING_DELAY_SECONDS:
                 counted.append(arrived)
         return self._windows_over_limit(sorted(counted)) if self.limit is not None else []
 
--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -6,8 +6,8 @@
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from typing import NamedTuple
 
+from tests.soak.mesh_announcements import Announcement
 from tests.soak.mesh_pairs import GRACE_SECONDS, MeshPair
-from tests.soak.mesh_told import Episode
 from tests.standins.mesh import DEFAULT_CONFIGURATION
 from tests.standins.store import StandInStore, StoreCopy
 
@@ -95,8 +95,8 @@
         self.version = 0
         # Callers close their connections after SHORT_ANSWER_SECONDS.
         self.callers_leave_now = False
-        # What servers told in their answers.
-        self.episodes: list[Episode] = []
+        # What servers announced in their answers.
+        self.announcements: list[Announcement] = []
         # Copies of the store, the oldest first.
         self.copies: list[StoreCopy] = []
 
@@ -207,7 +207,7 @@
     async def _restart_server(self, server: MeshPair) -> None:
         """Restarts a server at the same address, without its faults."""
         server.backend.close()
-        self._end_episodes(server)
+        self._end_announcements(server)
         await sleep(0.1)
         server.backend.fault = ""
         await server.backend.restart()
@@ -298,39 +298,39 @@
     def _is_in_service(self, server: MeshPair) -> bool:
         return server.out_of_service_since is None and server.backend.server.is_serving()
 
-    def _begin_episode(self, server: MeshPair, limit: float | None) -> Episode:
-        episode = Episode(server, get_running_loop().time(), limit)
-        self.episodes.append(episode)
-        return episode
+    def _announce(self, server: MeshPair, limit: float | None) -> Announcement:
+        announcement = Announcement(server, get_running_loop().time(), limit)
+        self.announcements.append(announcement)
+        return announcement
 
-    def _end_episodes(self, server: MeshPair) -> None:
-        """Makes a server tell nothing more; what it told does not bind its next process."""
+    def _end_announcements(self, server: MeshPair) -> None:
+        """Ends what a server announces; it does not bind the server's next process."""
         server.backend.rate_limit = ""
         server.backend.leaving = False
-        for episode in self.episodes:
-            if episode.server is server and episode.is_open:
-                episode.ended = get_running_loop().time()
+        for announcement in self.announcements:
+            if announcement.server is server and announcement.is_open:
+                announcement.ended = get_running_loop().time()
 
     async def name_limit(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
         """Makes a server name a rate limit in its answers."""
         backend = server.backend
         if backend.rate_limit or backend.leaving or not self._is_in_service(server):
             return
-        episode = self._begin_episode(server, LIMIT_PER_SECOND)
+        announcement = self._announce(server, LIMIT_PER_SECOND)
         backend.rate_limit = str(LIMIT_PER_SECOND)
         await sleep(LIMIT_SECONDS)
-        if episode.is_open:
-            self._end_episodes(server)
+        if announcement.is_open:
+            self._end_announcements(server)
 
     async def leave_by_answers(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
         """Makes a server state in its answers, and nowhere else, that it leaves."""
         if server.backend.leaving or not self._is_in_service(server):
             return
-        self._end_episodes(server)
-        episode = self._begin_episode(server, None)
+        self._end_announcements(server)
+        announcement = self._announce(server, None)
         server.backend.leaving = True
         await sleep(DRAIN_SECONDS + fault.seconds)
-        if episode.is_open and server.out_of_service_since is None:
+        if announcement.is_open and server.out_of_service_since is None:
             await self._restart_server(server)
 
     async def restore_store(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -29,9 +29,9 @@
 
 from coltsfoottrack._internal.mesh.sockets import split_address
 from coltsfoottrack.platform.names import MEMBER_KIND
+from tests.soak.mesh_announcements import SentRequest
 from tests.soak.mesh_faults import FaultPlayer, plan_faults, plan_later_faults
 from tests.soak.mesh_pairs import MeshPair
-from tests.soak.mesh_told import SentRequest
 from tests.standins.mesh import Answer, encode, read_answer
 from tests.standins.store import StandInStore
 
@@ -150,7 +150,7 @@
                 task.cancel()
             await self.stop_processes()
         self.check_outcomes()
-        self.check_episodes()
+        self.check_announcements()
         calm = [outcome for outcome in self.outcomes if outcome.sent_at >= calm_from]
         served = sum(outcome.status == 200 for outcome in calm)
         statuses = Counter(outcome.status for outcome in self.outcomes)
@@ -204,7 +204,7 @@
                 self.release(pair, connection, answer, keeps)
         problem = ""
         if answer is not None:
-            self.note_told(pair, answer)
+            self.record_announcement(pair, answer)
         if answer is not None and answer.status == 200:
             problem = self.find_answer_problem(answer, request_id, method, path)
         self.outcomes.append(
@@ -221,16 +221,20 @@
             )
         )
 
-    def note_told(self, pair: MeshPair, answer: Answer) -> None:
-        """Records what a server told in an answer that a node has passed on."""
-        told_limit = "server-limit" in answer.headers
-        if not told_limit and "server-leaving" not in answer.headers:
+    def record_announcement(self, pair: MeshPair, answer: Answer) -> None:
+        """Records what a server announced in an answer that a node has passed on."""
+        names_limit = "server-limit" in answer.headers
+        if not names_limit and "server-leaving" not in answer.headers:
             return
         now = get_running_loop().time()
-        for episode in self.faults.episodes:
-            is_of_server = answer.body.startswith(episode.server.backend.identifier.encode())
-            if is_of_server and now <= episode.ended and (episode.limit is None) != told_limit:
-                episode.tell(pair, now)
+        for announcement in self.faults.announcements:
+            is_of_server = answer.body.startswith(announcement.server.backend.identifier.encode())
+            if (
+                is_of_server
+                and now <= announcement.ended
+                and (announcement.limit is None) != names_limit
+            ):
+                announcement.record_passed_on(pair, now)
 
     async def connect(self, pair: MeshPair, keeps: bool) -> Connection:
         """Returns an idle connection that is still open, or a new one."""
@@ -288,7 +292,7 @@
             if (MEMBER_KIND, pair.name) not in self.store.objects:
                 self.violations.append(f"the store lacks the record of {pair.name}")
 
-    def check_episodes(self) -> None:
+    def check_announcements(self) -> None:
         """Checks what reached the servers that named a limit or left by their answers."""
         sent = []
         for outcome in self.outcomes:
@@ -298,8 +302,8 @@
         def was_disrupted(portal: str, began: float, ended: float) -> bool:
             return pairs[portal].was_interrupted(began, ended)
 
-        for episode in self.faults.episodes:
-            self.violations.extend(episode.violations(sent, was_disrupted))
+        for announcement in self.faults.announcements:
+            self.violations.extend(announcement.violations(sent, was_disrupted))
 
     def check_unanswered(self, outcome: Outcome, pair: MeshPair, count: int) -> None:
         """Records a violation if a node accepted a request but did not answer it.
