Read customers from the operator's configuration

Cause: a configuration may name tenants with keys, priority, rate and burst, and routes that need no key; the decoder ignored both.

Change: platform/tenants.py reads the table as a whole. An absent table means no customers; an empty one means that no key is valid.

--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -24,6 +24,21 @@
     priority: int
     # Position of the priority among those of all routes; 0 is the most important.
     rank: int
+    # Whether requests need no key although the configuration has customers.
+    public: bool = False
+
+
+class Customer(NamedTuple):
+    """A tenant whose requests carry one of its keys."""
+
+    name: str
+    keys: tuple[bytes, ...] = ()
+    # 0 is the most important, None if the configuration gives none.
+    priority: int | None = None
+    # 0.0 for no limit.
+    rate_per_second: float = 0.0
+    # Requests beyond the rate that may follow each other at once.
+    burst: float = 0.0
 
 
 class CallerLimits(NamedTuple):
@@ -43,6 +58,8 @@
     limits: CallerLimits
     # The stored bytes, to be sent to other nodes.
     content: bytes
+    # None if the configuration has no customers; requests then need no key.
+    customers: tuple[Customer, ...] | None = None
 
 
 class Member(NamedTuple):
@@ -101,6 +118,10 @@
     rate_limit: bytes
     # States that the backend server is about to leave.
     leaving: bytes
+    # Carries the key of a customer.
+    authorization: bytes
+    # Tells the backend server the name of the customer.
+    customer: bytes
 
 
 class RetryBounds(NamedTuple):
--- a/src/coltsfoottrack/_internal/mesh_local/names.py
+++ b/src/coltsfoottrack/_internal/mesh_local/names.py
@@ -13,6 +13,8 @@
     caller_service=b"calling-service",
     rate_limit=b"rate-limit",
     leaving=b"leaving",
+    authorization=b"authorization",
+    customer=b"customer",
 )
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
--- a/src/coltsfoottrack/platform/configuration.py
+++ b/src/coltsfoottrack/platform/configuration.py
@@ -12,6 +12,7 @@
     WeightedService,
 )
 from coltsfoottrack.platform.names import SAFE
+from coltsfoottrack.platform.tenants import read_tenants
 
 
 class UnreadableConfigurationError(MeshError):
@@ -40,6 +41,7 @@
                 idle_timeout_ms=int(limits.get("idleTimeoutMs", default.idle_timeout_ms)),
             ),
             content=content,
+            customers=read_tenants(spec.get("tenants")),
         )
     except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise UnreadableConfigurationError(f"{type(error).__name__}: {error}") from error
@@ -63,6 +65,7 @@
         max_attempts=int(entry.get("maxAttempts", 1)),
         priority=priority,
         rank=ranks[priority],
+        public=entry.get("public") is True,
     )
 
 
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -13,6 +13,8 @@
     caller_service=b"caller-service",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    authorization=b"authorization",
+    customer=b"tenant",
 )
 # Header of the store; rises each time that it comes back from an older copy.
 STORE_ERA = "store-era"
