Identify the customers of requests at the entry

Cause: requests must carry a customer's key while the configuration has customers, the key must stay at the entry, and quota, rank and logs depend on the customer.

Change: the caller's connection keeps the key's header value aside and drops it and the header with the customer's name when a request is complete, if customers are then in force. The entry answers 401 before anything else is spent on a request, tells the backend server the name, charges the quota through Entry.shared_rates and returns the token of a request that reached no backend server. Calls take customer and rank of their parent and are not charged. Ranks order the customer's priority before the route's. Admission keeps its credits by route and rank, since the requests of one route now have several ranks. Log lines, explanations and metrics name the customer.

--- a/src/coltsfoottrack/_internal/decision_log/explanation.py
+++ b/src/coltsfoottrack/_internal/decision_log/explanation.py
@@ -107,17 +107,29 @@
         return f"404 {where}: no route of version {version} fits {final.fields.get('path')}"
     if final.event == "caller_gone":
         elapsed = final.fields.get("elapsed_ms")
-        return f"no answer {where}: its caller disconnected after {elapsed} ms"
+        return f"no answer {where}: its caller disconnected after {elapsed} ms{_customer(final)}"
     if final.event == "request_refused":
-        return f"503 {where}, never sent: {describe(final.reason)}"
+        status = final.fields.get("status", 503)
+        return f"{status} {where}, never sent: {describe(final.reason)}{_customer(final)}"
     status = final.fields.get("status")
     if final.event == "request_failed_at_backend":
         cause = "as a call that it needed was not served" if calls else "of its own"
         return (
             f"{status} {where}: a failure of backend server {final.fields.get('backend')} {cause}"
+            f"{_customer(final)}"
         )
     ran = "it may have run" if final.fields.get("attempts") else "it did not run"
-    return f"{status} {where}, {ran}: {describe(final.reason)}"
+    return f"{status} {where}, {ran}: {describe(final.reason)}{_customer(final)}"
+
+
+def _customer(final: LogLine) -> str:
+    """Returns the customer of a request and the configuration version that applied to it."""
+    described = []
+    if final.fields.get("customer"):
+        described.append(f"customer {final.fields['customer']}")
+    if final.fields.get("configuration_version"):
+        described.append(f"configuration version {final.fields['configuration_version']}")
+    return f" ({', '.join(described)})" if described else ""
 
 
 def _step(line: LogLine) -> str:
--- a/src/coltsfoottrack/_internal/decision_log/reasons.py
+++ b/src/coltsfoottrack/_internal/decision_log/reasons.py
@@ -20,6 +20,7 @@
     "expired": "its deadline passed before it could run",
     "link_lost": "the connection to the other node was lost",
     "memory": "the bodies in flight at the node used all the memory reserved for them",
+    "missing_key": "it carried no key of a customer",
     "no_backend": "no backend server had reported to the node yet",
     "no_route": "no route matches",
     "no_configuration": "the node had no configuration yet",
@@ -34,8 +35,10 @@
     "overload": "no slot became free within the time that it could wait",
     "peer_silent": "the other node did not answer",
     "quarantined": "requests like it had crashed backend servers",
+    "quota": "its customer had used up its quota",
     "repeat_budget": "the service's retry budget was used up",
     "time_out": "its deadline passed while it ran or waited",
+    "unknown_key": "it carried no valid key of a customer",
     "withdrawn": "it was sent to another node in the meantime",
 }
 
--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         "answer",
+        "authorization",
         "body",
         "cancel",
         "connection",
@@ -54,6 +55,8 @@
         self.host = ""
         self.request_id = b""
         self.deadline_ms: bytes | None = None
+        # Value of the header with the key; b"" if it was ambiguous, None if there was none.
+        self.authorization: bytes | None = None
         self.head = b""
         self.body = b""
         self.keep_alive = True
@@ -81,6 +84,9 @@
     def is_stopping(self) -> bool:
         """Returns whether connections are closed after their next answer."""
 
+    def has_customers(self) -> bool:
+        """Returns whether the headers about customers are not forwarded."""
+
     def handle(self, request: CallerRequest) -> None:
         """Handles a complete request; the answer may follow later."""
 
@@ -96,6 +102,8 @@
         self.waiting: deque[CallerRequest] = deque()
         self.current: CallerRequest | None = None
         self.header_lines: list[bytes] = []
+        # Positions of the header lines about customers.
+        self.customer_lines: list[int] = []
         self.chunks: list[bytes] = []
         self.url = b""
         self.head_size = 0
@@ -164,6 +172,7 @@
         self.in_head = True
         self.received_in_head = 0
         self.header_lines = []
+        self.customer_lines = []
         self.chunks = []
         self.url = b""
         self.head_size = 0
@@ -201,8 +210,27 @@
             return
         elif lower in (names.caller_service, names.expected_backend):
             return
+        elif lower == names.authorization:
+            self._keep_authorization(request, value)
+        elif lower == names.customer:
+            self.customer_lines.append(len(self.header_lines))
         self.header_lines.append(name + b": " + value + b"\r\n")
 
+    def _keep_authorization(self, request: CallerRequest, value: bytes) -> None:
+        """Keeps the value of the header with the key; a duplicate or a trailer makes it invalid."""
+        self.customer_lines.append(len(self.header_lines))
+        valid = self.in_head and request.authorization is None
+        request.authorization = value if valid else b""
+
+    def _drop_customer_lines(self) -> None:
+        """Removes the header lines about customers from those to be forwarded.
+
+        Called when the request is complete, as the configuration may have changed since its
+        headers were read.
+        """
+        for position in reversed(self.customer_lines):
+            del self.header_lines[position]
+
     def on_headers_complete(self) -> None:
         """Sends 100 Continue if the caller waits for it."""
         self.in_head = False
@@ -239,6 +267,8 @@
             request.keep_alive = False
             self.respond(request, 400, b"", b"")
             return
+        if self.customer_lines and self.handler.has_customers():
+            self._drop_customer_lines()
         parts = [request.method, b" ", self.url, b" HTTP/1.1\r\n", *self.header_lines]
         if body or request.method in (b"POST", b"PUT", b"PATCH"):
             parts.append(b"Content-Length: %d\r\n" % len(body))
--- a/src/coltsfoottrack/_internal/mesh/configuration.py
+++ b/src/coltsfoottrack/_internal/mesh/configuration.py
@@ -45,6 +45,7 @@
             version=configuration.version,
             before=before,
             routes=len(configuration.routes),
+            customers=len(configuration.customers or ()),
             source=source,
         )
         self.on_change(self.table)
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/customers/__init__.py
@@ -0,0 +1,1 @@
+"""Customers: their keys, ranks and quotas at the entry."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/customers/quota.py
@@ -0,0 +1,52 @@
+"""Charges the quota of a customer for its requests."""
+
+from typing import Protocol
+
+from coltsfoottrack._internal.mesh.entry_call import EntryCall
+
+
+class RateTokens(Protocol):
+    """Tokens of named rates that are shared by all nodes."""
+
+    def try_take(self, name: str, now: float) -> float | None:
+        """Takes a token.
+
+        Returns None, or the seconds until one is likely to be available if there is none now.
+        """
+
+    def give_back(self, name: str) -> None:
+        """Returns a token whose request has reached no backend server."""
+
+
+class UnlimitedTokens:
+    """Tokens without a limit."""
+
+    def try_take(self, name: str, now: float) -> float | None:
+        """Returns None."""
+        return None
+
+    def give_back(self, name: str) -> None:
+        """Does nothing."""
+
+
+def charge(call: EntryCall, tokens: RateTokens, now: float) -> float | None:
+    """Charges a new request to its customer's quota.
+
+    Returns None, or the seconds until a token is likely to be available if the quota is used up.
+    """
+    if call.customer is None:
+        return None
+    wait = tokens.try_take(call.customer.name, now)
+    if wait is None:
+        call.charged = call.customer.name
+    return wait
+
+
+def settle(call: EntryCall, tokens: RateTokens) -> None:
+    """Returns the token of a request that has ended and that no backend server can have received.
+
+    Must be called after the last send has been counted in ``attempts`` if it may have run.
+    """
+    if call.charged and not call.attempts:
+        tokens.give_back(call.charged)
+    call.charged = ""
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -5,6 +5,13 @@
 from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.caller_connection import CallerConnection, CallerRequest
 from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.customers.identification import identify
+from coltsfoottrack._internal.mesh.customers.quota import (
+    RateTokens,
+    UnlimitedTokens,
+    charge,
+    settle,
+)
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory, Peer
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
@@ -45,11 +52,15 @@
     ("backend_left", "backend_down", "backend_unreachable", "node_leaving", "no_backend")
 )
 UNAVAILABLE_BLOCK_SECONDS = 0.5
+# Reason of a request over the quota of its customer.
+QUOTA = "quota"
 # Statuses from here on count as failures of the backend server.
 FIRST_FAILURE_STATUS = 500
 # Statuses from which a caller concludes that the request did not run. They are not forwarded from
 # a backend server that ran the request, that is, one that did not set the not-run header.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# Names the scheme of the keys, as HTTP requires of a response with status 401.
+AUTHENTICATE_LINE = b"WWW-Authenticate: Bearer\r\n"
 
 
 class Entry:
@@ -75,6 +86,8 @@
         self.statistics = statistics
         self.links: Links | None = None
         self.table: RouteTable | None = None
+        # Quotas of the customers.
+        self.shared_rates: RateTokens = UnlimitedTokens()
         self.gate = EntryGate(memory_bytes)
         self.connections: set[CallerConnection] = set()
         self.calls: dict[int, EntryCall] = {}
@@ -93,6 +106,10 @@
         """Returns whether connections are closed after their next answer."""
         return self.gate.is_stopping()
 
+    def has_customers(self) -> bool:
+        """Returns whether the configuration in force has customers."""
+        return self.table is not None and self.table.customers is not None
+
     def handle(self, request: CallerRequest) -> None:
         """Refuses a complete request or sends it to a member."""
         self.statistics.requests += 1
@@ -108,13 +125,17 @@
             return
         call = EntryCall(request, route)
         now = request.received
-        if not self._set_deadline(call, now):
-            return
         if self.parent_requests.running:
             call.parent = self.parent_requests.parent(call.request_id)
+        refusal = identify(call, table, self.headers.customer)
+        if refusal:
+            self._refuse_unidentified(call, refusal, table)
+            return
+        if not self._set_deadline(call, now):
+            return
         if call.parent is not None:
             self._inherit_rank(call, now)
-        elif not self._admit(call, table, now):
+        elif not self._charge(call, table, now) or not self._admit(call, table, now):
             return
         call.service = table.service_of(route)
         self.last_number += 1
@@ -144,13 +165,36 @@
         call.rank = parent.rank
         self.parent_requests.called_routes.setdefault(parent.route, {})[call.route.name] = now
 
+    def _refuse_unidentified(self, call: EntryCall, reason: str, table: RouteTable) -> None:
+        """Answers a request without a known key with a 401."""
+        self.statistics.count_answer(call.route.name, reason)
+        self.log.refused_by_customer(call, 401, reason, table.version)
+        call.request.respond(401, AUTHENTICATE_LINE, b"")
+
+    def _charge(self, call: EntryCall, table: RouteTable, now: float) -> bool:
+        """Returns whether a new request is within its customer's quota; answers 429 if not."""
+        wait = charge(call, self.shared_rates, now)
+        if wait is None:
+            return True
+        self._count_answer(call, QUOTA)
+        self.log.refused_by_customer(call, 429, QUOTA, table.version)
+        call.request.respond(429, self._retry_after(wait, call.deadline - now), b"")
+        return False
+
+    def _count_answer(self, call: EntryCall, reason: str) -> None:
+        self.statistics.count_answer(call.route.name, reason)
+        # Calls are not counted, so that the counts can be compared with the quotas.
+        if call.customer is not None and call.parent is None:
+            self.statistics.count_customer_answer(call.customer.name, reason)
+
     def _admit(self, call: EntryCall, table: RouteTable, now: float) -> bool:
         """Returns whether a new request is admitted; answers it with a 503 if not."""
         request = call.request
-        refusal = self.gate.check(call.route, len(request.body), table.top_rank + 1, now)
+        refusal = self.gate.check(call.route, call.rank, len(request.body), table.top_rank + 1, now)
         if refusal is None:
             return True
-        self.statistics.count_answer(call.route.name, refusal.reason)
+        settle(call, self.shared_rates)
+        self._count_answer(call, refusal.reason)
         reported = self.gate.levels.describe(call.route.name, now)
         self.log.refused(call, refusal.reason, refusal.level, reported, table.version)
         remaining = call.deadline - now
@@ -267,6 +311,7 @@
             configuration_version=self.table.version,
             may_decline=call.may_decline,
             known_rate_limit=known_rate_limit,
+            customer=call.customer_name,
         )
 
     def handle_reply(self, number: int, reply: Reply) -> None:
@@ -318,6 +363,8 @@
         elif reason in UNAVAILABLE_REASONS:
             call.peer.block(UNAVAILABLE_BLOCK_SECONDS)
         elif reason == "backend_refused":
+            # The request has reached a backend server, so its token is used.
+            call.charged = ""
             call.peer.record_result(True)
             call.is_retry = True
             if call.sends >= call.route.max_attempts:
@@ -410,7 +457,7 @@
 
     def _end(self, call: EntryCall, status: int, head: bytes, body: bytes, reason: str) -> None:
         self._close(call)
-        self.statistics.count_answer(call.route.name, reason)
+        self._count_answer(call, reason)
         self.statistics.latency.observe(current_time() - call.request.received)
         call.request.respond(status, head, body)
 
@@ -418,11 +465,14 @@
         call.done = True
         self.calls.pop(call.number, None)
         self.gate.remove_body(len(call.request.body))
+        settle(call, self.shared_rates)
 
     def _caller_disconnected(self, call: EntryCall) -> None:
         """Cancels the request of a caller that has disconnected."""
+        if self._may_have_run(call):
+            call.attempts += 1
         self._close(call)
-        self.statistics.count_answer(call.route.name, "caller_gone")
+        self._count_answer(call, "caller_gone")
         self.log.caller_gone(call, current_time())
         self._cancel(call)
 
--- a/src/coltsfoottrack/_internal/mesh/entry_call.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_call.py
@@ -2,7 +2,7 @@
 
 from coltsfoottrack._internal.mesh.caller_connection import CallerRequest
 from coltsfoottrack._internal.mesh.directory import Peer
-from coltsfoottrack._internal.mesh.model import Member, Route
+from coltsfoottrack._internal.mesh.model import Customer, Member, Route
 from coltsfoottrack._internal.mesh.parent_requests import RunningRequest
 from coltsfoottrack._internal.schema.links_pb2 import Reply
 
@@ -12,7 +12,9 @@
 
     __slots__ = (
         "attempts",
+        "charged",
         "chosen_record",
+        "customer",
         "deadline",
         "declined",
         "done",
@@ -39,6 +41,10 @@
         self.request = request
         self.route = route
         self.rank = route.rank
+        # Customer to which the request is attributed: that of its parent, or else of its key.
+        self.customer: Customer | None = None
+        # Name whose quota was charged for the request, empty if none was.
+        self.charged = ""
         self.parent: RunningRequest | None = None
         self.service = ""
         self.deadline = 0.0
@@ -71,6 +77,11 @@
         """Identifier of the request, as sent by the caller."""
         return self.request.request_id.decode("latin-1")
 
+    @property
+    def customer_name(self) -> str:
+        """Name of the customer to which the request is attributed, empty if there is none."""
+        return self.customer.name if self.customer is not None else ""
+
     @property
     def sent_to(self) -> str:
         """Node to which the request was last sent, empty before the first send."""
--- a/src/coltsfoottrack/_internal/mesh/entry_gate.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_gate.py
@@ -39,10 +39,13 @@
         """Returns whether the node is stopping."""
         return self.stopping_since is not None
 
-    def check(self, route: Route, body_bytes: int, ranks: int, now: float) -> Refusal | None:
+    def check(
+        self, route: Route, rank: int, body_bytes: int, ranks: int, now: float
+    ) -> Refusal | None:
         """Returns why a new request is refused, None if it is admitted.
 
-        ``ranks`` is the number of ranks in the configuration in force.
+        ``rank`` is the rank of the request, and ``ranks`` is the number of ranks in the
+        configuration in force.
         """
         if (
             self.stopping_since is not None
@@ -50,7 +53,7 @@
         ):
             return Refusal("node_stopping", 0.0, RETRY_AFTER_SECONDS)
         level = self.levels.level(route.name, ranks, now)
-        if not self.admission.admit(route.name, route.rank, level):
+        if not self.admission.admit(route.name, rank, level):
             return Refusal("admission_level", level, OVERLOAD_RETRY_AFTER_SECONDS)
         if self.body_bytes_in_flight + body_bytes > self.body_bytes_limit:
             return Refusal("memory", level, RETRY_AFTER_SECONDS)
--- a/src/coltsfoottrack/_internal/mesh/entry_log.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -58,6 +58,12 @@
             configuration_version=version,
         )
 
+    def refused_by_customer(self, call: EntryCall, status: int, reason: str, version: int) -> None:
+        """Logs the refusal of a new request because of its key or its customer's quota."""
+        self._log_request(
+            "request_refused", call, status=status, reason=reason, configuration_version=version
+        )
+
     def sent(self, call: EntryCall, now: float, version: int) -> None:
         """Logs the chosen member, with the statistics behind the choice and their age."""
         peer = call.peer
@@ -136,6 +142,8 @@
         )
 
     def _log_request(self, event: str, call: EntryCall, **fields: Any) -> None:
+        if call.customer is not None:
+            fields["customer"] = call.customer.name
         self.log.request(event, request_id=call.request_id, route=call.route.name, **fields)
 
 
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -158,16 +158,18 @@
     """Admits a share of the requests of each route, spread evenly over the arrivals."""
 
     def __init__(self) -> None:
-        self.credits: dict[str, float] = {}
+        # By route and rank, as the ranks of one route have different shares.
+        self.credits: dict[tuple[str, int], float] = {}
 
     def admit(self, route: str, rank: int, level: float) -> bool:
-        """Returns whether to admit the next request of a route; counts it."""
+        """Returns whether to admit the next request of a route and rank; counts it."""
         share = min(1.0, max(MIN_ADMITTED_SHARE, level - rank))
         if share >= 1.0:
             return True
-        credit = self.credits.get(route, 0.5) + share
+        key = (route, rank)
+        credit = self.credits.get(key, 0.5) + share
         if credit >= 1.0:
-            self.credits[route] = credit - 1.0
+            self.credits[key] = credit - 1.0
             return True
-        self.credits[route] = credit
+        self.credits[key] = credit
         return False
--- a/src/coltsfoottrack/_internal/mesh/metrics.py
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -3,6 +3,7 @@
 from math import nan
 from typing import TYPE_CHECKING
 
+from coltsfoottrack._internal.mesh.customers.customer_metrics import labelled_answers
 from coltsfoottrack._internal.observability.process import resident_bytes
 
 if TYPE_CHECKING:
@@ -34,6 +35,14 @@
     for (route, reason), count in statistics.answers.items():
         answers[(("route", route), ("reason", reason))] = count
     counter("answers_total", "Answers to callers by route and reason.", answers)
+    of_customers = {}
+    for (customer, reason), count in labelled_answers(statistics.customer_answers).items():
+        of_customers[(("customer", customer), ("reason", reason))] = count
+    counter(
+        "customer_answers_total",
+        "Answers to requests of the largest customers, and of all others as one, by reason.",
+        of_customers,
+    )
     decisions = {}
     for event, count in node.log.counts.items():
         decisions[(("event", event),)] = count
--- a/src/coltsfoottrack/_internal/mesh/parent_requests.py
+++ b/src/coltsfoottrack/_internal/mesh/parent_requests.py
@@ -15,6 +15,8 @@
     expires: float
     is_retry: bool
     request_id: str
+    # Customer to which the request and its calls are attributed, empty if there is none.
+    customer: str = ""
 
 
 class ParentRequests:
--- a/src/coltsfoottrack/_internal/mesh/ports.py
+++ b/src/coltsfoottrack/_internal/mesh/ports.py
@@ -53,6 +53,10 @@
         """Returns False: connections stay open until the process exits."""
         return False
 
+    def has_customers(self) -> bool:
+        """Returns False: the requests are not forwarded."""
+        return False
+
     def handle(self, request: CallerRequest) -> None:
         """Responds to a request."""
         method = request.method.decode("latin-1")
--- a/src/coltsfoottrack/_internal/mesh/routes.py
+++ b/src/coltsfoottrack/_internal/mesh/routes.py
@@ -2,6 +2,7 @@
 
 from random import random
 
+from coltsfoottrack._internal.mesh.customers.table import CustomerTable
 from coltsfoottrack._internal.mesh.model import Route, RoutingConfiguration, WeightedService
 
 
@@ -45,6 +46,11 @@
             if kept is None or kept.services != route.services:
                 kept = ServiceChoice(route.services)
             self.choices[route.name] = kept
+        # None if the configuration has no customers.
+        self.customers: CustomerTable | None = None
+        if configuration.customers is not None:
+            self.customers = CustomerTable(configuration.customers, configuration.routes)
+            self.top_rank = self.customers.ranks.count - 1
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix of the path, or None."""
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -236,6 +236,7 @@
                 call.expires,
                 message.repeat or message.of_repeated_run,
                 message.request_id,
+                message.customer,
             )
         )
         names = self.names
--- a/src/coltsfoottrack/_internal/mesh/runner_log.py
+++ b/src/coltsfoottrack/_internal/mesh/runner_log.py
@@ -29,11 +29,13 @@
     ) -> None:
         """Logs a call that ended without an answer, with the state of runner and backend server."""
         now = current_time()
+        message = call.message
+        fields = {"customer": message.customer} if message.customer else {}
         ran = now - call.sent_at if call.sent_at is not None else 0.0
         self.log.request(
             event,
-            request_id=call.message.request_id,
-            route=call.message.route,
+            request_id=message.request_id,
+            route=message.route,
             rank=call.rank,
             reason=reason,
             caller_node=call.key.node,
@@ -46,6 +48,8 @@
             waited_ms=int((now - call.arrived - ran) * 1000.0),
             ran_ms=int(ran * 1000.0),
             time_left_ms=int((call.expires - now) * 1000.0),
+            configuration_version=message.configuration_version,
+            **fields,
         )
 
     def note_level(self, mean_run_seconds: float, waiting: int) -> None:
--- a/src/coltsfoottrack/_internal/mesh/statistics.py
+++ b/src/coltsfoottrack/_internal/mesh/statistics.py
@@ -17,9 +17,18 @@
         self.declined = 0
         # Answers by route and reason; the reason of a backend server's answer is "answered".
         self.answers: dict[tuple[str, str], int] = defaultdict(int)
+        # Answers to requests of customers, without calls, by customer and reason.
+        self.customer_answers: dict[str, dict[str, int]] = {}
         self.latency = PlainHistogram(LATENCY_BUCKETS_SECONDS)
         self.run_time = PlainHistogram(LATENCY_BUCKETS_SECONDS)
 
     def count_answer(self, route: str, reason: str) -> None:
         """Counts an answer to a caller."""
         self.answers[(route, reason)] += 1
+
+    def count_customer_answer(self, customer: str, reason: str) -> None:
+        """Counts an answer to a request of a customer."""
+        answers = self.customer_answers.get(customer)
+        if answers is None:
+            answers = self.customer_answers[customer] = defaultdict(int)
+        answers[reason] += 1
