--- a/src/coltsfoottrack/_internal/mesh_local/routes.py
+++ b/src/coltsfoottrack/_internal/mesh_local/routes.py
@@ -1,13 +1,25 @@
 """Reads the routes of a mesh from a YAML file."""
 
+from collections.abc import Sequence
+
+from coltsfoottrack._internal.mesh.customers.validation import (
+    InvalidCustomersError,
+    check_customers,
+)
 from coltsfoottrack._internal.mesh.exceptions import MeshError
 from coltsfoottrack._internal.mesh.model import (
     CallerLimits,
+    Customer,
     Route,
     RoutingConfiguration,
     WeightedService,
 )
-from coltsfoottrack._internal.schema.mesh_pb2 import LimitsEntry, RouteEntry, RoutesFile
+from coltsfoottrack._internal.schema.mesh_pb2 import (
+    CustomerEntry,
+    LimitsEntry,
+    RouteEntry,
+    RoutesFile,
+)
 from coltsfoottrack._internal.settings.exceptions import SettingsError
 from coltsfoottrack._internal.settings.loader import load_text
 from coltsfoottrack._internal.settings.rules import number_or_default
@@ -31,7 +43,35 @@
     routes = []
     for entry in loaded.routes:
         routes.append(_route(entry, ranks))
-    return RoutingConfiguration(loaded.version, tuple(routes), _limits(loaded.limits), content)
+    return RoutingConfiguration(
+        loaded.version,
+        tuple(routes),
+        _limits(loaded.limits),
+        content,
+        _customers(loaded.customers),
+    )
+
+
+def _customers(entries: Sequence[CustomerEntry]) -> tuple[Customer, ...] | None:
+    """Returns the customers, None if there are none. Raises RoutesError."""
+    if not entries:
+        return None
+    customers = []
+    for entry in entries:
+        customers.append(
+            Customer(
+                name=entry.name,
+                keys=tuple(key.encode("utf-8") for key in entry.keys),
+                priority=int(number_or_default(entry, "priority")),
+                rate_per_second=number_or_default(entry, "rate_per_s"),
+                burst=number_or_default(entry, "burst"),
+            )
+        )
+    try:
+        check_customers(customers)
+    except InvalidCustomersError as error:
+        raise RoutesError(str(error)) from error
+    return tuple(customers)
 
 
 def _check_routes(loaded: RoutesFile) -> None:
@@ -66,6 +106,7 @@
         max_attempts=int(number_or_default(entry, "max_attempts")),
         priority=priority,
         rank=ranks[priority],
+        public=entry.public,
     )
 
 
--- a/src/coltsfoottrack/platform/configuration.py
+++ b/src/coltsfoottrack/platform/configuration.py
@@ -4,6 +4,7 @@
 
 from orjson import JSONDecodeError, dumps, loads
 
+from coltsfoottrack._internal.mesh.customers.validation import InvalidCustomersError
 from coltsfoottrack._internal.mesh.exceptions import MeshError
 from coltsfoottrack._internal.mesh.model import (
     CallerLimits,
@@ -43,6 +44,8 @@
             content=content,
             customers=read_tenants(spec.get("tenants")),
         )
+    except InvalidCustomersError as error:
+        raise UnreadableConfigurationError(str(error)) from error
     except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise UnreadableConfigurationError(f"{type(error).__name__}: {error}") from error
 
--- a/tests/unit/test_mesh_local.py
+++ b/tests/unit/test_mesh_local.py
@@ -59,7 +59,16 @@
         route = decode_routes(routes_text(1, {**READ, "services": shares})).routes[0]
         self.assertEqual(route.services, (("a", 3), ("b", 1)))
 
+    def test_customers(self):
+        """Guards against routes without customers that need keys, and against lost fields."""
+        self.assertIsNone(decode_routes(routes_text()).customers)
+        entry = {"name": "a", "keys": ["k"], "priority": 2, "rate_per_s": 1.5, "burst": 3}
+        found = decode_routes(routes_text(1, {**READ, "public": True}, ORDER, customers=[entry]))
+        self.assertEqual(found.customers, (("a", (b"k",), 2, 1.5, 3.0),))
+        self.assertEqual([route.public for route in found.routes], [True, False])
+
     def test_errors_name_the_problem(self):
+        customers = [{"name": "a", "keys": ["k"]}, {"name": "b", "keys": ["k"]}]
         for content, problem in (
             (routes_text(1, {**READ, "prefix": "read"}), "begin and end with a slash"),
             (routes_text(1, READ, READ), "given twice"),
@@ -67,6 +76,9 @@
             (routes_text(1, {**READ, "timeout_ms": 0}), "timeout_ms"),
             (routes_text(1, {**READ, "retries": 2}), "unknown field"),
             (routes_text(0), "version"),
+            (routes_text(customers=customers), "share a key"),
+            (routes_text(customers=customers[:1] * 2), "given twice"),
+            (routes_text(customers=[{"name": "a", "burst": -1}]), "burst"),
             (b"version: [", "not valid YAML"),
             (b"\xff", "utf-8"),
         ):
