Merge customers at the entry

Requests of a deployment with customers reached backend servers with the key and without the name of the customer. The entry now identifies the customer by its key; deployments without customers are served as before.

--- a/src/coltsfoottrack/platform/configuration.py
+++ b/src/coltsfoottrack/platform/configuration.py
@@ -4,6 +4,7 @@
 
 from orjson import JSONDecodeError, dumps, loads
 
+from coltsfoottrack._internal.mesh.customers.validation import InvalidCustomersError
 from coltsfoottrack._internal.mesh.exceptions import MeshError
 from coltsfoottrack._internal.mesh.model import (
     CallerLimits,
@@ -12,6 +13,7 @@
     WeightedService,
 )
 from coltsfoottrack.platform.names import SAFE
+from coltsfoottrack.platform.tenants import read_tenants
 
 
 class UnreadableConfigurationError(MeshError):
@@ -40,7 +42,10 @@
                 idle_timeout_ms=int(limits.get("idleTimeoutMs", default.idle_timeout_ms)),
             ),
             content=content,
+            customers=read_tenants(spec.get("tenants")),
         )
+    except InvalidCustomersError as error:
+        raise UnreadableConfigurationError(str(error)) from error
     except (JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
         raise UnreadableConfigurationError(f"{type(error).__name__}: {error}") from error
 
@@ -63,6 +68,7 @@
         max_attempts=int(entry.get("maxAttempts", 1)),
         priority=priority,
         rank=ranks[priority],
+        public=entry.get("public") is True,
     )
 
 
