--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -60,6 +60,8 @@
     content: bytes
     # None if the configuration has no customers; requests then need no key.
     customers: tuple[Customer, ...] | None = None
+    # Services that the configuration declares, None if it declares none by name.
+    services: tuple[str, ...] | None = None
 
 
 class Member(NamedTuple):
--- a/src/coltsfoottrack/platform/configuration.py
+++ b/src/coltsfoottrack/platform/configuration.py
@@ -43,6 +43,7 @@
             ),
             content=content,
             customers=read_tenants(spec.get("tenants")),
+            services=tuple(spec.get("services") or ()) or None,
         )
     except InvalidCustomersError as error:
         raise UnreadableConfigurationError(str(error)) from error
