Do not retry a run that failed because one of its calls failed

Under overload at the bottom of a call graph, nearly all retries were sent above, after a 500 that was caused only by a failed call. They repeat all calls and use the retry budget below.

The running request records that a call of it ended unserved or with a 5xx; a run that then ends with a 5xx is reported as Reply.failed_below, and the entry forwards the answer. The member is not counted as failing for it. Reply.short_of_capacity says whether the lowest failure was for lack of capacity. RunningRequest is a dataclass now, since it carries notes.

--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -16,6 +16,12 @@
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.route_summaries import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.routes import RouteTable
+from coltsfoottrack._internal.mesh.run_outcome import (
+    CAPACITY_REASONS,
+    FIRST_FAILURE_STATUS,
+    note_failed_call,
+    note_refused_call,
+)
 from coltsfoottrack._internal.mesh.runner import BUSY, Runner
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.schema.links_pb2 import (
@@ -45,8 +51,6 @@
     ("backend_left", "backend_down", "backend_unreachable", "node_leaving", "no_backend")
 )
 UNAVAILABLE_BLOCK_SECONDS = 0.5
-# Statuses from here on count as failures of the backend server.
-FIRST_FAILURE_STATUS = 500
 # Statuses from which a caller concludes that the request did not run. They are not forwarded from
 # a backend server that ran the request, that is, one that did not set the not-run header.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -140,9 +144,8 @@
 
     def _inherit_rank(self, call: EntryCall, now: float) -> None:
         """Gives a call the rank of its parent request."""
-        parent = call.parent
-        call.rank = parent.rank
-        self.parent_requests.called_routes.setdefault(parent.route, {})[call.route.name] = now
+        call.rank = call.parent.rank
+        self.parent_requests.note_call(call.parent, call.route.name, now)
 
     def _admit(self, call: EntryCall, table: RouteTable, now: float) -> bool:
         """Returns whether a new request is admitted; answers it with a 503 if not."""
@@ -169,6 +172,7 @@
     def _refuse_unrouted(self, request: CallerRequest, reason: str) -> None:
         self.statistics.count_answer("", reason)
         self.log.refused_unrouted(request, reason)
+        note_refused_call(self.parent_requests, request.request_id.decode("latin-1"))
         request.respond(503, self.headers.retry_after + b": 0.5\r\n", b"")
 
     def _send(self, call: EntryCall, now: float) -> None:
@@ -282,11 +286,11 @@
             call.attempts += 1
             peer.record_time(call.route.name, now - call.sent_at, now)
             failed = reply.status >= FIRST_FAILURE_STATUS
-            peer.record_result(failed)
+            peer.record_result(failed and not reply.failed_below)
             self._record_backend_state(call, peer, reply)
             if failed:
                 call.failed_backend = call.chosen_record.backend
-            if failed and self._retry(call, reply, "backend_failed"):
+            if failed and self._retry_failed(call, reply):
                 return
             self._answer(call, reply)
         elif reply.result == RESULT_UNKNOWN:
@@ -365,6 +369,17 @@
         call.reason = reason
         self._end_unserved(call, reason)
 
+    def _retry_failed(self, call: EntryCall, reply: Reply) -> bool:
+        """Retries a request whose run failed; returns False if that is not allowed.
+
+        A run that failed only for a call is not retried: the called service has already had its
+        retry, and another run would need all of its calls again.
+        """
+        if reply.failed_below:
+            self.log.failed_below()
+            return False
+        return self._retry(call, reply, "backend_failed")
+
     def _retry(self, call: EntryCall, failure: Reply | None, reason: str) -> bool:
         """Retries a request at another backend server; returns False if that is not allowed."""
         route = call.route
@@ -386,10 +401,12 @@
         if reply.status in NOT_RUN_STATUSES:
             call.failed_backend = call.failed_backend or call.chosen_record.backend
             self.log.failed_at_backend(call, reply.status, current_time())
+            note_failed_call(call, reply.short_of_capacity)
             self._end(call, 502, b"", b"", "backend_failed")
             return
         if reply.status >= FIRST_FAILURE_STATUS:
             self.log.failed_at_backend(call, reply.status, current_time())
+            note_failed_call(call, reply.short_of_capacity)
         self._end(call, reply.status, reply.head, reply.body, "answered")
 
     def _end_unserved(self, call: EntryCall, reason: str) -> None:
@@ -406,6 +423,7 @@
             head = self._retry_after(RETRY_AFTER_SECONDS, call.deadline - now)
         version = self.table.version if self.table else 0
         self.log.not_served(call, status, reason, now, version)
+        note_failed_call(call, not call.attempts and reason in CAPACITY_REASONS)
         self._end(call, status, head, b"", reason)
 
     def _end(self, call: EntryCall, status: int, head: bytes, body: bytes, reason: str) -> None:
@@ -424,6 +442,7 @@
         self._close(call)
         self.statistics.count_answer(call.route.name, "caller_gone")
         self.log.caller_gone(call, current_time())
+        note_failed_call(call, False)
         self._cancel(call)
 
     def _cancel(self, call: EntryCall) -> None:
--- a/src/coltsfoottrack/_internal/mesh/entry_log.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -86,6 +86,10 @@
             record_epoch=call.peer.member.epoch,
         )
 
+    def failed_below(self) -> None:
+        """Counts a failed run that is not retried, because one of its calls had failed."""
+        self.log.count("request_failed_below")
+
     def retried(self, call: EntryCall, reason: str, status: int) -> None:
         """Logs the retry of a request that may have run."""
         self._log_request(
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -168,6 +168,8 @@
             configuration_version=self.active_configuration.version,
             rate_limit=self._rate_limit(),
             left_started_ms=self._left_started_ms(call),
+            failed_below=answer.failed_below,
+            short_of_capacity=answer.short_of_capacity,
         )
 
     def _left_started_ms(self, call: RunnerCall) -> int:
--- a/src/coltsfoottrack/_internal/mesh/parent_requests.py
+++ b/src/coltsfoottrack/_internal/mesh/parent_requests.py
@@ -1,13 +1,14 @@
 """Finds the parent request of a call made by the local backend server."""
 
 from collections.abc import Callable
-from typing import NamedTuple
+from dataclasses import dataclass
 
 # A route counts as called for another for this long after the last call.
 CALLED_ROUTE_SECONDS = 10.0
 
 
-class RunningRequest(NamedTuple):
+@dataclass(slots=True, eq=False)
+class RunningRequest:
     """A request running at the local backend server."""
 
     route: str
@@ -15,6 +16,10 @@
     expires: float
     is_retry: bool
     request_id: str
+    # Whether one of its calls ended unserved or with a failure.
+    call_failed: bool = False
+    # Whether one of its calls failed because a service had no capacity for it.
+    short_of_capacity: bool = False
 
 
 class ParentRequests:
@@ -30,6 +35,7 @@
         self.running: dict[str, RunningRequest] = {}
         # Route -> called route -> time of the last call.
         self.called_routes: dict[str, dict[str, float]] = {}
+        self.last_call_at: float | None = None
 
     def begin(self, run: RunningRequest) -> None:
         """Adds a running request."""
@@ -44,6 +50,15 @@
         identifier = self.parent_identifier(request_id)
         return self.running.get(identifier) if identifier else None
 
+    def note_call(self, parent: RunningRequest, route: str, now: float) -> None:
+        """Records that a running request calls a route."""
+        self.called_routes.setdefault(parent.route, {})[route] = now
+        self.last_call_at = now
+
+    def is_leaf(self, now: float) -> bool:
+        """Returns whether the requests that run here have lately called no route."""
+        return self.last_call_at is None or now - self.last_call_at >= CALLED_ROUTE_SECONDS
+
     def recently_called(self, route: str, now: float) -> list[str]:
         """Returns the routes that requests of a route have lately called."""
         called = self.called_routes.get(route)
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -28,6 +28,7 @@
 from coltsfoottrack._internal.mesh.model import HeaderNames
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
+from coltsfoottrack._internal.mesh.run_outcome import run_result
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
 from coltsfoottrack._internal.mesh.runner_log import RunnerLog
 from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
@@ -229,15 +230,14 @@
         call.sent_at = now
         call.lifetime = self.backend.lifetime
         call.connection = connection
-        self.parent_requests.begin(
-            RunningRequest(
-                message.route,
-                call.rank,
-                call.expires,
-                message.repeat or message.of_repeated_run,
-                message.request_id,
-            )
+        call.run = RunningRequest(
+            message.route,
+            call.rank,
+            call.expires,
+            message.repeat or message.of_repeated_run,
+            message.request_id,
         )
+        self.parent_requests.begin(call.run)
         names = self.names
         request = b"".join(
             (
@@ -283,9 +283,7 @@
             self._finish(call, RunResult(RESULT_NOT_RUN, "backend_refused", answer.status))
         else:
             self._record_run_time(call)
-            self._finish(
-                call, RunResult(RESULT_ANSWERED, "", answer.status, answer.head, answer.body)
-            )
+            self._finish(call, run_result(call, answer))
             self.call_cache.release_request(call)
             self.call_cache.hold_answer(call, current_time())
 
--- a/src/coltsfoottrack/_internal/mesh/runner_call.py
+++ b/src/coltsfoottrack/_internal/mesh/runner_call.py
@@ -7,6 +7,7 @@
 from coltsfoottrack._internal.mesh.backend_connection import BackendConnection
 from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.parent_requests import RunningRequest
 from coltsfoottrack._internal.schema.links_pb2 import Request
 
 DIGEST_BYTES = 16
@@ -28,6 +29,9 @@
     status: int = 0
     head: bytes = b""
     body: bytes = b""
+    # Whether the run failed after one of its calls had failed, and for lack of capacity.
+    failed_below: bool = False
+    short_of_capacity: bool = False
 
 
 class RunnerCall:
@@ -48,6 +52,7 @@
         "message",
         "orphaned_at",
         "rank",
+        "run",
         "sent_at",
         "wait_until",
     )
@@ -72,6 +77,8 @@
         self.wait_until = self.arrived + message.wait_ms / 1000.0
         self.rank = message.rank
         self.sent_at: float | None = None
+        # The run at the backend server, None before the request is sent to it.
+        self.run: RunningRequest | None = None
         # Process of the backend server to which the request was sent.
         self.lifetime: Lifetime | None = None
         self.connection: BackendConnection | None = None
