Let leaf services use most of their retry budget, important ranks last

A node used 0.3 of the ratio and 0.25 of the slack whether or not its runs make calls, so useful retries at the bottom of a call graph were refused.

A leaf service now uses 0.8 and 0.6. Each first send earns a part of a retry, which is used once and expires after a quarter of a window (half a window at services that make calls), so the sum holds when load moves between nodes. The last half of the saved retries is kept for the more important ranks, the last quarter for the most important one present. A declined retry takes nothing.

--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -118,10 +118,10 @@
             self._refuse(call, "other_backend")
         elif self.crash_watch.is_quarantined(call):
             self._refuse(call, "quarantined")
-        elif message.repeat and not self.retry_budget.try_take(call.arrived, self.node_count()):
-            self._refuse(call, "repeat_budget")
         elif message.may_decline and self.expected_wait() > DECLINE_WAIT_SECONDS:
             self._refuse(call, BUSY)
+        elif message.repeat and not self._try_take_retry(call):
+            self._refuse(call, "repeat_budget")
         else:
             self.level.count_arrival()
             if self._can_start(call.arrived):
@@ -130,6 +130,9 @@
                 self.queue.push(call)
                 self._start_next()
 
+    def _try_take_retry(self, call: RunnerCall) -> bool:
+        return self.retry_budget.try_take(call.arrived, self.node_count(), call.rank)
+
     def expected_wait(self) -> float:
         """Returns the time in seconds that a new request would probably wait for a slot."""
         now = current_time()
@@ -226,7 +229,7 @@
         if message.of_repeated_run:
             self.retry_budget.charge(now)
         elif not message.repeat:
-            self.retry_budget.count_first(now)
+            self.retry_budget.count_first(now, call.rank)
         call.sent_at = now
         call.lifetime = self.backend.lifetime
         call.connection = connection
@@ -392,6 +395,7 @@
             elif call.orphaned_at is not None and now - call.orphaned_at > ORPHAN_GRACE_SECONDS:
                 self._abandon(call, "caller_gone")
         self._update_level(now)
+        self.retry_budget.set_leaf(self.parent_requests.is_leaf(now))
         self.call_cache.evict(now)
         self.crash_watch.discard_old(now)
 
--- a/tests/unit/test_mesh_parts.py
+++ b/tests/unit/test_mesh_parts.py
@@ -111,6 +111,38 @@
         self.assertFalse(budget.try_take(1.0, 1))
         self.assertTrue(budget.try_take(20.0, 1))
 
+    def test_saved_retries_expire_and_do_not_add_up(self):
+        """Guards against memory that grows, and a burst saved up in a calm hour."""
+        budget = RetryBudget(RetryBounds(0.2, 0.0, 10.0))
+        budget.set_leaf(True)
+        for step in range(100_000):
+            budget.count_first(step * 0.01)
+        self.assertLess(len(budget.earned), 10)
+        taken = 0
+        while budget.try_take(1000.0, 1):
+            taken += 1
+        self.assertLessEqual(taken, 0.2 * 0.8 * 250)
+
+    def test_last_retries_go_to_the_most_important_ranks(self):
+        """Guards against lookups that use up the retries of orders."""
+        budget = RetryBudget(RetryBounds(0.2, 100.0, 10.0))
+        budget.set_leaf(True)
+        for rank in range(3):
+            budget.count_first(1.0, rank)
+        taken = {}
+        for rank in (2, 1, 0):
+            taken[rank] = 0
+            while budget.try_take(1.0, 1, rank):
+                taken[rank] += 1
+        self.assertEqual(taken, {2: 31, 1: 15, 0: 14})
+
+    def test_a_single_rank_uses_the_whole_budget(self):
+        """Guards against a reserve for ranks that have no requests."""
+        budget = RetryBudget(RetryBounds(0.2, 100.0, 10.0))
+        budget.set_leaf(True)
+        budget.count_first(1.0, 0)
+        self.assertEqual(sum(budget.try_take(20.0, 1, 2) for _ in range(100)), 60)
+
 
 class LevelTest(TestCase):
     """Admission levels under load."""
