Lower the admission level of a route while its runs end for lack of capacity below

A service that refuses the calls of runs leaves slots free above it, so load levels admit requests that will fail.

The node beside a backend server counts, by route and rank, the runs of new requests that ended for lack of capacity, and its level falls for the least important ranks while half of theirs do, down to the minimum share. It rises when the admitted ones succeed. The most important rank present is never refused for this.

--- a/src/coltsfoottrack/_internal/mesh/level_reports.py
+++ b/src/coltsfoottrack/_internal/mesh/level_reports.py
@@ -41,7 +41,8 @@
     def due(self, now: float) -> list[RouteLevel]:
         """Returns the levels to be reported now; none if no report is due."""
         own = self.runner.level
-        shedding = own.level < own.ranks
+        whole_requests = self.runner.whole_requests
+        shedding = own.level < own.ranks or whole_requests.sheds()
         frequent = shedding or self.was_shedding
         if now - self.reported_at < (SHEDDING_REPORT_SECONDS if frequent else REPORT_SECONDS):
             return []
@@ -53,9 +54,8 @@
                 del self.runner.served_routes[route]
                 continue
             called = self.parent_requests.recently_called(route, now)
-            levels.append(
-                RouteLevel(route=route, level=int(own.level * LEVEL_UNIT), members=1, called=called)
-            )
+            level = int(min(own.level, whole_requests.level(route)) * LEVEL_UNIT)
+            levels.append(RouteLevel(route=route, level=level, members=1, called=called))
         return levels
 
 
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -186,9 +186,9 @@
         return RateLimit(per_second=rate.limit, backend_started_ms=rate.lifetime.started_ms)
 
     def _level(self, route: str) -> float:
-        """Returns the lowest level of this node and of the routes called for a route."""
+        """Returns the lowest level of this node, of a route here, and of those called for it."""
         own = self.runner.level
-        level = own.level
+        level = min(own.level, self.runner.whole_requests.level(route))
         now = current_time()
         for below in self.parent_requests.recently_called(route, now):
             level = min(level, self.levels.level(below, own.ranks, now))
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -31,6 +31,7 @@
 from coltsfoottrack._internal.mesh.run_outcome import run_result
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
 from coltsfoottrack._internal.mesh.runner_log import RunnerLog
+from coltsfoottrack._internal.mesh.whole_requests import WholeRequests
 from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -76,6 +77,7 @@
         self.names = names
         self.run_time = run_time
         self.level = OwnLevel()
+        self.whole_requests = WholeRequests()
         self.log = RunnerLog(log, backend, self.level)
         self.rate = BackendRate(backend, log)
         # Starts the next call once the rate limit allows it.
@@ -318,6 +320,7 @@
             self.rate.give_back()
         else:
             self.parent_requests.end(call.message.request_id)
+            self.whole_requests.record(call, result, current_time())
         self.running.discard(call)
         if result.result != RESULT_ANSWERED:
             self._log_outcome("run_without_answer", call, result.reason)
@@ -395,6 +398,7 @@
             elif call.orphaned_at is not None and now - call.orphaned_at > ORPHAN_GRACE_SECONDS:
                 self._abandon(call, "caller_gone")
         self._update_level(now)
+        self.whole_requests.update(now)
         self.retry_budget.set_leaf(self.parent_requests.is_leaf(now))
         self.call_cache.evict(now)
         self.crash_watch.discard_old(now)
