Merge retries where a run failed, and admission by whole requests

Runs that failed only for a failed call were retried above it and used up the retry budget below. Such runs are no longer retried, leaf services use more of their budget, and routes whose runs end for lack of capacity are refused at the entry. The entry's gate admits by FairAdmission, which divides a refused rank among customers and admits requests without a customer as before.

--- a/src/coltsfoottrack/_internal/mesh/entry_gate.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_gate.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from coltsfoottrack._internal.mesh.levels import Admission, ReportedLevels
+from coltsfoottrack._internal.mesh.fairness import FairAdmission
+from coltsfoottrack._internal.mesh.levels import ReportedLevels
 from coltsfoottrack._internal.mesh.model import Route
 
 # Requests are accepted for this long after SIGTERM. Later ones are refused at once, since they
@@ -29,7 +30,7 @@
 
     def __init__(self, memory_bytes: int) -> None:
         self.levels = ReportedLevels()
-        self.admission = Admission()
+        self.admission = FairAdmission()
         # Total size of the bodies of requests in flight, and its limit.
         self.body_bytes_in_flight = 0
         self.body_bytes_limit = MAX_BODY_MEMORY_FRACTION * memory_bytes
@@ -40,12 +41,18 @@
         return self.stopping_since is not None
 
     def check(
-        self, route: Route, rank: int, body_bytes: int, ranks: int, now: float
+        self,
+        route: Route,
+        rank: int,
+        customer: str,
+        body_bytes: int,
+        ranks: int,
+        now: float,
     ) -> Refusal | None:
         """Returns why a new request is refused, None if it is admitted.
 
-        ``rank`` is the rank of the request, and ``ranks`` is the number of ranks in the
-        configuration in force.
+        ``rank`` is the rank of the request, ``customer`` the name of its customer, empty if it has
+        none, and ``ranks`` the number of ranks in the configuration in force.
         """
         if (
             self.stopping_since is not None
@@ -53,7 +60,7 @@
         ):
             return Refusal("node_stopping", 0.0, RETRY_AFTER_SECONDS)
         level = self.levels.level(route.name, ranks, now)
-        if not self.admission.admit(route.name, rank, level):
+        if not self.admission.admit(route.name, rank, level, customer, now):
             return Refusal("admission_level", level, OVERLOAD_RETRY_AFTER_SECONDS)
         if self.body_bytes_in_flight + body_bytes > self.body_bytes_limit:
             return Refusal("memory", level, RETRY_AFTER_SECONDS)
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -28,8 +28,10 @@
 from coltsfoottrack._internal.mesh.model import HeaderNames
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
+from coltsfoottrack._internal.mesh.run_outcome import run_result
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
 from coltsfoottrack._internal.mesh.runner_log import RunnerLog
+from coltsfoottrack._internal.mesh.whole_requests import WholeRequests
 from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -75,6 +77,7 @@
         self.names = names
         self.run_time = run_time
         self.level = OwnLevel()
+        self.whole_requests = WholeRequests()
         self.log = RunnerLog(log, backend, self.level)
         self.rate = BackendRate(backend, log)
         # Starts the next call once the rate limit allows it.
@@ -117,10 +120,10 @@
             self._refuse(call, "other_backend")
         elif self.crash_watch.is_quarantined(call):
             self._refuse(call, "quarantined")
-        elif message.repeat and not self.retry_budget.try_take(call.arrived, self.node_count()):
-            self._refuse(call, "repeat_budget")
         elif message.may_decline and self.expected_wait() > DECLINE_WAIT_SECONDS:
             self._refuse(call, BUSY)
+        elif message.repeat and not self._try_take_retry(call):
+            self._refuse(call, "repeat_budget")
         else:
             self.level.count_arrival()
             if self._can_start(call.arrived):
@@ -129,6 +132,9 @@
                 self.queue.push(call)
                 self._start_next()
 
+    def _try_take_retry(self, call: RunnerCall) -> bool:
+        return self.retry_budget.try_take(call.arrived, self.node_count(), call.rank)
+
     def expected_wait(self) -> float:
         """Returns the time in seconds that a new request would probably wait for a slot."""
         now = current_time()
@@ -225,20 +231,19 @@
         if message.of_repeated_run:
             self.retry_budget.charge(now)
         elif not message.repeat:
-            self.retry_budget.count_first(now)
+            self.retry_budget.count_first(now, call.rank)
         call.sent_at = now
         call.lifetime = self.backend.lifetime
         call.connection = connection
-        self.parent_requests.begin(
-            RunningRequest(
-                message.route,
-                call.rank,
-                call.expires,
-                message.repeat or message.of_repeated_run,
-                message.request_id,
-                message.customer,
-            )
+        call.run = RunningRequest(
+            message.route,
+            call.rank,
+            call.expires,
+            message.repeat or message.of_repeated_run,
+            message.request_id,
+            message.customer,
         )
+        self.parent_requests.begin(call.run)
         names = self.names
         request = b"".join(
             (
@@ -284,9 +289,7 @@
             self._finish(call, RunResult(RESULT_NOT_RUN, "backend_refused", answer.status))
         else:
             self._record_run_time(call)
-            self._finish(
-                call, RunResult(RESULT_ANSWERED, "", answer.status, answer.head, answer.body)
-            )
+            self._finish(call, run_result(call, answer))
             self.call_cache.release_request(call)
             self.call_cache.hold_answer(call, current_time())
 
@@ -318,6 +321,7 @@
             self.rate.give_back()
         else:
             self.parent_requests.end(call.message.request_id)
+            self.whole_requests.record(call, result, current_time())
         self.running.discard(call)
         if result.result != RESULT_ANSWERED:
             self._log_outcome("run_without_answer", call, result.reason)
@@ -395,6 +399,8 @@
             elif call.orphaned_at is not None and now - call.orphaned_at > ORPHAN_GRACE_SECONDS:
                 self._abandon(call, "caller_gone")
         self._update_level(now)
+        self.whole_requests.update(now)
+        self.retry_budget.set_leaf(self.parent_requests.is_leaf(now))
         self.call_cache.evict(now)
         self.crash_watch.discard_old(now)
 
