Read the load that backend servers report in their answers

Cause: the load header was forwarded unread, so nodes did not know that a backend server is slowed. A missing or malformed value has no effect. No name is set for the mesh without a platform.

--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -7,6 +7,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from coltsfoottrack._internal.mesh.backend_load import LoadReport, parse_load
 from coltsfoottrack._internal.mesh.backend_rate import parse_rate
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.http_headers import CONNECTION_HEADERS
@@ -44,6 +45,8 @@
     rate_limit: float | None = None
     # The backend server states that it leaves.
     leaving: bool = False
+    # Load of the backend server, None if it names none.
+    load: LoadReport | None = None
 
 
 Finished = Callable[[BackendResponse | None, str], None]
@@ -72,6 +75,7 @@
         self.not_run = False
         self.rate_limit: float | None = None
         self.leaving = False
+        self.load: LoadReport | None = None
         self.has_content_encoding = False
         self.has_framing = False
         self.in_response = False
@@ -148,6 +152,7 @@
         self.not_run = False
         self.rate_limit = None
         self.leaving = False
+        self.load = None
         self.has_content_encoding = False
         self.has_framing = False
 
@@ -167,6 +172,8 @@
             self.rate_limit = parse_rate(value)
         elif lower == names.leaving:
             self.leaving = value.strip() == LEAVING
+        elif lower == names.load:
+            self.load = parse_load(value)
         elif lower == b"content-encoding":
             self.has_content_encoding = True
         elif lower in CONNECTION_HEADERS:
@@ -238,7 +245,9 @@
         self.idle_since = current_time()
         self.chunks = []
         self.budget.release(self)
-        response = BackendResponse(status, head, body, not_run, self.rate_limit, self.leaving)
+        response = BackendResponse(
+            status, head, body, not_run, self.rate_limit, self.leaving, self.load
+        )
         finished(response, "")
 
     def _fail(self, reason: str) -> None:
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -101,6 +101,8 @@
     rate_limit: bytes
     # States that the backend server is about to leave.
     leaving: bytes
+    # Load of the backend server; empty if the platform has no such header.
+    load: bytes = b""
 
 
 class RetryBounds(NamedTuple):
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -13,6 +13,7 @@
     caller_service=b"caller-service",
     rate_limit=b"server-limit",
     leaving=b"server-leaving",
+    load=b"server-load",
 )
 # Header of the store; rises each time that it comes back from an older copy.
 STORE_ERA = "store-era"
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -35,6 +35,7 @@
     "Request-Id",
     "Response-Seal",
     "Not-Executed",
+    "Server-Load",
     "weightedServices",
     "pathPrefix",
     "coldMs",
