Learn usual run times, and apply a slowdown at the backend server's node

Cause: expected waits followed a moving average over about 50 runs, while instances shared with others are slowed for 0.6 s at a time. Change: run times are divided by the slowdown that was in force during the run and kept by route; the expected wait uses them with the present slowdown. Fewer requests run at a time only where the slowdown changes at once with the number of running requests, since a server slowed from outside also fills up.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -138,6 +138,7 @@
         """Applies a new configuration to entry and runner, and announces it."""
         self.entry.table = table
         self.runner.level.set_ranks(table.top_rank + 1)
+        self.runner.capacity.set_targets(table.configuration)
         self.membership.apply_ranks(table.top_rank + 1)
 
     def restore(self, member: Member) -> None:
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -26,6 +26,7 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.levels import OwnLevel
 from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh.own_capacity import OwnCapacity
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
@@ -77,6 +78,7 @@
         self.level = OwnLevel()
         self.log = RunnerLog(log, backend, self.level)
         self.rate = BackendRate(backend, log)
+        self.capacity = OwnCapacity(backend)
         # Starts the next call once the rate limit allows it.
         self.start_timer: TimerHandle | None = None
         self.crash_watch = CrashWatch(log)
@@ -136,13 +138,14 @@
             return 0.0
         requests = len(self.queue) + 1
         for_slot = 0.0
-        if self.queue or len(self.running) >= self.backend.limit:
-            for_slot = requests * self.mean_seconds / self.backend.limit
+        limit = self.capacity.limit(now)
+        if self.queue or len(self.running) >= limit:
+            for_slot = requests * self.capacity.run_seconds(self.mean_seconds, now) / limit
         return max(for_slot, self.rate.seconds_until(requests, now))
 
     def _can_start(self, now: float) -> bool:
         """Returns whether a new request may be started at once."""
-        if self.queue or len(self.running) >= self.backend.limit:
+        if self.queue or len(self.running) >= self.capacity.limit(now):
             return False
         return self.rate.seconds_until(1, now) <= 0.0
 
@@ -228,6 +231,7 @@
             self.retry_budget.count_first(now)
         call.sent_at = now
         call.lifetime = self.backend.lifetime
+        self.capacity.start(call, now)
         call.connection = connection
         self.parent_requests.begin(
             RunningRequest(
@@ -269,6 +273,7 @@
         self.pool.give_back(connection)
         if answer is not None:
             self.rate.observe(answer.rate_limit, call.lifetime, self.level.rate)
+            self.capacity.observe(call, answer, current_time())
             if answer.leaving:
                 self.backend.leave_by_answer(call.lifetime)
         if call.done:
@@ -334,7 +339,7 @@
         if not queue:
             return
         now = current_time()
-        while queue and len(self.running) < self.backend.limit:
+        while queue and len(self.running) < self.capacity.limit(now):
             wait = self.rate.seconds_until(1, now)
             if wait > 0.0:
                 self._start_next_after(wait)
--- a/src/coltsfoottrack/_internal/mesh/runner_call.py
+++ b/src/coltsfoottrack/_internal/mesh/runner_call.py
@@ -49,6 +49,7 @@
         "orphaned_at",
         "rank",
         "sent_at",
+        "usual_time_at_start",
         "wait_until",
     )
 
@@ -72,6 +73,9 @@
         self.wait_until = self.arrived + message.wait_ms / 1000.0
         self.rank = message.rank
         self.sent_at: float | None = None
+        # Clock of the backend server's work when the request was sent, in seconds; None if it does
+        # not report its slowdown.
+        self.usual_time_at_start: float | None = None
         # Process of the backend server to which the request was sent.
         self.lifetime: Lifetime | None = None
         self.connection: BackendConnection | None = None
