Choose members by capacity where backend servers report a slowdown

Cause: all nodes chose the member with the lowest reported load per slot, from reports up to 2 s old, so members were overloaded in turn while others were idle; and the choice visited every member of the service. Change: replies carry the member's capacity and waiting requests.

--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -17,6 +17,13 @@
 MIN_SLOTS_WITH_HEADROOM = 8
 
 
+def usable_slots(slots: int) -> int:
+    """Returns how many slots of a backend server are used."""
+    if slots < MIN_SLOTS_WITH_HEADROOM:
+        return slots
+    return int(slots * USED_SLOTS_FRACTION)
+
+
 class Lifetime(NamedTuple):
     """Identifies one process of a backend server."""
 
@@ -68,9 +75,7 @@
     @property
     def limit(self) -> int:
         """Maximum number of concurrent requests."""
-        if self.slots < MIN_SLOTS_WITH_HEADROOM:
-            return self.slots
-        return int(self.slots * USED_SLOTS_FRACTION)
+        return usable_slots(self.slots)
 
     @property
     def cold_ms(self) -> int:
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.backend_state import Lifetime
+from coltsfoottrack._internal.mesh.balancing import Balancer, Choice
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.model import Member
 
@@ -67,6 +68,12 @@
         # Known number of running and waiting requests at the member.
         self.load = 0.0
         self.load_at = 0.0
+        # Requests per second that the member can take, 0.0 if it reports none, and the time of its
+        # last reply.
+        self.capacity = 0.0
+        self.reported_at = 0.0
+        # Requests that waited there for a slot.
+        self.waiting = 0
         self.failures = 0.0
         self.blocked_until = 0.0
         self.updated_at = current_time()
@@ -90,6 +97,12 @@
         self.load = float(load)
         self.load_at = now
 
+    def record_capacity(self, per_second: float, waiting: int, now: float) -> None:
+        """Records capacity and waiting requests that a reply carried."""
+        self.capacity = per_second
+        self.waiting = waiting
+        self.reported_at = now
+
     def record_rate_limit(self, per_second: float, backend_started_ms: int) -> None:
         """Records the rate limit of the backend server."""
         self.rate_limit = KnownRateLimit(per_second, backend_started_ms)
@@ -128,6 +141,7 @@
         self.own = own
         self.peers: dict[str, Peer] = {own.node: Peer(own)}
         self.by_service: dict[str, list[Peer]] = {}
+        self.balancer = Balancer()
         # Increases with each change of the set of members that have not left.
         self.generation = 0
         # Exclusive or of the digests of all records, to compare the known members of two nodes.
@@ -249,6 +263,23 @@
         """Returns whether any member of a service is known."""
         return bool(self.by_service.get(service))
 
+    def record_reply(
+        self, peer: Peer, load: int, capacity: float, waiting: int, answered: bool
+    ) -> None:
+        """Records what a member's reply tells of its load.
+
+        Capacity is in requests per second, 0.0 if the member reports none. A member that declined
+        is full, so only answers count for the mean load of its service.
+        """
+        now = current_time()
+        peer.record_load(load, now)
+        if not capacity:
+            peer.capacity = 0.0
+            return
+        peer.record_capacity(capacity, waiting, now)
+        if answered:
+            self.balancer.observe(peer, now)
+
     def choose(
         self, service: str, tried: set[str], route: str = "", target_seconds: float = 1.0
     ) -> Peer | None:
@@ -256,6 +287,10 @@
         best: Peer | None = None
         best_cost = 0.0
         now = current_time()
+        load = self.balancer.service(service, now)
+        if load is not None:
+            choice = Choice(self, load, tried, route, target_seconds, now)
+            return choice.choose(self.by_service.get(service, ()))
         for peer in self.by_service.get(service, ()):
             member = peer.member
             if member.left or not member.backend or member.node in tried:
@@ -275,13 +310,22 @@
         if now - peer.load_at > MAX_LOAD_AGE_SECONDS:
             peer.load = 0.0
             peer.load_at = now
-        cost = peer.load / max(1, member.slots) + FAILURE_PENALTY * peer.failures
+        return peer.load / max(1, member.slots) + self.penalty(peer, now)
+
+    def penalty(self, peer: Peer, now: float) -> float:
+        """Returns the cost of a member for all reasons but its load and answer times."""
+        member = peer.member
+        cost = FAILURE_PENALTY * peer.failures
         if member.node == self.own.node:
             cost -= LOCAL_BONUS
         elif member.failure_domain != self.own.failure_domain:
             cost += OTHER_DOMAIN_PENALTY
-        if not member.accepting and now - peer.updated_at < NOT_ACCEPTING_SECONDS:
+        if self.is_not_accepting(peer, now):
             cost += NOT_ACCEPTING_PENALTY
         if member.cold_ms and now - peer.updated_at < member.cold_ms / 1000.0:
             cost += COLD_PENALTY
         return cost + random() * 0.01
+
+    def is_not_accepting(self, peer: Peer, now: float) -> bool:
+        """Returns whether a member has announced lately that it takes no requests."""
+        return not peer.member.accepting and now - peer.updated_at < NOT_ACCEPTING_SECONDS
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -11,12 +11,16 @@
 from coltsfoottrack._internal.mesh.entry_gate import RETRY_AFTER_SECONDS, EntryGate
 from coltsfoottrack._internal.mesh.entry_log import EntryLog
 from coltsfoottrack._internal.mesh.link import LinkCall
-from coltsfoottrack._internal.mesh.links import NODE_RESTARTED, OTHER_PROCESS, Links
+from coltsfoottrack._internal.mesh.links import (
+    NODE_RESTARTED,
+    OTHER_PROCESS,
+    Links,
+)
 from coltsfoottrack._internal.mesh.model import CallerLimits, HeaderNames
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.route_summaries import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.routes import RouteTable
-from coltsfoottrack._internal.mesh.runner import BUSY, Runner
+from coltsfoottrack._internal.mesh.runner import BUSY, CAPACITY_UNIT, Runner
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -276,7 +280,13 @@
             return
         now = current_time()
         peer = call.peer
-        peer.record_load(reply.load, now)
+        self.directory.record_reply(
+            peer,
+            reply.load,
+            reply.capacity / CAPACITY_UNIT,
+            reply.waiting,
+            reply.result == RESULT_ANSWERED,
+        )
         self.gate.levels.record(call.route.name, peer.member.node, reply.level / LEVEL_UNIT)
         if reply.result == RESULT_ANSWERED:
             call.attempts += 1
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -156,6 +156,7 @@
 
     def _to_reply(self, call: RunnerCall) -> Reply:
         answer = call.answer
+        capacity = self.runner.reported_capacity()
         return Reply(
             number=call.key.number,
             result=answer.result,
@@ -168,6 +169,8 @@
             configuration_version=self.active_configuration.version,
             rate_limit=self._rate_limit(),
             left_started_ms=self._left_started_ms(call),
+            capacity=capacity,
+            waiting=len(self.runner.queue) if capacity else 0,
         )
 
     def _left_started_ms(self, call: RunnerCall) -> int:
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -52,6 +52,8 @@
 # A request is declined, if its sender allows it, when it would probably wait for longer than this.
 # Another node is reached within a few milliseconds.
 DECLINE_WAIT_SECONDS = 0.008
+# Replies carry the capacity in this fraction of a request per second.
+CAPACITY_UNIT = 10
 # Reason of a declined request.
 BUSY = "busy"
 
@@ -101,6 +103,15 @@
             return requests
         return max(requests, int(min(self.level.load, MAX_REPORTED_LOAD) * self.backend.slots))
 
+    def reported_capacity(self) -> int:
+        """Returns the capacity that replies carry, in units of 1 / CAPACITY_UNIT per second."""
+        per_second = self.capacity.per_second(current_time())
+        if not per_second:
+            return 0
+        if self.rate.limit is not None:
+            per_second = min(per_second, self.rate.limit)
+        return max(1, int(per_second * CAPACITY_UNIT))
+
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
         message = call.message
