Show how evenly load is spread, in metrics and mesh status

Cause: an overloaded backend server beside idle ones was only visible by comparing the running requests of all nodes. Change: metrics for capacity, slowdown, the running limit, the age of reported loads at a choice, and replies of members that were full while another one was known to have room; mesh status shows load relative to capacity. The reported capacity is bounded by its field. Result: tests.unit.test_mesh_backend_load, test_mesh_balancing and test_mesh_status pass.

--- a/src/coltsfoottrack/_internal/cli/commands/mesh/status.py
+++ b/src/coltsfoottrack/_internal/cli/commands/mesh/status.py
@@ -14,7 +14,10 @@
     RouteRates,
     counter_increase,
     fetch_metrics,
+    mean_load_age,
+    relative_loads,
     route_rates,
+    total_increase,
 )
 from coltsfoottrack._internal.cli.output import check_output, emit, table
 from coltsfoottrack._internal.decision_log.reasons import describe
@@ -53,7 +56,9 @@
             {"address": metrics.address, "values": metrics.values, "problem": metrics.problem}
         )
     document = {"nodes": nodes, "routes": [rate._asdict() for rate in rates]}
-    emit(output, document, _node_lines(before, after, interval) + _route_lines(rates))
+    lines = _node_lines(before, after, interval)
+    lines += _balance_lines(before, after, interval)
+    emit(output, document, lines + _route_lines(rates))
 
 
 def _node_lines(before: list[NodeMetrics], after: list[NodeMetrics], seconds: float) -> list[str]:
@@ -76,12 +81,17 @@
                 int(values["running"]),
                 int(values["waiting"]),
                 f"{values['level']:.2f}",
+                _load_text(later),
+                f"{values.get('slowdown', 1.0):.2f}",
                 int(values["configuration_version"]),
                 int(values["members"]),
                 int(values["resident_bytes"] / BYTES_PER_MEGABYTE),
             )
         )
-    header = ("node", "requests/s", "running", "waiting", "level", "version", "members", "MB")
+    header = (
+        *("node", "requests/s", "running", "waiting", "level", "load", "slowdown"),
+        *("version", "members", "MB"),
+    )
     lines = table(header, rows)
     lines.extend(problems)
     if len(versions) > 1:
@@ -89,6 +99,31 @@
     return lines
 
 
+def _load_text(metrics: NodeMetrics) -> str:
+    loads = relative_loads([metrics])
+    return f"{loads[0]:.2f}" if loads else "-"
+
+
+def _balance_lines(
+    before: list[NodeMetrics], after: list[NodeMetrics], seconds: float
+) -> list[str]:
+    """Returns how evenly load is spread over the nodes whose capacity is known."""
+    loads = relative_loads(after)
+    if not loads:
+        return []
+    mean = sum(loads) / len(loads)
+    uneven = total_increase(before, after, "uneven_total") / seconds
+    lines = [
+        f"load relative to capacity: highest {max(loads):.2f}, mean {mean:.2f}, "
+        f"lowest {min(loads):.2f}",
+        f"waited or declined while another member had room: {uneven:.1f}/s",
+    ]
+    age = mean_load_age(before, after)
+    if age is not None:
+        lines.append(f"mean age of reported loads at a choice: {age * 1000.0:.0f} ms")
+    return lines
+
+
 def _route_lines(rates: list[RouteRates]) -> list[str]:
     lines = []
     for rate in rates:
--- a/src/coltsfoottrack/_internal/cli/mesh_metrics.py
+++ b/src/coltsfoottrack/_internal/cli/mesh_metrics.py
@@ -75,6 +75,32 @@
     return after - before if after >= before else after
 
 
+def relative_loads(metrics: list[NodeMetrics]) -> list[float]:
+    """Returns arrivals relative to capacity of the nodes whose capacity is known."""
+    loads = []
+    for node in metrics:
+        capacity = node.values.get("capacity", 0.0)
+        if capacity:
+            loads.append(node.values.get("arrivals", 0.0) / capacity)
+    return loads
+
+
+def total_increase(before: list[NodeMetrics], after: list[NodeMetrics], name: str) -> float:
+    """Returns the increase of a counter over all nodes that answered both fetches."""
+    total = 0.0
+    for earlier, later in zip(before, after, strict=True):
+        if earlier.problem or later.problem:
+            continue
+        total += counter_increase(earlier.values.get(name, 0.0), later.values.get(name, 0.0))
+    return total
+
+
+def mean_load_age(before: list[NodeMetrics], after: list[NodeMetrics]) -> float | None:
+    """Returns the mean age in seconds of reported loads at choices between two fetches."""
+    count = total_increase(before, after, "load_age_seconds_count")
+    return total_increase(before, after, "load_age_seconds_sum") / count if count else None
+
+
 def route_rates(
     before: list[NodeMetrics], after: list[NodeMetrics], seconds: float
 ) -> list[RouteRates]:
--- a/src/coltsfoottrack/_internal/mesh/balancing.py
+++ b/src/coltsfoottrack/_internal/mesh/balancing.py
@@ -37,6 +37,8 @@
 # Cost of a member without a free slot; above that of a member in another failure domain, so that a
 # full failure domain uses the free slots of others.
 FULL_COST = 0.6
+# Only reports younger than this count as knowledge of a free slot.
+FRESH_REPORT_SECONDS = 0.5
 AGE_BUCKETS_SECONDS = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
 
 
@@ -128,6 +130,27 @@
             service = self.services[peer.member.service] = ServiceLoad()
         service.observe(peer, now)
 
+    def count_uneven(self, directory: "Directory", peer: "Peer", now: float) -> None:
+        """Counts a reply of a full member if another one is known to have had room.
+
+        Only a few members drawn at random are looked at, so the count is a lower bound.
+        """
+        service = self.service(peer.member.service, now)
+        if service is None:
+            return
+        for table in (service.near, service.far):
+            if not table.peers:
+                continue
+            other = table.draw()
+            if other is peer or now - other.reported_at > FRESH_REPORT_SECONDS:
+                continue
+            if other.blocked_until > now or directory.is_not_accepting(other, now):
+                continue
+            service.age(other, now)
+            if has_room(other):
+                self.uneven += 1
+                return
+
     def service(self, name: str, now: float) -> ServiceLoad | None:
         """Returns a service whose members report capacities, None if they do not."""
         service = self.services.get(name)
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -279,6 +279,8 @@
         peer.record_capacity(capacity, waiting, now)
         if answered:
             self.balancer.observe(peer, now)
+        if waiting or not answered:
+            self.balancer.count_uneven(self, peer, now)
 
     def choose(
         self, service: str, tried: set[str], route: str = "", target_seconds: float = 1.0
--- a/src/coltsfoottrack/_internal/mesh/metrics.py
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -3,6 +3,7 @@
 from math import nan
 from typing import TYPE_CHECKING
 
+from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.observability.process import resident_bytes
 
 if TYPE_CHECKING:
@@ -17,8 +18,6 @@
     from aioprometheus import Counter, Gauge, Histogram, Registry
     from aioprometheus.formats.text import TextFormatter
 
-    from coltsfoottrack._internal.mesh.statistics import LATENCY_BUCKETS_SECONDS
-
     registry = Registry()
 
     def counter(name: str, text: str, values: dict[tuple[tuple[str, str], ...], int]) -> None:
@@ -45,6 +44,11 @@
         "Requests returned by a member without a free slot.",
         {(): statistics.declined},
     )
+    counter(
+        "uneven_total",
+        "Replies of members whose requests waited, or that declined, while another had room.",
+        {(): node.directory.balancer.uneven},
+    )
     counter(
         "log_lines_left_out_total",
         "Log lines that were left out by the bound or that nobody read.",
@@ -59,16 +63,27 @@
         nan if node.runner.rate.limit is None else node.runner.rate.limit,
     )
     gauge("arrivals", "Requests per second at the backend server.", node.runner.level.rate)
+    capacity = node.runner.capacity
+    now = current_time()
+    gauge(
+        "capacity",
+        "Requests per second that the backend server can take, 0 if it reports no slowdown.",
+        capacity.per_second(now),
+    )
+    gauge("slowdown", "How much longer runs take than usual.", capacity.speed.current(now))
+    gauge("running_limit", "Requests that run at a time at most.", capacity.limit(now))
     gauge("configuration_version", "Version in force.", node.active_configuration.version)
     gauge("members", "Known members.", len(node.directory.peers))
     gauge("backend_connections_opened", "Connections to the backend server.", node.pool.opened)
     gauge("resident_bytes", "Resident memory.", resident_bytes())
+    age = node.directory.balancer.information_age
     for name, text, histogram in (
         ("answer_seconds", "Time from a request to its answer.", statistics.latency),
         ("run_seconds", "Time of runs at the backend server.", statistics.run_time),
+        ("load_age_seconds", "Age of the reported load at a choice by capacity.", age),
     ):
         collector = Histogram(
-            f"{METRIC_PREFIX}_{name}", text, buckets=LATENCY_BUCKETS_SECONDS, registry=registry
+            f"{METRIC_PREFIX}_{name}", text, buckets=histogram.buckets, registry=registry
         )
         histogram.publish(collector, {})
     return TextFormatter().marshall(registry)
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -54,6 +54,8 @@
 DECLINE_WAIT_SECONDS = 0.008
 # Replies carry the capacity in this fraction of a request per second.
 CAPACITY_UNIT = 10
+# Greatest value of the field.
+MAX_REPORTED_CAPACITY = 2**32 - 1
 # Reason of a declined request.
 BUSY = "busy"
 
@@ -110,7 +112,7 @@
             return 0
         if self.rate.limit is not None:
             per_second = min(per_second, self.rate.limit)
-        return max(1, int(per_second * CAPACITY_UNIT))
+        return max(1, min(MAX_REPORTED_CAPACITY, int(per_second * CAPACITY_UNIT)))
 
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -59,6 +59,7 @@
         self.backend_name = names.expected_backend.decode()
         self.not_run_line = names.not_run.decode() + ": 1\r\n"
         self.rate_limit_name = names.rate_limit.decode()
+        self.load_name = names.load.decode()
         self.leaving_line = names.leaving.decode() + ": 1\r\n"
         self.identifier = identifier
         self.service = service
@@ -72,6 +73,8 @@
         self.arrivals: list[float] = []
         # Rate limit that each answer names; empty for none.
         self.rate_limit = ""
+        # Slowdown in percent that each answer reports, with the load; 0 for none.
+        self.slowdown_percent = 0
         # Whether each answer says that the server leaves.
         self.leaving = False
         self.order: list[str] = []
@@ -176,6 +179,9 @@
         extra: str = "",
     ) -> None:
         head = f"HTTP/1.1 {status} Status\r\n{self.request_id_name}: {request_id}\r\n{extra}"
+        if self.slowdown_percent:
+            load = f"{self.running},0,{self.slots},{self.slowdown_percent}"
+            head += f"{self.load_name}: {load}\r\n"
         if self.rate_limit:
             head += f"{self.rate_limit_name}: {self.rate_limit}\r\n"
         if self.leaving:
--- a/tests/unit/test_mesh_backend_load.py
+++ b/tests/unit/test_mesh_backend_load.py
@@ -2,13 +2,19 @@
 
 from random import Random
 from unittest import TestCase
+from unittest.mock import patch
 
+from coltsfoottrack._internal.cli.mesh_metrics import parse_metrics
 from coltsfoottrack._internal.mesh.backend_connection import BackendResponse
 from coltsfoottrack._internal.mesh.backend_load import LoadReport, parse_load
 from coltsfoottrack._internal.mesh.backend_state import Lifetime
+from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.daemon import MeshNode
+from coltsfoottrack._internal.mesh.metrics import scrape
 from coltsfoottrack._internal.mesh.own_capacity import OwnCapacity
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
-from coltsfoottrack._internal.schema.links_pb2 import Request
+from coltsfoottrack._internal.schema.links_pb2 import Reply, Request
+from tests.standins.mesh import MeshTestCase, encode
 from tests.unit.test_mesh_runner import make_runner
 
 PROCESS = Lifetime("i-1", 1)
@@ -134,3 +140,38 @@
         """Guards against a limit that halves the throughput of a server slowed from outside."""
         self.assertEqual(self.play(shared_processor=False), 38)
         self.assertLess(self.play(shared_processor=True), 28)
+
+
+class ReportedCapacityTest(MeshTestCase):
+    """Nodes with real connections."""
+
+    async def send(self, front: MeshNode, count: int) -> None:
+        for number in range(count):
+            await self.send_request(front, encode("/read/", f"{current_time()}-{number}"))
+
+    async def test_replies_carry_capacity_only_where_a_slowdown_is_reported(self):
+        """Guards against a value that is lost on its way, and one that nobody has reported."""
+        front = await self.start("front", "portal")
+        await self.start("store", slots=10)
+        await self.wait_for_members(2)
+        await self.send(front, 15)
+        self.assertEqual(front.directory.balancer.services, {})
+        self.backends[1].slowdown_percent = 100
+        await self.send(front, 15)
+        peer = front.directory.peers["store"]
+        # 9 requests of 10 ms at a time.
+        self.assertLess(peer.capacity, 1000.0)
+        self.assertGreater(peer.capacity, 100.0)
+        metrics = parse_metrics("a", scrape(front).decode())
+        self.assertGreater(metrics.values["load_age_seconds_count"], 0.0)
+        self.assertGreater(parse_metrics("a", scrape(self.nodes[1]).decode()).values["capacity"], 0)
+
+    def test_greatest_capacity_fits_its_field(self):
+        """Guards against a reply that cannot be sent, for a server with very short runs."""
+        runner = make_runner()
+        runner.capacity = make_capacity(100_000)
+        for _ in range(20):
+            run(runner.capacity, 1.0, 0.0, 5, 0, 20, 10)
+        runner.capacity.run_times.mean_at = -1.0
+        with patch("coltsfoottrack._internal.mesh.runner.current_time", lambda: 1.0):
+            self.assertGreater(Reply(capacity=runner.reported_capacity()).capacity, 10**9)
--- a/tests/unit/test_mesh_status.py
+++ b/tests/unit/test_mesh_status.py
@@ -8,7 +8,13 @@
 
 from coltsfoottrack._internal.cli.commands.mesh import MeshCommands
 from coltsfoottrack._internal.cli.exceptions import EXIT_BAD_INPUT, EXIT_UNREACHABLE, CommandError
-from coltsfoottrack._internal.cli.mesh_metrics import NodeMetrics, parse_metrics, route_rates
+from coltsfoottrack._internal.cli.mesh_metrics import (
+    NodeMetrics,
+    mean_load_age,
+    parse_metrics,
+    relative_loads,
+    route_rates,
+)
 from tests.standins.mesh import MeshTestCase, encode, free_address
 
 
@@ -37,6 +43,18 @@
         ]
         self.assertEqual(route_rates(before, after, 2.0), [("read", 3.0, {})])
 
+    def test_load_relative_to_capacity(self):
+        """Guards against nodes without a capacity that count as idle, and ages of past choices."""
+        values = {"capacity": 50.0, "arrivals": 40.0, "load_age_seconds_sum": 3.0}
+        known = NodeMetrics("a", {**values, "load_age_seconds_count": 20.0}, {}, "")
+        later = NodeMetrics(
+            "a", {"load_age_seconds_sum": 4.0, "load_age_seconds_count": 30.0}, {}, ""
+        )
+        unknown = NodeMetrics("b", {"capacity": 0.0, "arrivals": 40.0}, {}, "")
+        self.assertEqual(relative_loads([known, unknown]), [0.8])
+        self.assertAlmostEqual(mean_load_age([known], [later]), 0.1)
+        self.assertIsNone(mean_load_age([unknown], [unknown]))
+
     def test_metrics_of_another_program_are_rejected(self):
         with self.assertRaises(ValueError):
             parse_metrics("a", "# TYPE up gauge\nup 1\n")
