Compare loads per slot without the new request

Cause: counting the new request made members with few slots look full; those with 5 slots got 0.39 of their capacity at a load of 0.8, those with 100 got 0.85. Change: the cost is the load per slot, and whether there is room is judged apart; reports keep their value for ten turnovers.

--- a/src/coltsfoottrack/_internal/mesh/balancing.py
+++ b/src/coltsfoottrack/_internal/mesh/balancing.py
@@ -33,7 +33,7 @@
 MEAN_WEIGHT = 0.05
 # Number of times that a member replaces what it runs until a report of it has lost most of its
 # value.
-TURNOVERS = 5.0
+TURNOVERS = 10.0
 # Cost of a member without a free slot; above that of a member in another failure domain, so that a
 # full failure domain uses the free slots of others.
 FULL_COST = 0.6
@@ -251,9 +251,9 @@
         return best
 
     def cost(self, peer: "Peer") -> float:
-        """Returns the cost of a member, in load per slot with this request included."""
+        """Returns the cost of a member, in load per slot."""
         self.service.age(peer, self.now)
-        cost = (peer.load + 1.0) / max(1, peer.member.slots)
+        cost = peer.load / max(1, peer.member.slots)
         if not has_room(peer):
             cost += FULL_COST
         cost += self.directory.penalty(peer, self.now)
--- a/tests/unit/test_mesh_balancing.py
+++ b/tests/unit/test_mesh_balancing.py
@@ -76,6 +76,17 @@
 class HerdingTest(ChoiceTestCase):
     """All nodes choose at the same time from the same information."""
 
+    def test_full_member_beside_one_with_room_is_counted(self):
+        """Guards against uneven load that no metric shows, and counts without free slots."""
+        directory = self.make_entry(0, 2)
+        for load, counted in ((25, 0), (2, 1)):
+            self.report(directory, 0, 25)
+            self.report(directory, 1, load)
+            directory.choose("stock", set())
+            for _ in range(20):
+                directory.record_reply(directory.peers["m0"], 25, 200.0, 5, answered=False)
+            self.assertEqual(directory.balancer.uneven > 0, bool(counted))
+
     def test_one_idle_member_is_not_overloaded(self):
         """Guards against all choosers that send to the one member that looks idle."""
         found = Counter()
@@ -139,6 +150,20 @@
         self.assertLess(found["m0"], 3)
         self.assertEqual(found["m1"] + found["m2"], 0)
 
+    def test_flapping_member(self):
+        """Guards against a member that gets a wave each time that it accepts requests again."""
+        directory = self.make_entry(0, 5)
+        found = Counter()
+        for turn in range(20):
+            for index in range(5):
+                self.report(directory, index, 10)
+            record = directory.peers["m0"].member
+            directory.put(record._replace(accepting=turn % 2 == 0, serial=turn + 1))
+            found[turn % 2] += self.chosen(directory, 10)["m0"]
+        self.assertEqual(found[1], 0)
+        self.assertLess(found[0], 0.4 * 100)
+        self.assertGreater(found[0], 0.1 * 100)
+
     def test_service_of_one_member(self):
         """Guards against a request that finds no member after a decline or in trouble."""
         directory = self.make_entry(0, 1)
