--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -139,6 +139,7 @@
         self.entry.table = table
         self.runner.level.set_ranks(table.top_rank + 1)
         self.runner.whole_requests.set_ranks(table.top_rank + 1)
+        self.runner.capacity.set_targets(table.configuration)
         self.membership.apply_ranks(table.top_rank + 1)
 
     def restore(self, member: Member) -> None:
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -29,7 +29,7 @@
     note_failed_call,
     note_refused_call,
 )
-from coltsfoottrack._internal.mesh.runner import BUSY, Runner
+from coltsfoottrack._internal.mesh.runner import BUSY, CAPACITY_UNIT, Runner
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_ANSWERED,
@@ -332,7 +332,13 @@
             return
         now = current_time()
         peer = call.peer
-        peer.record_load(reply.load, now)
+        self.directory.record_reply(
+            peer,
+            reply.load,
+            reply.capacity / CAPACITY_UNIT,
+            reply.waiting,
+            reply.result == RESULT_ANSWERED,
+        )
         self.gate.levels.record(call.route.name, peer.member.node, reply.level / LEVEL_UNIT)
         if reply.result == RESULT_ANSWERED:
             call.attempts += 1
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -156,6 +156,7 @@
 
     def _to_reply(self, call: RunnerCall) -> Reply:
         answer = call.answer
+        capacity = self.runner.reported_capacity()
         return Reply(
             number=call.key.number,
             result=answer.result,
@@ -170,6 +171,8 @@
             left_started_ms=self._left_started_ms(call),
             failed_below=answer.failed_below,
             short_of_capacity=answer.short_of_capacity,
+            capacity=capacity,
+            waiting=len(self.runner.queue) if capacity else 0,
         )
 
     def _left_started_ms(self, call: RunnerCall) -> int:
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -124,6 +124,8 @@
     authorization: bytes
     # Tells the backend server the name of the customer.
     customer: bytes
+    # Load of the backend server; empty if the platform has no such header.
+    load: bytes = b""
 
 
 class RetryBounds(NamedTuple):
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -26,6 +26,7 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.levels import OwnLevel
 from coltsfoottrack._internal.mesh.model import HeaderNames
+from coltsfoottrack._internal.mesh.own_capacity import OwnCapacity
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.run_outcome import run_result
@@ -53,6 +54,10 @@
 # A request is declined, if its sender allows it, when it would probably wait for longer than this.
 # Another node is reached within a few milliseconds.
 DECLINE_WAIT_SECONDS = 0.008
+# Replies carry the capacity in this fraction of a request per second.
+CAPACITY_UNIT = 10
+# Greatest value of the field.
+MAX_REPORTED_CAPACITY = 2**32 - 1
 # Reason of a declined request.
 BUSY = "busy"
 
@@ -80,6 +85,7 @@
         self.whole_requests = WholeRequests()
         self.log = RunnerLog(log, backend, self.level)
         self.rate = BackendRate(backend, log)
+        self.capacity = OwnCapacity(backend)
         # Starts the next call once the rate limit allows it.
         self.start_timer: TimerHandle | None = None
         self.crash_watch = CrashWatch(log)
@@ -102,6 +108,15 @@
             return requests
         return max(requests, int(min(self.level.load, MAX_REPORTED_LOAD) * self.backend.slots))
 
+    def reported_capacity(self) -> int:
+        """Returns the capacity that replies carry, in units of 1 / CAPACITY_UNIT per second."""
+        per_second = self.capacity.per_second(current_time())
+        if not per_second:
+            return 0
+        if self.rate.limit is not None:
+            per_second = min(per_second, self.rate.limit)
+        return max(1, min(MAX_REPORTED_CAPACITY, int(per_second * CAPACITY_UNIT)))
+
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
         message = call.message
@@ -142,13 +157,14 @@
             return 0.0
         requests = len(self.queue) + 1
         for_slot = 0.0
-        if self.queue or len(self.running) >= self.backend.limit:
-            for_slot = requests * self.mean_seconds / self.backend.limit
+        limit = self.capacity.limit(now)
+        if self.queue or len(self.running) >= limit:
+            for_slot = requests * self.capacity.run_seconds(self.mean_seconds, now) / limit
         return max(for_slot, self.rate.seconds_until(requests, now))
 
     def _can_start(self, now: float) -> bool:
         """Returns whether a new request may be started at once."""
-        if self.queue or len(self.running) >= self.backend.limit:
+        if self.queue or len(self.running) >= self.capacity.limit(now):
             return False
         return self.rate.seconds_until(1, now) <= 0.0
 
@@ -234,6 +250,7 @@
             self.retry_budget.count_first(now, call.rank)
         call.sent_at = now
         call.lifetime = self.backend.lifetime
+        self.capacity.start(call, now)
         call.connection = connection
         call.run = RunningRequest(
             message.route,
@@ -275,6 +292,7 @@
         self.pool.give_back(connection)
         if answer is not None:
             self.rate.observe(answer.rate_limit, call.lifetime, self.level.rate)
+            self.capacity.observe(call, answer, current_time())
             if answer.leaving:
                 self.backend.leave_by_answer(call.lifetime)
         if call.done:
@@ -339,7 +357,7 @@
         if not queue:
             return
         now = current_time()
-        while queue and len(self.running) < self.backend.limit:
+        while queue and len(self.running) < self.capacity.limit(now):
             wait = self.rate.seconds_until(1, now)
             if wait > 0.0:
                 self._start_next_after(wait)
--- a/src/coltsfoottrack/_internal/mesh/runner_call.py
+++ b/src/coltsfoottrack/_internal/mesh/runner_call.py
@@ -54,6 +54,7 @@
         "rank",
         "run",
         "sent_at",
+        "usual_time_at_start",
         "wait_until",
     )
 
@@ -79,6 +80,9 @@
         self.sent_at: float | None = None
         # The run at the backend server, None before the request is sent to it.
         self.run: RunningRequest | None = None
+        # Clock of the backend server's work when the request was sent, in seconds; None if it does
+        # not report its slowdown.
+        self.usual_time_at_start: float | None = None
         # Process of the backend server to which the request was sent.
         self.lifetime: Lifetime | None = None
         self.connection: BackendConnection | None = None
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -15,6 +15,7 @@
     leaving=b"server-leaving",
     authorization=b"authorization",
     customer=b"tenant",
+    load=b"server-load",
 )
 # Header of the store; rises each time that it comes back from an older copy.
 STORE_ERA = "store-era"
