Test admission by rank and the bound on the key's header

Cause: of 20 faults put into a scratch copy, three went unnoticed by the tests: a common admission credit for all ranks of a route, admission by the route's rank, and no bound on the header's size.

Change: a test for each.

--- a/tests/unit/test_customers.py
+++ b/tests/unit/test_customers.py
@@ -1,5 +1,6 @@
 """Customers: configuration, keys, ranks, quotas and attribution, without a network."""
 
+from collections import Counter
 from unittest import TestCase
 from unittest.mock import Mock
 
@@ -8,10 +9,12 @@
 from coltsfoottrack._internal.decision_log.explanation import explain_request
 from coltsfoottrack._internal.decision_log.lines import LogLine
 from coltsfoottrack._internal.mesh.caller_connection import CallerConnection, CallerRequest
+from coltsfoottrack._internal.mesh.customers.credentials import MAX_AUTHORIZATION_BYTES, read_key
 from coltsfoottrack._internal.mesh.customers.customer_metrics import OTHERS, labelled_answers
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.entry import Entry
 from coltsfoottrack._internal.mesh.exceptions import MeshError
+from coltsfoottrack._internal.mesh.levels import MIN_ADMITTED_SHARE, Admission
 from coltsfoottrack._internal.mesh.model import CallerLimits, Member
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.routes import RouteTable
@@ -106,6 +109,20 @@
         self.assertEqual(self.ranks({})[1], 3)
         self.assertEqual(RouteTable(decode(None)).top_rank + 1, 3)
 
+    def test_each_rank_of_a_route_gets_its_share(self):
+        """Guards against a rank that starves beside a more important one of the same route.
+
+        Load: one important request for each less important one, at a level that sheds both. Their
+        shares add up to 1, so a common credit would always go to the same rank.
+        """
+        admission = Admission()
+        admitted = Counter()
+        for number in range(2000):
+            rank = 3 + number % 2
+            admitted[rank] += admission.admit("read", rank, 4.0 - MIN_ADMITTED_SHARE)
+        self.assertAlmostEqual(admitted[3], 1000 * (1.0 - MIN_ADMITTED_SHARE), delta=1)
+        self.assertAlmostEqual(admitted[4], 1000 * MIN_ADMITTED_SHARE, delta=1)
+
 
 class ConnectionTest(TestCase):
     """Headers about customers, as read from a caller's connection."""
@@ -157,6 +174,7 @@
                 found = table.find(request.authorization)
                 self.assertEqual(found.name if found else None, name)
                 self.assertNotIn(b"authorization", request.head.lower())
+        self.assertEqual(read_key(b"Bearer " + b"x" * MAX_AUTHORIZATION_BYTES), b"")
 
     def test_headers_are_dropped_only_while_there_are_customers(self):
         """Guards against forwarded keys, forged names, and headers lost without customers."""
@@ -246,6 +264,19 @@
         self.assertTrue(message.head.endswith(b"tenant: pulo780\r\n"))
         self.assertEqual(self.tokens.taken, ["pulo780"])
 
+    def test_less_important_customers_are_shed_first(self):
+        """Guards against admission by the route's rank alone.
+
+        Load: requests of two customers for one route, which admits only the ranks of the first.
+        """
+        self.entry.gate.levels.record("order", "n", 3.0)
+        for key, admitted in ((b"goldkey", 20), (KEY, 2)):
+            self.sent.clear()
+            for _ in range(20):
+                self.send(key, "/order/")
+            self.assertEqual(len(self.sent), admitted)
+        self.assertEqual(self.tokens.returned, ["pulo780"] * 18)
+
     def test_public_route_needs_no_key(self):
         """Guards against refused public requests, and a known customer that is not named."""
         for key, name in ((None, ""), (b"other", ""), (KEY, "pulo780")):
