--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -68,8 +68,8 @@
         # Known number of running and waiting requests at the member.
         self.load = 0.0
         self.load_at = 0.0
-        # Requests per second that the member can take, 0.0 if it reports none, and the time of its
-        # last reply.
+        # Requests per second that the member can take, and the time of its last reply; 0.0 if it
+        # reports no capacity.
         self.capacity = 0.0
         self.reported_at = 0.0
         # Requests that waited there for a slot.
@@ -274,7 +274,7 @@
         now = current_time()
         peer.record_load(load, now)
         if not capacity:
-            peer.capacity = 0.0
+            peer.record_capacity(0.0, 0, 0.0)
             return
         peer.record_capacity(capacity, waiting, now)
         if answered:
--- a/src/coltsfoottrack/_internal/mesh/entry_log.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_log.py
@@ -61,6 +61,8 @@
     def sent(self, call: EntryCall, now: float, version: int) -> None:
         """Logs the chosen member, with the statistics behind the choice and their age."""
         peer = call.peer
+        # A choice by capacity brings the load up to date, but the report behind it is older.
+        reported_at = peer.reported_at or peer.load_at
         self.log.decision(
             "request_sent",
             request_id=call.request_id,
@@ -69,7 +71,7 @@
             service=call.service,
             sent_to=call.sent_to,
             load=round(peer.load, 1),
-            load_age_ms=int((now - peer.load_at) * 1000.0) if peer.load_at else -1,
+            load_age_ms=int((now - reported_at) * 1000.0) if reported_at else -1,
             failures=round(peer.failures, 2),
             record_epoch=peer.member.epoch,
             record_serial=peer.member.serial,
