Let failures of members fade where they are chosen by capacity

Cause: a failing member was chosen only while all others compared were full, so nothing showed that it had recovered. Change: failures fade with a time constant of 5 s at each look at a member of a service that reports capacities; elsewhere nothing changes. Result: in tests.unit.test_mesh_balancing a member that had failed ten times gets 2 of 45 requests at most at first, and over 30 of 345 with recovery.

--- a/src/coltsfoottrack/_internal/mesh/balancing.py
+++ b/src/coltsfoottrack/_internal/mesh/balancing.py
@@ -34,6 +34,9 @@
 # Number of times that a member replaces what it runs until a report of it has lost most of its
 # value.
 TURNOVERS = 10.0
+# Time constant with which failures fade. Nothing else shows that a member that is not chosen has
+# recovered.
+FAILURE_SECONDS = 5.0
 # Cost of a member without a free slot; above that of a member in another failure domain, so that a
 # full failure domain uses the free slots of others.
 FULL_COST = 0.6
@@ -98,7 +101,7 @@
         return max(1, peer.member.slots) * self.capacity / self.slots
 
     def age(self, peer: "Peer", now: float) -> None:
-        """Brings the estimated load of a member to the present.
+        """Brings the estimated load and the failures of a member to the present.
 
         Requests that were reported end, and others arrive: the estimate approaches the mean of the
         service in about the time in which the member replaces what it runs.
@@ -111,6 +114,8 @@
         turnover = max(slots, peer.load) / self.capacity_of(peer) * TURNOVERS
         kept = exp(-elapsed / turnover)
         peer.load = kept * peer.load + (1.0 - kept) * self.load_per_slot * slots
+        if peer.failures:
+            peer.failures *= exp(-elapsed / FAILURE_SECONDS)
 
 
 class Balancer:
--- a/tests/unit/test_mesh_balancing.py
+++ b/tests/unit/test_mesh_balancing.py
@@ -149,6 +149,11 @@
         found = self.chosen(directory, 45)
         self.assertLess(found["m0"], 3)
         self.assertEqual(found["m1"] + found["m2"], 0)
+        # Recovery: failures of the past do not keep a member out.
+        for _ in range(6):
+            self.report(directory, 3, 10)
+            found += self.chosen(directory, 50)
+        self.assertGreater(found["m0"], 30)
 
     def test_flapping_member(self):
         """Guards against a member that gets a wave each time that it accepts requests again."""
