Add messages and bounds of shared rates

Cause: nodes that share a rate have to report its use and to be granted tokens, and the bound on their sum is a setting of the platform.

Change: frames RateUsage and RateGrant, which do not show that a peer receives what is sent to it; QuotaBounds in MeshSettings, read from quotaWindowS, quotaOver and quotaSlack.

Result: python -m unittest tests.unit.test_platform_adapter passes.

--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -41,6 +41,8 @@
         "members",
         "member",
         "level_report",
+        "rate_usage",
+        "rate_grant",
         "suspect",
         "request",
     )
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -113,6 +113,19 @@
     window_seconds: float
 
 
+class QuotaBounds(NamedTuple):
+    """Bound on the tokens of a shared rate that all nodes together may use in any window.
+
+    It is (rate x window + burst) x (1 + over) + slack.
+    """
+
+    window_seconds: float = 5.0
+    # Permitted excess, as a part of what rate and burst allow.
+    over: float = 0.1
+    # Permitted excess in tokens.
+    slack: float = 20.0
+
+
 class MeshSettings(NamedTuple):
     """Settings of a mesh node; addresses are IP:PORT."""
 
@@ -137,3 +150,4 @@
     seed_addresses: tuple[str, ...] = ()
     # All nodes of the mesh start at about the same time, with nothing stored by earlier ones.
     first_start: bool = False
+    quota: QuotaBounds = QuotaBounds()
--- a/src/coltsfoottrack/platform/settings.py
+++ b/src/coltsfoottrack/platform/settings.py
@@ -3,7 +3,7 @@
 from os import environ
 from pathlib import Path
 
-from coltsfoottrack._internal.mesh.model import MeshSettings, RetryBounds
+from coltsfoottrack._internal.mesh.model import MeshSettings, QuotaBounds, RetryBounds
 from coltsfoottrack._internal.mesh.sockets import split_address
 from coltsfoottrack.platform.names import (
     ADVERTISED_ADDRESS_VARIABLE,
@@ -59,6 +59,11 @@
                 slack=float(bounds.get("retryBudgetSlack", "0")),
                 window_seconds=float(bounds.get("budgetWindowS", "10")),
             ),
+            quota=QuotaBounds(
+                window_seconds=float(bounds.get("quotaWindowS", "5")),
+                over=float(bounds.get("quotaOver", "0.1")),
+                slack=float(bounds.get("quotaSlack", "20")),
+            ),
             memory_bytes=int(float(fields.get("limits.memoryMb", "300"))) * BYTES_PER_MB,
             seed_addresses=_seed_addresses(fields),
             first_start=fields.get("bootstrap") == "true",
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -66,6 +66,13 @@
         self.assertEqual(settings.grace_seconds, 5.0)
         self.assertEqual(settings.metrics_address, "")
         self.assertEqual(settings.retries, (0.1, 12.0, 8.0))
+        self.assertEqual(settings.quota, (5.0, 0.1, 20.0))
+
+    def test_bounds_of_quotas_are_read(self):
+        """Guards against a bound that the platform has changed and the mesh exceeds."""
+        bounds = "bounds=quotaWindowS=4,quotaOver=0.2,quotaSlack=7"
+        settings = from_fields(parse_fields(f"{SETTINGS}{bounds}\n"))
+        self.assertEqual(settings.quota, (4.0, 0.2, 7.0))
 
     def test_metrics_port_matches_the_deploy_file(self):
         """Guards against metrics at another port or path than the platform scrapes."""
