Share rates between nodes by lenders

Cause: a quota holds for the sum over all nodes, and a request is admitted or refused at its entry without waiting for another node.

Change: each name has a lender, which keeps its token bucket. Nodes report what they have used and may use a part of the level until the next report; once tokens are scarce, the lender divides the level in proportion to what the nodes need.

--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/__init__.py
@@ -0,0 +1,1 @@
+"""Rates that all nodes of the mesh share."""
--- /dev/null
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
@@ -0,0 +1,107 @@
+"""What this node may use of one shared rate."""
+
+from coltsfoottrack._internal.mesh.shared_rate.terms import START_SECONDS, RateTerms
+
+# A grant is valid for this long after the report that it answers was sent.
+LEASE_SECONDS = 1.0
+# Part of an equal share of the rate that a node uses while it reaches no lender. With it, a third
+# of the nodes may be cut off within a permitted excess of 10%.
+FALLBACK_RATIO = 0.25
+FALLBACK_BURST = 1.0
+MIN_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 5.0
+
+
+class LocalRate:
+    """Tokens of one name at this node."""
+
+    def __init__(self, terms: RateTerms, digest: int, now: float) -> None:
+        self.terms = terms
+        self.digest = digest
+        # Tokens used since the start of the process.
+        self.used = 0
+        self.reported_used = 0
+        # Requests since the last report, refused ones included.
+        self.wanted = 0
+        self.wanted_before = 0
+        # Use since the last report from which on it is reported at once.
+        self.report_at = 0
+        # The same while tokens are scarce.
+        self.scarce_report_at = 0
+        # Up to which count of used tokens this node may go, and until when.
+        self.limit = 0
+        self.expires = 0.0
+        # Node that granted it.
+        self.source = ""
+        self.last_grant = 0
+        # Tokens for use without a lender.
+        self.fallback_rate = 0.0
+        self.fallback_level = 0.0
+        self.fallback_at = now + START_SECONDS
+
+    def try_take(self, now: float) -> float | None:
+        """Takes a token and returns None, or returns the seconds until one is likely."""
+        self.wanted += 1
+        if now < self.expires:
+            if self.used < self.limit:
+                self.used += 1
+                return None
+            return self._retry_seconds()
+        self._refill_fallback(now)
+        if self.fallback_level >= 1.0:
+            self.fallback_level -= 1.0
+            self.used += 1
+            return None
+        return min(MAX_RETRY_SECONDS, max(LEASE_SECONDS, 1.0 / max(0.01, self.fallback_rate)))
+
+    def _refill_fallback(self, now: float) -> None:
+        # A grant and the fallback are not used for the same time.
+        since = max(self.fallback_at, self.expires)
+        if now <= since:
+            return
+        self.fallback_at = now
+        earned = (now - since) * self.fallback_rate
+        self.fallback_level = min(FALLBACK_BURST, self.fallback_level + earned)
+
+    def _retry_seconds(self) -> float:
+        ratio = (self.wanted + self.wanted_before) / max(1, self.last_grant)
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, 0.25 * ratio))
+
+    def apply_grant(self, source: str, limit: int, sent_at: float, now: float) -> None:
+        """Applies a grant; one of a new lender does not end a larger one that is still valid."""
+        expires = sent_at + LEASE_SECONDS
+        if expires <= now:
+            return
+        if source != self.source and now < self.expires and limit < self.limit:
+            return
+        self.source = source
+        self.limit = limit
+        self.expires = expires
+        self.last_grant = max(0, limit - self.used)
+
+    def hold_back(self) -> None:
+        """Keeps use to what it was before, while the lender does not answer."""
+        self.limit = min(self.limit, self.used + max(1, self.wanted_before))
+
+    def is_large(self) -> bool:
+        """Returns whether use should be reported at once although tokens are scarce."""
+        return self.used - self.reported_used >= self.scarce_report_at
+
+    def is_urgent(self) -> bool:
+        """Returns whether use or demand should be reported at once."""
+        if self.used - self.reported_used >= min(self.report_at, max(1, self.last_grant // 2)):
+            return True
+        return self.wanted > 0 and self.wanted_before == 0 and self.used >= self.limit
+
+    def note_reported(self) -> None:
+        """Records that use and demand were reported."""
+        self.reported_used = self.used
+        self.wanted_before = self.wanted
+        self.wanted = 0
+
+    def set_terms(self, terms: RateTerms) -> None:
+        """Applies changed terms; a lower limit ends what was granted by the former one."""
+        if terms.rate_per_second < self.terms.rate_per_second or terms.burst < self.terms.burst:
+            ratio = terms.rate_per_second / max(self.terms.rate_per_second, 1e-9)
+            self.limit = self.used + int(max(0, self.limit - self.used) * min(1.0, ratio))
+        self.terms = terms
