Run shared rates in the nodes of the mesh

Cause: shared rates were not connected to links, tick and metrics.

Change: the links pass the two messages to SharedRates, the tick of the node runs it, and the metrics show refusals, grants and lent rates.

--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -27,6 +27,8 @@
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.mesh.shared_rate.mesh_surroundings import MeshSurroundings
+from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.mesh.store import Store
@@ -124,6 +126,10 @@
             self.links, LevelReporter(self.runner, self.parent_requests), self.restore
         )
         self.entry.links = self.links
+        self.shared_rates = SharedRates(
+            MeshSurroundings(self.directory, self.links), settings.quota, log
+        )
+        self.links.shared_rates = self.shared_rates
         self.runner.node_count = lambda: self.directory.members_of(self.directory.own.service)
         self.runner.crash_watch.on_new_suspects = self.links.broadcast_suspects
         self.backend.changed = self.update_own
@@ -294,6 +300,7 @@
                 self.entry.tick(now)
                 self.links.tick(now)
             self.runner.tick(now)
+            self.shared_rates.tick(now)
 
     async def _sweep(self) -> None:
         checked = current_time()
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -21,6 +21,7 @@
 from coltsfoottrack._internal.mesh.route_summaries import LEVEL_UNIT
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
+from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_NOT_RUN,
@@ -29,7 +30,9 @@
     Frame,
     Grant,
     Hello,
+    RateGrant,
     RateLimit,
+    RateUsage,
     Reply,
     Request,
     Suspect,
@@ -68,6 +71,8 @@
         self.accepted: set[LinkConnection] = set()
         self.server: Server | None = None
         self.process = getrandbits(PROCESS_BITS)
+        # Set once by the node; it needs the links to send its messages.
+        self.shared_rates: SharedRates | None = None
         # Epochs that this process has used.
         self.epochs = {directory.own.epoch}
         # Number of crashes last sent, by node, epoch of the node and digest.
@@ -82,6 +87,8 @@
             "grant": self._handle_grant,
             "hello": self._handle_hello,
             "suspect": self._handle_suspect,
+            "rate_usage": self._handle_rate_usage,
+            "rate_grant": self._handle_rate_grant,
             **distribution.handlers,
         }
 
@@ -123,6 +130,8 @@
         if known is not None:
             known.block(seconds)
         self.distribution.subscriptions.handle_unreachable(node)
+        if self.shared_rates is not None:
+            self.shared_rates.handle_unreachable(node, current_time())
         self.log.decision("peer_unreachable", peer=node, not_chosen_for_s=seconds)
 
     def run_locally(self, message: Request, handler: ReplyHandler) -> None:
@@ -284,6 +293,19 @@
             SuspectReport(message.digest, message.crashes, message.age_ms)
         )
 
+    def _handle_rate_usage(self, connection: LinkConnection, message: RateUsage) -> None:
+        if self.shared_rates is None:
+            return
+
+        def answer(grant: RateGrant) -> None:
+            connection.send(Frame(rate_grant=grant))
+
+        self.shared_rates.handle_usage(connection.node, message, current_time(), answer)
+
+    def _handle_rate_grant(self, connection: LinkConnection, message: RateGrant) -> None:
+        if self.shared_rates is not None:
+            self.shared_rates.handle_grant(connection.node, message, current_time())
+
     def broadcast_suspects(self) -> None:
         """Sends requests suspected of crashing a backend server to all nodes of the service.
 
--- a/src/coltsfoottrack/_internal/mesh/metrics.py
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -50,6 +50,19 @@
         "Log lines that were left out by the bound or that nobody read.",
         {(): node.log.left_out_total + node.log.writer.dropped},
     )
+    rates = node.shared_rates
+    counter("rate_refused_total", "Requests over a shared rate.", {(): rates.refused})
+    counter(
+        "rate_granted_total",
+        "Tokens that this node has lent while they were scarce.",
+        {(): rates.lender.granted},
+    )
+    counter(
+        "rate_unknown_names_total",
+        "Reported names that have no limit at this node.",
+        {(): rates.lender.unknown_names},
+    )
+    gauge("rates_lent", "Shared rates that this node lends.", len(rates.lender.rates))
     gauge("running", "Requests that run at the backend server.", len(node.runner.running))
     gauge("waiting", "Requests that wait for a slot.", len(node.runner.queue))
     gauge("level", "Admission level of the backend server.", node.runner.level.level)
