Merge rates shared by the nodes, and charge the quotas of customers to them

Quotas held at no node before. The entry takes a token of its customer's rate for each new request; the limits come from the configuration in force. The long wait for a slot follows the rank of the route, so that it does not depend on the customer.

--- a/src/coltsfoottrack/_internal/mesh/customers/quota.py
+++ b/src/coltsfoottrack/_internal/mesh/customers/quota.py
@@ -1,8 +1,11 @@
 """Charges the quota of a customer for its requests."""
 
+from collections.abc import Iterable
 from typing import Protocol
 
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
+from coltsfoottrack._internal.mesh.model import Customer
+from coltsfoottrack._internal.mesh.shared_rate.terms import RateTerms
 
 
 class RateTokens(Protocol):
@@ -29,6 +32,15 @@
         """Does nothing."""
 
 
+def quotas(customers: Iterable[Customer]) -> dict[str, RateTerms]:
+    """Returns the terms of the customers that have a limit, by name."""
+    terms = {}
+    for customer in customers:
+        if customer.rate_per_second > 0.0:
+            terms[customer.name] = RateTerms(customer.rate_per_second, customer.burst)
+    return terms
+
+
 def charge(call: EntryCall, tokens: RateTokens, now: float) -> float | None:
     """Charges a new request to its customer's quota.
 
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -13,6 +13,7 @@
 from coltsfoottrack._internal.mesh.caller_connection import CallerConnection
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration, Decoder
+from coltsfoottrack._internal.mesh.customers.quota import quotas
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.entry import Entry
@@ -27,6 +28,8 @@
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
+from coltsfoottrack._internal.mesh.shared_rate.mesh_surroundings import MeshSurroundings
+from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.mesh.store import Store
@@ -124,6 +127,11 @@
             self.links, LevelReporter(self.runner, self.parent_requests), self.restore
         )
         self.entry.links = self.links
+        self.shared_rates = SharedRates(
+            MeshSurroundings(self.directory, self.links), settings.quota, log
+        )
+        self.links.shared_rates = self.shared_rates
+        self.entry.shared_rates = self.shared_rates
         self.runner.node_count = lambda: self.directory.members_of(self.directory.own.service)
         self.runner.crash_watch.on_new_suspects = self.links.broadcast_suspects
         self.backend.changed = self.update_own
@@ -137,6 +145,7 @@
     def apply_configuration(self, table: RouteTable) -> None:
         """Applies a new configuration to entry and runner, and announces it."""
         self.entry.table = table
+        self.shared_rates.set_limits(quotas(table.configuration.customers or ()))
         self.runner.level.set_ranks(table.top_rank + 1)
         self.runner.whole_requests.set_ranks(table.top_rank + 1)
         self.runner.capacity.set_targets(table.configuration)
@@ -296,6 +305,7 @@
                 self.entry.tick(now)
                 self.links.tick(now)
             self.runner.tick(now)
+            self.shared_rates.tick(now)
 
     async def _sweep(self) -> None:
         checked = current_time()
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -46,7 +46,8 @@
 # Fraction of the target latency that a request below the top rank may wait for a slot.
 WAIT_FRACTION = 0.3
 MIN_WAIT_SECONDS = 0.04
-# Fraction of its remaining time that a request of the top rank may wait for a slot.
+# Fraction of its remaining time that a request of a route of the top rank may wait for a slot,
+# whatever the rank of its customer.
 TOP_RANK_WAIT_FRACTION = 0.6
 # A request without an answer is ended this long after it expired.
 ANSWER_MARGIN_SECONDS = 0.1
@@ -291,7 +292,7 @@
         nested = call.parent is not None
         if nested:
             wait = remaining
-        elif call.rank == 0:
+        elif route.rank == 0:
             wait = remaining * TOP_RANK_WAIT_FRACTION
         else:
             wait = max(MIN_WAIT_SECONDS, route.target_latency_ms / 1000.0 * WAIT_FRACTION)
--- a/src/coltsfoottrack/_internal/mesh/fairness.py
+++ b/src/coltsfoottrack/_internal/mesh/fairness.py
@@ -49,9 +49,9 @@
         self._update(share, now)
         known = self.customers.get(customer)
         if known is None:
-            known = self.customers[customer] = CustomerDemand(
-                _customer_share(1.0, self.part, share)
-            )
+            # Its demand is not known yet, so it is admitted like all together at least.
+            first_share = max(share, _customer_share(1.0, self.part, share))
+            known = self.customers[customer] = CustomerDemand(first_share)
         known.demand += 1.0
         if share >= 1.0:
             return True
