--- a/src/coltsfoottrack/_internal/decision_log/explanation.py
+++ b/src/coltsfoottrack/_internal/decision_log/explanation.py
@@ -23,6 +23,7 @@
 CONTEXT_SECONDS = {
     "crash_suspected": 30.0,
     "peer_unreachable": 5.0,
+    "route_shedding_started": 30.0,
     "shedding_started": 30.0,
     "stopping": 30.0,
     "store_lost": 30.0,
--- a/src/coltsfoottrack/_internal/mesh/fairness.py
+++ b/src/coltsfoottrack/_internal/mesh/fairness.py
@@ -13,8 +13,8 @@
 # Parts are computed again after this time, or when the share has changed by this much.
 INTERVAL_SECONDS = 0.25
 SHARE_CHANGE = 0.05
-# No customer is admitted with a smaller share than this fraction of the share of all. The limit is a
-# quarter; the rest is a margin for errors of the measured demand.
+# No customer is admitted with a smaller share than this fraction of the share of all. The limit is
+# a quarter; the rest is a margin for errors of the measured demand.
 MIN_FRACTION_OF_SHARE = 0.3
 # Bisection steps for the equal part.
 BISECTIONS = 24
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -398,7 +398,9 @@
             elif call.orphaned_at is not None and now - call.orphaned_at > ORPHAN_GRACE_SECONDS:
                 self._abandon(call, "caller_gone")
         self._update_level(now)
-        self.whole_requests.update(now)
+        if self.whole_requests.routes:
+            self.whole_requests.update(now)
+            self.log.note_routes(self.whole_requests)
         self.retry_budget.set_leaf(self.parent_requests.is_leaf(now))
         self.call_cache.evict(now)
         self.crash_watch.discard_old(now)
--- a/src/coltsfoottrack/_internal/mesh/runner_log.py
+++ b/src/coltsfoottrack/_internal/mesh/runner_log.py
@@ -5,6 +5,7 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.levels import OwnLevel
 from coltsfoottrack._internal.mesh.runner_call import RunnerCall
+from coltsfoottrack._internal.mesh.whole_requests import WholeRequests
 
 # The start of shedding is logged once more than this share of the least important rank is shed.
 SHEDDING_MARGIN = 0.1
@@ -19,6 +20,8 @@
         self.level = level
         # Whether the start of shedding was logged and its end was not.
         self.shedding = False
+        # Routes of which this was logged for runs that fail for lack of capacity below.
+        self.shed_routes: set[str] = set()
 
     def declined(self) -> None:
         """Counts a call that was returned at once."""
@@ -66,3 +69,22 @@
             waiting=waiting,
             limit=self.backend.limit,
         )
+
+    def note_routes(self, whole_requests: WholeRequests) -> None:
+        """Logs since when and until when requests of a route are refused for its failed runs."""
+        routes = whole_requests.routes
+        for route in list(self.shed_routes):
+            known = routes.get(route)
+            if known is None or known.level >= known.ranks:
+                self.shed_routes.discard(route)
+                self.log.request("route_shedding_ended", route=route)
+        for route, known in routes.items():
+            if known.level >= known.ranks - SHEDDING_MARGIN or route in self.shed_routes:
+                continue
+            self.shed_routes.add(route)
+            self.log.request(
+                "route_shedding_started",
+                route=route,
+                level=round(known.level, 2),
+                finished_per_s=round(known.finished_before or 0.0, 1),
+            )
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -204,6 +204,28 @@
             statuses.add((await self.send_request(first, encode("/read/", f"r{number}"))).status)
         self.assertEqual(statuses, {200})
 
+    async def test_read_that_failed_for_a_call_is_not_retried(self):
+        """Guards against a note about a failed call that is lost on the way to the entry."""
+        front = await self.start("front", "portal")
+        for name in ("a", "b"):
+            await self.start(name)
+        await self.wait_for_members(3)
+        servers = self.backends[1:]
+        for server in servers:
+            server.released.clear()
+        read = create_task(self.send_request(front, encode("/read/", "parent")))
+        await self.wait_until(lambda: any(server.running for server in servers))
+        node = self.nodes[1 if servers[0].running else 2]
+        for server in servers:
+            server.fault = "shed"
+        call = await self.send_request(node, encode("/read/", "parent.call"))
+        self.assertEqual(call.status, 503)
+        for server in servers:
+            server.fault = "fail"
+            server.released.set()
+        self.assertEqual((await read).status, 500)
+        self.assertEqual(sum(server.runs["parent"] for server in servers), 1)
+
     async def test_failure_answer_of_a_backend_is_forwarded(self):
         """Guards against an answer of the node in place of the backend server's."""
         answer = await self._order("fail")
--- a/tests/unit/test_mesh_runner.py
+++ b/tests/unit/test_mesh_runner.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.mesh.backend_state import BackendState
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
+from coltsfoottrack._internal.mesh.level_reports import LevelReporter
 from coltsfoottrack._internal.mesh.model import RetryBounds
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
@@ -54,6 +55,39 @@
     return min(times)
 
 
+class RouteSheddingTest(TestCase):
+    """Requests of a route are refused because its runs find no capacity below."""
+
+    def setUp(self):
+        self.runner = make_runner()
+        self.runner.level.set_ranks(2)
+        self.runner.whole_requests.set_ranks(2)
+        self.now = current_time()
+
+    def run_for(self, steps: int, failed: bool) -> None:
+        """Ends one run of each rank in each step of 50 ms."""
+        for _ in range(steps):
+            self.now += 0.05
+            for rank in (0, 1):
+                self.runner.whole_requests.record_outcome("r", rank, failed, self.now)
+            self.runner.tick(self.now)
+
+    def test_start_and_end_are_logged_once(self):
+        """Guards against refusals without a line that says why."""
+        self.run_for(60, True)
+        self.run_for(60, False)
+        counts = self.runner.log.log.counts
+        self.assertEqual(counts["route_shedding_started"], 1)
+        self.assertEqual(counts["route_shedding_ended"], 1)
+
+    def test_level_is_reported_to_other_nodes(self):
+        """Guards against entries that go on admitting requests that will fail."""
+        self.run_for(60, True)
+        self.runner.served_routes["r"] = self.now
+        (reported,) = LevelReporter(self.runner, self.runner.parent_requests).due(self.now)
+        self.assertLess(reported.level, 1500)
+
+
 class RememberedCallsTest(TestCase):
     """Answered calls stay cached, for a sender that sends them again."""
 
