Continue use while the lender of a shared rate changes

Cause: a new lender lends only once it is known to be the only one.

Change: a node whose former lender had plentiful tokens goes on at its former pace for 1.6 s. Grants name the process that gave them and which names are scarce.

A demand that moves to other nodes at the same moment is refused in part.

--- a/src/coltsfoottrack/_internal/mesh/shared_rate/lender.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/lender.py
@@ -33,6 +33,8 @@
 
     def __init__(self, bounds: QuotaBounds, log: DecisionLog) -> None:
         self.bounds = bounds
+        # Process of this node.
+        self.epoch = 0
         self.log = log
         # Terms and names by digest.
         self.terms: dict[int, RateTerms] = {}
@@ -76,7 +78,7 @@
             if interval < 0.0 and now - before.at < RETENTION_SECONDS:
                 return
         self.contacts[node] = Contact(usage.sent_us, now, answer)
-        grant = RateGrant(sent_us=usage.sent_us)
+        grant = RateGrant(sent_us=usage.sent_us, epoch=self.epoch)
         limits = []
         for digest, used, wanted in zip(usage.names, usage.used, usage.wanted, strict=True):
             rate = self._rate(digest, now)
@@ -89,7 +91,7 @@
             self.granted += borrower.lent
             grant.names.append(digest)
             limits.append(limit)
-            grant.scarce = grant.scarce or rate.scarce
+            grant.scarce.append(rate.scarce)
         grant.limits.extend(limits)
         answer(grant)
         self._note_scarcity(usage.names, now)
@@ -130,13 +132,14 @@
         for node, contact in self.contacts.items():
             if now - contact.at > FOLLOW_SECONDS:
                 continue
-            grant = RateGrant(sent_us=contact.sent_us, scarce=True)
+            grant = RateGrant(sent_us=contact.sent_us, epoch=self.epoch)
             for digest in digests:
                 rate = self.rates[digest]
                 borrower = rate.borrowers.get(node)
                 if borrower is not None:
                     grant.names.append(digest)
                     grant.limits.append(rate.limit(borrower))
+                    grant.scarce.append(True)
             if grant.names:
                 contact.answer(grant)
 
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
@@ -1,5 +1,8 @@
 """What this node may use of one shared rate."""
 
+from random import random
+from typing import NamedTuple
+
 from coltsfoottrack._internal.mesh.shared_rate.terms import START_SECONDS, RateTerms
 
 # A grant is valid for this long after the report that it answers was sent.
@@ -8,10 +11,26 @@
 # of the nodes may be cut off within a permitted excess of 10%.
 FALLBACK_RATIO = 0.25
 FALLBACK_BURST = 1.0
+# After a change of lender, use goes on as before for this long, if tokens were plentiful: the new
+# lender cannot lend until it is known to be the only one.
+CONTINUE_SECONDS = 1.6
+PACE_WEIGHT = 0.3
+MIN_PACE_SECONDS = 0.4
+# Use at the former pace that is allowed while the lender does not answer.
+HELD_BACK_SECONDS = 0.8
+# Tokens of continued use are saved for this long.
+CONTINUE_BURST_SECONDS = 0.2
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 5.0
 
 
+class Source(NamedTuple):
+    """A node that grants tokens, and its process."""
+
+    node: str
+    epoch: int
+
+
 class LocalRate:
     """Tokens of one name at this node."""
 
@@ -31,8 +50,19 @@
         # Up to which count of used tokens this node may go, and until when.
         self.limit = 0
         self.expires = 0.0
-        # Node that granted it.
-        self.source = ""
+        # Who granted it, and whether tokens were scarce there.
+        self.source: Source | None = None
+        self.scarce = True
+        # Tokens used per second.
+        self.pace = 0.0
+        self.paced_at = now
+        self.paced_used = 0
+        # Until when use goes on at this pace after a change of lender.
+        self.continues_until = 0.0
+        self.continued_at = 0.0
+        self.continued_level = 0.0
+        # Probability of a token at once for continued use.
+        self.continue_probability = 0.0
         self.last_grant = 0
         # Tokens for use without a lender.
         self.fallback_rate = 0.0
@@ -46,6 +76,8 @@
             if self.used < self.limit:
                 self.used += 1
                 return None
+            if now < self.continues_until and self._try_continue(now):
+                return None
             return self._retry_seconds()
         self._refill_fallback(now)
         if self.fallback_level >= 1.0:
@@ -54,6 +86,18 @@
             return None
         return min(MAX_RETRY_SECONDS, max(LEASE_SECONDS, 1.0 / max(0.01, self.fallback_rate)))
 
+    def _try_continue(self, now: float) -> bool:
+        """Takes a token at the pace of the use before a change of lender."""
+        most = max(1.0, CONTINUE_BURST_SECONDS * self.pace)
+        earned = (now - self.continued_at) * self.pace
+        self.continued_at = now
+        self.continued_level = min(most, self.continued_level + earned)
+        if self.continued_level < 1.0:
+            return False
+        self.continued_level -= 1.0
+        self.used += 1
+        return True
+
     def _refill_fallback(self, now: float) -> None:
         # A grant and the fallback are not used for the same time.
         since = max(self.fallback_at, self.expires)
@@ -67,21 +111,32 @@
         ratio = (self.wanted + self.wanted_before) / max(1, self.last_grant)
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, 0.25 * ratio))
 
-    def apply_grant(self, source: str, limit: int, sent_at: float, now: float) -> None:
+    def apply_grant(
+        self, source: Source, limit: int, scarce: bool, sent_at: float, now: float
+    ) -> None:
         """Applies a grant; one of a new lender does not end a larger one that is still valid."""
         expires = sent_at + LEASE_SECONDS
         if expires <= now:
             return
-        if source != self.source and now < self.expires and limit < self.limit:
-            return
+        if source != self.source:
+            if not self.scarce and now < self.expires + LEASE_SECONDS:
+                self.continues_until = now + CONTINUE_SECONDS
+                self.continued_at = now
+                # Most of many nodes have less than one request in this time.
+                self.continued_level = 1.0 if random() < self.continue_probability else 0.0
+                self.scarce = True
+            if now < self.expires and limit < self.limit:
+                return
         self.source = source
+        self.scarce = scarce
         self.limit = limit
         self.expires = expires
         self.last_grant = max(0, limit - self.used)
 
     def hold_back(self) -> None:
         """Keeps use to what it was before, while the lender does not answer."""
-        self.limit = min(self.limit, self.used + max(1, self.wanted_before))
+        most = max(1, int(HELD_BACK_SECONDS * self.pace))
+        self.limit = min(self.limit, self.used + most)
 
     def is_large(self) -> bool:
         """Returns whether use should be reported at once although tokens are scarce."""
@@ -93,8 +148,14 @@
             return True
         return self.wanted > 0 and self.wanted_before == 0 and self.used >= self.limit
 
-    def note_reported(self) -> None:
+    def note_reported(self, now: float) -> None:
         """Records that use and demand were reported."""
+        elapsed = now - self.paced_at
+        if elapsed >= MIN_PACE_SECONDS and now >= self.continues_until:
+            pace = (self.used - self.paced_used) / elapsed
+            self.pace += PACE_WEIGHT * (pace - self.pace)
+            self.paced_used = self.used
+            self.paced_at = now
         self.reported_used = self.used
         self.wanted_before = self.wanted
         self.wanted = 0
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
@@ -11,7 +11,7 @@
     choose_lender,
     lender_candidates,
 )
-from coltsfoottrack._internal.mesh.shared_rate.local_rate import FALLBACK_RATIO, LocalRate
+from coltsfoottrack._internal.mesh.shared_rate.local_rate import FALLBACK_RATIO, LocalRate, Source
 from coltsfoottrack._internal.mesh.shared_rate.terms import RateTerms, name_digest
 from coltsfoottrack._internal.schema.links_pb2 import Frame, RateGrant, RateUsage
 
@@ -21,7 +21,7 @@
 # A lender that does not answer a report for this long is replaced.
 ANSWER_SECONDS = 0.7
 # Until then, but from this time on, sudden demand is not admitted.
-HOLD_SECONDS = 0.3
+HOLD_SECONDS = 0.14
 # Pause between two attempts to reach a replaced lender.
 PROBE_SECONDS = 1.0
 # Shortest pause between two choices of lenders.
@@ -88,6 +88,7 @@
         self.candidates: list[Member] = []
         self.nodes = 1
         self.last_sent_us = 0
+        self.lender.epoch = surroundings.own().epoch
         self.refused = 0
         # Requests admitted or refused without a lender.
         self.in_fallback = False
@@ -130,6 +131,11 @@
             self.refused += 1
         return wait
 
+    def is_scarce(self, name: str) -> bool:
+        """Returns whether a name with a limit has no lender yet or is near its limit."""
+        rate = self.rates.get(name)
+        return rate is not None and rate.scarce
+
     def give_back(self, name: str) -> None:
         """Returns the token of a request that has reached no backend server."""
         rate = self.rates.get(name)
@@ -174,6 +180,7 @@
         loans: dict[str, Loan] = {}
         for rate in self.rates.values():
             rate.fallback_rate = FALLBACK_RATIO * rate.terms.rate_per_second / self.nodes
+            rate.continue_probability = rate.terms.spare(self.bounds) / self.nodes
             capacity = rate.terms.capacity(self.bounds)
             rate.report_at = max(MIN_UNREPORTED, int(UNREPORTED_RATIO * capacity / self.nodes))
             rate.scarce_report_at = max(MIN_UNREPORTED, int(LARGE_USE_RATIO * capacity))
@@ -214,7 +221,7 @@
         usage.used.extend([rate.used for rate in loan.rates])
         usage.wanted.extend([rate.wanted for rate in loan.rates])
         for rate in loan.rates:
-            rate.note_reported()
+            rate.note_reported(now)
         loan.reported_at = now
         own = self.surroundings.own()
         if loan.member.node == own.node:
@@ -263,16 +270,18 @@
             self.must_choose = True
             self.log.decision("rate_lender_returned", lender=node)
         loan = self.loans.get(node)
-        if loan is None or len(grant.names) != len(grant.limits):
+        count = len(grant.names)
+        if loan is None or len(grant.limits) != count or len(grant.scarce) != count:
             return
         sent_at = grant.sent_us / MICROSECONDS
         loan.waiting_since = None
         loan.held_back = False
-        loan.scarce = grant.scarce
-        for digest, limit in zip(grant.names, grant.limits, strict=True):
+        loan.scarce = any(grant.scarce)
+        source = Source(node, grant.epoch)
+        for digest, limit, scarce in zip(grant.names, grant.limits, grant.scarce, strict=True):
             rate = self.by_digest.get(digest)
             if rate is not None:
-                rate.apply_grant(node, limit, sent_at, now)
+                rate.apply_grant(source, limit, scarce, sent_at, now)
 
     def handle_unreachable(self, node: str, now: float) -> None:
         """Replaces a lender to which no connection can be opened."""
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/terms.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/terms.py
@@ -32,6 +32,11 @@
         by_rate = USED_EXCESS * bounds.over * bounds.window_seconds * self.rate_per_second
         return max(by_burst, by_rate)
 
+    def spare(self, bounds: QuotaBounds) -> float:
+        """Returns the permitted excess that no bucket uses, in tokens for a window."""
+        by_rate = bounds.over * bounds.window_seconds * self.rate_per_second
+        return (1.0 - USED_EXCESS) * (bounds.slack + by_rate)
+
     def scarce_below(self, bounds: QuotaBounds) -> float:
         """Returns the level below which tokens are scarce."""
         by_rate = SCARCE_SECONDS * self.rate_per_second + 1.0
--- a/tests/unit/simulated_rates.py
+++ b/tests/unit/simulated_rates.py
@@ -5,6 +5,7 @@
 
 from collections import Counter
 from random import Random
+from random import seed as seed_random
 
 from coltsfoottrack._internal.mesh.model import Member, QuotaBounds
 from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
@@ -57,6 +58,8 @@
 
     def __init__(self, count, rate, burst, seed=1):
         self.random = Random(seed)
+        # Lenders round shares at random.
+        seed_random(seed)
         self.now = 1000.0
         self.steps = 0
         self.limits = {NAME: RateTerms(rate, burst)}
@@ -85,6 +88,13 @@
         self.nodes[name].rates.set_limits(self.limits, self.now)
         self.down.discard(name)
 
+    def leave(self, name):
+        """Removes a node from the members that all know."""
+        del self.members[name]
+        self.down.add(name)
+        for node in self.nodes.values():
+            node.changes += 1
+
     def set_limit(self, rate, burst):
         self.limits = {NAME: RateTerms(rate, burst)}
         for node in self.nodes.values():
--- a/tests/unit/test_mesh_shared_rate.py
+++ b/tests/unit/test_mesh_shared_rate.py
@@ -169,6 +169,16 @@
                     mesh.run(4.0, {names[0]: 0.44 * rate, names[-1]: 0.44 * rate})
                     self.assertEqual(sum(mesh.refused[first:]), 0)
 
+    def test_use_continues_while_the_lender_changes(self):
+        """Guards against refusals below the limit for as long as a new lender cannot lend."""
+        mesh = SimulatedRates(3, 327.0, 327.0)
+        mesh.run(6.0, mesh.spread(USUAL * 327.0))
+        lender = mesh.lender()
+        demand = {name: USUAL * 327.0 / 3.0 for name in mesh.nodes if name != lender}
+        mesh.leave(lender)
+        mesh.run(3.0, demand)
+        self.assertLess(sum(mesh.refused[-300:]), 0.05 * USUAL * 327.0 * 2.0)
+
     def test_tokens_that_were_given_back_are_usable(self):
         """Guards against a quota that requests use which reach no backend server."""
         mesh = SimulatedRates(2, 5.0, 5.0)
