Do the periodic work of an idle node less often

Cause: a node woke 20 times a second for its periodic work, and searched all members five times a second for those that left long ago, also when it had no request.

Change: WorkTimer calls the work every 50 ms while requests are in flight, every 100 ms (the interval of the level) while averages or kept answers still change, and every second otherwise. A new request makes the work due within 50 ms, on the grid of the earlier calls. The level resumes with half an interval after an idle time. The search for members that left runs every 5 s.

tests.soak.mesh_cost also measures a node at rest, and reads the run time that the kernel counts in nanoseconds.

--- a/src/coltsfoottrack/_internal/experiment/process_usage.py
+++ b/src/coltsfoottrack/_internal/experiment/process_usage.py
@@ -13,6 +13,15 @@
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
 
+def run_seconds(pid: int) -> float:
+    """Returns the time for which the main thread of a process has run, in seconds.
+
+    The kernel counts it in nanoseconds, cpu_seconds in ticks of the clock.
+    """
+    fields = Path(f"/proc/{pid}/schedstat").read_text(encoding="utf-8").split()
+    return int(fields[0]) / 1e9
+
+
 def resident_bytes(pid: int) -> int:
     """Returns the resident memory of a process in bytes."""
     fields = Path(f"/proc/{pid}/statm").read_text(encoding="utf-8").split()
--- a/src/coltsfoottrack/_internal/mesh/call_cache.py
+++ b/src/coltsfoottrack/_internal/mesh/call_cache.py
@@ -54,6 +54,10 @@
         retention = IDEMPOTENT_ANSWER_RETENTION_SECONDS if idempotent else ANSWER_RETENTION_SECONDS
         self.held[idempotent].append(HeldAnswer(call, now + retention))
 
+    def holds_answers(self) -> bool:
+        """Returns whether any answer is kept."""
+        return any(self.held.values())
+
     def evict(self, now: float) -> None:
         """Evicts calls after the retention period, and answers earlier."""
         while self.calls:
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -30,6 +30,12 @@
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.mesh.store import Store
+from coltsfoottrack._internal.mesh.work_timer import (
+    BUSY_SECONDS,
+    IDLE_SECONDS,
+    SETTLING_SECONDS,
+    WorkTimer,
+)
 
 TICK_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
@@ -126,6 +132,8 @@
         self.entry.links = self.links
         self.runner.node_count = lambda: self.directory.members_of(self.directory.own.service)
         self.runner.crash_watch.on_new_suspects = self.links.broadcast_suspects
+        self.timer = WorkTimer(self.tick)
+        self.entry.on_work = self.runner.on_work = self._wake
         self.backend.changed = self.update_own
         self.active_configuration.on_change = self.apply_configuration
         self.tasks: list[Task[Any]] = []
@@ -259,10 +267,10 @@
         )
         for work in (
             *self.membership.work(),
-            self._tick(),
             self._sweep(),
         ):
             self._start_task(work)
+        self.timer.start()
 
     def _start_task(self, work: Coroutine[Any, Any, None]) -> None:
         self.tasks.append(get_running_loop().create_task(work))
@@ -286,14 +294,21 @@
         self.runner.retry_budget.bounds = settings.retries
         self.log.decision("settings_reloaded", changed=changed)
 
-    async def _tick(self) -> None:
-        while True:
-            await sleep(TICK_SECONDS)
-            now = current_time()
-            if self.entry.calls:
-                self.entry.tick(now)
-                self.links.tick(now)
-            self.runner.tick(now)
+    def tick(self) -> float:
+        """Ends what has expired; returns the seconds until this is due again."""
+        now = current_time()
+        if self.entry.calls:
+            self.entry.tick(now)
+            self.links.tick(now)
+        self.runner.tick(now)
+        if self.entry.calls or self.runner.running or self.runner.queue:
+            return BUSY_SECONDS
+        return IDLE_SECONDS if self.runner.is_settled() else SETTLING_SECONDS
+
+    def _wake(self) -> None:
+        """Resumes the frequent work once there is a request."""
+        if self.timer.wake():
+            self.runner.level.resume(current_time())
 
     async def _sweep(self) -> None:
         checked = current_time()
@@ -350,6 +365,7 @@
     def close(self) -> None:
         """Cancels all tasks and closes all ports and connections at once."""
         self.closed = True
+        self.timer.close()
         for task in self.tasks:
             task.cancel()
         self.membership.close()
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -1,5 +1,6 @@
 """Accepts requests of callers and the local backend server and tracks each until its answer."""
 
+from collections.abc import Callable
 from random import uniform
 
 from coltsfoottrack._internal.mesh.backend_state import Lifetime
@@ -79,6 +80,8 @@
         self.connections: set[CallerConnection] = set()
         self.calls: dict[int, EntryCall] = {}
         self.last_number = 0
+        # Called for each request that is sent to a member.
+        self.on_work: Callable[[], None] = lambda: None
 
     def set_service(self, service: str) -> None:
         """Sets the service of this node's instance."""
@@ -122,6 +125,7 @@
         self.calls[call.number] = call
         self.gate.add_body(len(request.body))
         request.cancel = lambda: self._caller_disconnected(call)
+        self.on_work()
         self._send(call, now)
 
     def _set_deadline(self, call: EntryCall, now: float) -> bool:
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -21,6 +21,8 @@
 MAX_RISE_PER_INTERVAL = 0.05
 # Weight of the newest interval in the moving average of arrivals.
 ARRIVALS_WEIGHT = 0.4
+# Arrivals per second below which the moving average counts as zero.
+SETTLED_RATE = 0.01
 # A rank is shed only after all less important ranks have been shed for this long: shedding lowers
 # the load only once the requests admitted earlier have ended.
 RANK_HOLD_SECONDS = 2.0
@@ -60,6 +62,17 @@
             self.ranks = ranks
             self.level = float(ranks)
 
+    def is_settled(self) -> bool:
+        """Returns whether updates without arrivals no longer change the level."""
+        return not self.arrived and self.rate < SETTLED_RATE and self.level >= self.ranks
+
+    def resume(self, now: float) -> None:
+        """Starts a new interval after a time without updates, in which nothing arrived.
+
+        It starts half an interval ago, as does that of a node without a break on average.
+        """
+        self.updated = max(self.updated, now - INTERVAL_SECONDS / 2.0)
+
     def count_arrival(self) -> None:
         """Counts a request that was started or queued."""
         self.arrived += 1
--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -28,6 +28,8 @@
 
 # Bounds the delay until changed member records are passed on, and until a lost source is noticed.
 TICK_SECONDS = 0.2
+# Interval of the search among all members for those that left long ago.
+DISCARD_SECONDS = 5.0
 
 
 class Membership:
@@ -98,6 +100,7 @@
         ]
 
     async def _tick(self) -> None:
+        discarded_at = current_time()
         while True:
             await sleep(TICK_SECONDS)
             now = current_time()
@@ -105,7 +108,9 @@
             if levels:
                 self.subscriptions.report_levels(levels, now)
             self.subscriptions.tick(now)
-            self.directory.discard_left(now)
+            if now - discarded_at >= DISCARD_SECONDS:
+                discarded_at = now
+                self.directory.discard_left(now)
 
     def close(self) -> None:
         """Stops following the store."""
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -90,6 +90,8 @@
         self.mean_seconds = 0.0
         # Returns the number of nodes that share the service's retry budget.
         self.node_count: Callable[[], int] = lambda: 1
+        # Called for each submitted call.
+        self.on_work: Callable[[], None] = lambda: None
 
     @property
     def load(self) -> int:
@@ -101,6 +103,7 @@
 
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
+        self.on_work()
         message = call.message
         if message.HasField("known_rate_limit"):
             known_limit = message.known_rate_limit
@@ -397,6 +400,10 @@
         self.call_cache.evict(now)
         self.crash_watch.discard_old(now)
 
+    def is_settled(self) -> bool:
+        """Returns whether a tick would change nothing while no call arrives."""
+        return self.level.is_settled() and not self.call_cache.holds_answers()
+
     def _update_level(self, now: float) -> None:
         waiting = len(self.queue)
         interval = self.rate.seconds_per_request(self.mean_seconds, self.backend.limit)
--- a/tests/soak/mesh_cost.py
+++ b/tests/soak/mesh_cost.py
@@ -1,4 +1,4 @@
-"""Measures the cost of a node: time to the first answer, idle memory, CPU time per request.
+"""Measures the cost of a node: time to the first answer, idle memory and CPU, CPU per request.
 
 ``python -m tests.soak.mesh_cost --seconds=10 --connections=8`` starts two node processes, one for
 the caller and one for a backend server, and sends requests over persistent connections, one at a
@@ -21,7 +21,7 @@
 from signal import SIGTERM
 from tempfile import TemporaryDirectory
 
-from coltsfoottrack._internal.experiment.process_usage import cpu_seconds, resident_bytes
+from coltsfoottrack._internal.experiment.process_usage import resident_bytes, run_seconds
 from coltsfoottrack._internal.mesh.sockets import split_address
 from tests.soak.mesh_pairs import MeshPair
 from tests.soak.shifted_node import PROGRAM
@@ -29,7 +29,8 @@
 from tests.standins.store import StandInStore
 
 MEGABYTE = 1024 * 1024
-IDLE_SECONDS = 3.0
+SETTLE_SECONDS = 3.0
+IDLE_SECONDS = 5.0
 WARM_UP_SECONDS = 1.0
 START_SECONDS = 10.0
 PAUSE_SECONDS = 0.02
@@ -112,13 +113,19 @@
         first = await self.time_to_first_answer(portal)
         await self.start("stock")
         tasks = [create_task(pair.report()) for pair in self.pairs]
+        await sleep(SETTLE_SECONDS)
+        before = [run_seconds(pair.process.pid) for pair in self.pairs]
         await sleep(IDLE_SECONDS)
+        idle = [run_seconds(pair.process.pid) for pair in self.pairs]
+        idle_ms = [
+            (stop - start) / IDLE_SECONDS * 1000.0 for start, stop in zip(before, idle, strict=True)
+        ]
         idle_mb = [resident_bytes(pair.process.pid) / MEGABYTE for pair in self.pairs]
         await self.load(portal, WARM_UP_SECONDS, connections)
         self.answered = 0
-        before = [cpu_seconds(pair.process.pid) for pair in self.pairs]
+        before = [run_seconds(pair.process.pid) for pair in self.pairs]
         await self.load(portal, seconds, connections)
-        after = [cpu_seconds(pair.process.pid) for pair in self.pairs]
+        after = [run_seconds(pair.process.pid) for pair in self.pairs]
         for task in tasks:
             task.cancel()
         for pair in self.pairs:
@@ -128,6 +135,7 @@
             await pair.close()
         self.store.close()
         print(f"start to first answer {first:.2f} s; memory at rest {max(idle_mb):.0f} MB")
+        print(f"at rest: {max(idle_ms):.2f} ms of processor time a second")
         print(f"answered {self.answered}, {self.answered / seconds:.0f}/s, failed {self.failed}")
         for name, start, stop in zip(NAMES, before, after, strict=True):
             each = (stop - start) / max(1, self.answered) * 1000.0
