Write the answers to frames received together at once, and encode them once

Cause: a node that is behind reads several frames from a link at a time and wrote each answer on its own. A request or reply was copied into a frame message before it was encoded.

Change: while a connection handles received frames, it holds back what it sends, up to 16 small frames, and writes it at once. Close and unreadable frames write it first. The limit on a caller's header block is read once a request.

--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -99,6 +99,8 @@
         self.chunks: list[bytes] = []
         self.url = b""
         self.head_size = 0
+        # Limit in force when the request began.
+        self.max_head_size = 0
         self.in_head = False
         # Bytes received of an incomplete header block.
         self.received_in_head = 0
@@ -161,6 +163,7 @@
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.current = CallerRequest(self)
+        self.max_head_size = self.handler.limits().max_header_bytes
         self.in_head = True
         self.received_in_head = 0
         self.header_lines = []
@@ -293,7 +296,7 @@
 
     def _count_head(self, size: int) -> None:
         self.head_size += size
-        if self.head_size > self.handler.limits().max_header_bytes and not self.closing:
+        if self.head_size > self.max_head_size and not self.closing:
             self._reject(431)
 
     def _reject(self, status: int) -> None:
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -12,15 +12,17 @@
 from google.protobuf.message import DecodeError, Message
 
 from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.frames import (
+    LENGTH_BYTES,
+    encode,
+    encode_message,
+)
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import from_record
 from coltsfoottrack._internal.mesh.sockets import detect_silence, split_address
 from coltsfoottrack._internal.schema.links_pb2 import Frame, Ping, Reply, Request
 
-LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 72 * 1024 * 1024
-# Larger frames are written apart from their length, which costs a system call in place of a copy.
-MAX_COPIED_BYTES = 32 * 1024
 MAX_CONNECTIONS = 6
 CONNECT_TIMEOUT_SECONDS = 0.6
 RECONNECT_SECONDS = 0.3
@@ -45,6 +47,9 @@
         "request",
     )
 )
+# Number of small frames that are written together. It bounds the time for which the first waits
+# while further received frames are handled.
+MAX_HELD_BACK = 16
 # An incomplete frame of this size counts as an answer that is under way.
 LARGE_FRAME_BYTES = 16 * 1024
 
@@ -70,7 +75,10 @@
         # The link that opened the connection, None on the accepting side.
         self.peer = peer
         self.transport: Transport | None = None
+        # Start of an incomplete frame.
         self.buffer = bytearray()
+        # Small frames to be written together once all received ones are handled, None otherwise.
+        self.held_back: list[bytes] | None = None
         self.calls: dict[int, LinkCall] = {}
         self.last_received = current_time()
         self.last_sent = 0.0
@@ -91,32 +99,55 @@
     def data_received(self, data: bytes) -> None:
         """Decodes complete frames and dispatches them; aborts the connection on a bad one."""
         buffer = self.buffer
-        buffer += data
-        start = 0
-        size = len(buffer)
+        if buffer:
+            buffer += data
+            data = buffer
+        self.held_back = []
         try:
-            while size - start >= LENGTH_BYTES:
-                length = int.from_bytes(buffer[start : start + LENGTH_BYTES], "big")
-                if length > MAX_FRAME_BYTES:
-                    self.transport.abort()
-                    return
-                end = start + LENGTH_BYTES + length
-                if end > size:
-                    break
-                with memoryview(buffer) as view:
-                    content = bytes(view[start + LENGTH_BYTES : end])
-                frame = Frame.FromString(content)
-                del content
-                start = end
-                self._dispatch(frame)
+            used = self._dispatch_frames(data)
         except DecodeError:
+            used = -1
+        finally:
+            self._write_held_back()
+        if used < 0:
             self.transport.abort()
             return
-        if start:
-            del buffer[:start]
+        if data is buffer:
+            del buffer[:used]
+        elif used < len(data):
+            buffer += data[used:] if used else data
         if len(buffer) > LARGE_FRAME_BYTES:
             self._note_answer()
 
+    def _dispatch_frames(self, data: bytes | bytearray) -> int:
+        """Returns the size of the complete frames, -1 if a frame is too large.
+
+        Raises DecodeError.
+        """
+        start = 0
+        size = len(data)
+        while size - start >= LENGTH_BYTES:
+            content_start = start + LENGTH_BYTES
+            length = int.from_bytes(data[start:content_start], "big")
+            if length > MAX_FRAME_BYTES:
+                return -1
+            end = content_start + length
+            if end > size:
+                break
+            with memoryview(data) as view:
+                content = bytes(view[content_start:end])
+            frame = Frame.FromString(content)
+            del content
+            start = end
+            self._dispatch(frame)
+        return start
+
+    def _write_held_back(self) -> None:
+        held = self.held_back
+        self.held_back = None
+        if held and self.is_open():
+            self.transport.write(held[0] if len(held) == 1 else b"".join(held))
+
     def _note_answer(self) -> None:
         """Records that the peer receives and answers."""
         self.last_received = current_time()
@@ -151,16 +182,30 @@
 
     def send(self, frame: Frame) -> None:
         """Sends a message; drops it silently if the connection is closed."""
-        if not self.is_open():
-            return
-        data = frame.SerializeToString()
+        if self.is_open():
+            self._write(encode(frame))
+
+    def send_message(self, kind: str, message: Message) -> None:
+        """Sends a message of a kind, at less cost than as a frame."""
+        if self.is_open():
+            self._write(encode_message(kind, message))
+
+    def _write(self, parts: list[bytes]) -> None:
         self.last_sent = current_time()
-        prefix = len(data).to_bytes(LENGTH_BYTES, "big")
-        if len(data) > MAX_COPIED_BYTES:
-            self.transport.write(prefix)
-            self.transport.write(data)
-        else:
-            self.transport.write(prefix + data)
+        held = self.held_back
+        if held is None:
+            for part in parts:
+                self.transport.write(part)
+            return
+        held += parts
+        if len(parts) > 1 or len(held) >= MAX_HELD_BACK:
+            self._write_held_back()
+            self.held_back = []
+
+    def close(self) -> None:
+        """Closes the connection once all that was sent is written."""
+        self._write_held_back()
+        self.transport.close()
 
     def probe(self, now: float) -> bool:
         """Probes a connection with outstanding calls; returns False once it counts as silent."""
@@ -204,12 +249,7 @@
         self.handler.handle_no_reply(self.request.number, may_have_run, reason)
 
 
-def _encode(frame: Frame) -> bytes:
-    data = frame.SerializeToString()
-    return len(data).to_bytes(LENGTH_BYTES, "big") + data
-
-
-_PROBE = _encode(Frame(ping=Ping(answer=False)))
+_PROBE = b"".join(encode(Frame(ping=Ping(answer=False))))
 
 
 class PeerLink:
@@ -273,7 +313,7 @@
         if not connection.calls:
             connection.busy_since = current_time()
         connection.calls[call.request.number] = call
-        connection.send(Frame(request=call.request))
+        connection.send_message("request", call.request)
 
     def _open(self) -> None:
         if self.task is None:
@@ -368,10 +408,10 @@
                 connection.transport.abort()
             elif not connection.calls and now - connection.last_sent > IDLE_CLOSE_SECONDS:
                 self.connections.remove(connection)
-                connection.transport.close()
+                connection.close()
 
     def close(self) -> None:
         """Closes all connections."""
         for connection in self.connections:
-            connection.transport.close()
+            connection.close()
         self.connections = []
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -235,10 +235,10 @@
 
         def deliver(call: RunnerCall) -> None:
             served.discard(key)
-            connection.send(Frame(reply=self._to_reply(call)))
+            connection.send_message("reply", self._to_reply(call))
 
         def claim(call: RunnerCall) -> None:
-            connection.send(Frame(claim=Claim(number=call.key.number)))
+            connection.send_message("claim", Claim(number=call.key.number))
 
         self.runner.submit(RunnerCall(key, message, deliver, None if message.idempotent else claim))
 
@@ -246,7 +246,7 @@
         """Grants a claim unless the call has ended or was sent to another node meanwhile."""
         call = connection.calls.get(message.number)
         granted = call is not None and call.handler.grant(message.number)
-        connection.send(Frame(grant=Grant(number=message.number, granted=granted)))
+        connection.send_message("grant", Grant(number=message.number, granted=granted))
 
     def _handle_grant(self, connection: LinkConnection, message: Grant) -> None:
         key = CallKey(connection.node, connection.process, message.number)
@@ -326,4 +326,4 @@
         for peer in (*self.peer_links.values(), *self.contacts.values()):
             peer.close()
         for connection in list(self.accepted):
-            connection.transport.close()
+            connection.close()
--- a/tests/unit/test_mesh_link.py
+++ b/tests/unit/test_mesh_link.py
@@ -4,8 +4,9 @@
 from unittest.mock import patch
 
 from coltsfoottrack._internal.mesh import link
+from coltsfoottrack._internal.mesh.frames import MAX_COPIED_BYTES, encode, encode_message
 from coltsfoottrack._internal.mesh.link import LinkConnection
-from coltsfoottrack._internal.schema.links_pb2 import Frame, Notice, Ping, Reply
+from coltsfoottrack._internal.schema.links_pb2 import Cancel, Frame, Notice, Ping, Reply, Request
 
 
 class FakeTransport:
@@ -58,3 +59,93 @@
     def test_answers_show_that_requests_arrive(self):
         self.assertFalse(self.counts_as_silent(Frame(ping=Ping(answer=True))))
         self.assertFalse(self.counts_as_silent(Frame(reply=Reply(number=7))))
+
+
+class RecordingTransport(FakeTransport):
+    """A transport that records each write, until it is closed."""
+
+    def __init__(self) -> None:
+        self.writes = []
+        self.closed = False
+
+    def write(self, data: bytes) -> None:
+        self.writes.append(data)
+
+    def is_closing(self) -> bool:
+        return self.closed
+
+    def close(self) -> None:
+        self.closed = True
+
+    abort = close
+
+
+class AnsweringHandler:
+    """Answers each cancel with a reply of its number."""
+
+    def __init__(self, body: bytes = b"", closes_after: int = 0) -> None:
+        self.body = body
+        self.closes_after = closes_after
+
+    def receive(self, connection: LinkConnection, kind: str, message: Cancel) -> None:
+        connection.send_message("reply", Reply(number=message.number, body=self.body))
+        if message.number == self.closes_after:
+            connection.close()
+
+
+class FramesOfOneTurnTest(TestCase):
+    """40 messages that wait in the socket of a busy node, and the answers to them."""
+
+    def receive(self, handler: AnsweringHandler, tail: bytes = b"") -> list[bytes]:
+        """Returns what is written on receipt of all messages at once."""
+        frames = [b"".join(encode(Frame(cancel=Cancel(number=n + 1)))) for n in range(40)]
+        connection = LinkConnection(handler)
+        connection.transport = RecordingTransport()
+        connection.data_received(b"".join(frames) + tail)
+        return connection.transport.writes
+
+    def expected(self, count: int, body: bytes = b"") -> bytes:
+        replies = [Frame(reply=Reply(number=n + 1, body=body)) for n in range(count)]
+        return b"".join(part for frame in replies for part in encode(frame))
+
+    def test_answers_leave_in_few_writes_and_in_order(self):
+        """Guards against a system call for each answer of a node that is behind."""
+        writes = self.receive(AnsweringHandler())
+        self.assertEqual(self.expected(40), b"".join(writes))
+        self.assertEqual(3, len(writes))
+
+    def test_large_answers_are_not_copied(self):
+        """Guards against a large answer that overtakes a small one, or waits for the others."""
+        body = b"x" * MAX_COPIED_BYTES
+        writes = self.receive(AnsweringHandler(body))
+        self.assertEqual(self.expected(40, body), b"".join(writes))
+        self.assertEqual(40, len(writes))
+
+    def test_answers_are_sent_before_the_connection_ends(self):
+        """Guards against answers lost to a close or to an unreadable frame behind them."""
+        self.assertEqual(self.expected(7), b"".join(self.receive(AnsweringHandler(b"", 7))))
+        unreadable = b"\x00\x00\x00\x01\xff"
+        self.assertEqual(self.expected(40), b"".join(self.receive(AnsweringHandler(), unreadable)))
+
+    def test_frames_split_at_any_byte_are_read(self):
+        """Guards against a frame lost or read twice at the border of two reads."""
+        data = b"".join(b"".join(encode(Frame(cancel=Cancel(number=n)))) for n in (1, 2, 300))
+        whole = Reply(number=1), Reply(number=2), Reply(number=300)
+        expected = b"".join(b"".join(encode_message("reply", reply)) for reply in whole)
+        for first in range(len(data)):
+            for second in range(first, len(data)):
+                connection = LinkConnection(AnsweringHandler())
+                connection.transport = RecordingTransport()
+                for part in (data[:first], data[first:second], data[second:]):
+                    connection.data_received(part)
+                self.assertEqual(expected, b"".join(connection.transport.writes))
+
+    def test_message_is_encoded_as_its_frame(self):
+        """Guards against messages that nodes of other versions cannot read."""
+        for size in (0, 1, 127, 128, 20_000, 40_000, 3_000_000):
+            request = Request(number=size, body=b"x" * size)
+            framed = encode(Frame(request=request)), encode_message("request", request)
+            self.assertEqual(*[b"".join(parts) for parts in framed])
+            reply = Reply(number=size, body=b"x" * size)
+            framed = encode(Frame(reply=reply)), encode_message("reply", reply)
+            self.assertEqual(*[b"".join(parts) for parts in framed])
