--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -99,6 +99,8 @@
         self.mean_seconds = 0.0
         # Returns the number of nodes that share the service's retry budget.
         self.node_count: Callable[[], int] = lambda: 1
+        # Called for each submitted call.
+        self.on_work: Callable[[], None] = lambda: None
 
     @property
     def load(self) -> int:
@@ -119,6 +121,7 @@
 
     def submit(self, call: RunnerCall) -> None:
         """Runs, queues or refuses a call; its result is passed to ``deliver``."""
+        self.on_work()
         message = call.message
         if message.HasField("known_rate_limit"):
             known_limit = message.known_rate_limit
@@ -424,6 +427,12 @@
         self.call_cache.evict(now)
         self.crash_watch.discard_old(now)
 
+    def is_settled(self) -> bool:
+        """Returns whether a tick would change nothing while no call arrives."""
+        if self.whole_requests.routes or self.call_cache.holds_answers():
+            return False
+        return self.level.is_settled()
+
     def _update_level(self, now: float) -> None:
         waiting = len(self.queue)
         interval = self.rate.seconds_per_request(self.mean_seconds, self.backend.limit)
