Let nodes use an equal share of each shared rate after their start

Change: for three seconds after its start a node uses rate / nodes, and what the bound spares, until it has grants.

--- a/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
@@ -57,7 +57,7 @@
         self.pace = 0.0
         self.paced_at = now
         self.paced_used = 0
-        # Until when use goes on at this pace after a change of lender.
+        # Until when use goes on at this pace after a change of lender or a start.
         self.continues_until = 0.0
         self.continued_at = 0.0
         self.continued_level = 0.0
@@ -79,6 +79,8 @@
             if now < self.continues_until and self._try_continue(now):
                 return None
             return self._retry_seconds()
+        if now < self.continues_until and self._try_continue(now):
+            return None
         self._refill_fallback(now)
         if self.fallback_level >= 1.0:
             self.fallback_level -= 1.0
@@ -98,6 +100,19 @@
         self.used += 1
         return True
 
+    def continue_after_start(
+        self, pace: float, probability: float, now: float, until: float
+    ) -> None:
+        """Allows use at a pace, in tokens per second, until lenders of a restarted mesh can lend.
+
+        ``probability`` is that of a token at once.
+        """
+        if not self.continues_until:
+            self.continued_at = now
+            self.continued_level = 1.0 if random() < probability else 0.0
+        self.pace = pace
+        self.continues_until = until
+
     def _refill_fallback(self, now: float) -> None:
         # A grant and the fallback are not used for the same time.
         since = max(self.fallback_at, self.expires)
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
@@ -26,6 +26,11 @@
 PROBE_SECONDS = 1.0
 # Shortest pause between two choices of lenders.
 CHOICE_SECONDS = 0.2
+# A process that starts uses an equal share of each rate for this long: after a restart of all
+# nodes, no lender may lend before it knows that it is the only one.
+START_SHARE_SECONDS = 3.0
+# The other nodes are known this long after the start.
+START_HOLD_SECONDS = 0.3
 # All nodes together use at most this part of a bucket before they report.
 UNREPORTED_RATIO = 0.5
 MIN_UNREPORTED = 2
@@ -88,6 +93,8 @@
         self.candidates: list[Member] = []
         self.nodes = 1
         self.last_sent_us = 0
+        # Time of the first tick with a limit.
+        self.started_at: float | None = None
         self.lender.epoch = surroundings.own().epoch
         self.refused = 0
         # Requests admitted or refused without a lender.
@@ -150,6 +157,11 @@
         changed = generation != self.chosen_generation and now - self.chosen_at >= CHOICE_SECONDS
         if self.must_choose or changed:
             self._choose(generation, now)
+        if self.started_at is None:
+            self.started_at = now
+        since_start = now - self.started_at
+        if START_HOLD_SECONDS <= since_start < START_SHARE_SECONDS:
+            self._share_after_start(self.started_at + START_SHARE_SECONDS, now)
         self.lender.tick(self.nodes, now)
         for loan in list(self.loans.values()):
             silent = 0.0 if loan.waiting_since is None else now - loan.waiting_since
@@ -166,6 +178,12 @@
             self._choose(generation, now)
         self._note_fallback(now)
 
+    def _share_after_start(self, until: float, now: float) -> None:
+        """Lets this node use an equal share of each rate, and what it spares of the bound."""
+        for rate in self.rates.values():
+            pace = rate.terms.rate_per_second / self.nodes
+            rate.continue_after_start(pace, rate.continue_probability, now, until)
+
     def _choose(self, generation: int, now: float) -> None:
         """Assigns each name to its lender."""
         if generation != self.chosen_generation:
