Check the reporting process of a slowdown without building objects

Cause: each check built the identity of the backend server's process, about eight times per request.

--- a/src/coltsfoottrack/_internal/mesh/backend_load.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_load.py
@@ -61,7 +61,15 @@
     @property
     def is_reported(self) -> bool:
         """Whether the present process of the backend server reports its slowdown."""
-        return self.lifetime is not None and self.lifetime == self.backend.lifetime
+        lifetime = self.lifetime
+        if lifetime is None:
+            return False
+        # Compares the fields, since the property of the backend server would build a new object
+        # several times per request.
+        backend = self.backend
+        return lifetime.started_ms == backend.started_ms and (
+            lifetime.backend == backend.identifier
+        )
 
     def observe(self, report: LoadReport | None, lifetime: Lifetime | None, now: float) -> None:
         """Applies the load that a complete answer reports; ``lifetime`` is that of its sender."""
