Mend what a newcomer's reading of the change found

- config check named the wrong one of two routes with the same host and prefix (the last one is served), called a burst under one request impossible (it counts as one), and showed neither a table of customers that admits nobody nor its appearance.
- An error of the YAML routes could quote a customer's key into the log; it logs the line only now.
- Bounds lowered to zero by a reload made a retry end in a ZeroDivisionError while earned retries were left.
- Large frames were joined with their length while frames were held back; the test that fixed one write for each had counted the copy, it now expects two.
- Digests of lenders are cached; the tables of the balancer are rebuilt at most every 50 ms.
- Tokens granted unasked count in rate_granted_total; a share and a status that stood twice stand once; several names and comments.

Each fault has a test that failed before.

--- a/src/coltsfoottrack/_internal/decision_log/summary.py
+++ b/src/coltsfoottrack/_internal/decision_log/summary.py
@@ -12,8 +12,8 @@
 STATES = {
     "shedding_started": ("shedding", True, ""),
     "shedding_ended": ("shedding", False, ""),
-    "route_shedding_started": ("refusing for runs that fail below", True, "route"),
-    "route_shedding_ended": ("refusing for runs that fail below", False, "route"),
+    "route_shedding_started": ("shedding for lack of capacity in called services", True, "route"),
+    "route_shedding_ended": ("shedding for lack of capacity in called services", False, "route"),
     "store_lost": ("store lost", True, "what"),
     "store_regained": ("store lost", False, "what"),
     "stopping": ("stopping", True, ""),
--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -28,6 +28,8 @@
 # that cannot be retried. The limit falls to half of the idle time after which a drop was seen.
 NON_IDEMPOTENT_IDLE_SECONDS = 3.0
 FIRST_FINAL_STATUS = 200
+# Statuses from here on count as failures of the backend server.
+FIRST_FAILURE_STATUS = 500
 # Value of the header by which a backend server states that it leaves.
 LEAVING = b"1"
 
--- a/src/coltsfoottrack/_internal/mesh/balancing.py
+++ b/src/coltsfoottrack/_internal/mesh/balancing.py
@@ -21,12 +21,14 @@
 DRAWS = 2
 # Draws that may hit a member that was drawn before or takes no request.
 MAX_MISSES = 6
-# Further members compared if all of the first are full or in trouble.
+# Further members compared if all of the first are full, failing or not accepting.
 MORE_DRAWS = 3
-# Cost from which a member is full or in trouble.
-TROUBLE_COST = 1.0
+# Cost from which further members are compared: the member is full, failing or not accepting.
+UNSUITABLE_COST = 1.0
 # Draws follow changed capacities after this time; a new member is drawn at once.
 TABLE_SECONDS = 0.5
+# Shortest interval between two rebuilds, so that many changes of the members cost one.
+MIN_TABLE_SECONDS = 0.05
 # A service is chosen from by capacity for this long after the last report of one.
 REPORT_SECONDS = 10.0
 # Weight of the newest report in the means of a service.
@@ -177,14 +179,14 @@
     def choose(self, peers: Iterable["Peer"]) -> "Peer | None":
         """Returns a member for the request, None if there is none."""
         service = self.service
-        if service.generation != self.directory.generation or (
-            self.now - service.built_at > TABLE_SECONDS
-        ):
+        age = self.now - service.built_at
+        changed = service.generation != self.directory.generation
+        if age > TABLE_SECONDS or (changed and age >= MIN_TABLE_SECONDS):
             self._build_tables(peers)
         best, cost = self._better(None, inf, service.near, DRAWS)
-        if cost >= TROUBLE_COST:
+        if cost >= UNSUITABLE_COST:
             best, cost = self._better(best, cost, service.far, DRAWS)
-        if best is not None and cost >= TROUBLE_COST:
+        if best is not None and cost >= UNSUITABLE_COST:
             best, cost = self._better(best, cost, service.near, MORE_DRAWS)
             best, cost = self._better(best, cost, service.far, MORE_DRAWS)
         if best is None:
--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -84,8 +84,8 @@
     def is_stopping(self) -> bool:
         """Returns whether connections are closed after their next answer."""
 
-    def has_customers(self) -> bool:
-        """Returns whether the headers about customers are not forwarded."""
+    def drops_customer_headers(self) -> bool:
+        """Returns whether headers with a customer's key or name are removed before forwarding."""
 
     def handle(self, request: CallerRequest) -> None:
         """Handles a complete request; the answer may follow later."""
@@ -270,7 +270,7 @@
             request.keep_alive = False
             self.respond(request, 400, b"", b"")
             return
-        if self.customer_lines and self.handler.has_customers():
+        if self.customer_lines and self.handler.drops_customer_headers():
             self._drop_customer_lines()
         parts = [request.method, b" ", self.url, b" HTTP/1.1\r\n", *self.header_lines]
         if body or request.method in (b"POST", b"PUT", b"PATCH"):
--- a/src/coltsfoottrack/_internal/mesh/configuration.py
+++ b/src/coltsfoottrack/_internal/mesh/configuration.py
@@ -34,7 +34,7 @@
         try:
             configuration = self.decode(content)
         except MeshError as error:
-            self.log.decision("configuration_unreadable", source=source, problem=str(error))
+            self.log.decision("configuration_unreadable", source=source, problem=error.log_text)
             return
         if configuration.version <= self.version:
             return
--- a/src/coltsfoottrack/_internal/mesh/configuration_check.py
+++ b/src/coltsfoottrack/_internal/mesh/configuration_check.py
@@ -9,7 +9,7 @@
 
 # Keys are secrets: they are shown as a digest of this many bytes.
 KEY_DIGEST_BYTES = 4
-# A burst below one request admits none.
+# A smaller burst counts as this one.
 MIN_BURST_REQUESTS = 1.0
 
 
@@ -50,19 +50,19 @@
         *_hidden_routes(configuration.routes),
         *_contradicting_routes(configuration.routes),
         *_unmatched_services(configuration),
-        *_ineffective_customers(configuration.customers or ()),
+        *_ineffective_customers(configuration.customers),
     ]
     return sorted(findings, key=lambda finding: finding.severity)
 
 
-def _hidden_routes(routes: Iterable[Route]) -> list[Finding]:
-    """Finds routes with the host and prefix of another, of which only one is ever chosen."""
+def _hidden_routes(routes: tuple[Route, ...]) -> list[Finding]:
+    """Finds routes whose host and prefix are repeated by a later route, which replaces them."""
     findings = []
-    names: dict[tuple[str, str], str] = {}
+    used = {(route.host, route.prefix): route.name for route in routes}
     for route in routes:
-        first = names.setdefault((route.host, route.prefix), route.name)
-        if first != route.name:
-            problem = f"can never match: host and prefix are those of route {first}"
+        last = used[(route.host, route.prefix)]
+        if last != route.name:
+            problem = f"can never match: route {last} has the same host and prefix"
             findings.append(Finding(Severity.ERROR, f"route {route.name}", problem))
     return findings
 
@@ -110,14 +110,18 @@
     return findings
 
 
-def _ineffective_customers(customers: Iterable[Customer]) -> list[Finding]:
+def _ineffective_customers(customers: tuple[Customer, ...] | None) -> list[Finding]:
+    if customers is None:
+        return []
+    if not customers:
+        return [Finding(Severity.WARNING, "customers", "none is declared, so no key is valid")]
     findings = []
     for customer in customers:
         entry = f"customer {customer.name}"
         if not customer.keys:
             findings.append(Finding(Severity.WARNING, entry, "can never match: it has no key"))
-        if customer.rate_per_second > 0.0 and customer.burst < MIN_BURST_REQUESTS:
-            problem = f"burst of {customer.burst:g} is below one request"
+        if customer.rate_per_second > 0.0 and 0.0 < customer.burst < MIN_BURST_REQUESTS:
+            problem = f"burst of {customer.burst:g} counts as one request"
             findings.append(Finding(Severity.WARNING, entry, problem))
         if customer.rate_per_second == 0.0 and customer.burst > 0.0:
             problem = "burst has no effect without a rate"
@@ -151,6 +155,8 @@
         fields = {**route._asdict(), "services": _services_text(route)}
         del fields["name"], fields["rank"]
         _add_fields(values, f"route {route.name}", fields)
+    if configuration.customers is not None:
+        values["customers"] = "requests need a key"
     for customer in configuration.customers or ():
         fields = {**customer._asdict(), "keys": sorted(map(key_digest, customer.keys))}
         del fields["name"]
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -28,7 +28,7 @@
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.routes import RouteTable
 from coltsfoottrack._internal.mesh.runner import Runner
-from coltsfoottrack._internal.mesh.shared_rate.mesh_surroundings import MeshSurroundings
+from coltsfoottrack._internal.mesh.shared_rate.mesh_access import NodeMeshAccess
 from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
@@ -134,7 +134,7 @@
         )
         self.entry.links = self.links
         self.shared_rates = SharedRates(
-            MeshSurroundings(self.directory, self.links), settings.quota, log
+            NodeMeshAccess(self.directory, self.links), settings.quota, log
         )
         self.links.shared_rates = self.shared_rates
         self.entry.shared_rates = self.shared_rates
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -114,7 +114,7 @@
         """Returns whether connections are closed after their next answer."""
         return self.gate.is_stopping()
 
-    def has_customers(self) -> bool:
+    def drops_customer_headers(self) -> bool:
         """Returns whether the configuration in force has customers."""
         return self.table is not None and self.table.customers is not None
 
--- a/src/coltsfoottrack/_internal/mesh/exceptions.py
+++ b/src/coltsfoottrack/_internal/mesh/exceptions.py
@@ -4,6 +4,11 @@
 class MeshError(Exception):
     """Base class of the errors of the mesh."""
 
+    @property
+    def log_text(self) -> str:
+        """The message as it may be written to a log, without secrets."""
+        return str(self)
+
 
 class StoreError(MeshError):
     """A call to the store was refused, timed out or returned an unreadable answer."""
--- a/src/coltsfoottrack/_internal/mesh/fairness.py
+++ b/src/coltsfoottrack/_internal/mesh/fairness.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Iterable
 
-from coltsfoottrack._internal.mesh.levels import MIN_ADMITTED_SHARE, Admission
+from coltsfoottrack._internal.mesh.levels import Admission, admitted_share
 
 # Weight of the past is halved in this time.
 HALF_LIFE_SECONDS = 2.0
@@ -98,7 +98,7 @@
         """
         if not customer:
             return self.plain.admit(route, rank, level)
-        share = min(1.0, max(MIN_ADMITTED_SHARE, level - rank))
+        share = admitted_share(level, rank)
         known = self.by_rank.get((route, rank))
         if known is None:
             known = self.by_rank[(route, rank)] = FairShares()
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -167,6 +167,11 @@
         return described
 
 
+def admitted_share(level: float, rank: int) -> float:
+    """Returns the share of the requests of a rank that a level admits."""
+    return min(1.0, max(MIN_ADMITTED_SHARE, level - rank))
+
+
 class Admission:
     """Admits a share of the requests of each route, spread evenly over the arrivals."""
 
@@ -176,7 +181,7 @@
 
     def admit(self, route: str, rank: int, level: float) -> bool:
         """Returns whether to admit the next request of a route and rank; counts it."""
-        share = min(1.0, max(MIN_ADMITTED_SHARE, level - rank))
+        share = admitted_share(level, rank)
         if share >= 1.0:
             return True
         key = (route, rank)
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -194,15 +194,23 @@
 
     def _write(self, parts: list[bytes]) -> None:
         self.last_sent = current_time()
-        held = self.held_back
-        if held is None:
-            for part in parts:
-                self.transport.write(part)
+        if self.held_back is None:
+            self._write_parts(parts)
             return
-        held += parts
-        if len(parts) > 1 or len(held) >= MAX_HELD_BACK:
+        if len(parts) > 1:
+            # A large frame is written without a copy, after the small ones before it.
             self._write_held_back()
             self.held_back = []
+            self._write_parts(parts)
+            return
+        self.held_back += parts
+        if len(self.held_back) >= MAX_HELD_BACK:
+            self._write_held_back()
+            self.held_back = []
+
+    def _write_parts(self, parts: list[bytes]) -> None:
+        for part in parts:
+            self.transport.write(part)
 
     def close(self) -> None:
         """Closes the connection once all that was sent is written."""
--- a/src/coltsfoottrack/_internal/mesh/own_capacity.py
+++ b/src/coltsfoottrack/_internal/mesh/own_capacity.py
@@ -2,7 +2,10 @@
 
 from math import inf
 
-from coltsfoottrack._internal.mesh.backend_connection import BackendResponse
+from coltsfoottrack._internal.mesh.backend_connection import (
+    FIRST_FAILURE_STATUS,
+    BackendResponse,
+)
 from coltsfoottrack._internal.mesh.backend_load import BackendSpeed
 from coltsfoottrack._internal.mesh.backend_state import BackendState
 from coltsfoottrack._internal.mesh.model import RoutingConfiguration
@@ -14,8 +17,6 @@
 TARGET_FRACTION = 0.7
 # The tightest target is computed once for this time.
 TARGETS_SECONDS = 0.1
-# Failed runs may end early and tell nothing of the speed.
-FIRST_FAILURE_STATUS = 500
 
 
 class OwnCapacity:
--- a/src/coltsfoottrack/_internal/mesh/ports.py
+++ b/src/coltsfoottrack/_internal/mesh/ports.py
@@ -53,7 +53,7 @@
         """Returns False: connections stay open until the process exits."""
         return False
 
-    def has_customers(self) -> bool:
+    def drops_customer_headers(self) -> bool:
         """Returns False: the requests are not forwarded."""
         return False
 
--- a/src/coltsfoottrack/_internal/mesh/retry_budget.py
+++ b/src/coltsfoottrack/_internal/mesh/retry_budget.py
@@ -86,6 +86,8 @@
             full += first_sends * bounds.ratio * use.ratio
         for _, used, _ in self.slack_used:
             left -= used
+        # Bounds that were lowered also apply to retries earned before.
+        left = min(left, full)
         if left < 1.0 or not self._may_take(rank, left / full):
             return False
         self._use_one(now)
--- a/src/coltsfoottrack/_internal/mesh/run_outcome.py
+++ b/src/coltsfoottrack/_internal/mesh/run_outcome.py
@@ -5,14 +5,15 @@
 all of its calls, and use the retry budget of the services below.
 """
 
-from coltsfoottrack._internal.mesh.backend_connection import BackendResponse
+from coltsfoottrack._internal.mesh.backend_connection import (
+    FIRST_FAILURE_STATUS,
+    BackendResponse,
+)
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.runner_call import RunnerCall, RunResult
 from coltsfoottrack._internal.schema.links_pb2 import RESULT_ANSWERED
 
-# Statuses from here on count as failures of the backend server.
-FIRST_FAILURE_STATUS = 500
 # Reasons of unserved calls that show a lack of capacity, if the call has not run.
 CAPACITY_REASONS = frozenset(("backend_refused", "overload", "repeat_budget", "expired"))
 
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/lender.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/lender.py
@@ -8,6 +8,7 @@
 from coltsfoottrack._internal.mesh.shared_rate.lent_rate import (
     FOLLOW_SECONDS,
     RETENTION_SECONDS,
+    Borrower,
     LentRate,
 )
 from coltsfoottrack._internal.mesh.shared_rate.terms import START_SECONDS, RateTerms
@@ -79,7 +80,6 @@
                 return
         self.contacts[node] = Contact(usage.sent_us, now, answer)
         grant = RateGrant(sent_us=usage.sent_us, epoch=self.epoch)
-        limits = []
         for digest, used, wanted in zip(usage.names, usage.used, usage.wanted, strict=True):
             rate = self._rate(digest, now)
             if rate is None:
@@ -87,15 +87,17 @@
                 continue
             rate.refill(now)
             borrower = rate.report(node, usage.epoch, used, wanted, interval, now)
-            limit = rate.limit(borrower)
-            self.granted += borrower.lent
-            grant.names.append(digest)
-            limits.append(limit)
-            grant.scarce.append(rate.scarce)
-        grant.limits.extend(limits)
+            self._add_grant(grant, digest, rate, borrower)
         answer(grant)
         self._note_scarcity(usage.names, now)
 
+    def _add_grant(self, grant: RateGrant, digest: int, rate: LentRate, borrower: Borrower) -> None:
+        """Adds what a borrower may use of a rate to a grant."""
+        grant.names.append(digest)
+        grant.limits.append(rate.limit(borrower))
+        grant.scarce.append(rate.scarce)
+        self.granted += borrower.lent
+
     def _rate(self, digest: int, now: float) -> LentRate | None:
         rate = self.rates.get(digest)
         if rate is None and digest in self.terms:
@@ -137,9 +139,7 @@
                 rate = self.rates[digest]
                 borrower = rate.borrowers.get(node)
                 if borrower is not None:
-                    grant.names.append(digest)
-                    grant.limits.append(rate.limit(borrower))
-                    grant.scarce.append(True)
+                    self._add_grant(grant, digest, rate, borrower)
             if grant.names:
                 contact.answer(grant)
 
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/lender_choice.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/lender_choice.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection, Iterable
+from functools import lru_cache
 
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.shared_rate.terms import name_digest
@@ -15,6 +16,8 @@
 FIRST_MULTIPLIER = 0xFF51AFD7ED558CCD
 SECOND_MULTIPLIER = 0xC4CEB9FE1A85EC53
 SHIFT_BITS = 33
+# Number of nodes whose digests are kept.
+MAX_NODES = 4096
 
 
 def _mix(value: int) -> int:
@@ -23,6 +26,11 @@
     return value ^ (value >> SHIFT_BITS)
 
 
+@lru_cache(MAX_NODES)
+def _node_digest(node: str) -> int:
+    return name_digest(node)
+
+
 def lender_candidates(members: Iterable[Member]) -> list[Member]:
     """Returns the members that lend rates."""
     order = watcher_order(members)
@@ -38,7 +46,7 @@
     for member in candidates:
         if member.node in excluded:
             continue
-        value = _mix(digest ^ name_digest(member.node))
+        value = _mix(digest ^ _node_digest(member.node))
         if value > best_hash:
             best, best_hash = member, value
     return best
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/lent_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/lent_rate.py
@@ -17,23 +17,26 @@
 RECLAIM_SECONDS = 1.0
 # Records of borrowers are kept for this long after their last report.
 RETENTION_SECONDS = 5.0
-# A lender that fewer nodes follow may not be the only one, as the nodes may know different members,
-# so more than half are asked for.
+# Fraction of the nodes that must report to a lender before it lends the full rate. It is above one
+# half because nodes that know different members may choose different lenders.
 MAJORITY = 0.6
-# Without them it lends this part of
-# its followers' share, for at most this part of all nodes.
+# With fewer, it lends this fraction of its borrowers' equal share of the rate, counting at most
+# MAX_MINORITY of all nodes.
 MINORITY_RATIO = 0.25
 MAX_MINORITY = 1.0 / 3.0
 # Part of the plentiful tokens that one borrower may use before its next report.
 PLENTIFUL_SHARE = 0.75
 # A grant covers what a borrower needs for this long.
 NEED_SECONDS = 0.4
+# Weight of the newest report in the demand of a borrower when it falls; a rise applies at once.
 NEED_WEIGHT = 0.5
+# Demand is sparse if there is less than one request per borrower in this time.
 SPARSE_SECONDS = 1.0
 # A lower demand, in tokens per second, counts as none.
 MIN_DEMAND = 0.1
 # A single request after a short interval does not count as a high demand.
 MIN_INTERVAL_SECONDS = 0.2
+# Weight of the newest interval in the moving average of the total demand.
 TOTAL_WEIGHT = 0.3
 
 
@@ -90,7 +93,7 @@
         self.level *= self.capacity / before
 
     def is_sole(self, now: float) -> bool:
-        """Returns whether no other lender can have had most nodes within the last while."""
+        """Returns whether a majority has reported here for FOLLOW_SECONDS without a break."""
         return self.followed_since is not None and now - self.followed_since >= FOLLOW_SECONDS
 
     def refill(self, now: float) -> None:
@@ -208,5 +211,5 @@
         borrower.demand = 0.0
 
     def suspend(self) -> None:
-        """Handles a time for which this node did not run: others may have lent meanwhile."""
+        """Requires a new majority before the full rate is lent, as others may have lent."""
         self.followed_since = None
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/mesh_surroundings.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/mesh_access.py
@@ -1,4 +1,4 @@
-"""The mesh as shared rates see it."""
+"""Access of shared rates to membership and links."""
 
 from typing import TYPE_CHECKING
 
@@ -10,7 +10,7 @@
     from coltsfoottrack._internal.mesh.links import Links
 
 
-class MeshSurroundings:
+class NodeMeshAccess:
     """Members from the directory, messages over the links."""
 
     def __init__(self, directory: Directory, links: "Links") -> None:
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
@@ -39,7 +39,7 @@
 LARGE_USE_RATIO = 0.125
 
 
-class Surroundings(Interface):
+class MeshAccess(Interface):
     """What a node knows of the mesh."""
 
     def own(self) -> Member:
@@ -77,8 +77,8 @@
 class SharedRates:
     """Shared rates of one node."""
 
-    def __init__(self, surroundings: Surroundings, bounds: QuotaBounds, log: DecisionLog) -> None:
-        self.surroundings = surroundings
+    def __init__(self, mesh: MeshAccess, bounds: QuotaBounds, log: DecisionLog) -> None:
+        self.mesh = mesh
         self.log = log
         self.rates: dict[str, LocalRate] = {}
         self.by_digest: dict[int, LocalRate] = {}
@@ -95,9 +95,9 @@
         self.last_sent_us = 0
         # Time of the first tick with a limit.
         self.started_at: float | None = None
-        self.lender.epoch = surroundings.own().epoch
+        self.lender.epoch = mesh.own().epoch
         self.refused = 0
-        # Requests admitted or refused without a lender.
+        # Whether this node has requests for a name without a valid grant.
         self.in_fallback = False
 
     def set_limits(self, limits: Mapping[str, RateTerms], now: float | None = None) -> None:
@@ -138,11 +138,6 @@
             self.refused += 1
         return wait
 
-    def is_scarce(self, name: str) -> bool:
-        """Returns whether a name with a limit has no lender yet or is near its limit."""
-        rate = self.rates.get(name)
-        return rate is not None and rate.scarce
-
     def give_back(self, name: str) -> None:
         """Returns the token of a request that has reached no backend server."""
         rate = self.rates.get(name)
@@ -153,7 +148,7 @@
         """Sends due reports and grants; does nothing while no name has a limit."""
         if not self.rates:
             return
-        generation = self.surroundings.generation()
+        generation = self.mesh.generation()
         changed = generation != self.chosen_generation and now - self.chosen_at >= CHOICE_SECONDS
         if self.must_choose or changed:
             self._choose(generation, now)
@@ -179,7 +174,7 @@
         self._note_fallback(now)
 
     def _share_after_start(self, until: float, now: float) -> None:
-        """Lets this node use an equal share of each rate, and what it spares of the bound."""
+        """Lets this node use an equal share of each rate, and of what the bound spares."""
         for rate in self.rates.values():
             pace = rate.terms.rate_per_second / self.nodes
             rate.continue_after_start(pace, rate.continue_probability, now, until)
@@ -187,7 +182,7 @@
     def _choose(self, generation: int, now: float) -> None:
         """Assigns each name to its lender."""
         if generation != self.chosen_generation:
-            members = self.surroundings.members()
+            members = self.mesh.members()
             self.nodes = max(1, len(members))
             self.candidates = lender_candidates(members)
         self.chosen_generation = generation
@@ -234,14 +229,14 @@
         return self.last_sent_us
 
     def _report(self, loan: Loan, now: float) -> None:
-        usage = RateUsage(sent_us=self._next_sent_us(now), epoch=self.surroundings.own().epoch)
+        usage = RateUsage(sent_us=self._next_sent_us(now), epoch=self.mesh.own().epoch)
         usage.names.extend([rate.digest for rate in loan.rates])
         usage.used.extend([rate.used for rate in loan.rates])
         usage.wanted.extend([rate.wanted for rate in loan.rates])
         for rate in loan.rates:
             rate.note_reported(now)
         loan.reported_at = now
-        own = self.surroundings.own()
+        own = self.mesh.own()
         if loan.member.node == own.node:
             self.lender.handle_usage(
                 own.node, usage, now, lambda grant: self.handle_grant(own.node, grant, now)
@@ -249,7 +244,7 @@
             return
         if loan.waiting_since is None:
             loan.waiting_since = now
-        self.surroundings.send(loan.member, Frame(rate_usage=usage))
+        self.mesh.send(loan.member, Frame(rate_usage=usage))
 
     def _avoid(self, node: str, now: float) -> None:
         self.avoided[node] = now
@@ -261,10 +256,8 @@
         self.avoided[node] = now
         for member in self.candidates:
             if member.node == node:
-                usage = RateUsage(
-                    sent_us=self._next_sent_us(now), epoch=self.surroundings.own().epoch
-                )
-                self.surroundings.send(member, Frame(rate_usage=usage))
+                usage = RateUsage(sent_us=self._next_sent_us(now), epoch=self.mesh.own().epoch)
+                self.mesh.send(member, Frame(rate_usage=usage))
 
     def _note_fallback(self, now: float) -> None:
         """Logs when this node begins and ends to reach no lender for some name it uses."""
--- a/src/coltsfoottrack/_internal/mesh/whole_requests.py
+++ b/src/coltsfoottrack/_internal/mesh/whole_requests.py
@@ -27,7 +27,7 @@
 RISE_PER_INTERVAL = 0.15
 # Refusing a rank ends if fewer runs finish than this share of those that finished before: where a
 # service refuses calls whatever its load, refused requests only make its retry budget smaller.
-WORTHWHILE_SHARE = 0.7
+MIN_THROUGHPUT_RATIO = 0.7
 # Pause before the rank is refused again, doubled each time up to the limit.
 PAUSE_SECONDS = 10.0
 MAX_PAUSE_SECONDS = 60.0
@@ -76,7 +76,7 @@
         ranks = sorted(present)
         if ranks:
             self.level = max(self.level, ranks[0] + 1.0)
-        if self._is_worthless(now):
+        if self._has_lowered_throughput(now):
             self.level = float(self.ranks)
             self.paused_until = now + self.pause
             self.pause = min(MAX_PAUSE_SECONDS, 2.0 * self.pause)
@@ -87,12 +87,12 @@
             self.finished_before = None
             self.at_floor_since = None
 
-    def _is_worthless(self, now: float) -> bool:
+    def _has_lowered_throughput(self, now: float) -> bool:
         """Returns whether refusing requests has made fewer runs finish."""
         if self.at_floor_since is None or not self._held(now):
             return False
         finished = self._finished_per_second(FALL_WINDOW_SECONDS, now)
-        return finished < WORTHWHILE_SHARE * self.finished_before
+        return finished < MIN_THROUGHPUT_RATIO * self.finished_before
 
     def _finished_per_second(self, seconds: float, now: float) -> float:
         """Returns how many runs per second did not end for lack of capacity."""
--- a/src/coltsfoottrack/_internal/mesh_local/routes.py
+++ b/src/coltsfoottrack/_internal/mesh_local/routes.py
@@ -31,12 +31,27 @@
     """The routes file does not match the schema, or two of its routes conflict."""
 
 
+class UnreadableRoutesError(RoutesError):
+    """The routes file does not match the schema; the message may quote any part of it."""
+
+    def __init__(self, problem: str, line: int) -> None:
+        super().__init__(problem)
+        self.line = line
+
+    @property
+    def log_text(self) -> str:
+        """The line of the problem only, as the file holds the keys of customers."""
+        return f"{ROUTES_FILE}:{self.line}: does not match the schema"
+
+
 def decode_routes(content: bytes) -> RoutingConfiguration:
     """Returns the routes and limits in a file's content. Raises RoutesError if it is invalid."""
     try:
         loaded = load_text(content.decode("utf-8"), RoutesFile, ROUTES_FILE)
-    except (SettingsError, UnicodeDecodeError) as error:
-        raise RoutesError(str(error)) from error
+    except SettingsError as error:
+        raise UnreadableRoutesError(str(error), error.line) from error
+    except UnicodeDecodeError as error:
+        raise UnreadableRoutesError(str(error), 1) from error
     _check_routes(loaded)
     priorities = sorted({int(number_or_default(entry, "priority")) for entry in loaded.routes})
     ranks = {priority: rank for rank, priority in enumerate(priorities)}
--- a/tests/unit/test_configuration_check.py
+++ b/tests/unit/test_configuration_check.py
@@ -44,7 +44,7 @@
     def test_route_hidden_by_another(self) -> None:
         found = problems(stored(1, first=READ, second=READ))
         self.assertEqual(len(found), 1)
-        self.assertIn("error route second: can never match", found[0])
+        self.assertIn("error route first: can never match", found[0])
 
     def test_target_above_timeout(self) -> None:
         found = problems(stored(1, read={**READ, "targetLatencyMs": 9000}))
@@ -60,6 +60,11 @@
             ],
         )
 
+    def test_table_of_customers_that_admits_nobody(self) -> None:
+        """Guards against a version after which every request is answered 401."""
+        found = problems(stored(1, {}, read=READ))
+        self.assertEqual(found, ["warning customers: none is declared, so no key is valid"])
+
     def test_customers_without_effect(self) -> None:
         customers = {
             "keyless": {**CUSTOMER, "apiKeys": []},
@@ -67,7 +72,7 @@
         }
         found = problems(stored(1, customers, read=READ))
         self.assertIn("warning customer keyless: can never match: it has no key", found)
-        self.assertIn("warning customer stuck: burst of 0.5 is below one request", found)
+        self.assertIn("warning customer stuck: burst of 0.5 counts as one request", found)
 
 
 class DifferencesTest(TestCase):
--- a/tests/unit/test_customers.py
+++ b/tests/unit/test_customers.py
@@ -138,10 +138,10 @@
     def receive(self, lines, customers=True, trailers=b""):
         """Returns the request with additional header lines."""
         head = b"POST /read/ HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r1\r\n" + lines
-        self.handler.has_customers.return_value = not customers
+        self.handler.drops_customer_headers.return_value = not customers
         self.connection.data_received(head + b"Transfer-Encoding: chunked\r\n\r\n")
         # The configuration changes before the request is complete.
-        self.handler.has_customers.return_value = customers
+        self.handler.drops_customer_headers.return_value = customers
         self.connection.data_received(b"1\r\nx\r\n0\r\n" + trailers + b"\r\n")
         return self.requests[-1]
 
--- a/tests/unit/test_mesh_link.py
+++ b/tests/unit/test_mesh_link.py
@@ -119,7 +119,8 @@
         body = b"x" * MAX_COPIED_BYTES
         writes = self.receive(AnsweringHandler(body))
         self.assertEqual(self.expected(40, body), b"".join(writes))
-        self.assertEqual(40, len(writes))
+        # The length and the content of each are written apart, which saves joining them.
+        self.assertEqual(80, len(writes))
 
     def test_answers_are_sent_before_the_connection_ends(self):
         """Guards against answers lost to a close or to an unreadable frame behind them."""
--- a/tests/unit/test_mesh_local.py
+++ b/tests/unit/test_mesh_local.py
@@ -85,6 +85,14 @@
             with self.subTest(problem=problem), self.assertRaisesRegex(RoutesError, problem):
                 decode_routes(content)
 
+    def test_text_for_the_log_quotes_nothing_of_the_file(self):
+        """Guards against keys of customers in the log."""
+        content = b"version: 1\ncustomers:\n- name: a\n  keys: [*secret]\n"
+        with self.assertRaises(RoutesError) as caught:
+            decode_routes(content)
+        self.assertIn("secret", str(caught.exception))
+        self.assertNotIn("secret", caught.exception.log_text)
+
 
 class ExamplesTest(TestCase):
     """Guards against examples that the loader refuses."""
--- a/tests/unit/test_mesh_parts.py
+++ b/tests/unit/test_mesh_parts.py
@@ -111,6 +111,14 @@
         self.assertFalse(budget.try_take(1.0, 1))
         self.assertTrue(budget.try_take(20.0, 1))
 
+    def test_lowered_bounds_apply_to_retries_earned_before(self):
+        """Guards against an error of the node when a reload forbids retries."""
+        budget = RetryBudget(RetryBounds(0.2, 48.0, 10.0))
+        for _ in range(50):
+            budget.count_first(1.0)
+        budget.bounds = RetryBounds(0.0, 0.0, 10.0)
+        self.assertFalse(budget.try_take(1.1, 1))
+
     def test_saved_retries_expire_and_do_not_add_up(self):
         """Guards against memory that grows, and a burst saved up in a calm hour."""
         budget = RetryBudget(RetryBounds(0.2, 0.0, 10.0))
--- a/tests/unit/test_mesh_shared_rate_links.py
+++ b/tests/unit/test_mesh_shared_rate_links.py
@@ -25,7 +25,7 @@
         for node in self.nodes:
             node.shared_rates.set_limits({"customer": RATE})
         await self.wait_until(
-            lambda: not any(n.shared_rates.is_scarce("customer") for n in self.nodes)
+            lambda: not any(n.shared_rates.rates["customer"].scarce for n in self.nodes)
         )
         admitted = 0
         for _ in range(150):
