Choose the ports of test processes apart from the seeded generator

Tests with a fixed seed leave the shared generator in the same state, so two runs that are at the same test choose the same ports (shown: two processes, the same four ports). Change: SystemRandom chooses them. The new test failed before; test_crashing_request passes.

--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Collection
 from os import environ
 from pathlib import Path
-from random import sample
+from random import SystemRandom
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM, socket
 from subprocess import Popen, TimeoutExpired
@@ -81,7 +81,8 @@
     """
     ports: list[int] = []
     sockets = []
-    candidates = sample(range(LOWEST_PORT, LOWEST_EPHEMERAL_PORT), 20 * count)
+    # Not from the shared generator: a test that seeds it would give parallel runs the same ports.
+    candidates = SystemRandom().sample(range(LOWEST_PORT, LOWEST_EPHEMERAL_PORT), 20 * count)
     while len(ports) < count:
         if not candidates:
             raise ExperimentError(f"fewer than {count} ports are free")
--- /dev/null
+++ b/tests/unit/test_free_ports.py
@@ -0,0 +1,18 @@
+"""Ports of the processes that tests start."""
+
+from random import seed
+from unittest import TestCase
+
+from coltsfoottrack._internal.experiment.fleet import free_ports
+
+
+class FreePortsTest(TestCase):
+    """Ports differ between runs."""
+
+    def test_seeded_generator_does_not_choose_the_ports(self):
+        """Guards against parallel runs that take the same ports after a test with a fixed seed."""
+        chosen = []
+        for _ in range(2):
+            seed(1)
+            chosen.append(free_ports(8))
+        self.assertNotEqual(chosen[0], chosen[1])
