--- a/src/coltsfoottrack/_internal/experiment/fleet.py
+++ b/src/coltsfoottrack/_internal/experiment/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+from collections import deque
 from collections.abc import Collection
 from os import environ
 from pathlib import Path
@@ -31,6 +32,8 @@
 STOP_SECONDS = 12.0
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
+# Ports given out lately, whose servers may not listen yet. More than one test or fleet uses.
+recent_ports: deque[int] = deque(maxlen=2_000)
 
 
 class FleetVariant(NamedTuple):
@@ -76,8 +79,8 @@
 def free_ports(count: int, taken: Collection[int] = ()) -> list[int]:
     """Returns loopback ports that are free for TCP and UDP and not in ``taken``.
 
-    They lie below the ephemeral port range, so that no outgoing connection takes one of them
-    before its process has started.
+    A port that this process was given lately is not returned again. They lie below the ephemeral
+    port range, so that no outgoing connection takes one of them before its process has started.
     """
     ports: list[int] = []
     sockets = []
@@ -87,7 +90,7 @@
         if not candidates:
             raise ExperimentError(f"fewer than {count} ports are free")
         port = candidates.pop()
-        if port in taken:
+        if port in taken or port in recent_ports:
             continue
         for kind in (SOCK_STREAM, SOCK_DGRAM):
             probe = socket(AF_INET, kind)
@@ -100,6 +103,7 @@
             ports.append(port)
     for probe in sockets:
         probe.close()
+    recent_ports.extend(ports)
     return ports
 
 
--- a/tests/unit/test_free_ports.py
+++ b/tests/unit/test_free_ports.py
@@ -16,3 +16,8 @@
             seed(1)
             chosen.append(free_ports(8))
         self.assertNotEqual(chosen[0], chosen[1])
+
+    def test_port_is_not_given_out_twice_in_a_row_of_calls(self):
+        """Guards against two servers of one test at the same port, chosen before either listens."""
+        chosen = [free_ports(1)[0] for _ in range(500)]
+        self.assertEqual(len(set(chosen)), len(chosen))
