--- a/review/1/play.py
+++ b/review/1/play.py
@@ -10,7 +10,7 @@
 from standins.record import Record
 from standins.upstream import Upstream
 
-ORDERS = 6
+ORDERS = 8
 TIMEOUT_MS = 30_000
 WORK_SECONDS = 16.0
 CUT_AT_SECONDS = 14.0
--- a/review/standins/case.py
+++ b/review/standins/case.py
@@ -2,9 +2,10 @@
 
 import os
 import sys
-from asyncio import run, timeout
+from asyncio import CancelledError, current_task, get_running_loop, run, timeout
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from signal import SIGINT, SIGTERM
 from traceback import print_exc
 
 from standins.fleet import CannotRunError, Fleet
@@ -35,11 +36,22 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write("with the disruption" if trouble else "without the disruption")
-    fleet = Fleet(record, services, proxied)
+    try:
+        fleet = Fleet(record, services, proxied)
+    except CannotRunError as error:
+        record.say(f"cannot run: {error}")
+        return CANNOT_RUN
+    for number in (SIGTERM, SIGINT):
+        # The processes that the case started must not outlast it.
+        get_running_loop().add_signal_handler(number, current_task().cancel)
     try:
         async with timeout(LONGEST_SECONDS):
             broken = await play(fleet, record, trouble)
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except CancelledError:
+        record.say("cannot run: ended by a signal")
+        return CANNOT_RUN
+    except Exception as error:
+        # Also an error of the script itself must not look like a broken rule.
         print_exc()
         record.say(f"cannot run: {error!r}")
         return CANNOT_RUN
