Log each deregistration of a backend server, and the start of its process with its state

Each one now has a line with what the node believed, and backend_state names the start of the process. Measured: tests of leaving and of the log pass; no logic is changed.

--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -126,6 +126,13 @@
 
     def leave(self, identifier: str) -> None:
         """Handles the announcement that the backend server leaves."""
+        self.log.decision(
+            "deregistration",
+            backend=identifier,
+            believed_backend=self.identifier,
+            believed_number=self.number,
+            left=self.left,
+        )
         if identifier == self.identifier and not self.left:
             self._leave("left")
 
@@ -165,6 +172,7 @@
             "backend_state",
             backend=self.identifier,
             state=state,
+            started_ms=self.started_ms,
             report_number=self.number,
             accepting=self.accepting,
             slots=self.slots,
