--- /dev/null
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -0,0 +1,105 @@
+"""An acknowledged leave of a backend server binds, whatever the node knew when it acknowledged."""
+
+from asyncio import sleep
+
+from coltsfoottrack._internal.mesh.daemon import MeshNode
+from tests.standins.mesh import MeshTestCase, encode
+
+# Numbers of reports that were sent before the leave and arrive after it.
+LATE_NUMBER = 9
+
+
+class LeaveKeptTest(MeshTestCase):
+    """Late reports of a process that has left do not make it ready again."""
+
+    async def assert_unused(self, node: MeshNode) -> None:
+        """Checks that no request reaches the first backend server from any node."""
+        await sleep(0.3)
+        before = len(self.backends[0].received)
+        for number in range(10):
+            for sender in {node, self.nodes[-1]}:
+                path = "/order/" if number % 2 else "/read/"
+                answer = await self.send_request(sender, encode(path, f"{id(sender)}-{number}"))
+                self.assertEqual(answer.status, 503)
+        self.assertEqual(len(self.backends[0].received), before)
+        self.assertFalse(node.backend.accepting)
+
+    async def restart(self, node: MeshNode) -> MeshNode:
+        """Ends a node at once and starts its next process."""
+        node.close()
+        await sleep(0.02)
+        return await self.start_node(node.settings)
+
+    # Incident inc1, DRAIN: a node that had just started acknowledged a leave and forgot it.
+    async def test_leave_acknowledged_before_the_first_report_is_kept(self):
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        await self.wait_until(lambda: store.membership.own_record.written is not None)
+        again = await self.restart(store)
+        backend = self.backends[0]
+        self.assertEqual(await backend.deregister(again.settings.report_address), 200)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        await self.assert_unused(again)
+
+    # The same where no record of an earlier process tells which server it was.
+    async def test_leave_of_a_server_that_nobody_knows_is_kept(self):
+        store = await self.start("store")
+        self.store.status = 503
+        again = await self.restart(store)
+        backend = self.backends[0]
+        self.assertEqual(await backend.deregister(again.settings.report_address), 200)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        self.assertFalse(again.backend.accepting)
+
+    # A late report with a higher number than the stored leave came first and hid it (DRAIN).
+    async def test_stored_leave_binds_after_a_late_report_with_a_higher_number(self):
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        backend = self.backends[0]
+        await backend.deregister(store.settings.report_address)
+        record = store.membership.own_record
+        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        self.store.status = 503
+        again = await self.restart(store)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        self.store.status = None
+        await self.wait_until(lambda: again.backend.left)
+        await self.assert_unused(again)
+
+    # A draining report that a later one had overtaken was acknowledged and dropped (DRAIN).
+    async def test_leave_in_a_report_that_was_overtaken_is_kept(self):
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        backend = self.backends[0]
+        await backend.report(store.settings.report_address, seq=LATE_NUMBER)
+        status = await backend.report(store.settings.report_address, "draining", seq=3)
+        self.assertEqual(status, 200)
+        await self.assert_unused(store)
+
+    # With the store away, other nodes forgot the leave at the restart of the node (DRAIN).
+    async def test_leave_that_only_other_nodes_know_outlasts_a_restart(self):
+        store = await self.start("store")
+        front = await self.start("front", "portal")
+        await self.wait_for_members(2)
+        self.store.status = 503
+        backend = self.backends[0]
+        await backend.deregister(store.settings.report_address)
+        await self.wait_until(lambda: front.directory.peers["store"].member.left)
+        again = await self.restart(store)
+        self.nodes.append(front)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        await self.wait_until(lambda: again.backend.left)
+        await self.assert_unused(again)
+
+    # The bound of the above: a later process of the same server is no longer bound.
+    async def test_next_process_of_a_server_that_left_unknown_is_used(self):
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        again = await self.restart(store)
+        backend = self.backends[0]
+        await backend.deregister(again.settings.report_address)
+        backend.started_ms = 10**13
+        backend.number = 0
+        await backend.report(again.settings.report_address)
+        answer = await self.send_request(again, encode("/read/", "r1"))
+        self.assertEqual(answer.status, 200)
