--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.exceptions import ReportError
-from coltsfoottrack._internal.mesh.model import BackendReport
+from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
 
 # Upper bound on the number of slots accepted from a report.
 MAX_SLOTS = 100_000
@@ -15,6 +15,9 @@
 USED_SLOTS_FRACTION = 0.95
 # Backend servers with fewer slots than this use all of them.
 MIN_SLOTS_WITH_HEADROOM = 8
+# Bound on the servers whose leave is kept though none of their processes is known; beyond it, the
+# oldest one is dropped.
+MAX_UNDATED_LEAVES = 64
 
 
 def usable_slots(slots: int) -> int:
@@ -55,6 +58,10 @@
         # The node accepts no more requests.
         self.node_closed = False
         self.refusal = "no_backend"
+        # Process of the backend server that an earlier process of the node has recorded.
+        self.earlier = Lifetime("", 0)
+        # When servers of which no process was known announced their leave, Unix time in ms.
+        self.undated_leaves: dict[str, int] = {}
         self.changed: Callable[[], None] = lambda: None
 
     @property
@@ -82,23 +89,32 @@
         """Remaining time of the cold start, in milliseconds."""
         return max(0, int((self.cold_until - current_time()) * 1000.0))
 
-    def restore(self, identifier: str, started_ms: int, number: int, accepting: bool) -> None:
-        """Restores a leave that an earlier process of the node has recorded."""
-        if accepting or (started_ms, number) <= (self.started_ms, self.number):
+    def restore_leave(self, lifetime: Lifetime, number: int) -> None:
+        """Restores a leave of which the store or another node has told.
+
+        A leave is final: it binds even if a report with a higher number has arrived since.
+        """
+        if lifetime == self.lifetime and self.left:
             return
-        self.identifier = identifier
-        self.started_ms = started_ms
-        self.number = number
-        self.ready = False
+        if lifetime != self.lifetime:
+            if lifetime.started_ms <= self.started_ms:
+                return
+            self._adopt(lifetime, number)
         self.left = True
         self.refusal = "backend_left"
-        self.log.decision("leave_restored", backend=identifier, report_number=number)
+        self.log.decision("leave_restored", backend=lifetime.backend, report_number=number)
         self.changed()
 
+    def note_earlier(self, lifetime: Lifetime) -> None:
+        """Notes which process of the backend server an earlier process of the node has known."""
+        self.earlier = lifetime
+
     def apply_report(self, report: BackendReport) -> None:
         """Applies a report. Raises ReportError if it names another address."""
         if report.address != self.address:
             raise ReportError(f"report names the address {report.address}, not {self.address}")
+        lifetime = Lifetime(report.backend, report.started_ms)
+        leaving = report.draining or self._left_undated(lifetime)
         if (report.started_ms, report.number) <= (self.started_ms, self.number):
             self.log.decision(
                 "report_outdated",
@@ -106,8 +122,10 @@
                 report_number=report.number,
                 believed_number=self.number,
             )
+            if leaving and lifetime == self.lifetime and not self.left:
+                self._leave("draining")
             return
-        is_new = report.started_ms != self.started_ms or report.backend != self.identifier
+        is_new = lifetime != self.lifetime
         if not is_new and self.left:
             self.number = report.number
             return
@@ -118,24 +136,68 @@
         self.started_ms = report.started_ms
         self.number = report.number
         self.cold_until = current_time() + report.cold_ms / 1000.0
-        self.ready = not report.draining
-        self.left = report.draining
+        self.ready = not leaving
+        self.left = leaving
         self.refusal = "backend_left" if self.left else "node_leaving"
         if is_new or before != (self.identifier, self.accepting, self.slots, self.service):
-            self._log_change("draining" if report.draining else "ready")
+            self._log_change("draining" if leaving else "ready")
+
+    def leave(self, announcement: BackendLeave) -> None:
+        """Handles the announcement of a process of the backend server that it leaves.
 
-    def leave(self, identifier: str) -> None:
-        """Handles the announcement that the backend server leaves."""
+        The announcement is acknowledged, so it binds also if it is the first that this node hears
+        of the process.
+        """
+        lifetime = self._lifetime_of(announcement)
         self.log.decision(
             "deregistration",
-            backend=identifier,
+            backend=announcement.backend,
+            started_ms=None if lifetime is None else lifetime.started_ms,
             believed_backend=self.identifier,
+            believed_started_ms=self.started_ms,
             believed_number=self.number,
             left=self.left,
         )
-        if identifier == self.identifier and not self.left:
+        if lifetime is None or lifetime == self.earlier:
+            self._note_undated(announcement.backend)
+        if lifetime is None:
+            return
+        if lifetime == self.lifetime:
+            if not self.left:
+                self._leave("left")
+        elif lifetime.started_ms > self.started_ms:
+            self._adopt(lifetime, 0)
             self._leave("left")
 
+    def _lifetime_of(self, announcement: BackendLeave) -> Lifetime | None:
+        """Returns the process that an announcement is about, None if it cannot be told."""
+        if announcement.started_ms is not None:
+            return Lifetime(announcement.backend, announcement.started_ms)
+        if announcement.backend == self.identifier:
+            return self.lifetime
+        if announcement.backend == self.earlier.backend:
+            return self.earlier
+        return None
+
+    def _note_undated(self, backend: str) -> None:
+        """Notes that the processes of a backend server that have started by now leave."""
+        self.undated_leaves.pop(backend, None)
+        if len(self.undated_leaves) >= MAX_UNDATED_LEAVES:
+            del self.undated_leaves[next(iter(self.undated_leaves))]
+        self.undated_leaves[backend] = unix_time_ms()
+
+    def _left_undated(self, lifetime: Lifetime) -> bool:
+        """Returns whether a process left while it was unknown when it had started."""
+        left_ms = self.undated_leaves.get(lifetime.backend)
+        return left_ms is not None and lifetime.started_ms <= left_ms
+
+    def _adopt(self, lifetime: Lifetime, number: int) -> None:
+        """Makes a process of which only its leave is known the present one."""
+        self.identifier = lifetime.backend
+        self.started_ms = lifetime.started_ms
+        self.number = number
+        self.ready = False
+
     def leave_by_answer(self, lifetime: Lifetime) -> None:
         """Handles an answer in which a process of the backend server states that it leaves."""
         if lifetime == self.lifetime and not self.left:
--- a/src/coltsfoottrack/_internal/mesh/clock.py
+++ b/src/coltsfoottrack/_internal/mesh/clock.py
@@ -1,6 +1,6 @@
-"""Clock for deadlines."""
+"""Clocks: one for deadlines, one to compare with times that other processes state."""
 
-from time import CLOCK_BOOTTIME, clock_gettime
+from time import CLOCK_BOOTTIME, clock_gettime, time
 
 
 def current_time() -> float:
@@ -10,3 +10,8 @@
     than at the caller.
     """
     return clock_gettime(CLOCK_BOOTTIME)
+
+
+def unix_time_ms() -> int:
+    """Returns the time of day in Unix milliseconds; it may differ between instances, and jump."""
+    return int(time() * 1000.0)
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -5,13 +5,12 @@
 from functools import partial
 from gc import freeze
 from signal import SIGHUP, SIGINT, SIGTERM
-from time import time
 from typing import Any, NamedTuple
 
 from coltsfoottrack._internal.mesh.backend_connection import BackendPool
-from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.backend_state import BackendState, Lifetime
 from coltsfoottrack._internal.mesh.caller_connection import CallerConnection
-from coltsfoottrack._internal.mesh.clock import current_time
+from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration, Decoder
 from coltsfoottrack._internal.mesh.customers.quota import quotas
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -22,7 +21,13 @@
 from coltsfoottrack._internal.mesh.links import Links
 from coltsfoottrack._internal.mesh.membership import Membership
 from coltsfoottrack._internal.mesh.metrics import scrape
-from coltsfoottrack._internal.mesh.model import BackendReport, HeaderNames, Member, MeshSettings
+from coltsfoottrack._internal.mesh.model import (
+    BackendLeave,
+    BackendReport,
+    HeaderNames,
+    Member,
+    MeshSettings,
+)
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.ports import HttpPort, PortHandler, PortResponse
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
@@ -61,9 +66,8 @@
     open_store: Callable[[str], Store]
     # Returns the identifier of a call's parent request, or an empty string.
     parent_identifier: Callable[[str], str]
-    # Reads a report of the backend server from method, path and body; returns the identifier of
-    # the backend server if it leaves.
-    read_report: Callable[[str, str, bytes], BackendReport | str]
+    # Reads a report of the backend server, or its leave, from method, path and body.
+    read_report: Callable[[str, str, bytes], BackendReport | BackendLeave]
     read_settings: Callable[[], MeshSettings]
     # Path of the readiness check.
     ready_path: str
@@ -89,7 +93,7 @@
             address=settings.advertised_address,
             failure_domain=settings.failure_domain,
             service=settings.service,
-            epoch=int(time() * 1000.0),
+            epoch=unix_time_ms(),
         )
         self.directory = Directory(own)
         self.active_configuration = ActiveConfiguration(adapter.decode_configuration, log)
@@ -164,18 +168,20 @@
         """Restores the state that an earlier process of this node has recorded.
 
         Its leave remains in force. If its epoch is later, because the clock was set back, this
-        process adopts a still later one.
+        process adopts a still later one. A record of this process itself tells of a leave that only
+        its sender knows.
         """
         own = self.directory.own
+        lifetime = Lifetime(member.backend, member.backend_started_ms)
+        if member.left and member.backend:
+            self.backend.restore_leave(lifetime, member.report_number)
         if member.epoch in self.links.epochs:
             return
         if member.epoch > own.epoch:
             self.links.epochs.add(member.epoch + 1)
             self.directory.set_own(own._replace(epoch=member.epoch + 1, serial=own.serial + 1))
             self.membership.announce()
-        self.backend.restore(
-            member.backend, member.backend_started_ms, member.report_number, not member.left
-        )
+        self.backend.note_earlier(lifetime)
 
     def update_own(self) -> None:
         """Updates the member record of this node and announces it to its peers."""
@@ -213,7 +219,7 @@
         """Handles a report of the backend server."""
         try:
             report = self.adapter.read_report(method, path, body)
-            if isinstance(report, str):
+            if isinstance(report, BackendLeave):
                 self.backend.leave(report)
             else:
                 self.backend.apply_report(report)
--- a/src/coltsfoottrack/_internal/mesh/directory.py
+++ b/src/coltsfoottrack/_internal/mesh/directory.py
@@ -146,7 +146,8 @@
         self.generation = 0
         # Exclusive or of the digests of all records, to compare the known members of two nodes.
         self.digest = record_digest(own)
-        # Processes of backend servers that said in an answer that they leave, and when.
+        # Processes of backend servers that leave, by their reports or answers, and since when this
+        # is known.
         self.left_processes: dict[Lifetime, float] = {}
         self._rebuild_index()
 
@@ -201,6 +202,8 @@
         if lifetime in self.left_processes:
             # A leave is final, also for a node that was restarted and does not know of it.
             member = member._replace(left=True)
+        elif member.left and member.backend:
+            self.left_processes[lifetime] = current_time()
         if peer is None:
             self.peers[member.node] = Peer(member)
             self.digest ^= record_digest(member)
--- a/src/coltsfoottrack/_internal/mesh/distribution.py
+++ b/src/coltsfoottrack/_internal/mesh/distribution.py
@@ -7,7 +7,8 @@
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
-from coltsfoottrack._internal.mesh.records import from_record
+from coltsfoottrack._internal.mesh.model import Member
+from coltsfoottrack._internal.mesh.records import from_record, to_record
 from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
 from coltsfoottrack._internal.mesh.store_era import StoreEra
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
@@ -60,13 +61,19 @@
         }
 
     def _handle_member(self, connection: LinkConnection, message: MemberRecord) -> None:
-        self.members.learn((from_record(message),), "link", direct=True)
+        self.learn_direct(connection, from_record(message), "link")
+
+    def learn_direct(self, connection: LinkConnection, member: Member, source: str) -> None:
+        """Stores the record of the peer itself; tells a restarted peer of a leave it has lost."""
+        lacking = self.members.learn_direct(member, source)
+        if lacking is not None:
+            connection.send(Frame(member=to_record(lacking)))
 
     def _handle_members(self, connection: LinkConnection, message: Members) -> None:
         self._learn_records(connection, message.members)
 
     def _handle_subscribe(self, connection: LinkConnection, message: Subscribe) -> None:
-        self.members.learn((from_record(message.member),), "link", direct=True)
+        self.learn_direct(connection, from_record(message.member), "link")
         self.subscriptions.handle_subscribe(connection, message.all_members, current_time())
 
     def _handle_unsubscribe(self, connection: LinkConnection, message: Any) -> None:
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -290,7 +290,7 @@
             # The address now belongs to another node.
             self.directory.remove(connection.peer.member.node)
             connection.transport.abort()
-        self.distribution.members.learn((member,), "hello", direct=True)
+        self.distribution.learn_direct(connection, member, "hello")
         self.distribution.compare_version(connection, message.configuration_version)
 
     def _handle_suspect(self, connection: LinkConnection, message: Suspect) -> None:
--- a/src/coltsfoottrack/_internal/mesh/member_updates.py
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -51,6 +51,21 @@
                 source=source,
             )
 
+    def learn_direct(self, member: Member, source: str) -> Member | None:
+        """Stores a record that comes from the node that it describes.
+
+        Returns the record that the node lacks if its backend server leaves and it does not know.
+        """
+        self.learn((member,), source, direct=True)
+        known = self.directory.peers.get(member.node)
+        if known is None or member.left or not known.member.left:
+            return None
+        if known.member.backend != member.backend:
+            return None
+        if known.member.backend_started_ms != member.backend_started_ms:
+            return None
+        return known.member
+
     def remove(self, node: str, record: Member | None, source: str) -> None:
         """Marks a member as left whose stored record was deleted, unless its process was newer.
 
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -104,6 +104,14 @@
     started_ms: int
 
 
+class BackendLeave(NamedTuple):
+    """The announcement of a backend server that it leaves, apart from its reports."""
+
+    backend: str
+    # Start of the process that leaves, Unix time in milliseconds; None if it is not told.
+    started_ms: int | None = None
+
+
 class HeaderNames(NamedTuple):
     """Names of the headers that the mesh reads or sets."""
 
--- a/src/coltsfoottrack/_internal/mesh_local/reports.py
+++ b/src/coltsfoottrack/_internal/mesh_local/reports.py
@@ -5,7 +5,7 @@
 from orjson import JSONDecodeError, loads
 
 from coltsfoottrack._internal.mesh.exceptions import ReportError
-from coltsfoottrack._internal.mesh.model import BackendReport
+from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
 from coltsfoottrack._internal.mesh_local.names import BACKENDS_PATH, LEAVE, REPORT
 
 # The fields of a report are those of BackendReport, except the server's name, which is in the path.
@@ -21,8 +21,8 @@
 }
 
 
-def read_report(method: str, path: str, body: bytes) -> BackendReport | str:
-    """Returns a report, or the name of a backend server that leaves.
+def read_report(method: str, path: str, body: bytes) -> BackendReport | BackendLeave:
+    """Returns a report, or the leave of a backend server.
 
     Raises ReportError if the call is neither, or if a field is missing or has the wrong type.
     """
@@ -30,7 +30,7 @@
     if method != "POST" or not path.startswith(BACKENDS_PATH) or not backend:
         raise ReportError(f"{method} {path} is neither a report nor a leave call")
     if action == LEAVE:
-        return backend
+        return BackendLeave(backend)
     if action != REPORT:
         raise ReportError(f"{method} {path} is neither a report nor a leave call")
     try:
--- a/src/coltsfoottrack/platform/reports.py
+++ b/src/coltsfoottrack/platform/reports.py
@@ -5,12 +5,12 @@
 from orjson import JSONDecodeError, loads
 
 from coltsfoottrack._internal.mesh.exceptions import ReportError
-from coltsfoottrack._internal.mesh.model import BackendReport
+from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
 from coltsfoottrack.platform.names import DEREGISTER, DRAINING, HEARTBEAT, INSTANCES_PATH, READY
 
 
-def read_report(method: str, path: str, body: bytes) -> BackendReport | str:
-    """Returns a heartbeat, or the identifier of a backend server that deregisters.
+def read_report(method: str, path: str, body: bytes) -> BackendReport | BackendLeave:
+    """Returns a heartbeat, or the leave of a backend server that deregisters.
 
     Raises ReportError if the call is neither, or if a field is missing or has the wrong type.
     """
@@ -21,7 +21,7 @@
     if not backend or action not in (HEARTBEAT, DEREGISTER):
         raise ReportError(f"{method} {target} is neither a heartbeat nor a deregistration")
     if action == DEREGISTER:
-        return backend
+        return BackendLeave(backend, _start_in(body))
     try:
         fields = loads(body)
     except JSONDecodeError as error:
@@ -44,6 +44,17 @@
     )
 
 
+def _start_in(body: bytes) -> int | None:
+    """Returns the start of the process that deregisters, None if the body does not tell it."""
+    try:
+        fields = loads(body)
+    except JSONDecodeError:
+        return None
+    if not isinstance(fields, dict) or "born" not in fields:
+        return None
+    return _integer_field(fields, "born")
+
+
 def _string_field(fields: dict[str, Any], name: str) -> str:
     value = fields.get(name)
     if not isinstance(value, str):
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -12,23 +12,28 @@
 class LeaveKeptTest(MeshTestCase):
     """Late reports of a process that has left do not make it ready again."""
 
+    def senders(self, node: MeshNode) -> list[MeshNode]:
+        """Returns the node and all others that still run."""
+        return [sender for sender in self.nodes if sender is node or not sender.closed]
+
     async def assert_unused(self, node: MeshNode) -> None:
         """Checks that no request reaches the first backend server from any node."""
         await sleep(0.3)
         before = len(self.backends[0].received)
         for number in range(10):
-            for sender in {node, self.nodes[-1]}:
+            for sender in self.senders(node):
                 path = "/order/" if number % 2 else "/read/"
                 answer = await self.send_request(sender, encode(path, f"{id(sender)}-{number}"))
                 self.assertEqual(answer.status, 503)
         self.assertEqual(len(self.backends[0].received), before)
         self.assertFalse(node.backend.accepting)
 
-    async def restart(self, node: MeshNode) -> MeshNode:
-        """Ends a node at once and starts its next process."""
+    async def restart(self, node: MeshNode, *seeds: MeshNode) -> MeshNode:
+        """Ends a node at once and starts its next process, which may know other nodes."""
         node.close()
         await sleep(0.02)
-        return await self.start_node(node.settings)
+        addresses = tuple(seed.settings.link_address for seed in seeds)
+        return await self.start_node(node.settings._replace(seed_addresses=addresses))
 
     # Incident inc1, DRAIN: a node that had just started acknowledged a leave and forgot it.
     async def test_leave_acknowledged_before_the_first_report_is_kept(self):
@@ -85,8 +90,7 @@
         backend = self.backends[0]
         await backend.deregister(store.settings.report_address)
         await self.wait_until(lambda: front.directory.peers["store"].member.left)
-        again = await self.restart(store)
-        self.nodes.append(front)
+        again = await self.restart(store, front)
         await backend.report(again.settings.report_address, seq=LATE_NUMBER)
         await self.wait_until(lambda: again.backend.left)
         await self.assert_unused(again)
--- a/tests/unit/test_mesh_local.py
+++ b/tests/unit/test_mesh_local.py
@@ -12,7 +12,7 @@
 from coltsfoottrack._internal.mesh.daemon import MeshNode
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
 from coltsfoottrack._internal.mesh.exceptions import ReportError, StoreConflictError
-from coltsfoottrack._internal.mesh.model import CallerLimits, Member
+from coltsfoottrack._internal.mesh.model import BackendLeave, CallerLimits, Member
 from coltsfoottrack._internal.mesh_local.adapter import local_adapter
 from coltsfoottrack._internal.mesh_local.directory_store import DirectoryStore
 from coltsfoottrack._internal.mesh_local.reports import read_report
@@ -110,7 +110,7 @@
     def test_report_and_leave(self):
         report = read_report("POST", "/backends/i-1/report", REPORT)
         self.assertEqual((report.backend, report.slots, report.number), ("i-1", 4, 3))
-        self.assertEqual(read_report("POST", "/backends/i-1/leave", b""), "i-1")
+        self.assertEqual(read_report("POST", "/backends/i-1/leave", b""), BackendLeave("i-1", None))
 
     def test_invalid_calls_are_refused(self):
         for method, path, body in (
--- a/tests/unit/test_mesh_lost_nodes.py
+++ b/tests/unit/test_mesh_lost_nodes.py
@@ -1,9 +1,9 @@
 """Crashed and silent nodes, broken links, and requests that crash backend servers."""
 
 from asyncio import create_task, gather, sleep
-from time import time
 from unittest.mock import patch
 
+from coltsfoottrack._internal.mesh.clock import unix_time_ms
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from tests.standins.mesh import (
     Answer,
@@ -139,7 +139,8 @@
         await self.wait_until(lambda: store.membership.own_record.written is not None)
         store.close()
         await sleep(0.02)
-        with patch("coltsfoottrack._internal.mesh.daemon.time", lambda: time() - 100.0):
+        clock = "coltsfoottrack._internal.mesh.daemon.unix_time_ms"
+        with patch(clock, lambda: unix_time_ms() - 100_000):
             again = await self.start_node(store.settings)
         await self.backends[1].report(again.settings.report_address)
         await self.wait_until(lambda: again.membership.own_record.written is not None)
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -9,6 +9,7 @@
 from orjson import dumps
 
 from coltsfoottrack._internal.mesh.exceptions import MeshError, ReportError
+from coltsfoottrack._internal.mesh.model import BackendLeave
 from coltsfoottrack.platform.configuration import decode_configuration
 from coltsfoottrack.platform.names import ADVERTISED_ADDRESS_VARIABLE, METRICS_PATH
 from coltsfoottrack.platform.reports import read_report
@@ -139,7 +140,17 @@
         ):
             with self.subTest(path=path), self.assertRaises(ReportError):
                 read_report(method, path, b"{}")
-        self.assertEqual(read_report("POST", "/api/instances/i-1/deregister", b""), "i-1")
+        leave = read_report("POST", "/api/instances/i-1/deregister", b"")
+        self.assertEqual(leave, BackendLeave("i-1", None))
+
+    def test_deregistration_may_tell_the_start_of_its_process(self):
+        """Guards against a late deregistration that stops the next process of a server."""
+        path = "/api/instances/i-1/deregister"
+        self.assertEqual(read_report("POST", path, b'{"born":7}'), BackendLeave("i-1", 7))
+        for body in (b"{", b"[]", b"{}"):
+            self.assertEqual(read_report("POST", path, body), BackendLeave("i-1", None))
+        with self.assertRaises(ReportError):
+            read_report("POST", path, b'{"born":"7"}')
 
 
 class BoundaryTest(TestCase):
