--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -126,12 +126,12 @@
             self._fail("answer_too_large")
 
     def eof_received(self) -> bool:
-        """Completes a response without a length; any other one is truncated."""
+        """Completes a response without a length; any other one, or part of a head, is truncated."""
         if (
             self.on_finished is not None
             and self.in_response
+            and self.in_body
             and not self.has_framing
-            and self.header_lines
         ):
             self.reusable = False
             self._complete()
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -81,9 +81,11 @@
         self.running = 0
         self.peak_running = 0
         self.cancelled: list[str] = []
-        # Fault in place of a correct answer: lose, truncate, extra, unsealed, fail, unframed,
-        # encoded, late, shed, crash or one of ENDLESS_STARTS.
+        # Fault in place of a correct answer: lose, truncate, cut_head, extra, unsealed, fail,
+        # unframed, encoded, late, shed, shed_unnamed, crash or one of ENDLESS_STARTS.
         self.fault = ""
+        # Whether the last refusal on a connection is written again before the next answer on it.
+        self.repeats_refusals = False
         # Bytes written of answers without end, by request.
         self.endless: Counter[str] = Counter()
         # Runs finish only while this is set.
@@ -92,15 +94,23 @@
 
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Serves one connection."""
+        refusal = b""
         while (message := await read_message(reader)) is not None:
             self.received.append(message)
             self.arrivals.append(get_running_loop().time())
             request_id = message.headers[self.request_id_name]
+            if self.repeats_refusals:
+                writer.write(refusal)
             if message.headers.get(self.backend_name, self.identifier) != self.identifier:
                 self._write(writer, 421, request_id, b"", seal=False, extra=self.not_run_line)
                 continue
             if self.fault == "shed":
                 self._write(writer, 503, request_id, b"", seal=False, extra=self.not_run_line)
+                refusal = self._refusal(f"{self.request_id_name}: {request_id}\r\n")
+                continue
+            if self.fault == "shed_unnamed":
+                refusal = self._refusal("")
+                writer.write(refusal)
                 continue
             self.runs[request_id] += 1
             self.order.append(request_id)
@@ -145,6 +155,9 @@
             writer.write(self._unfinished_head(request_id))
             writer.write(b"Content-Length: 100\r\n\r\nshort")
             return False
+        if fault == "cut_head":
+            writer.write(self._unfinished_head(request_id) + b"Content-Len")
+            return False
         if fault == "unframed":
             writer.write(self._unfinished_head(request_id))
             writer.write(b"\r\n" + body)
@@ -165,6 +178,10 @@
             self._write(writer, 200, request_id, b"a second answer")
         return True
 
+    def _refusal(self, request_id_line: str) -> bytes:
+        head = f"HTTP/1.1 503 Status\r\n{request_id_line}{self.not_run_line}"
+        return (head + "Content-Length: 0\r\n\r\n").encode("latin-1")
+
     def _unfinished_head(self, request_id: str) -> bytes:
         head = f"HTTP/1.1 200 OK\r\n{self.request_id_name}: {request_id}\r\n{self.seal_name}: s\r\n"
         return head.encode("latin-1")
