--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -27,6 +27,8 @@
 # A backend server may drop an idle connection without notice, and a non-idempotent request lost by
 # that cannot be retried. The limit falls to half of the idle time after which a drop was seen.
 NON_IDEMPOTENT_IDLE_SECONDS = 3.0
+# A connection that has refused this many requests is closed, as it must know them all.
+MAX_REFUSED_IDS = 256
 FIRST_FINAL_STATUS = 200
 # Statuses from here on count as failures of the backend server.
 FIRST_FAILURE_STATUS = 500
@@ -63,7 +65,11 @@
         self.transport: Transport | None = None
         self.parser: HttpResponseParser | None = None
         self.on_finished: Finished | None = None
+        # The complete answer, until the bytes received with it are parsed.
+        self.answer: BackendResponse | None = None
         self.request_id = b""
+        # Requests that were refused on this connection.
+        self.refused_ids: set[bytes] = set()
         self.is_head_request = False
         self.header_lines: list[bytes] = []
         self.chunks: list[bytes] = []
@@ -119,7 +125,12 @@
         try:
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade):
-            self._fail("answer_not_http")
+            self.reusable = False
+            if self.answer is None:
+                self._fail("answer_not_http")
+                return
+        if self.answer is not None:
+            self._deliver()
             return
         # The parser itself collects a header of any length.
         if not self.in_body and self.received_in_head > MAX_HEAD_BYTES:
@@ -135,6 +146,8 @@
         ):
             self.reusable = False
             self._complete()
+            if self.answer is not None:
+                self._deliver()
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -144,6 +157,9 @@
 
     def on_message_begin(self) -> None:
         """Starts a response."""
+        if self.answer is not None:
+            # It belongs to no request.
+            self.reusable = False
         self.in_response = True
         self.in_body = False
         self.trailer_size = 0
@@ -197,7 +213,7 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Collects a part of the body."""
-        if self.on_finished is not None:
+        if self.on_finished is not None and self.answer is None:
             self.chunks.append(chunk)
             self.budget.add(self, len(chunk))
 
@@ -207,10 +223,6 @@
 
     def on_message_complete(self) -> None:
         """Completes a response."""
-        if self.on_finished is None:
-            # A second response in the same bytes belongs to no request.
-            self.reusable = False
-            return
         if self.parser.get_status_code() < FIRST_FINAL_STATUS:
             return
         self.reusable = self.reusable and self.parser.should_keep_alive()
@@ -219,7 +231,7 @@
     def _count_trailer(self, size: int) -> None:
         """Bounds the trailers of a chunked answer."""
         self.trailer_size += size
-        if self.trailer_size > MAX_HEAD_BYTES:
+        if self.trailer_size > MAX_HEAD_BYTES and self.answer is None:
             self._fail("answer_too_large")
 
     def _read_keep_alive_timeout(self, value: bytes) -> None:
@@ -229,6 +241,8 @@
                 self.idle_seconds = max(0.0, int(text) - IDLE_MARGIN_SECONDS)
 
     def _complete(self) -> None:
+        if self.on_finished is None or self.answer is not None:
+            return
         status = self.parser.get_status_code()
         not_run = self.not_run or status == 421
         if self.response_id != self.request_id and not (self.response_id is None and not_run):
@@ -240,17 +254,30 @@
         if not not_run and (self.has_content_encoding or (status < 300 and not self.has_seal)):
             self._fail("answer_not_sealed")
             return
+        if not_run:
+            self._note_refusal()
         head = b"".join(self.header_lines)
         body = self.chunks[0] if len(self.chunks) == 1 else b"".join(self.chunks)
-        finished = self.on_finished
-        self.on_finished = None
-        self.idle_since = current_time()
         self.chunks = []
         self.budget.release(self)
-        response = BackendResponse(
+        self.answer = BackendResponse(
             status, head, body, not_run, self.rate_limit, self.leaving, self.load
         )
-        finished(response, "")
+
+    def _note_refusal(self) -> None:
+        """Makes sure that a copy of a refusal on this connection refuses no other request."""
+        self.refused_ids.add(self.request_id)
+        if self.response_id is None or len(self.refused_ids) >= MAX_REFUSED_IDS:
+            self.reusable = False
+
+    def _deliver(self) -> None:
+        """Passes on the complete answer, once all that was received with it is parsed."""
+        finished = self.on_finished
+        answer = self.answer
+        self.on_finished = None
+        self.answer = None
+        self.idle_since = current_time()
+        finished(answer, "")
 
     def _fail(self, reason: str) -> None:
         finished = self.on_finished
@@ -263,6 +290,7 @@
         """Closes the connection at once, without notifying the request in flight."""
         self.reusable = False
         self.on_finished = None
+        self.answer = None
         self.chunks = []
         self.budget.release(self)
         if self.transport is not None:
@@ -289,11 +317,14 @@
         # Idle time after which a connection carries no non-idempotent request.
         self.non_idempotent_idle_limit = NON_IDEMPOTENT_IDLE_SECONDS
 
-    def take(self, idempotent: bool) -> BackendConnection | None:
+    def take(self, idempotent: bool, request_id: bytes) -> BackendConnection | None:
         """Returns the most recently used idle connection, None if it must not carry the request."""
         now = current_time()
         while self.idle:
             connection = self.idle[-1]
+            if request_id in connection.refused_ids:
+                # A copy of the refusal could not be told from the answer.
+                return None
             if connection.is_usable(now, inf if idempotent else self.non_idempotent_idle_limit):
                 return self.idle.pop()
             if connection.is_usable(now, inf):
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -209,7 +209,8 @@
         self._dispatch(call)
 
     def _dispatch(self, call: RunnerCall) -> None:
-        connection = self.pool.take(call.message.idempotent)
+        message = call.message
+        connection = self.pool.take(message.idempotent, message.request_id.encode("latin-1"))
         if connection is not None:
             self._send(call, connection)
             return
--- a/tests/unit/test_mesh_choice.py
+++ b/tests/unit/test_mesh_choice.py
@@ -65,7 +65,7 @@
         self.loop = loop
         self.random = random
 
-    def take(self, idempotent: bool) -> SimulatedConnection:
+    def take(self, idempotent: bool, request_id: bytes) -> SimulatedConnection:
         return SimulatedConnection(self.loop, self.random)
 
     def give_back(self, connection: SimulatedConnection) -> None:
