--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -6,15 +6,21 @@
 from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.exceptions import ReportError
-from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
+from coltsfoottrack._internal.mesh.model import (
+    MAX_COLD_MS,
+    MAX_SLOTS,
+    BackendLeave,
+    BackendReport,
+)
 
-# Upper bound on the number of slots accepted from a report.
-MAX_SLOTS = 100_000
 # Fraction of the slots that is used: some backend servers slow down when nearly full and then
 # finish fewer requests than with a few free slots.
 USED_SLOTS_FRACTION = 0.95
 # Backend servers with fewer slots than this use all of them.
 MIN_SLOTS_WITH_HEADROOM = 8
+# The clocks of a node and of its backend server differ by less. A start that is further ahead comes
+# from another writer, and all later reports would count as older.
+MAX_CLOCK_DIFFERENCE_MS = 86_400_000
 # Bound on the servers whose leave is kept though none of their processes is known; beyond it, the
 # oldest one is dropped.
 MAX_UNDATED_LEAVES = 64
@@ -110,9 +116,11 @@
         self.earlier = lifetime
 
     def apply_report(self, report: BackendReport) -> None:
-        """Applies a report. Raises ReportError if it names another address."""
+        """Applies a report. Raises ReportError if it names another address or a future start."""
         if report.address != self.address:
             raise ReportError(f"report names the address {report.address}, not {self.address}")
+        if report.started_ms > unix_time_ms() + MAX_CLOCK_DIFFERENCE_MS:
+            raise ReportError(f"report names a start in the future: {report.started_ms}")
         lifetime = Lifetime(report.backend, report.started_ms)
         leaving = report.draining or self._left_undated(lifetime)
         if (report.started_ms, report.number) <= (self.started_ms, self.number):
@@ -135,7 +143,7 @@
         self.slots = max(1, min(MAX_SLOTS, report.slots))
         self.started_ms = report.started_ms
         self.number = report.number
-        self.cold_until = current_time() + report.cold_ms / 1000.0
+        self.cold_until = current_time() + min(MAX_COLD_MS, report.cold_ms) / 1000.0
         self.ready = not leaving
         self.left = leaving
         self.refusal = "backend_left" if self.left else "node_leaving"
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -22,6 +22,7 @@
 from coltsfoottrack._internal.mesh.membership import Membership
 from coltsfoottrack._internal.mesh.metrics import scrape
 from coltsfoottrack._internal.mesh.model import (
+    MAX_TIME_MS,
     BackendLeave,
     BackendReport,
     HeaderNames,
@@ -177,7 +178,7 @@
             self.backend.restore_leave(lifetime, member.report_number)
         if member.epoch in self.links.epochs:
             return
-        if member.epoch > own.epoch:
+        if own.epoch < member.epoch < MAX_TIME_MS:
             self.links.epochs.add(member.epoch + 1)
             self.directory.set_own(own._replace(epoch=member.epoch + 1, serial=own.serial + 1))
             self.membership.announce()
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -330,17 +330,17 @@
             self.task = get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
-        host, port = split_address(self.member.address)
         try:
+            host, port = split_address(self.member.address)
             _, connection = await wait_for(
                 get_running_loop().create_connection(
                     lambda: LinkConnection(self.handler, self), host, port
                 ),
                 CONNECT_TIMEOUT_SECONDS,
             )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
             self.task = None
-            self._connect_failed(isinstance(error, ConnectionRefusedError))
+            self._connect_failed(isinstance(error, ConnectionRefusedError | ValueError))
             return
         self.task = None
         self.connections.append(connection)
--- a/src/coltsfoottrack/_internal/mesh/member_updates.py
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -8,6 +8,8 @@
 
 # Changes that arrive together are logged one by one up to this number, and as one line beyond it.
 MAX_SINGLE_LINES = 3
+# Bound on the unreadable records that are remembered; beyond it, they are logged anew.
+MAX_UNREADABLE = 256
 
 
 class MemberUpdates:
@@ -20,6 +22,17 @@
         self.on_learned: Callable[[Member], None] = lambda member: None
         # Called with each record of this node itself.
         self.on_own_record: Callable[[Member], None] = lambda member: None
+        # Revisions of the stored records that could not be read, by name.
+        self.unreadable: dict[str, int] = {}
+
+    def note_unreadable(self, node: str, revision: int, source: str) -> None:
+        """Logs a stored record that cannot be read, once for each version of it."""
+        if self.unreadable.get(node) == revision:
+            return
+        if len(self.unreadable) >= MAX_UNREADABLE:
+            self.unreadable.clear()
+        self.unreadable[node] = revision
+        self.log.decision("member_unreadable", member=node, revision=revision, source=source)
 
     def learn(self, members: Iterable[Member], source: str, direct: bool = False) -> None:
         """Stores the records that are newer than the known ones.
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -2,6 +2,16 @@
 
 from typing import NamedTuple
 
+from coltsfoottrack._internal.mesh.sockets import is_address
+
+# Bounds on the numbers of reports and records. Beyond them, messages between nodes cannot carry the
+# number, or JSON cannot carry it exactly.
+MAX_TIME_MS = 2**53
+MAX_COUNT = 2**53
+MAX_SERIAL = 2**31
+MAX_SLOTS = 100_000
+MAX_COLD_MS = 3_600_000
+
 
 class WeightedService(NamedTuple):
     """One of the services that share a route, and its weight."""
@@ -87,9 +97,26 @@
         """Returns whether this record is newer than another one of the same node."""
         return (self.epoch, self.serial) > (other.epoch, other.serial)
 
+    def is_usable(self) -> bool:
+        """Returns whether all numbers are in their range and the address can be connected to.
+
+        A record from the store may come from another writer.
+        """
+        for number, greatest in (
+            (self.backend_started_ms, MAX_TIME_MS),
+            (self.report_number, MAX_COUNT),
+            (self.slots, MAX_SLOTS),
+            (self.epoch, MAX_TIME_MS),
+            (self.serial, MAX_SERIAL),
+            (self.cold_ms, MAX_COLD_MS),
+        ):
+            if not 0 <= number <= greatest:
+                return False
+        return is_address(self.address)
+
 
 class BackendReport(NamedTuple):
-    """A heartbeat of a backend server."""
+    """A heartbeat of a backend server; its numbers are within the bounds of Member."""
 
     backend: str
     service: str
--- a/src/coltsfoottrack/_internal/mesh/sockets.py
+++ b/src/coltsfoottrack/_internal/mesh/sockets.py
@@ -19,6 +19,7 @@
 # Connections that arrive while the node is busy wait in this backlog. If it is full, clients retry
 # only seconds later.
 BACKLOG = 1024
+MAX_PORT = 65535
 
 
 def detect_silence(transport: BaseTransport) -> None:
@@ -33,6 +34,18 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Returns host and port of IP:PORT. Raises ValueError."""
+    """Returns host and port of IP:PORT. Raises ValueError, also if there is no such port."""
     host, _, port = address.rpartition(":")
-    return host, int(port)
+    number = int(port)
+    if not 0 <= number <= MAX_PORT:
+        raise ValueError(f"port {number} is not in the range 0 to {MAX_PORT}")
+    return host, number
+
+
+def is_address(address: str) -> bool:
+    """Returns whether a connection to an IP:PORT can be tried."""
+    try:
+        host, port = split_address(address)
+    except ValueError:
+        return False
+    return bool(host) and port > 0
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -157,7 +157,7 @@
             members.remove(change.node, change.member, source)
             continue
         if change.member is None:
-            members.log.decision("member_unreadable", member=change.node, source=source)
+            members.note_unreadable(change.node, change.revision, source)
             continue
         learned.append(change.member)
     members.learn(learned, source)
--- a/src/coltsfoottrack/_internal/mesh_local/directory_store.py
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -97,10 +97,11 @@
 
     def _read_member(self, node: str) -> Member | None:
         try:
-            return from_record(MemberRecord.FromString(_read(self.members / node)))
+            member = from_record(MemberRecord.FromString(_read(self.members / node)))
         except (DecodeError, StoreError):
             # Malformed, or removed since the directory was listed; the next poll finds a removal.
             return None
+        return member if member.is_usable() else None
 
     async def read_member(self, node: str) -> MemberChange | None:
         """Returns the record of a node, or None if there is none."""
--- a/src/coltsfoottrack/_internal/mesh_local/reports.py
+++ b/src/coltsfoottrack/_internal/mesh_local/reports.py
@@ -5,7 +5,7 @@
 from orjson import JSONDecodeError, loads
 
 from coltsfoottrack._internal.mesh.exceptions import ReportError
-from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
+from coltsfoottrack._internal.mesh.model import MAX_COUNT, BackendLeave, BackendReport
 from coltsfoottrack._internal.mesh_local.names import BACKENDS_PATH, LEAVE, REPORT
 
 # The fields of a report are those of BackendReport, except the server's name, which is in the path.
@@ -42,7 +42,9 @@
     values: dict[str, Any] = {"backend": backend}
     for name, expected_type in _FIELD_TYPES.items():
         value = fields.get(name)
-        if type(value) is not expected_type or (expected_type is int and value < 0):
+        if type(value) is not expected_type or (
+            expected_type is int and not 0 <= value <= MAX_COUNT
+        ):
             raise ReportError(f"field {name} is not a valid {expected_type.__name__}: {value!r}")
         values[name] = value
     return BackendReport(**values)
--- a/src/coltsfoottrack/platform/reports.py
+++ b/src/coltsfoottrack/platform/reports.py
@@ -5,7 +5,7 @@
 from orjson import JSONDecodeError, loads
 
 from coltsfoottrack._internal.mesh.exceptions import ReportError
-from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
+from coltsfoottrack._internal.mesh.model import MAX_COUNT, BackendLeave, BackendReport
 from coltsfoottrack.platform.names import DEREGISTER, DRAINING, HEARTBEAT, INSTANCES_PATH, READY
 
 
@@ -64,6 +64,6 @@
 
 def _integer_field(fields: dict[str, Any], name: str) -> int:
     value = fields.get(name)
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ReportError(f"field {name} is not a non-negative integer: {value!r}")
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= MAX_COUNT:
+        raise ReportError(f"field {name} is not an integer from 0 to {MAX_COUNT}: {value!r}")
     return value
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -1,8 +1,9 @@
 """Client of the platform's metadata store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import randint
 from typing import Any
+from urllib.parse import quote
 
 from orjson import JSONDecodeError, dumps, loads
 
@@ -11,6 +12,7 @@
     StoreError,
     StoreHistoryLostError,
 )
+from coltsfoottrack._internal.mesh.json_parts import split_array, split_object
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.store import (
     ConfigurationChange,
@@ -77,7 +79,10 @@
         try:
             return reply.status, loads(reply.body)
         except JSONDecodeError as error:
-            raise StoreError(f"{method} {path}: response is not JSON") from error
+            page = _parse_page(reply.body)
+            if not page:
+                raise StoreError(f"{method} {path}: response is not JSON") from error
+            return reply.status, page
 
     def _check_era(self, reply: HttpReply, call: str) -> None:
         """Tells the era of an answer; raises StoreError if a later one is known."""
@@ -95,7 +100,7 @@
         _, page = await self._call("GET", CONFIGURATION_KIND)
         content = None
         for item in _field(page, "items"):
-            if _field(_field(item, "metadata"), "name") == CONFIGURATION_NAME:
+            if _name(item) == CONFIGURATION_NAME:
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
@@ -105,10 +110,8 @@
         page = await self._watch(f"{CONFIGURATION_KIND}?watch={revision}", wait_ms)
         content = None
         for event in _field(page, "events"):
-            item = _field(event, "object")
-            if _field(_field(item, "metadata"), "name") != CONFIGURATION_NAME:
-                continue
-            if not event.get("deleted"):
+            item = event.get("object") if isinstance(event, dict) else None
+            if _name(item) == CONFIGURATION_NAME and not event.get("deleted"):
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
@@ -126,11 +129,11 @@
             _, page = await self._call("GET", path)
             if revision is None:
                 revision = _field(page, "currentRev")
-            for item in _field(page, "items"):
-                changes.append(_member_change(item, False))
-            if not page.get("hasMore") or not changes:
+            found = _member_changes(_field(page, "items"))
+            changes += found
+            if not page.get("hasMore") or not found:
                 return MemberChanges(changes, revision)
-            path = f"{MEMBER_KIND}?{STALE_READ}&after={changes[-1].node}"
+            path = f"{MEMBER_KIND}?{STALE_READ}&after={quote(found[-1].node, safe='')}"
 
     async def watch_members(self, revision: int) -> MemberChanges:
         """Waits for changed records; returns none if there were no changes in time."""
@@ -138,13 +141,19 @@
         page = await self._watch(path, MEMBER_WATCH_MS)
         changes = []
         for event in _field(page, "events"):
-            changes.append(_member_change(_field(event, "object"), bool(event.get("deleted"))))
+            if isinstance(event, dict):
+                changes += _member_changes((event.get("object"),), bool(event.get("deleted")))
         return MemberChanges(changes, _field(page, "currentRev"))
 
     async def read_member(self, node: str) -> MemberChange | None:
         """Returns the record of a node, or None if there is none."""
         status, item = await self._call("GET", f"{MEMBER_KIND}/{node}")
-        return None if status == NOT_FOUND else _member_change(item, False)
+        if status == NOT_FOUND:
+            return None
+        changes = _member_changes((item,))
+        if not changes:
+            raise StoreError(f"record of {node} has no readable name and revision")
+        return changes[0]
 
     async def create_member(self, member: Member) -> int:
         """Stores a new record, returns its revision. Raises StoreConflictError."""
@@ -183,16 +192,62 @@
     return table[name]
 
 
-def _member_change(item: Any, deleted: bool) -> MemberChange:
-    metadata = _field(item, "metadata")
-    node = _field(metadata, "name")
-    revision = _field(metadata, "revision")
-    member = _decode_member(node, item.get("spec"))
-    return MemberChange(node, member, revision, deleted)
+def _parse_page(body: bytes) -> dict[str, Any]:
+    """Returns a page or an object of which some part cannot be read; what cannot be read is None.
+
+    An entry that another writer has left there must not hide the others.
+    """
+    page = {}
+    for name, part in split_object(body).items():
+        if name in ("items", "events"):
+            page[name] = [_parse_entry(entry) for entry in split_array(part)]
+        else:
+            page[name] = _parse_part(part)
+    return page
+
+
+def _parse_entry(text: bytes) -> Any:
+    """Returns an object or an event; a part of it that cannot be read is None."""
+    try:
+        return loads(text)
+    except JSONDecodeError:
+        entry = {name: _parse_part(part) for name, part in split_object(text).items()}
+    if "object" in entry:
+        entry["object"] = _parse_entry(split_object(text)["object"])
+    return entry
+
+
+def _parse_part(text: bytes) -> Any:
+    try:
+        return loads(text)
+    except JSONDecodeError:
+        return None
+
+
+def _name(item: Any) -> Any:
+    """Returns the name of an object, None if it has none."""
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    return metadata.get("name") if isinstance(metadata, dict) else None
+
+
+def _member_changes(items: Iterable[Any], deleted: bool = False) -> list[MemberChange]:
+    """Returns the changes that objects describe; those without name and revision are left out."""
+    changes = []
+    for item in items:
+        name = _name(item)
+        if not isinstance(name, str) or not name:
+            continue
+        revision = item["metadata"].get("revision")
+        if not isinstance(revision, int):
+            continue
+        changes.append(
+            MemberChange(name, _decode_member(name, item.get("spec")), revision, deleted)
+        )
+    return changes
 
 
 def _decode_member(node: str, spec: Any) -> Member | None:
-    """Returns the member of a record, or None if the content is not a member record."""
+    """Returns the member of a record, or None if the content is not a usable member record."""
     if not isinstance(spec, dict) or spec.get("node") != node:
         return None
     example = Member("", "", "", "")
@@ -202,4 +257,5 @@
         if type(value) is not type(default):
             return None
         values[name] = value
-    return Member(**values)
+    member = Member(**values)
+    return member if member.is_usable() else None
