--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -42,6 +42,8 @@
 MESSAGE_SECONDS = 0.001
 STORE_CALL_SECONDS = 0.004
 WATCH_SECONDS = 10.0
+# Time after which a node gives up a call, and how much longer it waits for a watch.
+CALL_TIMEOUT_SECONDS = 1.5
 TICK_SECONDS = 0.2
 # Price of a call that may return old data, in calls.
 STALE_CALL = 0.1
@@ -75,6 +77,8 @@
         self.calls = 0.0
         # Names of nodes that the store does not answer; all of them if is_down.
         self.refused: set[str] = set()
+        # Names of nodes whose calls, waiting ones included, get no answer any more.
+        self.silent: set[str] = set()
         self.is_down = False
         self.era = 0
 
@@ -116,6 +120,9 @@
     async def _call(self, price: float = 1.0) -> None:
         self.store.calls += price
         await sleep(STORE_CALL_SECONDS)
+        if self.name in self.store.silent:
+            await sleep(CALL_TIMEOUT_SECONDS - STORE_CALL_SECONDS)
+            raise StoreError("no answer in time")
         self._check()
         self.on_era(self.store.era)
 
@@ -129,11 +136,15 @@
             raise StoreHistoryLostError("gone")
         if self.store.revision > revision:
             return
+        end = _loop().time() + WATCH_SECONDS
         try:
             async with timeout(WATCH_SECONDS):
                 await self.store.changed.wait()
         except TimeoutError:
             pass
+        if self.name in self.store.silent:
+            await sleep(end + CALL_TIMEOUT_SECONDS - _loop().time())
+            raise StoreError("no answer in time")
         self._check()
         if revision + 1 < self.store.first_revision:
             raise StoreHistoryLostError("gone")
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -200,6 +200,20 @@
 
         run_simulated(scenario())
 
+    # CONFIG: a watch that the store has fallen silent on counted as up to date until its end.
+    def test_change_while_the_store_is_silent_to_all_watchers(self):
+        async def scenario() -> None:
+            mesh = await self.started()
+            for node in mesh.watching():
+                mesh.store.silent.add(node.name)
+            mesh.store.put_configuration(2)
+            # The platform allows 5 s more while the store fails.
+            await sleep(IN_FORCE_SECONDS + 5.0)
+            behind = set(missing(mesh, 2)) - mesh.store.silent
+            self.assertEqual(behind, set())
+
+        run_simulated(scenario())
+
     def test_change_after_an_outage_and_a_lost_history(self):
         """Guards against nodes that stay behind after the store returns."""
 
