--- a/src/coltsfoottrack/_internal/mesh/store.py
+++ b/src/coltsfoottrack/_internal/mesh/store.py
@@ -42,6 +42,9 @@
     async def watch_configuration(self, revision: int) -> ConfigurationChange:
         """Waits for a change. Raises StoreHistoryLostError."""
 
+    async def probe(self) -> None:
+        """Asks for an answer, whatever it tells, at the least price."""
+
     async def list_members(self) -> MemberChanges:
         """Returns all member records; they may be seconds old."""
 
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -1,9 +1,9 @@
 """Follows configuration and members in the store while this node has to."""
 
-from asyncio import Task, get_running_loop, sleep
+from asyncio import FIRST_COMPLETED, Task, get_running_loop, sleep, wait
 from collections.abc import Callable, Coroutine
 from random import uniform
-from typing import Any
+from typing import Any, NoReturn
 
 from coltsfoottrack._internal.mesh.backoff import (
     MAX_PAUSE_SECONDS,
@@ -15,11 +15,15 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.exceptions import StoreError, StoreHistoryLostError
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
-from coltsfoottrack._internal.mesh.store import MemberChange, Store
+from coltsfoottrack._internal.mesh.store import ConfigurationChange, MemberChange, Store
 
 # Each answer of a watch costs one call; the pause lets one answer collect the changes of this time.
 # Changes also pass between the nodes, so they need not be read at once.
 MEMBER_PAUSE_SECONDS = 1.0
+# Pause between two probes of the store while a watch waits. A watch on which the store has fallen
+# silent looks like one without changes. Nodes must notice within the 5 s that the platform adds to
+# its bound on configurations while the store fails; a probe costs a tenth of a call.
+PROBE_SECONDS = 2.0
 
 
 class StoreWatch:
@@ -37,9 +41,11 @@
         self.members = members
         self.log = log
         self.tasks: list[Task[None]] = []
-        # Whether the last call for the configuration succeeded, and when a call last did.
+        # Whether the store answers calls for the configuration, and when one last did before.
         self.following = False
         self.confirmed_at: float | None = None
+        # Time of the last answer of the store about the configuration, a probe's included.
+        self.answered_at = 0.0
         # Called when the store has confirmed the configuration again.
         self.on_confirmed: Callable[[], None] = lambda: None
 
@@ -81,7 +87,7 @@
         self.log.decision("store_watch_stopped")
         self._cancel()
         if self.following:
-            self.confirmed_at = current_time()
+            self.confirmed_at = self.answered_at
         self.following = False
 
     def last_confirmed(self, now: float) -> float | None:
@@ -96,7 +102,7 @@
                 if revision is None:
                     change = await self.store.read_configuration()
                 else:
-                    change = await self.store.watch_configuration(revision)
+                    change = await self._await_change(revision)
             except StoreHistoryLostError:
                 self._set_following(False)
                 revision = None
@@ -108,6 +114,7 @@
                 revision = None
                 continue
             backoff.record_success()
+            self.answered_at = current_time()
             if change.content is not None:
                 self.active_configuration.apply_if_newer(
                     change.content, f"store revision {change.revision}"
@@ -119,9 +126,30 @@
                 continue
             revision = change.revision
 
+    async def _await_change(self, revision: int) -> ConfigurationChange:
+        """Waits for a newer configuration. Raises StoreError once the store answers no probe."""
+        loop = get_running_loop()
+        watching = loop.create_task(self.store.watch_configuration(revision))
+        probing = loop.create_task(self._probe())
+        try:
+            await wait((watching, probing), return_when=FIRST_COMPLETED)
+            return watching.result() if watching.done() else probing.result()
+        finally:
+            for task in (watching, probing):
+                if not task.cancel() and not task.cancelled():
+                    # Marks the error of a task that ended at the same time as retrieved.
+                    task.exception()
+
+    async def _probe(self) -> NoReturn:
+        """Probes the store until it fails. Raises StoreError."""
+        while True:
+            await sleep(PROBE_SECONDS)
+            await self.store.probe()
+            self.answered_at = current_time()
+
     def _set_following(self, following: bool) -> None:
         if self.following and not following:
-            self.confirmed_at = current_time()
+            self.confirmed_at = self.answered_at
         regained = following and not self.following
         self.following = following
         if regained:
--- a/src/coltsfoottrack/_internal/mesh_local/directory_store.py
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -57,6 +57,10 @@
             await sleep(POLL_INTERVAL_SECONDS)
         return ConfigurationChange(None, revision)
 
+    async def probe(self) -> None:
+        """Looks at the routes file; raises StoreError if the directory cannot be read."""
+        _revision(self.routes)
+
     async def list_members(self) -> MemberChanges:
         """Returns all member records."""
         self.reported_revisions = {}
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -31,6 +31,7 @@
     CONFIGURATION_NAME,
     MEMBER_KIND,
     OBJECTS_PATH,
+    PROBED_NAME,
     STORE_ERA,
 )
 
@@ -115,6 +116,10 @@
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
+    async def probe(self) -> None:
+        """Reads an object that does not exist, which costs a tenth of a call."""
+        await self._call("GET", f"{CONFIGURATION_KIND}/{PROBED_NAME}?{STALE_READ}")
+
     async def _watch(self, path: str, wait_ms: int) -> Any:
         seconds = REQUEST_TIMEOUT_SECONDS + wait_ms / 1000.0
         _, page = await self._call("GET", f"{path}&waitMs={wait_ms}", seconds=seconds)
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -162,6 +162,9 @@
         content = store.configuration if store.configuration_revision > revision else None
         return ConfigurationChange(content, store.revision)
 
+    async def probe(self) -> None:
+        await self._call(STALE_CALL)
+
     async def list_members(self) -> MemberChanges:
         await self._call(STALE_CALL)
         return MemberChanges(list(self.store.members.values()), self.store.revision)
