--- a/src/coltsfoottrack/_internal/mesh/call_cache.py
+++ b/src/coltsfoottrack/_internal/mesh/call_cache.py
@@ -1,7 +1,8 @@
 """Cache of a runner's calls, so that a call that is sent again does not run again."""
 
-from collections import OrderedDict, deque
+from collections import deque
 from functools import lru_cache
+from heapq import heappop, heappush
 from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall
@@ -11,7 +12,12 @@
 # asks. It sends idempotent calls again only if the link was broken.
 ANSWER_RETENTION_SECONDS = 3.0
 IDEMPOTENT_ANSWER_RETENTION_SECONDS = 0.8
+# Calls are remembered for at least this long.
 CALL_RETENTION_SECONDS = 15.0
+# A sender may send a call again until it expires, by a clock that may run this much behind.
+EXPIRY_MARGIN_SECONDS = 1.0
+# Pause until a call that is due to be forgotten but still runs is looked at again.
+RUNNING_PAUSE_SECONDS = 1.0
 MAX_ROUTES = 1024
 
 
@@ -28,17 +34,36 @@
     return Request(route=route, idempotent=idempotent)
 
 
+class ForgetAt(NamedTuple):
+    """When a call is to be forgotten, and its position among all calls."""
+
+    at: float
+    position: int
+    call: RunnerCall
+
+
 class CallCache:
-    """Calls by key, the oldest first."""
+    """Calls by key, for as long as their senders may send them again.
+
+    Its size is bounded by the arrivals within the longest timeout of a route; a remembered call
+    holds neither request nor answer.
+    """
 
     def __init__(self) -> None:
-        self.calls: OrderedDict[CallKey, RunnerCall] = OrderedDict()
+        self.calls: dict[CallKey, RunnerCall] = {}
+        self.forget_at: list[ForgetAt] = []
+        self.added = 0
         # Answered calls whose answers are kept, by whether they are idempotent, the oldest first.
         self.held: dict[bool, deque[HeldAnswer]] = {True: deque(), False: deque()}
 
     def add(self, call: RunnerCall) -> None:
         """Adds a call."""
         self.calls[call.key] = call
+        self.added += 1
+        retained = call.arrived + CALL_RETENTION_SECONDS
+        if not call.message.idempotent:
+            retained = max(retained, call.expires + EXPIRY_MARGIN_SECONDS)
+        heappush(self.forget_at, ForgetAt(retained, self.added, call))
 
     def get(self, key: CallKey) -> RunnerCall | None:
         """Returns a call, None if it is not cached."""
@@ -60,11 +85,12 @@
 
     def evict(self, now: float) -> None:
         """Evicts calls after the retention period, and answers earlier."""
-        while self.calls:
-            call = next(iter(self.calls.values()))
-            if not call.done or now - call.arrived < CALL_RETENTION_SECONDS:
-                break
-            self.calls.popitem(last=False)
+        while self.forget_at and self.forget_at[0].at <= now:
+            due = heappop(self.forget_at)
+            if due.call.done:
+                self.calls.pop(due.call.key, None)
+                continue
+            heappush(self.forget_at, due._replace(at=now + RUNNING_PAUSE_SECONDS))
         for held in self.held.values():
             while held and now >= held[0].until:
                 held.popleft().call.answer = None
