--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -140,13 +140,21 @@
     def pause_writing(self) -> None:
         """Stops reading requests while the caller does not read its answers."""
         self.unread_since = current_time()
-        self.transport.pause_reading()
+        self._update_reading()
 
     def resume_writing(self) -> None:
         """Resumes reading requests."""
         self.unread_since = None
-        if not self.transport.is_closing():
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Reads requests while the caller reads its answers and few enough requests wait."""
+        if self.transport.is_closing():
+            return
+        if self.unread_since is None and len(self.waiting) <= MAX_PIPELINED:
             self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
 
     def data_received(self, data: bytes) -> None:
         """Feeds the parser."""
@@ -278,7 +286,7 @@
         parts.append(self.handler.caller_header)
         request.head = b"".join(parts)
         if len(self.waiting) > MAX_PIPELINED:
-            self.transport.pause_reading()
+            self._update_reading()
         self.handler.handle(request)
 
     def respond(self, request: CallerRequest, status: int, head: bytes, body: bytes) -> None:
@@ -312,8 +320,8 @@
                 return
         if not waiting:
             self.idle_since = current_time()
-        if len(waiting) == MAX_PIPELINED and self.unread_since is None:
-            self.transport.resume_reading()
+        if not self.transport.is_reading():
+            self._update_reading()
 
     def _close_after_response(self) -> None:
         """Closes the connection after an answer; later requests on it are cancelled."""
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -88,7 +88,8 @@
         self.repeats_refusals = False
         # Bytes written of answers without end, by request.
         self.endless: Counter[str] = Counter()
-        # Runs finish only while this is set.
+        # Runs finish only while this is set; only those of some requests if any are named.
+        self.held: set[str] = set()
         self.released = Event()
         self.released.set()
 
@@ -118,7 +119,7 @@
             self.peak_running = max(self.peak_running, self.running)
             try:
                 await sleep(self.work_seconds)
-                while not self.released.is_set():
+                while not self.released.is_set() and (not self.held or request_id in self.held):
                     if reader.at_eof() or writer.is_closing():
                         self.cancelled.append(request_id)
                         return
