--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -102,6 +102,10 @@
         self.waiting: deque[CallerRequest] = deque()
         self.current: CallerRequest | None = None
         self.header_lines: list[bytes] = []
+        # Header lines that are not forwarded but frame the request.
+        self.framing_lines: list[bytes] = []
+        # The request offers another protocol and has a body, which the parser does not read.
+        self.offers_before_body = False
         # Positions of the header lines about customers.
         self.customer_lines: list[int] = []
         self.chunks: list[bytes] = []
@@ -164,8 +168,8 @@
             self.receiving_since = current_time()
         continued = self.current if self.in_head else None
         try:
-            self.parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade):
+            self._feed(data)
+        except HttpParserError:
             if not self.closing:
                 self._reject(400)
             return
@@ -176,6 +180,29 @@
             if too_large and not self.closing:
                 self._reject(431)
 
+    def _feed(self, data: bytes) -> None:
+        """Feeds the parser. Raises HttpParserError.
+
+        An offer of another protocol is ignored: what follows the request is the next request.
+        """
+        while data and not self.closing:
+            try:
+                self.parser.feed_data(data)
+                return
+            except HttpParserUpgrade as offer:
+                data = data[offer.args[0] :]
+                if self.offers_before_body:
+                    self._restart_without_offer()
+
+    def _restart_without_offer(self) -> None:
+        """Parses the head again without its offer, so that the body is read as one."""
+        version = self.parser.get_http_version().encode("ascii")
+        line = b"%s %s HTTP/%s\r\n" % (self.parser.get_method(), self.url, version)
+        head = b"".join((line, *self.header_lines, *self.framing_lines, b"\r\n"))
+        self.offers_before_body = False
+        self.parser = HttpRequestParser(self)
+        self.parser.feed_data(head)
+
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.current = CallerRequest(self)
@@ -183,6 +210,7 @@
         self.in_head = True
         self.received_in_head = 0
         self.header_lines = []
+        self.framing_lines = []
         self.customer_lines = []
         self.chunks = []
         self.url = b""
@@ -214,10 +242,13 @@
             request.request_id = value
         elif lower == names.deadline_ms:
             request.deadline_ms = value
+            self.framing_lines.append(name + b": " + value + b"\r\n")
             return
         elif lower in CONNECTION_HEADERS:
             if lower == b"expect":
                 self.expects_continue = value.lower() == b"100-continue"
+            if lower != b"upgrade":
+                self.framing_lines.append(name + b": " + value + b"\r\n")
             return
         elif lower in (names.caller_service, names.expected_backend):
             return
@@ -245,9 +276,24 @@
     def on_headers_complete(self) -> None:
         """Sends 100 Continue if the caller waits for it."""
         self.in_head = False
+        if self.parser.should_upgrade() and self._has_body():
+            self.offers_before_body = True
+            return
         if self.expects_continue and not self.closing and not self.waiting:
             self.transport.write(CONTINUE)
 
+    def _has_body(self) -> bool:
+        """Returns whether the head announces a body; a tunnel that it asks for is none."""
+        if self.parser.get_method() == b"CONNECT":
+            return False
+        for line in self.framing_lines:
+            name, _, value = line.lower().partition(b":")
+            if name == b"transfer-encoding" or (
+                name == b"content-length" and value.strip() != b"0"
+            ):
+                return True
+        return False
+
     def on_body(self, chunk: bytes) -> None:
         """Collects a part of the body; rejects the request if it is too large."""
         if self.closing:
@@ -260,6 +306,8 @@
 
     def on_message_complete(self) -> None:
         """Validates a complete request and passes it to the handler."""
+        if self.offers_before_body:
+            return
         request = self.current
         self.current = None
         if request is None or self.closing:
