--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -18,7 +18,11 @@
 USED_SLOTS_FRACTION = 0.95
 # Backend servers with fewer slots than this use all of them.
 MIN_SLOTS_WITH_HEADROOM = 8
-# The clocks of a node and of its backend server differ by less. A start that is further ahead comes
+# The clocks of a node and of its backend server usually differ by less.
+CLOCK_DIFFERENCE_MS = 10_000
+# A report may arrive this long after it was sent.
+LATE_REPORT_SECONDS = 10.0
+# They always differ by less. A start that is further ahead comes
 # from another writer, and all later reports would count as older.
 MAX_CLOCK_DIFFERENCE_MS = 86_400_000
 # Bound on the servers whose leave is kept though none of their processes is known; beyond it, the
@@ -33,6 +37,14 @@
     return int(slots * USED_SLOTS_FRACTION)
 
 
+class UndatedLeave(NamedTuple):
+    """A leave that names a backend server of which no process was known."""
+
+    # Time of the announcement, Unix time in milliseconds and by the clock of deadlines.
+    unix_ms: int
+    at: float
+
+
 class Lifetime(NamedTuple):
     """Identifies one process of a backend server."""
 
@@ -66,8 +78,8 @@
         self.refusal = "no_backend"
         # Process of the backend server that an earlier process of the node has recorded.
         self.earlier = Lifetime("", 0)
-        # When servers of which no process was known announced their leave, Unix time in ms.
-        self.undated_leaves: dict[str, int] = {}
+        # Leaves of servers of which no process was known, by identifier.
+        self.undated_leaves: dict[str, UndatedLeave] = {}
         self.changed: Callable[[], None] = lambda: None
 
     @property
@@ -123,6 +135,11 @@
             raise ReportError(f"report names a start in the future: {report.started_ms}")
         lifetime = Lifetime(report.backend, report.started_ms)
         leaving = report.draining or self._left_undated(lifetime)
+        if not leaving and self._may_be_late(lifetime):
+            self.log.decision(
+                "report_after_leave", backend=report.backend, started_ms=report.started_ms
+            )
+            return
         if (report.started_ms, report.number) <= (self.started_ms, self.number):
             self.log.decision(
                 "report_outdated",
@@ -192,12 +209,23 @@
         self.undated_leaves.pop(backend, None)
         if len(self.undated_leaves) >= MAX_UNDATED_LEAVES:
             del self.undated_leaves[next(iter(self.undated_leaves))]
-        self.undated_leaves[backend] = unix_time_ms()
+        self.undated_leaves[backend] = UndatedLeave(unix_time_ms(), current_time())
 
     def _left_undated(self, lifetime: Lifetime) -> bool:
-        """Returns whether a process left while it was unknown when it had started."""
-        left_ms = self.undated_leaves.get(lifetime.backend)
-        return left_ms is not None and lifetime.started_ms <= left_ms
+        """Returns whether a process started long before an undated leave, which is then its own."""
+        leave = self.undated_leaves.get(lifetime.backend)
+        return leave is not None and lifetime.started_ms <= leave.unix_ms - CLOCK_DIFFERENCE_MS
+
+    def _may_be_late(self, lifetime: Lifetime) -> bool:
+        """Returns whether a report may come late from the process that has left.
+
+        It may as well come from the next process, which started soon afterwards by another clock,
+        so it is passed over only for as long as a report may be late.
+        """
+        leave = self.undated_leaves.get(lifetime.backend)
+        if leave is None or lifetime == self.lifetime or lifetime.started_ms > leave.unix_ms:
+            return False
+        return current_time() - leave.at < LATE_REPORT_SECONDS
 
     def _adopt(self, lifetime: Lifetime, number: int) -> None:
         """Makes a process of which only its leave is known the present one."""
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -1,9 +1,17 @@
 """An acknowledged leave of a backend server binds, whatever the node knew when it acknowledged."""
 
 from asyncio import sleep
+from os import O_WRONLY, close, devnull
+from os import open as open_file
+from unittest import TestCase
+from unittest.mock import patch
 
-from coltsfoottrack._internal.mesh.clock import unix_time_ms
+from coltsfoottrack._internal.mesh import backend_state
+from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.daemon import MeshNode
+from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
+from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
 from tests.standins.mesh import MeshTestCase, encode
 
 # Numbers of reports that were sent before the leave and arrive after it.
@@ -108,3 +116,40 @@
         await backend.report(again.settings.report_address)
         answer = await self.send_request(again, encode("/read/", "r1"))
         self.assertEqual(answer.status, 200)
+
+
+class UndatedLeaveTest(TestCase):
+    """A leave that tells no process, at a node that knows none."""
+
+    def setUp(self) -> None:
+        self.null = open_file(devnull, O_WRONLY)
+        self.addCleanup(close, self.null)
+        log = DecisionLog("n", LineWriter(self.null))
+        self.backend = BackendState("10.0.0.1:1", log)
+        self.backend.leave(BackendLeave("i-1"))
+
+    def report(self, started_ms: int) -> bool:
+        """Applies a report; returns whether the node takes requests then."""
+        self.backend.apply_report(
+            BackendReport("i-1", "s", "10.0.0.1:1", "east", 5, False, 0, 1, started_ms)
+        )
+        return self.backend.accepting
+
+    def test_process_that_started_long_before_has_left_for_good(self):
+        """Guards against a late report that is taken for the next process."""
+        started_ms = unix_time_ms() - 60_000
+        self.assertFalse(self.report(started_ms))
+        self.assertTrue(self.backend.left)
+        with patch.object(backend_state, "current_time", lambda: current_time() + 60.0):
+            self.assertFalse(self.report(started_ms))
+
+    def test_next_process_of_a_server_with_another_clock_is_used(self):
+        """Guards against a server that is never used again since its clock is behind."""
+        started_ms = unix_time_ms() - 3_000
+        self.assertFalse(self.report(started_ms))
+        with patch.object(backend_state, "current_time", lambda: current_time() + 11.0):
+            self.assertTrue(self.report(started_ms))
+
+    def test_later_process_is_used_at_once(self):
+        """Guards against a restarted server that waits for its requests."""
+        self.assertTrue(self.report(unix_time_ms() + 1_000))
