--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -6,6 +6,7 @@
 from signal import SIGCONT, SIGHUP, SIGKILL, SIGSTOP, SIGTERM
 from typing import NamedTuple
 
+from coltsfoottrack._internal.mesh.clock import unix_time_ms
 from tests.soak.mesh_announcements import Announcement
 from tests.soak.mesh_customers import IN_FORCE_SECONDS, LIMITED, LOWERED_RATIO, RATES, Customers
 from tests.soak.mesh_pairs import GRACE_SECONDS, MeshPair
@@ -43,6 +44,9 @@
 LATER_KINDS = ("name_limit", "leave_by_answers", "restore_store")
 # Faults of customers, drawn apart for the same reason.
 CUSTOMER_KINDS = ("remove_key", "remove_key_unseen", "hot_customer", "lower_quota")
+# Leaves that a node hears of as it starts, drawn apart for the same reason.
+LEAVE_KINDS = ("leave_as_its_node_starts",)
+ACKNOWLEDGE_SECONDS = 3.0
 LATER_PAUSE_SECONDS = 6.0
 # Additional requests for each step of the load.
 HOT_REQUESTS = 3
@@ -110,6 +114,11 @@
     return _plan_apart(Random(f"customers {seed}"), CUSTOMER_KINDS, seconds)
 
 
+def plan_leaves(seed: int, seconds: float) -> list[PlannedFault]:
+    """Returns a schedule of faults of LEAVE_KINDS."""
+    return _plan_apart(Random(f"leaves {seed}"), LEAVE_KINDS, seconds)
+
+
 def _plan_apart(random: Random, kinds: Sequence[str], seconds: float) -> list[PlannedFault]:
     faults = []
     at = random.uniform(0.0, LATER_PAUSE_SECONDS)
@@ -261,6 +270,47 @@
             self.violations.append(f"{late} requests reached {server.name} after it had drained")
         await self._restart_server(server)
 
+    async def leave_as_its_node_starts(
+        self, pair: MeshPair, server: MeshPair, fault: PlannedFault
+    ) -> None:
+        """Deregisters a server at a node that has just started; an earlier report arrives late."""
+        if not self._is_in_service(server) or not server.is_running():
+            return
+        backend = server.backend
+        server.reports_paused = True
+        last_number = backend.number
+        await self.kill_node(server, server, fault)
+        if not await self._deregister(server):
+            server.reports_paused = False
+            return
+        server.out_of_service_since = get_running_loop().time()
+        await sleep(fault.seconds / 2.0)
+        try:
+            await server.send_report("ready", last_number)
+        except (OSError, TimeoutError, ValueError, IndexError):
+            pass
+        await sleep(max(0.0, DRAIN_SECONDS - fault.seconds / 2.0))
+        before = len(backend.received)
+        await sleep(fault.seconds)
+        late = len(backend.received) - before
+        if late:
+            self.violations.append(f"{late} requests reached {server.name} after it had left")
+        server.reports_paused = False
+        await self._restart_server(server)
+
+    async def _deregister(self, server: MeshPair) -> bool:
+        """Announces a leave until the node of a server acknowledges it; returns whether it did."""
+        end = get_running_loop().time() + ACKNOWLEDGE_SECONDS
+        while get_running_loop().time() < end:
+            try:
+                announced = server.backend.deregister(server.addresses["control"])
+                if await wait_for(announced, 1.0) == 200:
+                    return True
+            except (OSError, TimeoutError, ValueError, IndexError):
+                pass
+            await sleep(0.02)
+        return False
+
     async def _restart_server(self, server: MeshPair) -> None:
         """Restarts a server at the same address, without its faults."""
         server.backend.close()
@@ -268,6 +318,7 @@
         await sleep(0.1)
         server.backend.fault = ""
         await server.backend.restart()
+        server.backend.started_ms = unix_time_ms()
         server.out_of_service_since = None
 
     async def crash_server(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
--- a/tests/soak/mesh_pairs.py
+++ b/tests/soak/mesh_pairs.py
@@ -7,6 +7,7 @@
 
 from coltsfoottrack._internal.experiment.faults import FaultyLink
 from coltsfoottrack._internal.experiment.fleet import free_ports
+from coltsfoottrack._internal.mesh.clock import unix_time_ms
 from coltsfoottrack._internal.mesh.sockets import split_address
 from tests.standins.backend import StandInBackend
 from tests.standins.mesh import free_address
@@ -14,6 +15,8 @@
 
 SHIFTED_NODE = Path(__file__).resolve().parent / "shifted_node.py"
 REPORT_SECONDS = 0.5
+# Servers have run for this long when the soak begins.
+SERVER_AGE_MS = 60_000
 REPORT_ANSWER_SECONDS = 1.0
 GRACE_SECONDS = 6.0
 # Callers may still see the effects of a disruption for this long after its end.
@@ -26,6 +29,7 @@
     def __init__(self, directory: Path, name: str, service: str, store: StandInStore) -> None:
         self.name = name
         self.backend = StandInBackend(f"i-{name}", service, 20)
+        self.backend.started_ms = unix_time_ms() - SERVER_AGE_MS
         self.settings_path = directory / f"{name}.conf"
         self.clock_path = directory / f"{name}.clock"
         self.log_path = directory / f"{name}.log"
@@ -40,6 +44,8 @@
         self.started_at = 0.0
         self.out_of_service_since: float | None = None
         self.paused = False
+        # The server sends no periodic reports.
+        self.reports_paused = False
         # Periods in which the process was killed or suspended: start, end.
         self.disruptions: list[tuple[float, float]] = []
         # Times at which its process was started.
@@ -115,14 +121,15 @@
             return True
         return any(began <= started <= ended for started in self.starts)
 
-    async def send_report(self, state: str) -> int:
-        """Sends one report of the server to the node; returns the status.
+    async def send_report(self, state: str, number: int | None = None) -> int:
+        """Sends one report of the server, or an earlier one again; returns the status.
 
         Raises OSError, TimeoutError, and ValueError or IndexError for a truncated answer.
         """
-        report = self.backend.report(
-            self.addresses["control"], state, address=self.address_of("server")
-        )
+        changes: dict[str, object] = {"address": self.address_of("server")}
+        if number is not None:
+            changes["seq"] = number
+        report = self.backend.report(self.addresses["control"], state, **changes)
         return await wait_for(report, REPORT_ANSWER_SECONDS)
 
     async def report(self) -> None:
@@ -131,6 +138,8 @@
             await sleep(REPORT_SECONDS)
             if self.backend.server is None or not self.backend.server.is_serving():
                 continue
+            if self.reports_paused:
+                continue
             state = "ready" if self.out_of_service_since is None else "draining"
             try:
                 await self.send_report(state)
--- a/tests/soak/mesh_soak.py
+++ b/tests/soak/mesh_soak.py
@@ -56,6 +56,7 @@
     plan_customer_faults,
     plan_faults,
     plan_later_faults,
+    plan_leaves,
 )
 from tests.soak.mesh_pairs import MeshPair
 from tests.standins.mesh import Answer, encode, read_answer
@@ -170,6 +171,7 @@
             if self.later_faults:
                 faults += plan_later_faults(self.seed, self.seconds)
                 faults += plan_customer_faults(self.seed, self.seconds)
+                faults += plan_leaves(self.seed, self.seconds)
             await self.faults.play(faults)
             await sleep(HEAL_SECONDS)
             calm_from = get_running_loop().time()
