--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -22,8 +22,8 @@
 CLOCK_DIFFERENCE_MS = 10_000
 # A report may arrive this long after it was sent.
 LATE_REPORT_SECONDS = 10.0
-# They always differ by less. A start that is further ahead comes
-# from another writer, and all later reports would count as older.
+# A report whose start is further ahead comes from another writer; if it were believed, all later
+# reports would count as older.
 MAX_CLOCK_DIFFERENCE_MS = 86_400_000
 # Bound on the servers whose leave is kept though none of their processes is known; beyond it, the
 # oldest one is dropped.
--- a/src/coltsfoottrack/_internal/mesh/member_updates.py
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -82,11 +82,15 @@
     def remove(self, node: str, record: Member | None, source: str) -> None:
         """Marks a member as left whose stored record was deleted, unless its process was newer.
 
-        ``record`` is the deleted record if the store still tells it.
+        ``record`` is the deleted record if the store still tells it. The deletion may have been
+        overtaken, so it is not the final leave of a backend server's process, and names none.
         """
         known = self.directory.peers.get(node)
         if known is None or node == self.directory.own.node or known.member.left:
             return
         if record is not None and known.member.epoch != record.epoch:
             return
-        self.learn([known.member._replace(left=True, serial=known.member.serial + 1)], source)
+        removed = known.member._replace(
+            left=True, backend="", backend_started_ms=0, serial=known.member.serial + 1
+        )
+        self.learn([removed], source)
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -100,7 +100,7 @@
         """Returns the stored configuration; its content is None if there is none."""
         _, page = await self._call("GET", CONFIGURATION_KIND)
         content = None
-        for item in _field(page, "items"):
+        for item in _entries(page, "items"):
             if _name(item) == CONFIGURATION_NAME:
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
@@ -110,7 +110,7 @@
         wait_ms = randint(MIN_CONFIGURATION_WATCH_MS, MAX_CONFIGURATION_WATCH_MS)
         page = await self._watch(f"{CONFIGURATION_KIND}?watch={revision}", wait_ms)
         content = None
-        for event in _field(page, "events"):
+        for event in _entries(page, "events"):
             item = event.get("object") if isinstance(event, dict) else None
             if _name(item) == CONFIGURATION_NAME and not event.get("deleted"):
                 content = encode_spec(_field(item, "spec"))
@@ -134,7 +134,7 @@
             _, page = await self._call("GET", path)
             if revision is None:
                 revision = _field(page, "currentRev")
-            found = _member_changes(_field(page, "items"))
+            found = _member_changes(_entries(page, "items"))
             changes += found
             if not page.get("hasMore") or not found:
                 return MemberChanges(changes, revision)
@@ -145,7 +145,7 @@
         path = f"{MEMBER_KIND}?{STALE_READ}&watch={revision}"
         page = await self._watch(path, MEMBER_WATCH_MS)
         changes = []
-        for event in _field(page, "events"):
+        for event in _entries(page, "events"):
             if isinstance(event, dict):
                 changes += _member_changes((event.get("object"),), bool(event.get("deleted")))
         return MemberChanges(changes, _field(page, "currentRev"))
@@ -197,6 +197,13 @@
     return table[name]
 
 
+def _entries(page: Any, name: str) -> list[Any]:
+    entries = _field(page, name)
+    if not isinstance(entries, list):
+        raise StoreError(f"field {name} of a response of the store is not a list")
+    return entries
+
+
 def _parse_page(body: bytes) -> dict[str, Any]:
     """Returns a page or an object of which some part cannot be read; what cannot be read is None.
 
--- a/tests/unit/test_bad_records.py
+++ b/tests/unit/test_bad_records.py
@@ -3,11 +3,13 @@
 from asyncio import create_task, get_running_loop, sleep
 from typing import Any
 from unittest import TestCase
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 from orjson import Fragment, JSONDecodeError, dumps, loads
 
+from coltsfoottrack._internal.mesh.exceptions import StoreError
 from coltsfoottrack._internal.mesh.json_parts import split_array, split_object
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.store_watch import apply_member_changes
@@ -117,6 +119,14 @@
         found = await self.client.list_members()
         self.assertEqual([change.node for change in found.changes], ["last"])
 
+    async def test_page_without_a_list_is_an_error_of_the_store(self):
+        """Guards against an error that ends the task which follows the store."""
+        for entries in (None, 5, {}, "text"):
+            with patch.object(self.store, "_page", lambda *call, e=entries: {"items": e}):
+                for read in (self.client.list_members, self.client.read_configuration):
+                    with self.assertRaises(StoreError):
+                        await read()
+
     async def test_unreadable_record_is_logged_once_for_each_version(self):
         """Guards against a line for each read of the list."""
         node = await self.start("store")
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -11,7 +11,9 @@
 from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.daemon import MeshNode
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
-from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport
+from coltsfoottrack._internal.mesh.directory import Directory
+from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
+from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport, Member
 from tests.standins.mesh import MeshTestCase, encode
 
 # Numbers of reports that were sent before the leave and arrive after it.
@@ -153,3 +155,20 @@
     def test_later_process_is_used_at_once(self):
         """Guards against a restarted server that waits for its requests."""
         self.assertTrue(self.report(unix_time_ms() + 1_000))
+
+
+class RemovedRecordTest(TestCase):
+    """The deletion of a stored record, of which the store may tell late."""
+
+    def test_deletion_is_no_leave_of_a_process(self):
+        """Guards against a server that is never used again since an earlier record was deleted."""
+        null = open_file(devnull, O_WRONLY)
+        self.addCleanup(close, null)
+        directory = Directory(Member("own", "10.0.0.1:1", "east", "portal", epoch=1))
+        updates = MemberUpdates(directory, DecisionLog("own", LineWriter(null)))
+        member = Member("n", "10.0.0.2:1", "east", "s", "i-1", 5, 1, True, 5, epoch=2, serial=1)
+        updates.learn_direct(member, "hello")
+        updates.remove("n", None, "store")
+        self.assertTrue(directory.peers["n"].member.left)
+        self.assertIsNone(updates.learn_direct(member._replace(serial=5), "link"))
+        self.assertFalse(directory.peers["n"].member.left)
