Soak: one leave at a time for each server, judged for its own process

Traced in the log of the node: three faults of this kind overlapped, all three deregistrations were kept, and the first one to end started the next process of the server, whose requests the others counted. Change: a server that is leaving is not chosen again, and requests count only for the process that left. The promise that is checked is the same.

--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -274,9 +274,10 @@
         self, pair: MeshPair, server: MeshPair, fault: PlannedFault
     ) -> None:
         """Deregisters a server at a node that has just started; an earlier report arrives late."""
-        if not self._is_in_service(server) or not server.is_running():
+        if not self._is_in_service(server) or not server.is_running() or server.reports_paused:
             return
         backend = server.backend
+        process = backend.started_ms
         server.reports_paused = True
         last_number = backend.number
         await self.kill_node(server, server, fault)
@@ -293,7 +294,8 @@
         before = len(backend.received)
         await sleep(fault.seconds)
         late = len(backend.received) - before
-        if late:
+        # Another fault may have started the next process of the server, which is not bound.
+        if late and backend.started_ms == process:
             self.violations.append(f"{late} requests reached {server.name} after it had left")
         server.reports_paused = False
         await self._restart_server(server)
