--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -172,17 +172,18 @@
         process adopts a still later one. A record of this process itself tells of a leave that only
         its sender knows.
         """
-        own = self.directory.own
         lifetime = Lifetime(member.backend, member.backend_started_ms)
         if member.left and member.backend:
             self.backend.restore_leave(lifetime, member.report_number)
         if member.epoch in self.links.epochs:
             return
+        own = self.directory.own
         if own.epoch < member.epoch < MAX_TIME_MS:
             self.links.epochs.add(member.epoch + 1)
             self.directory.set_own(own._replace(epoch=member.epoch + 1, serial=own.serial + 1))
             self.membership.announce()
-        self.backend.note_earlier(lifetime)
+        if member.backend:
+            self.backend.note_earlier(lifetime)
 
     def update_own(self) -> None:
         """Updates the member record of this node and announces it to its peers."""
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -106,6 +106,27 @@
         await self.wait_until(lambda: again.backend.left)
         await self.assert_unused(again)
 
+    # A node that restored a leave while its clock was set back announced that it went on (DRAIN).
+    async def test_leave_is_announced_by_a_node_whose_clock_was_set_back(self):
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        own = store.directory.own
+        store.restore(own._replace(epoch=own.epoch + 60_000, left=True, accepting=False))
+        self.assertEqual(store.directory.own.epoch, own.epoch + 60_001)
+        self.assertTrue(store.directory.own.left)
+        self.assertFalse(store.directory.own.accepting)
+
+    async def test_record_without_a_server_does_not_hide_an_earlier_one(self):
+        """Guards against a deregistration that finds no process, as a newer record names none."""
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        own = store.directory.own
+        again = await self.restart(store)
+        again.restore(own._replace(epoch=1))
+        again.restore(own._replace(epoch=2, backend="", backend_started_ms=0))
+        await self.backends[0].deregister(again.settings.report_address)
+        self.assertTrue(again.directory.own.left)
+
     # The bound of the above: a later process of the same server is no longer bound.
     async def test_next_process_of_a_server_that_left_unknown_is_used(self):
         store = await self.start("store")
