--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -60,6 +60,8 @@
 MAX_REPORTED_CAPACITY = 2**32 - 1
 # Reason of a declined request.
 BUSY = "busy"
+# Reason of a call that was sent again and is not remembered.
+CALL_FORGOTTEN = "call_forgotten"
 
 
 class Runner:
@@ -131,6 +133,9 @@
             self._attach(known, call)
             return
         self.call_cache.add(call)
+        if message.resent and not message.idempotent:
+            self._end_unknown(call)
+            return
         self.served_routes[message.route] = call.arrived
         if not self.backend.accepting:
             self._refuse(call, self.backend.refusal)
@@ -337,6 +342,18 @@
         call.deliver(call)
         self.call_cache.release_request(call)
 
+    def _end_unknown(self, call: RunnerCall) -> None:
+        """Ends a call that this process does not know although its claim was granted.
+
+        An earlier process may have run it, or this one, whose clock is ahead of the sender's if the
+        sender was suspended.
+        """
+        self._log_outcome("run_without_answer", call, CALL_FORGOTTEN)
+        call.answer = RunResult(RESULT_UNKNOWN, CALL_FORGOTTEN)
+        call.done = True
+        call.deliver(call)
+        self.call_cache.release_request(call)
+
     def _finish(self, call: RunnerCall, result: RunResult) -> None:
         """Delivers the result of a started call and starts the next ones."""
         if call.sent_at is None:
--- a/tests/unit/test_mesh_lost_nodes.py
+++ b/tests/unit/test_mesh_lost_nodes.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, gather, sleep
 from unittest.mock import patch
 
-from coltsfoottrack._internal.mesh.clock import unix_time_ms
+from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.link import LinkConnection
 from tests.standins.mesh import (
     Answer,
@@ -27,7 +27,9 @@
 class LostNodeTest(MeshTestCase):
     """Failed nodes and broken links."""
 
-    async def _answer_after_restart(self, path: str, method: str) -> Answer:
+    async def _answer_after_restart(
+        self, path: str, method: str, same_epoch: bool = False
+    ) -> Answer:
         """Returns the answer to a request whose node is restarted between run and answer."""
         front = await self.start("front", "portal")
         store = await self.start("store")
@@ -41,7 +43,10 @@
             ready_address=free_address(),
             report_address=free_address(),
         )
-        restarted = await self.start_node(settings)
+        clock = "coltsfoottrack._internal.mesh.daemon.unix_time_ms"
+        epoch = store.directory.own.epoch if same_epoch else unix_time_ms()
+        with patch(clock, lambda: epoch):
+            restarted = await self.start_node(settings)
         await self.backends[1].report(restarted.settings.report_address)
         for connection in list(store.links.accepted):
             connection.transport.abort()
@@ -60,6 +65,34 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(self.backends[1].runs["r1"], 1)
 
+    # TWICE: the next process took a call that was sent again for a new one.
+    async def test_order_is_not_run_again_by_a_process_of_the_same_epoch(self):
+        answer = await self._answer_after_restart("/order/", "POST", same_epoch=True)
+        self.assertEqual(self.backends[1].runs["r1"], 1)
+        self.assertEqual(answer.status, 502)
+
+    # TWICE: a suspended node counts a call as unexpired that the runner has forgotten by then.
+    async def test_order_is_not_run_again_once_the_runner_has_forgotten_it(self):
+        front = await self.start("front", "portal")
+        store = await self.start("store")
+        await self.wait_for_members(2)
+        self.backends[1].released.clear()
+        running = create_task(self.send_request(front, encode("/order/", "r1", "POST")))
+        await self.wait_until(lambda: self.backends[1].running == 1)
+        # The reply is lost with the links, and the retention period ends before they are back.
+        for connection in list(store.links.accepted):
+            connection.transport.pause_reading()
+            connection.send_message = lambda kind, message: None
+        self.backends[1].released.set()
+        await self.wait_until(lambda: not store.runner.running)
+        store.runner.call_cache.evict(current_time() + 60.0)
+        self.assertFalse(store.runner.call_cache.calls)
+        for connection in list(store.links.accepted):
+            connection.transport.abort()
+        answer = await running
+        self.assertEqual(self.backends[1].runs["r1"], 1)
+        self.assertEqual(answer.status, 502)
+
     async def test_lookup_that_ran_before_a_restart_counts_as_a_retry(self):
         """Guards against repeated runs that are missing from the number of retries."""
         answer = await self._answer_after_restart("/read/", "GET")
--- a/tests/unit/test_mesh_run_once.py
+++ b/tests/unit/test_mesh_run_once.py
@@ -144,6 +144,8 @@
         self.epoch = 1
         self.number = 0
         self.expires: dict[int, float] = {}
+        # How far the sender's clock is behind, which stands still while its instance is suspended.
+        self.sender_lag = 0.0
         member = Member("runner", "10.0.0.1:1", "east", "s")
         self.link = PeerLink(member, None, lambda node, seconds: None)
         # The walk connects.
@@ -167,10 +169,14 @@
             PlainHistogram((1.0,)),
         )
 
+    def sender_now(self) -> float:
+        """Returns the time of the sender's clock."""
+        return self.now - self.sender_lag
+
     def send_call(self, random: Random) -> None:
         self.number += 1
         seconds = random.choice((1.0, 5.0, 16.0, 30.0, 120.0))
-        self.expires[self.number] = self.now + seconds
+        self.expires[self.number] = self.sender_now() + seconds
         request = Request(
             number=self.number,
             request_id=f"q{self.number}",
@@ -207,12 +213,22 @@
         self.link.handle_lost(connection, silent=random.random() < 0.5)
 
     def restart(self, random: Random) -> None:
-        """Restarts the runner's node; runs at the server end unheard."""
+        """Restarts the runner's node; runs at the server end unheard.
+
+        Its clock may have been set back, so that the next process has the same epoch.
+        """
         self.cut(random)
         self.running = []
-        self.epoch += 1
+        self.epoch += random.choice((0, 1))
         self.start_runner()
 
+    def suspend_sender(self, random: Random) -> None:
+        """Time passes for the runner only."""
+        seconds = random.choice((1.0, 4.0, 16.0))
+        self.sender_lag += seconds
+        self.now += seconds
+        self.runner.tick(self.now)
+
     def deliver_to_runner(self, random: Random) -> None:
         connection = self.connection
         if connection is None or not connection.to_runner:
@@ -268,7 +284,7 @@
         for number, expires in list(self.expires.items()):
             if number in self.sender.done:
                 del self.expires[number]
-            elif self.now >= expires + END_MARGIN_SECONDS:
+            elif self.sender_now() >= expires + END_MARGIN_SECONDS:
                 granted = number in self.sender.granted
                 self.sender.done[number] = "may have run" if granted else "not run"
                 self.link.drop_call(number)
@@ -290,9 +306,10 @@
     World.finish_run,
     World.wait,
     World.restart,
+    World.suspend_sender,
 )
 # How often a random walk takes each action.
-WEIGHTS = (6, 8, 2, 14, 14, 5, 4, 0.5)
+WEIGHTS = (6, 8, 2, 14, 14, 5, 4, 0.5, 0.5)
 
 
 class RunOnceTest(TestCase):
