--- a/src/coltsfoottrack/_internal/node/connections.py
+++ b/src/coltsfoottrack/_internal/node/connections.py
@@ -86,6 +86,15 @@
     handler: Callable[[CallRequest], Awaitable[CallResponse]]
 
 
+def has_body(request: CallRequest) -> bool:
+    """Returns whether a header block announces a body; a tunnel that it asks for is none."""
+    if request.method == "CONNECT":
+        return False
+    return (
+        "Transfer-Encoding" in request.headers or request.headers.get("Content-Length", "0") != "0"
+    )
+
+
 class PortConnection(Protocol):
     """One HTTP/1.1 connection.
 
@@ -101,6 +110,8 @@
         # The request that is being received, None between two requests.
         self.arriving: CallRequest | None = None
         self.headers_complete = False
+        # The request offers another protocol and has a body, which the parser does not read.
+        self.offers_before_body = False
         self.chunks: list[bytes] = []
         self.body_bytes = 0
         # Bytes received since the parser last completed a header block or a part of a body.
@@ -158,12 +169,7 @@
         self.last_data_at = monotonic()
         self.pending_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except HttpParserUpgrade:
-            # The request is answered without a protocol upgrade, then the connection closes.
-            if self.pending_requests:
-                self.pending_requests[-1].keep_alive = False
-            self.input_ended = True
+            self._feed(data)
         except HttpParserError:
             self._refuse(400, "request is not valid HTTP/1.1")
         if self.pending_bytes > self.bounds.max_header_bytes + MAX_REQUEST_LINE_BYTES:
@@ -176,6 +182,35 @@
             else:
                 self._start_timer(self.bounds.first_byte_seconds, self._header_timed_out)
 
+    def _feed(self, data: bytes) -> None:
+        """Feeds the parser. Raises HttpParserError.
+
+        A request that offers another protocol is answered without it, then the connection closes.
+        """
+        try:
+            self.parser.feed_data(data)
+        except HttpParserUpgrade as offer:
+            if self.offers_before_body:
+                self._restart_without_offer()
+                self._feed(data[offer.args[0] :])
+                return
+            if self.pending_requests:
+                self.pending_requests[-1].keep_alive = False
+            self.input_ended = True
+
+    def _restart_without_offer(self) -> None:
+        """Parses the header block again without its offer, so that the body is read as one."""
+        request = self.arriving
+        version = self.parser.get_http_version()
+        lines = [f"{request.method} {request.target.decode('latin-1')} HTTP/{version}"]
+        for name, value in request.headers.items():
+            if name.lower() != "upgrade":
+                lines.append(f"{name}: {value}")
+        self.offers_before_body = False
+        self.headers_complete = False
+        self.parser = HttpRequestParser(self)
+        self.parser.feed_data("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n")
+
     def on_message_begin(self) -> None:
         """Starts to receive a request."""
         self.arriving = CallRequest(monotonic())
@@ -215,6 +250,8 @@
         length = request.headers.get("Content-Length", "0")
         if int(length) > self.bounds.max_body_bytes:
             self._refuse_body()
+        elif self.parser.should_upgrade() and has_body(request):
+            self.offers_before_body = True
         elif (
             request.headers.get("Expect", "").lower() == "100-continue"
             and not self.pending_requests
@@ -233,7 +270,7 @@
 
     def on_message_complete(self) -> None:
         """Queues the complete request; stops reading when too many wait."""
-        if self.input_ended:
+        if self.input_ended or self.offers_before_body:
             return
         request = self.arriving
         request.body = b"".join(self.chunks)
--- a/tests/unit/test_http_connection.py
+++ b/tests/unit/test_http_connection.py
@@ -10,8 +10,10 @@
     start_server,
     wait_for,
 )
+from collections.abc import Awaitable, Callable
 from unittest import IsolatedAsyncioTestCase
 from unittest.mock import patch
+from weakref import WeakSet
 
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.http_connection import ConnectionPool, encode_request
@@ -20,6 +22,20 @@
 REQUEST = encode_request("POST", "127.0.0.1:1", "/x", {"Call-Id": "c"}, b"body")
 
 
+def read_once() -> Callable[..., Awaitable[bytes]]:
+    """Returns a ``read`` of a stream that reports the end after the first part of each stream."""
+    read = StreamReader.read
+    ended: WeakSet[StreamReader] = WeakSet()
+
+    async def read_first(reader: StreamReader, size: int = -1) -> bytes:
+        if reader in ended:
+            return b""
+        ended.add(reader)
+        return await read(reader, size)
+
+    return read_first
+
+
 class HttpConnectionTest(IsolatedAsyncioTestCase):
     """Guards against truncated or duplicate responses, and those to an earlier call."""
 
@@ -70,6 +86,28 @@
         self.assertEqual(await self.exchange(), b"ok")
         self.assertEqual(self.connections, 2)
 
+    # MIXED: an answer that ends inside its head, or before its end, is none.
+    async def test_cut_response_raises_connection_lost_error(self) -> None:
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+        unframed = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok"
+        cut_answers = [ANSWER[:end] for end in range(1, len(ANSWER))]
+        cut_answers += [chunked[:end] for end in range(1, len(chunked))] + [unframed]
+        with patch.object(StreamReader, "read", read_once()):
+            for cut in cut_answers:
+                self.answers = [cut]
+                with self.assertRaises(ConnectionLostError, msg=cut):
+                    await self.exchange()
+
+    async def test_part_of_a_second_response_answers_no_later_request(self) -> None:
+        second = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"
+        for cut in range(1, len(second)):
+            self.answers = [ANSWER + second[:cut], second[cut:] + ANSWER, ANSWER]
+            self.assertEqual(await self.exchange(), b"ok")
+            try:
+                self.assertEqual(await self.exchange(), b"ok", cut)
+            except ConnectionLostError:
+                pass
+
     async def test_response_that_is_not_http_raises_connection_lost_error(self) -> None:
         self.answers = [b"SSH-2.0-server\r\n"]
         with self.assertRaises(ConnectionLostError):
--- a/tests/unit/test_http_port.py
+++ b/tests/unit/test_http_port.py
@@ -30,6 +30,7 @@
 )
 # Exceeds the buffers of both sockets.
 HUGE_BYTES = 64 * 1024 * 1024
+OFFER = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABk")
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -129,6 +130,24 @@
         self.assertEqual(self.seen, [b"abc"])
         self.assertIn(b"HTTP/1.1 200", received)
 
+    # MIXED: a call that offered HTTP/2 ran with an empty body.
+    async def test_body_of_a_request_that_offers_another_protocol_is_read(self) -> None:
+        data = post(b"first", *OFFER) + post(b"second")
+        for cut in range(1, len(data), 7):
+            self.seen = []
+            received = await self.exchange(data[:cut], data[cut:])
+            self.assertEqual(self.seen, [b"first", b"second"], cut)
+            self.assertEqual(received.count(b"HTTP/1.1 200"), 2)
+
+    async def test_chunked_body_behind_an_offer_is_read(self) -> None:
+        offer = CHUNKED[:-2] + "\r\n".join(OFFER).encode() + b"\r\n\r\n"
+        await self.exchange(offer + b"2\r\nab\r\n0\r\n\r\n" + post(b"second"))
+        self.assertEqual(self.seen, [b"ab", b"second"])
+
+    async def test_large_body_behind_an_offer_is_refused(self) -> None:
+        self.assertIn(b"HTTP/1.1 413", await self.exchange(post(b"x" * 1500, *OFFER)))
+        self.assertEqual(self.seen, [])
+
     async def test_oversized_trailer_and_body_are_refused(self) -> None:
         trailer = CHUNKED + b"1\r\na\r\n0\r\nX: "
         self.assertIn(b"HTTP/1.1 431", await self.exchange(trailer, b"t" * 6000))
