--- a/src/coltsfoottrack/_internal/mesh/store.py
+++ b/src/coltsfoottrack/_internal/mesh/store.py
@@ -30,6 +30,17 @@
     revision: int
 
 
+class ProbeResult(NamedTuple):
+    """The stored configuration as a probe shows it; it may be seconds old."""
+
+    # None if there is none.
+    content: bytes | None
+    # Revision of the configuration's last change, 0 if there is none.
+    revision: int
+    # Whether the connection was open before.
+    reused_connection: bool
+
+
 class Store(Interface):
     """The store's calls used by a node. All raise StoreError."""
 
@@ -42,8 +53,8 @@
     async def watch_configuration(self, revision: int) -> ConfigurationChange:
         """Waits for a change. Raises StoreHistoryLostError."""
 
-    async def probe(self) -> None:
-        """Asks for an answer, whatever it tells, at the least price."""
+    async def probe(self) -> ProbeResult:
+        """Reads the configuration at the least price, on a connection that only probes use."""
 
     async def list_members(self) -> MemberChanges:
         """Returns all member records; they may be seconds old."""
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -1,9 +1,9 @@
 """Follows configuration and members in the store while this node has to."""
 
-from asyncio import FIRST_COMPLETED, Task, get_running_loop, sleep, wait
+from asyncio import Task, get_running_loop, sleep
 from collections.abc import Callable, Coroutine
 from random import uniform
-from typing import Any, NoReturn
+from typing import Any
 
 from coltsfoottrack._internal.mesh.backoff import (
     MAX_PAUSE_SECONDS,
@@ -15,15 +15,12 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.exceptions import StoreError, StoreHistoryLostError
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
-from coltsfoottrack._internal.mesh.store import ConfigurationChange, MemberChange, Store
+from coltsfoottrack._internal.mesh.store import MemberChange, ProbeResult, Store
+from coltsfoottrack._internal.mesh.watch_guard import WatchGuard
 
 # Each answer of a watch costs one call; the pause lets one answer collect the changes of this time.
 # Changes also pass between the nodes, so they need not be read at once.
 MEMBER_PAUSE_SECONDS = 1.0
-# Pause between two probes of the store while a watch waits. A watch on which the store has fallen
-# silent looks like one without changes. Nodes must notice within the 5 s that the platform adds to
-# its bound on configurations while the store fails; a probe costs a tenth of a call.
-PROBE_SECONDS = 2.0
 
 
 class StoreWatch:
@@ -44,8 +41,10 @@
         # Whether the store answers calls for the configuration, and when one last did before.
         self.following = False
         self.confirmed_at: float | None = None
-        # Time of the last answer of the store about the configuration, a probe's included.
+        # Time of the last answer of a read or a watch of the configuration.
         self.answered_at = 0.0
+        self.guard = WatchGuard(store)
+        self.guard.on_missed = self._apply_missed
         # Called when the store has confirmed the configuration again.
         self.on_confirmed: Callable[[], None] = lambda: None
 
@@ -61,6 +60,8 @@
             self._start_following()
 
     def _start_following(self) -> None:
+        self.guard.reset()
+        self._start(self.guard.run())
         self._start(self._follow_configuration())
         self._start(self._follow_members())
 
@@ -86,9 +87,7 @@
             return
         self.log.decision("store_watch_stopped")
         self._cancel()
-        if self.following:
-            self.confirmed_at = self.answered_at
-        self.following = False
+        self._set_following(False)
 
     def last_confirmed(self, now: float) -> float | None:
         """Returns the time up to which the store has confirmed the configuration, None if never."""
@@ -102,7 +101,8 @@
                 if revision is None:
                     change = await self.store.read_configuration()
                 else:
-                    change = await self._await_change(revision)
+                    self.guard.revision = revision
+                    change = await self.guard.hold(self.store.watch_configuration(revision))
             except StoreHistoryLostError:
                 self._set_following(False)
                 revision = None
@@ -126,30 +126,16 @@
                 continue
             revision = change.revision
 
-    async def _await_change(self, revision: int) -> ConfigurationChange:
-        """Waits for a newer configuration. Raises StoreError once the store answers no probe."""
-        loop = get_running_loop()
-        watching = loop.create_task(self.store.watch_configuration(revision))
-        probing = loop.create_task(self._probe())
-        try:
-            await wait((watching, probing), return_when=FIRST_COMPLETED)
-            return watching.result() if watching.done() else probing.result()
-        finally:
-            for task in (watching, probing):
-                if not task.cancel() and not task.cancelled():
-                    # Marks the error of a task that ended at the same time as retrieved.
-                    task.exception()
-
-    async def _probe(self) -> NoReturn:
-        """Probes the store until it fails. Raises StoreError."""
-        while True:
-            await sleep(PROBE_SECONDS)
-            await self.store.probe()
-            self.answered_at = current_time()
+    def _apply_missed(self, result: ProbeResult) -> None:
+        """Applies a configuration that a probe has shown and the watch has not."""
+        if result.content is not None:
+            self.active_configuration.apply_if_newer(
+                result.content, f"probe, store revision {result.revision}"
+            )
 
     def _set_following(self, following: bool) -> None:
         if self.following and not following:
-            self.confirmed_at = self.answered_at
+            self.confirmed_at = max(self.answered_at, self.guard.answered_at)
         regained = following and not self.following
         self.following = following
         if regained:
@@ -163,7 +149,7 @@
                 if revision is None:
                     found = await self.store.list_members()
                 else:
-                    found = await self.store.watch_members(revision)
+                    found = await self.guard.hold(self.store.watch_members(revision))
             except StoreHistoryLostError:
                 revision = None
                 continue
--- a/src/coltsfoottrack/_internal/mesh_local/directory_store.py
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -17,6 +17,7 @@
     ConfigurationChange,
     MemberChange,
     MemberChanges,
+    ProbeResult,
 )
 from coltsfoottrack._internal.mesh_local.routes import ROUTES_FILE
 from coltsfoottrack._internal.schema.links_pb2 import MemberRecord
@@ -57,9 +58,10 @@
             await sleep(POLL_INTERVAL_SECONDS)
         return ConfigurationChange(None, revision)
 
-    async def probe(self) -> None:
-        """Looks at the routes file; raises StoreError if the directory cannot be read."""
-        _revision(self.routes)
+    async def probe(self) -> ProbeResult:
+        """Reads the routes file; raises StoreError if the directory cannot be read."""
+        found = await self.read_configuration()
+        return ProbeResult(found.content, found.revision, True)
 
     async def list_members(self) -> MemberChanges:
         """Returns all member records."""
--- a/src/coltsfoottrack/_internal/routing/http_connection.py
+++ b/src/coltsfoottrack/_internal/routing/http_connection.py
@@ -176,6 +176,15 @@
                 self._schedule_sweep()
         return reply
 
+    def has_idle(self, address: str) -> bool:
+        """Returns whether the next request goes out on a connection that is open."""
+        return any(connection.is_usable() for connection in self.idle.get(address, ()))
+
+    def discard_idle(self, address: str) -> None:
+        """Closes the idle connections to an address, which may have failed with another one."""
+        for connection in self.idle.pop(address, ()):
+            connection.abort("may have failed")
+
     def _schedule_sweep(self) -> None:
         self.sweep_timer = get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
 
--- a/src/coltsfoottrack/platform/names.py
+++ b/src/coltsfoottrack/platform/names.py
@@ -28,8 +28,6 @@
 # Kind and name of the object that holds the configuration.
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
-# Name under which no configuration is stored; reading it shows whether the store answers.
-PROBED_NAME = "coltsfoottrack-probe"
 # Kind of the objects that hold the mesh's member records.
 MEMBER_KIND = "coltsfoottrack-members"
 SAFE = "safe"
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -18,6 +18,7 @@
     ConfigurationChange,
     MemberChange,
     MemberChanges,
+    ProbeResult,
 )
 from coltsfoottrack._internal.routing.exceptions import RoutingError
 from coltsfoottrack._internal.routing.http_connection import (
@@ -31,17 +32,18 @@
     CONFIGURATION_NAME,
     MEMBER_KIND,
     OBJECTS_PATH,
-    PROBED_NAME,
     STORE_ERA,
 )
 
 REQUEST_TIMEOUT_SECONDS = 1.5
+PROBE_TIMEOUT_SECONDS = 1.0
 # Wait of one configuration watch, random between these bounds. The store may forget a watch in an
 # outage; as the watches of several nodes end at different times, one of them soon finds the change.
 MIN_CONFIGURATION_WATCH_MS = 6_000
 MAX_CONFIGURATION_WATCH_MS = 12_000
-# Nodes also announce member changes to each other, so a lost watch may be detected later here.
-MEMBER_WATCH_MS = 20_000
+# Nodes also announce member changes to each other, so a watch that the store has forgotten, or that
+# alone has fallen silent, may be detected later here.
+MEMBER_WATCH_MS = 5_000
 # Reads that may be seconds old cost the platform less and do not count towards its rate limit.
 STALE_READ = "allowStale=1"
 JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
@@ -56,19 +58,28 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.pool = ConnectionPool()
+        # Holds the one connection for probes.
+        self.probe_pool = ConnectionPool()
         # Latest era that an answer has named.
         self.era = 0
         # Called with the era of each answer.
         self.on_era: Callable[[int], None] = lambda era: None
 
     async def _call(
-        self, method: str, path: str, body: bytes = b"", seconds: float = REQUEST_TIMEOUT_SECONDS
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        seconds: float = REQUEST_TIMEOUT_SECONDS,
+        pool: ConnectionPool | None = None,
     ) -> tuple[int, Any]:
         target = f"{OBJECTS_PATH}/{path}"
         try:
             request = encode_request(method, self.address, target, JSON_HEADERS, body)
-            reply = await self.pool.exchange(self.address, request, True, seconds)
+            reply = await (pool or self.pool).exchange(self.address, request, True, seconds)
         except RoutingError as error:
+            # The connections that were open with the failed one may be as silent.
+            self.pool.discard_idle(self.address)
             raise StoreError(f"{method} {path}: {error}") from error
         self._check_era(reply, f"{method} {path}")
         if reply.status == GONE:
@@ -116,9 +127,16 @@
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
-    async def probe(self) -> None:
-        """Reads an object that does not exist, which costs a tenth of a call."""
-        await self._call("GET", f"{CONFIGURATION_KIND}/{PROBED_NAME}?{STALE_READ}")
+    async def probe(self) -> ProbeResult:
+        """Reads the configuration, which may be seconds old and costs a tenth of a call."""
+        pool = self.probe_pool
+        reused = pool.has_idle(self.address)
+        path = f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}?{STALE_READ}"
+        status, item = await self._call("GET", path, seconds=PROBE_TIMEOUT_SECONDS, pool=pool)
+        if status == NOT_FOUND:
+            return ProbeResult(None, 0, reused)
+        revision = _field(_field(item, "metadata"), "revision")
+        return ProbeResult(encode_spec(_field(item, "spec")), revision, reused)
 
     async def _watch(self, path: str, wait_ms: int) -> Any:
         seconds = REQUEST_TIMEOUT_SECONDS + wait_ms / 1000.0
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -37,6 +37,9 @@
         # Objects in one answer to a list; 0 for all.
         self.page_size = 0
         self.calls: list[str] = []
+        # Connections on which nothing more is answered, and the last request on each connection.
+        self.silent: set[StreamWriter] = set()
+        self.waiting: dict[StreamWriter, str] = {}
 
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Stores an object unconditionally, as an operator does."""
@@ -62,6 +65,17 @@
         """Discards the history, which the real store may do at any time."""
         self.forgotten_before = self.revision + 1
 
+    def fall_silent(self) -> None:
+        """Answers nothing more on the connections that are open now; new ones work."""
+        self.silent.update(self.writers)
+
+    def fall_silent_to_watches(self, kind: str) -> None:
+        """Answers nothing more on the connections on which a watch of a kind waits now."""
+        start = f"/api/objects/{kind}?"
+        for writer, path in self.waiting.items():
+            if writer in self.writers and path.startswith(start) and "watch=" in path:
+                self.silent.add(writer)
+
     def copy(self) -> StoreCopy:
         """Returns what the store holds now."""
         return StoreCopy(self.revision, deepcopy(self.objects))
@@ -84,7 +98,10 @@
         """Serves one connection."""
         while (message := await read_message(reader)) is not None:
             self.calls.append(f"{message.method} {message.path}")
+            self.waiting[writer] = message.path
             status, body = await self._answer(message)
+            if writer in self.silent:
+                await Event().wait()
             if self.lose_answers and message.method != "GET":
                 return
             content = dumps(body)
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -33,7 +33,12 @@
 from coltsfoottrack._internal.mesh.own_record import OwnRecord
 from coltsfoottrack._internal.mesh.publisher import Publisher
 from coltsfoottrack._internal.mesh.route_summaries import RouteSummaries
-from coltsfoottrack._internal.mesh.store import ConfigurationChange, MemberChange, MemberChanges
+from coltsfoottrack._internal.mesh.store import (
+    ConfigurationChange,
+    MemberChange,
+    MemberChanges,
+    ProbeResult,
+)
 from coltsfoottrack._internal.mesh.store_era import StoreEra
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
@@ -44,6 +49,7 @@
 WATCH_SECONDS = 10.0
 # Time after which a node gives up a call, and how much longer it waits for a watch.
 CALL_TIMEOUT_SECONDS = 1.5
+PROBE_TIMEOUT_SECONDS = 1.0
 TICK_SECONDS = 0.2
 # Price of a call that may return old data, in calls.
 STALE_CALL = 0.1
@@ -56,6 +62,7 @@
     "publisher",
     "store_watch",
     "subscriptions",
+    "watch_guard",
 )
 
 
@@ -79,6 +86,8 @@
         self.refused: set[str] = set()
         # Names of nodes whose calls, waiting ones included, get no answer any more.
         self.silent: set[str] = set()
+        # All connections opened before this time get no answer any more.
+        self.silent_before = 0.0
         self.is_down = False
         self.era = 0
 
@@ -116,6 +125,8 @@
         self.store = store
         self.name = name
         self.on_era: Callable[[int], None] = lambda era: None
+        # Time at which the connection for probes was opened, None if there is none.
+        self.probe_connected_at: float | None = None
 
     async def _call(self, price: float = 1.0) -> None:
         self.store.calls += price
@@ -132,6 +143,7 @@
 
     async def _wait(self, revision: int) -> None:
         """Waits for a change after a revision."""
+        began = _loop().time()
         if revision + 1 < self.store.first_revision:
             raise StoreHistoryLostError("gone")
         if self.store.revision > revision:
@@ -142,7 +154,7 @@
                 await self.store.changed.wait()
         except TimeoutError:
             pass
-        if self.name in self.store.silent:
+        if self.name in self.store.silent or began < self.store.silent_before:
             await sleep(end + CALL_TIMEOUT_SECONDS - _loop().time())
             raise StoreError("no answer in time")
         self._check()
@@ -162,8 +174,17 @@
         content = store.configuration if store.configuration_revision > revision else None
         return ConfigurationChange(content, store.revision)
 
-    async def probe(self) -> None:
+    async def probe(self) -> ProbeResult:
+        store = self.store
+        reused = self.probe_connected_at is not None
+        if reused and self.probe_connected_at < store.silent_before:
+            self.probe_connected_at = None
+            await sleep(PROBE_TIMEOUT_SECONDS)
+            raise StoreError("no answer in time")
         await self._call(STALE_CALL)
+        if not reused:
+            self.probe_connected_at = _loop().time()
+        return ProbeResult(store.configuration, store.configuration_revision, reused)
 
     async def list_members(self) -> MemberChanges:
         await self._call(STALE_CALL)
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -214,6 +214,20 @@
 
         run_simulated(scenario())
 
+    # CONFIG: watches on connections that fell silent, beside probes on newer ones, told of nothing.
+    def test_change_after_all_open_connections_to_the_store_fell_silent(self):
+        async def scenario() -> None:
+            for pause in (0.0, 0.4, 1.0, 2.0, 4.5):
+                mesh = await self.started()
+                mesh.store.silent_before = get_running_loop().time()
+                await sleep(pause)
+                mesh.store.put_configuration(2)
+                # The platform allows 3 s after connections have failed.
+                await sleep(max(IN_FORCE_SECONDS, 3.0 - pause))
+                self.assertEqual(missing(mesh, 2), [], pause)
+
+        run_simulated(scenario())
+
     def test_change_after_an_outage_and_a_lost_history(self):
         """Guards against nodes that stay behind after the store returns."""
 
