--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -342,7 +342,12 @@
         request.cancel = None
         if request.answer is not None:
             return
-        close = not request.keep_alive or self.handler.is_stopping()
+        # The answers to requests that were sent ahead come before the connection closes.
+        if self.handler.is_stopping() and request is self.waiting[-1]:
+            request.keep_alive = False
+        close = not request.keep_alive
+        if close:
+            self.closing = True
         parts = [
             STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status,
             head,
@@ -352,8 +357,6 @@
         if request.method != b"HEAD":
             parts.append(body)
         request.answer = b"".join(parts)
-        if close:
-            request.keep_alive = False
         self._write_answers()
 
     def _write_answers(self) -> None:
