--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -51,8 +51,6 @@
 SETTINGS_CHECK_SECONDS = 5.0
 # Callers stop using a node after two failed readiness checks, one second apart.
 READINESS_DRAIN_SECONDS = 2.3
-# Part of the grace period reserved for the exit of the process itself.
-EXIT_MARGIN_SECONDS = 0.6
 DELETE_TIMEOUT_SECONDS = 0.3
 # Incomplete answers may take this part of the memory.
 HELD_ANSWERS_DIVISOR = 8
@@ -350,10 +348,9 @@
     async def stop(self) -> None:
         """Shuts down: lets callers move to other nodes and waits for requests in flight."""
         started = current_time()
-        self.entry.gate.stopping_since = started
+        end = self.entry.gate.stop(started, self.settings.grace_seconds).ends
         self.log.decision("stopping", in_flight=len(self.entry.calls), load=self.runner.load)
         self.backend.set_node_leaving()
-        end = started + self.settings.grace_seconds - EXIT_MARGIN_SECONDS
         while current_time() < end:
             await sleep(TICK_SECONDS)
             if current_time() - started < READINESS_DRAIN_SECONDS:
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -16,7 +16,11 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.directory import Directory, Peer
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
-from coltsfoottrack._internal.mesh.entry_gate import RETRY_AFTER_SECONDS, EntryGate
+from coltsfoottrack._internal.mesh.entry_gate import (
+    NODE_STOPPING,
+    RETRY_AFTER_SECONDS,
+    EntryGate,
+)
 from coltsfoottrack._internal.mesh.entry_log import EntryLog
 from coltsfoottrack._internal.mesh.link import LinkCall
 from coltsfoottrack._internal.mesh.links import NODE_RESTARTED, OTHER_PROCESS, Links
@@ -143,6 +147,9 @@
             return
         if call.parent is not None:
             self._inherit_rank(call, now)
+            if not self.gate.takes_call(call.route, now):
+                self._refuse_call(call, table, now)
+                return
         elif not self._charge(call, table, now) or not self._admit(call, table, now):
             return
         call.service = table.service_of(route)
@@ -216,6 +223,14 @@
         request.respond(503, self._retry_after(refusal.retry_after_seconds, remaining), b"")
         return False
 
+    def _refuse_call(self, call: EntryCall, table: RouteTable, now: float) -> None:
+        """Refuses a call of a running request that cannot end before this node does."""
+        self._count_answer(call, NODE_STOPPING)
+        self.log.refused(call, NODE_STOPPING, 0.0, {}, table.version)
+        note_failed_call(call, False)
+        wait = self._retry_after(RETRY_AFTER_SECONDS, call.deadline - now)
+        call.request.respond(503, wait, b"")
+
     def _retry_after(self, wait: float, remaining: float) -> bytes:
         """Returns the header that tells a caller when to come back, within its time left.
 
@@ -527,7 +542,7 @@
         """Sends all requests their final answer before the process exits."""
         for call in list(self.calls.values()):
             if not call.done:
-                self._abandon(call, "node_stopping")
+                self._abandon(call, NODE_STOPPING)
 
     def _abandon(self, call: EntryCall, reason: str) -> None:
         if self._may_have_run(call):
--- a/tests/unit/test_mesh_late_in_grace.py
+++ b/tests/unit/test_mesh_late_in_grace.py
@@ -1,10 +1,16 @@
 """Requests that come while a node stops: taken and finished, or refused without having run."""
 
-from asyncio import Task, create_task, sleep, wait_for
+from asyncio import Task, create_task, gather, sleep, wait_for
+from unittest import TestCase
 
+from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.daemon import MeshNode
+from coltsfoottrack._internal.mesh.entry_gate import EntryGate
+from coltsfoottrack._internal.mesh.model import Route
 from tests.standins.mesh import Answer, MeshTestCase, configuration, encode, read_answer
 
+# A request at work may be ended by the node itself in the last part of the grace period only.
+LAST_PART_OF_GRACE = 5.0 / 6.0
 ROUTES = {
     "read": {"pathPrefix": "/read/", "service": "stock"},
     "order": {"pathPrefix": "/order/", "service": "stock", "type": "unsafe", "priority": 0},
@@ -89,3 +95,95 @@
         self.assertEqual(answer.headers["connection"], "close")
         await ending
         self.assertEqual(self.backend.runs["late"], 0)
+
+    # LOST: a node ended requests at work before the last part of a short grace period.
+    async def test_long_request_has_most_of_the_grace_period(self):
+        for grace_seconds in (3.0, 4.0):
+            with self.subTest(grace_seconds=grace_seconds):
+                front = await self.start(f"front-{grace_seconds}", "portal")
+                await self.wait_until(lambda front=front: front.is_ready())
+                await self.wait_until(lambda front=front: "stock" in front.directory.peers)
+                self.backend.released.clear()
+                request = encode("/long/", f"g{grace_seconds}", "POST", b"body")
+                running = create_task(self.send_request(front, request, 8.0))
+                await self.wait_until(lambda: self.backend.running == 1)
+                began = current_time()
+                ending = self.stop_after(front, grace_seconds)
+                answer = await running
+                took = current_time() - began
+                self.backend.released.set()
+                self.assertEqual(answer.status, 502)
+                self.assertGreaterEqual(took, grace_seconds * LAST_PART_OF_GRACE)
+                await ending
+                self.assertLess(current_time() - began, grace_seconds)
+                await self.wait_until(lambda: self.backend.running == 0)
+
+    async def test_order_at_a_stopping_nodes_server_is_not_reported_as_refused(self):
+        """Guards against a 503 for an order that another node has passed on and that was cut."""
+        self.backend.released.clear()
+        began = current_time()
+        ending = self.stop_after(self.stock, 3.0)
+        await sleep(1.4)
+        request = encode("/long/", "linked", "POST", b"body")
+        answer = await self.send_request(self.front, request, 8.0)
+        self.assertEqual(answer.status, 502)
+        self.assertGreaterEqual(current_time() - began, 3.0 * LAST_PART_OF_GRACE)
+        self.assertEqual(self.backend.runs["linked"], 1)
+        self.backend.released.set()
+        await ending
+
+    # LOST: calls of a running request were passed on until the end, and cut then.
+    async def test_call_that_cannot_end_in_time_is_refused(self):
+        self.backends[0].released.clear()
+        route = {"pathPrefix": "/portal/", "service": "portal", "timeoutMs": 9000}
+        self.store.put("config", "main", configuration(2, **ROUTES, portal=route))
+        await self.wait_until(lambda: self.front.active_configuration.version == 2)
+        running = create_task(self.send_request(self.front, encode("/portal/", "parent"), 9.0))
+        await self.wait_until(lambda: self.backends[0].running == 1)
+        began = current_time()
+        ending = self.stop_after(self.front, 6.0)
+        early = await self.send_request(self.front, encode("/order/", "parent.1", "POST"))
+        self.backend.released.clear()
+        await sleep(5.1 - (current_time() - began))
+        late = await self.send_request(self.front, encode("/long/", "parent.2", "POST"))
+        self.assertEqual((early.status, late.status), (200, 503))
+        self.assertEqual(self.backend.runs["parent.2"], 0)
+        self.backend.released.set()
+        self.backends[0].released.set()
+        await gather(running, ending)
+
+
+class StoppingGateTest(TestCase):
+    """What a stopping node takes, by the time that is left of its grace period."""
+
+    def setUp(self) -> None:
+        self.gate = EntryGate(1_000_000)
+
+    def route(self, target_latency_ms: int) -> Route:
+        return Route("r", "h", "/r/", (), True, 9000, target_latency_ms, 2, 0, 0)
+
+    def takes(self, seconds: float, target_latency_ms: int = 500) -> tuple[bool, bool]:
+        """Returns whether a request, and a call of a running one, is taken after some time."""
+        route = self.route(target_latency_ms)
+        refusal = self.gate.check(route, 0, "", 0, 1, 100.0 + seconds)
+        return refusal is None, self.gate.takes_call(route, 100.0 + seconds)
+
+    def test_node_that_does_not_stop_takes_all(self):
+        self.assertEqual(self.takes(50.0), (True, True))
+
+    def test_grace_period_of_six_seconds(self):
+        self.gate.stop(100.0, 6.0)
+        self.assertEqual(self.takes(0.0), (True, True))
+        self.assertEqual(self.takes(2.5, 9000), (True, True))
+        self.assertEqual(self.takes(2.7), (False, True))
+        self.assertEqual(self.takes(3.5, 3000), (False, False))
+        self.assertEqual(self.takes(4.8), (False, True))
+        self.assertEqual(self.takes(5.0), (False, False))
+
+    def test_short_grace_period(self):
+        """Guards against requests that are taken as the node ends."""
+        self.gate.stop(100.0, 3.0)
+        self.assertEqual(self.takes(1.4, 9000), (True, True))
+        self.assertEqual(self.takes(1.6, 9000), (False, False))
+        self.assertEqual(self.takes(2.1), (True, True))
+        self.assertEqual(self.takes(2.3), (False, False))
