--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -345,8 +345,7 @@
     def _end_unknown(self, call: RunnerCall) -> None:
         """Ends a call that this process does not know although its claim was granted.
 
-        An earlier process may have run it, or this one, whose clock is ahead of the sender's if the
-        sender was suspended.
+        An earlier process may have run it, or this one before it forgot the call.
         """
         self._log_outcome("run_without_answer", call, CALL_FORGOTTEN)
         call.answer = RunResult(RESULT_UNKNOWN, CALL_FORGOTTEN)
--- a/tests/unit/test_call_registry.py
+++ b/tests/unit/test_call_registry.py
@@ -58,6 +58,19 @@
         self.cluster.loop.now += 10 * RETENTION_SECONDS
         self.assertEqual(self.run_call("a").reason, Reason.CLOSED)
 
+    # TWICE: a long call must not be forgotten a fixed time after its arrival.
+    def test_late_copy_of_a_long_call_does_not_run(self) -> None:
+        async def run_for_long(context: CallContext, body: bytes) -> Answer:
+            await sleep(3 * RETENTION_SECONDS)
+            return await self.answer(context, body)
+
+        self.cluster.loop.run_until_complete(
+            self.registry.run(make_context("a"), b"", run_for_long, True)
+        )
+        self.cluster.advance(RETENTION_SECONDS - 1.0)
+        self.assertEqual(self.run_call("a").reason, Reason.DUPLICATE)
+        self.assertEqual(self.runs, 1)
+
     def test_call_sent_before_the_process_started_is_uncertain(self) -> None:
         self.assertEqual(self.registry.settle("a", 59_000).state, CallState.UNCERTAIN)
         new_registry = CallRegistry(self.checker, lambda: 0, self.cluster.loop.time)
--- a/tests/unit/test_mesh_lost_nodes.py
+++ b/tests/unit/test_mesh_lost_nodes.py
@@ -71,7 +71,7 @@
         self.assertEqual(self.backends[1].runs["r1"], 1)
         self.assertEqual(answer.status, 502)
 
-    # TWICE: a suspended node counts a call as unexpired that the runner has forgotten by then.
+    # TWICE: a runner took a call that it had forgotten for a new one.
     async def test_order_is_not_run_again_once_the_runner_has_forgotten_it(self):
         front = await self.start("front", "portal")
         store = await self.start("store")
--- a/tests/unit/test_mesh_run_once.py
+++ b/tests/unit/test_mesh_run_once.py
@@ -144,7 +144,7 @@
         self.epoch = 1
         self.number = 0
         self.expires: dict[int, float] = {}
-        # How far the sender's clock is behind, which stands still while its instance is suspended.
+        # How far the sender's clock is behind that of the runner.
         self.sender_lag = 0.0
         member = Member("runner", "10.0.0.1:1", "east", "s")
         self.link = PeerLink(member, None, lambda node, seconds: None)
@@ -222,7 +222,7 @@
         self.epoch += random.choice((0, 1))
         self.start_runner()
 
-    def suspend_sender(self, random: Random) -> None:
+    def delay_sender_clock(self, random: Random) -> None:
         """Time passes for the runner only."""
         seconds = random.choice((1.0, 4.0, 16.0))
         self.sender_lag += seconds
@@ -306,7 +306,7 @@
     World.finish_run,
     World.wait,
     World.restart,
-    World.suspend_sender,
+    World.delay_sender_clock,
 )
 # How often a random walk takes each action.
 WEIGHTS = (6, 8, 2, 14, 14, 5, 4, 0.5, 0.5)
