--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -126,6 +126,24 @@
     def note_earlier(self, lifetime: Lifetime) -> None:
         """Notes which process of the backend server an earlier process of the node has known."""
         self.earlier = lifetime
+        leave = self.undated_leaves.get(lifetime.backend)
+        if leave is None or lifetime.started_ms > leave.unix_ms:
+            return
+        if lifetime.started_ms > self.started_ms:
+            self._adopt(lifetime, 0)
+            self._leave("left")
+
+    def restore_undated_leave(self, backend: str, unix_ms: int) -> None:
+        """Restores a leave that an earlier process of the node acknowledged before any report."""
+        known = self.undated_leaves.get(backend)
+        if known is not None and known.unix_ms >= unix_ms:
+            return
+        seconds_ago = max(0.0, (unix_time_ms() - unix_ms) / 1000.0)
+        self._put_undated(backend, UndatedLeave(unix_ms, current_time() - seconds_ago))
+        if self._left_undated(self.lifetime) and not self.left:
+            self._leave("left")
+        else:
+            self.changed()
 
     def apply_report(self, report: BackendReport) -> None:
         """Applies a report. Raises ReportError if it names another address or a future start."""
@@ -184,8 +202,10 @@
             left=self.left,
         )
         if lifetime is None or lifetime == self.earlier:
-            self._note_undated(announcement.backend)
+            leave = UndatedLeave(unix_time_ms(), current_time())
+            self._put_undated(announcement.backend, leave)
         if lifetime is None:
+            self.changed()
             return
         if lifetime == self.lifetime:
             if not self.left:
@@ -204,12 +224,20 @@
             return self.earlier
         return None
 
-    def _note_undated(self, backend: str) -> None:
-        """Notes that the processes of a backend server that have started by now leave."""
+    def _put_undated(self, backend: str, leave: UndatedLeave) -> None:
+        """Notes that the processes of a backend server that had started by then leave."""
         self.undated_leaves.pop(backend, None)
         if len(self.undated_leaves) >= MAX_UNDATED_LEAVES:
             del self.undated_leaves[next(iter(self.undated_leaves))]
-        self.undated_leaves[backend] = UndatedLeave(unix_time_ms(), current_time())
+        self.undated_leaves[backend] = leave
+
+    def last_undated_leave(self) -> tuple[str, int]:
+        """Returns the server and the Unix time in ms of the last undated leave, or "" and 0."""
+        latest = ("", 0)
+        for backend, leave in self.undated_leaves.items():
+            if leave.unix_ms > latest[1]:
+                latest = (backend, leave.unix_ms)
+        return latest
 
     def _left_undated(self, lifetime: Lifetime) -> bool:
         """Returns whether a process started long before an undated leave, which is then its own."""
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -173,6 +173,8 @@
         lifetime = Lifetime(member.backend, member.backend_started_ms)
         if member.left and member.backend:
             self.backend.restore_leave(lifetime, member.report_number)
+        if member.undated_leave:
+            self.backend.restore_undated_leave(member.undated_leave, member.undated_leave_ms)
         if member.epoch in self.links.epochs:
             return
         own = self.directory.own
@@ -187,6 +189,7 @@
         """Updates the member record of this node and announces it to its peers."""
         backend = self.backend
         own = self.directory.own
+        undated_leave, undated_leave_ms = backend.last_undated_leave()
         self.directory.set_own(
             own._replace(
                 service=backend.service or own.service,
@@ -195,6 +198,8 @@
                 report_number=max(0, backend.number),
                 accepting=backend.preferred,
                 left=backend.left,
+                undated_leave=undated_leave,
+                undated_leave_ms=undated_leave_ms,
                 slots=backend.slots,
                 cold_ms=backend.cold_ms,
                 serial=own.serial + 1,
--- a/src/coltsfoottrack/_internal/mesh/member_updates.py
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -69,7 +69,11 @@
 
         Returns the record that the node lacks if its backend server leaves and it does not know.
         """
+        peer = self.directory.peers.get(member.node)
+        before = peer.member if peer is not None else member
         self.learn((member,), source, direct=True)
+        if before.undated_leave_ms > member.undated_leave_ms:
+            return before
         known = self.directory.peers.get(member.node)
         if known is None or member.left or not known.member.left:
             return None
--- a/src/coltsfoottrack/_internal/mesh/model.py
+++ b/src/coltsfoottrack/_internal/mesh/model.py
@@ -92,6 +92,10 @@
     cold_ms: int = 0
     # The backend server is leaving or has left.
     left: bool = False
+    # Backend server that announced its leave while the node knew none of its processes, and when,
+    # Unix time in milliseconds.
+    undated_leave: str = ""
+    undated_leave_ms: int = 0
 
     def is_newer_than(self, other: "Member") -> bool:
         """Returns whether this record is newer than another one of the same node."""
@@ -109,6 +113,7 @@
             (self.epoch, MAX_TIME_MS),
             (self.serial, MAX_SERIAL),
             (self.cold_ms, MAX_COLD_MS),
+            (self.undated_leave_ms, MAX_TIME_MS),
         ):
             if not 0 <= number <= greatest:
                 return False
--- a/src/coltsfoottrack/_internal/mesh/own_record.py
+++ b/src/coltsfoottrack/_internal/mesh/own_record.py
@@ -31,6 +31,9 @@
     # Identifies the backend server that has left; empty and 0 while it has not.
     left_backend: str
     left_backend_started_ms: int
+    # Leave of a backend server of which no process is known; empty and 0 if there is none.
+    undated_leave: str
+    undated_leave_ms: int
 
     @classmethod
     def of(cls, member: Member) -> "LastingState":
@@ -41,6 +44,8 @@
             member.service,
             member.backend if member.left else "",
             member.backend_started_ms if member.left else 0,
+            member.undated_leave,
+            member.undated_leave_ms,
         )
 
 
@@ -68,7 +73,9 @@
             if self.restored:
                 await self._await_turn()
             member = self.directory.own
-            if not member.backend or LastingState.of(member) == self.written:
+            if not member.backend and not member.undated_leave:
+                continue
+            if LastingState.of(member) == self.written:
                 continue
             try:
                 # Only a leave must outlast this process; other reasons not to accept do not.
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -14,6 +14,7 @@
 from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
 from coltsfoottrack._internal.mesh.model import BackendLeave, BackendReport, Member
+from tests.standins.backend import StandInBackend
 from tests.standins.mesh import MeshTestCase, encode
 
 # Numbers of reports that were sent before the leave and arrive after it.
@@ -116,6 +117,56 @@
         self.assertTrue(store.directory.own.left)
         self.assertFalse(store.directory.own.accepting)
 
+    async def start_unreported(self, *seeds: MeshNode) -> MeshNode:
+        """Starts a node whose backend server has not reported yet."""
+        backend = StandInBackend("i-store", "stock")
+        await backend.open()
+        self.backends.insert(0, backend)
+        addresses = tuple(seed.settings.link_address for seed in seeds)
+        settings = self.settings("store", "stock", backend)
+        return await self.start_node(settings._replace(seed_addresses=addresses))
+
+    # DRAIN: a leave acknowledged before any report was lost if the node was restarted then.
+    async def test_leave_of_an_unknown_server_outlasts_a_restart(self):
+        node = await self.start_unreported()
+        await self.wait_until(lambda: node.active_configuration.table is not None)
+        backend = self.backends[0]
+        self.assertEqual(await backend.deregister(node.settings.report_address), 200)
+        await sleep(0.3)
+        again = await self.restart(node)
+        await sleep(0.3)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        await self.assert_unused(again)
+
+    # The same with the store away: the other nodes know it.
+    async def test_leave_of_an_unknown_server_outlasts_a_restart_without_the_store(self):
+        front = await self.start("front", "portal")
+        await self.wait_for_members(1)
+        node = await self.start_unreported(front)
+        await self.wait_until(lambda: "store" in front.directory.peers)
+        self.store.status = 503
+        backend = self.backends[0]
+        self.assertEqual(await backend.deregister(node.settings.report_address), 200)
+        await sleep(0.3)
+        again = await self.restart(node, front)
+        await sleep(0.5)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        await self.assert_unused(again)
+
+    # The same where the late report comes before the node has read what was recorded.
+    async def test_recorded_leave_of_an_unknown_server_binds_after_a_late_report(self):
+        node = await self.start_unreported()
+        await self.wait_until(lambda: node.active_configuration.table is not None)
+        backend = self.backends[0]
+        await backend.deregister(node.settings.report_address)
+        await sleep(0.3)
+        self.store.status = 503
+        again = await self.restart(node)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        self.store.status = None
+        await self.wait_until(lambda: again.backend.left)
+        await self.assert_unused(again)
+
     async def test_record_without_a_server_does_not_hide_an_earlier_one(self):
         """Guards against a deregistration that finds no process, as a newer record names none."""
         store = await self.start("store")
