--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -419,13 +419,14 @@
             call.failed_reply = failure
         if not route.idempotent or call.attempts >= route.max_attempts:
             return False
-        if self.gate.is_stopping() or call.sends >= MAX_SENDS:
+        now = current_time()
+        if call.sends >= MAX_SENDS or not self.gate.takes_call(route, now):
             return False
         call.is_retry = True
         call.reason = reason
         self.statistics.retries += 1
         self.log.retried(call, reason, failure.status if failure is not None else 0)
-        self._send(call, current_time())
+        self._send(call, now)
         return True
 
     def _answer(self, call: EntryCall, reply: Reply) -> None:
--- a/src/coltsfoottrack/_internal/mesh/entry_gate.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_gate.py
@@ -78,9 +78,9 @@
         return self.stop_period is not None
 
     def takes_call(self, route: Route, now: float) -> bool:
-        """Returns whether a call of a running request is accepted.
+        """Returns whether a call of a running request, or the retry of a request, is accepted.
 
-        It is not one of a new caller, so a stopping node accepts it for as long as it can end.
+        Neither is one of a new caller, so a stopping node accepts it for as long as it can end.
         """
         return self.stop_period is None or self.stop_period.has_time_for(route, now)
 
--- a/tests/unit/test_mesh_late_in_grace.py
+++ b/tests/unit/test_mesh_late_in_grace.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task, create_task, gather, sleep, wait_for
 from unittest import TestCase
+from unittest.mock import patch
 
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.daemon import MeshNode
@@ -152,6 +153,35 @@
         self.backends[0].released.set()
         await gather(running, ending)
 
+    async def test_order_that_waits_for_its_grant_as_the_node_ends_does_not_run(self):
+        """Guards against a run after the caller was told that there was none."""
+        held = []
+        grant = self.stock.runner.grant
+        with patch.object(self.stock.runner, "grant", lambda *given: held.append(given)):
+            request = encode("/long/", "waits", "POST", b"body")
+            running = create_task(self.send_request(self.front, request, 8.0))
+            await self.wait_until(lambda: bool(held))
+            ending = self.stop_after(self.front, 1.0)
+            answer = await running
+        self.assertIn(answer.status, (502, 503))
+        for given in held:
+            grant(*given)
+        await ending
+        await sleep(0.1)
+        self.assertLessEqual(self.backend.runs["waits"], 1 if answer.status == 502 else 0)
+
+    # A lookup of a stopping node was not repeated, although there was time.
+    async def test_lookup_whose_run_failed_is_repeated_while_the_node_stops(self):
+        await self.start("other")
+        await self.wait_for_members(3)
+        self.backend.fault = "fail"
+        ending = self.stop_after(self.front, 6.0)
+        for number in range(4):
+            answer = await self.send_request(self.front, encode("/read/", f"r{number}"))
+            self.assertEqual(answer.status, 200)
+        self.assertGreaterEqual(self.front.statistics.retries, 1)
+        await ending
+
 
 class StoppingGateTest(TestCase):
     """What a stopping node takes, by the time that is left of its grace period."""
