--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -506,10 +506,10 @@
         """Returns whether a version may have been late at a node in a period.
 
         A node that only the store refused learns versions from others, unless another fault hit any
-        node in the same period.
+        node in the same period, or the store refused all nodes at some time in it.
         """
         pairs = {pair.name: pair for pair in self.pairs}
-        if pairs[node].was_interrupted(began, ended):
+        if pairs[node].was_interrupted(began, ended) or self._were_all_refused(began, ended):
             return True
         refused = any(
             refusal.node == node and refusal.began <= ended and refusal.ended >= began
@@ -521,5 +521,20 @@
                 return True
         return False
 
+    def _were_all_refused(self, began: float, ended: float) -> bool:
+        """Returns whether the store refused all nodes at the same time in a period."""
+        for first in self.refusals:
+            moment = max(began, first.began)
+            if moment > min(ended, first.ended):
+                continue
+            refused = {
+                refusal.node
+                for refusal in self.refusals
+                if refusal.began <= moment <= refusal.ended
+            }
+            if len(refused) == len(self.pairs):
+                return True
+        return False
+
     def _link_name(self, fault: PlannedFault) -> str:
         return ("nodes", "server", "store")[fault.target % 3]
--- a/tests/unit/test_soak_customers.py
+++ b/tests/unit/test_soak_customers.py
@@ -13,8 +13,9 @@
     key_violations,
     quota_violations,
 )
-from tests.soak.mesh_faults import plan_customer_faults
+from tests.soak.mesh_faults import Disturbance, FaultPlayer, plan_customer_faults
 from tests.standins.http import Message
+from tests.standins.store import StandInStore
 
 
 def never(node: str, began: float, ended: float) -> bool:
@@ -27,6 +28,42 @@
     return True
 
 
+class CalmPair:
+    """A node that was never interrupted."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+
+    def was_interrupted(self, began: float, ended: float) -> bool:
+        return False
+
+
+class RefusedNodesTest(TestCase):
+    """Nodes that only the store refuses learn versions from the others, if it refuses not all."""
+
+    def setUp(self) -> None:
+        pairs = [CalmPair("a"), CalmPair("b")]
+        self.faults = FaultPlayer(pairs, StandInStore(), [], Customers(1))
+        self.faults.refusals = [Disturbance("a", 5.3, 8.7), Disturbance("b", 5.5, 10.0)]
+
+    def test_version_is_late_where_the_store_refuses_all(self) -> None:
+        """Soak seed 9003: a version stored while each node was refused was in force late."""
+        for began, ended, disturbed in (
+            (4.0, 5.4, False),
+            (5.0, 5.6, True),
+            (6.5, 9.0, True),
+            (8.8, 11.3, False),
+            (10.1, 12.0, False),
+        ):
+            with self.subTest(began=began, ended=ended):
+                self.assertEqual(self.faults.was_disturbed("a", began, ended), disturbed)
+
+    def test_version_is_not_late_where_the_store_refuses_some(self) -> None:
+        """Guards against a check that excuses any refused node."""
+        self.faults.refusals.pop()
+        self.assertFalse(self.faults.was_disturbed("a", 5.0, 9.0))
+
+
 class CustomerCheckTest(TestCase):
     """A removed key, requests that arrive with it, and a quota of 6 requests per second."""
 
