--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -47,6 +47,7 @@
 MESSAGE_SECONDS = 0.001
 STORE_CALL_SECONDS = 0.004
 WATCH_SECONDS = 10.0
+MEMBER_WATCH_SECONDS = 5.0
 # Time after which a node gives up a call, and how much longer it waits for a watch.
 CALL_TIMEOUT_SECONDS = 1.5
 PROBE_TIMEOUT_SECONDS = 1.0
@@ -141,16 +142,16 @@
         if self.store.is_down or self.name in self.store.refused:
             raise StoreError("status 503")
 
-    async def _wait(self, revision: int) -> None:
+    async def _wait(self, revision: int, seconds: float = WATCH_SECONDS) -> None:
         """Waits for a change after a revision."""
         began = _loop().time()
         if revision + 1 < self.store.first_revision:
             raise StoreHistoryLostError("gone")
         if self.store.revision > revision:
             return
-        end = _loop().time() + WATCH_SECONDS
+        end = _loop().time() + seconds
         try:
-            async with timeout(WATCH_SECONDS):
+            async with timeout(seconds):
                 await self.store.changed.wait()
         except TimeoutError:
             pass
@@ -192,7 +193,7 @@
 
     async def watch_members(self, revision: int) -> MemberChanges:
         await self._call(STALE_CALL)
-        await self._wait(revision)
+        await self._wait(revision, MEMBER_WATCH_SECONDS)
         changes = [item for item in self.store.members.values() if item.revision > revision]
         return MemberChanges(changes, self.store.revision)
 
