--- a/src/coltsfoottrack/_internal/routing/exchange.py
+++ b/src/coltsfoottrack/_internal/routing/exchange.py
@@ -2,7 +2,6 @@
 
 from asyncio import FIRST_COMPLETED, Task, create_task, sleep, wait
 from collections.abc import Callable
-from time import monotonic
 from typing import NamedTuple
 
 from coltsfoottrack._internal.calls.context import (
@@ -23,6 +22,7 @@
     call_address,
     peer_address,
 )
+from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.routing.exceptions import ConnectionLostError, NotSentError
 from coltsfoottrack._internal.routing.outcome_client import OutcomeClient, PeerOutcomeClient
 from coltsfoottrack._internal.routing.transport import HttpReply, Transport
@@ -37,7 +37,10 @@
 
 
 class SentCopy(NamedTuple):
-    """One copy that was sent, and when sending began on the monotonic clock."""
+    """One copy that was sent, and when sending began.
+
+    The clock counts the time for which the instance was suspended, as the receiver's does.
+    """
 
     context: CallContext
     address: str
@@ -78,7 +81,7 @@
         """
         policy = self.policies().policy(context.service, context.operation)
         copy = SentCopy(
-            context, address, monotonic(), milliseconds_to_seconds(policy, "silence_check_ms")
+            context, address, current_time(), milliseconds_to_seconds(policy, "silence_check_ms")
         )
         task = create_task(self._send_copy(copy, body))
         try:
@@ -159,7 +162,7 @@
             request = SettleRequest(
                 call_id=context.call_id,
                 key=context.idempotency_key,
-                age_ms=int((monotonic() - copy.sent_at) * 1000.0) + 1,
+                age_ms=int((current_time() - copy.sent_at) * 1000.0) + 1,
                 dispatch_number=context.dispatch_number,
             )
             try:
--- a/tests/unit/simulated_nodes.py
+++ b/tests/unit/simulated_nodes.py
@@ -74,8 +74,8 @@
         ]
         self.policies = PolicyTable(FleetConfiguration(operations=operations))
         self.patches = []
-        for module in ("calls.deadline", "routing.exchange"):
-            patcher = patch(f"coltsfoottrack._internal.{module}.monotonic", self.loop.time)
+        for clock in ("calls.deadline.monotonic", "routing.exchange.current_time"):
+            patcher = patch(f"coltsfoottrack._internal.{clock}", self.loop.time)
             patcher.start()
             self.patches.append(patcher)
         self.nodes: dict[str, SimulatedNode] = {}
--- a/tests/unit/test_call_registry.py
+++ b/tests/unit/test_call_registry.py
@@ -2,6 +2,7 @@
 
 from asyncio import sleep
 from unittest import TestCase
+from unittest.mock import patch
 
 from coltsfoottrack._internal.calls.budget import AttemptBudget
 from coltsfoottrack._internal.calls.context import CallContext
@@ -10,6 +11,8 @@
 from coltsfoottrack._internal.calls.outcome_records import CallState
 from coltsfoottrack._internal.ledger.call_registry import RETENTION_SECONDS, CallRegistry
 from coltsfoottrack._internal.observability.invariants import Invariant, InvariantChecker
+from coltsfoottrack._internal.routing import exchange
+from coltsfoottrack._internal.routing.exchange import SentCopy
 from tests.unit.simulated_nodes import LONGEST_DELAY, SERVICE, SimulatedCluster
 
 
@@ -155,6 +158,24 @@
         self.assertLess(seconds, 2.1)
         self.assertEqual(self.cluster.runs_by_request["r-silent"], 1)
 
+    # REFUSED: the clock that told the age of the call stood still while the sender was suspended.
+    def test_call_that_ran_is_not_refused_after_its_sender_was_suspended(self) -> None:
+        target = self.cluster.nodes["b"]
+        context = make_context("old")
+        run = target.dispatcher.run_copy(context, b"")
+        self.assertEqual(self.cluster.loop.run_until_complete(run).outcome, Outcome.DONE)
+        stopped = self.cluster.loop.time()
+        copy = SentCopy(context, "b:1", stopped, 1.0)
+        for _ in range(int(RETENTION_SECONDS) + 2):
+            self.cluster.advance(1.0)
+            target.registry._running_time()
+        # Another call makes the node forget the first one.
+        other = target.dispatcher.run_copy(make_context("new"), b"")
+        self.cluster.loop.run_until_complete(other)
+        with patch.object(exchange, "monotonic", lambda: stopped, create=True):
+            answer = self.cluster.loop.run_until_complete(self.exchange._settle(copy))
+        self.assertEqual(answer.outcome, Outcome.UNKNOWN)
+
     def test_unresponsive_node_makes_the_outcome_unknown_within_2_s(self) -> None:
         answer, seconds = self.send(deliver=True, paused=True)
         self.assertEqual((answer.outcome, answer.retry_useful), (Outcome.UNKNOWN, True))
