Bounds of a port's connections in a module of their own; a request tells whether it announces a body

Change: moved, no behaviour changes; the mesh does not import these modules. Evidence: 38 tests of the HTTP ports and the operator service pass.

--- a/src/coltsfoottrack/_internal/node/admin_server.py
+++ b/src/coltsfoottrack/_internal/node/admin_server.py
@@ -5,7 +5,7 @@
 from aioprometheus import render
 
 from coltsfoottrack._internal.events.kinds import EventKind
-from coltsfoottrack._internal.node.connections import ConnectionBounds
+from coltsfoottrack._internal.node.connection_bounds import ConnectionBounds
 from coltsfoottrack._internal.node.http_messages import CallRequest, CallResponse
 from coltsfoottrack._internal.node.http_port import HttpPort
 from coltsfoottrack._internal.node.operator_service import configuration_age_seconds
--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -42,7 +42,7 @@
 from coltsfoottrack._internal.events.kinds import EventKind
 from coltsfoottrack._internal.ledger.exceptions import KeysExhaustedError
 from coltsfoottrack._internal.ledger.ledger import request_digest
-from coltsfoottrack._internal.node.connections import ConnectionBounds
+from coltsfoottrack._internal.node.connection_bounds import ConnectionBounds
 from coltsfoottrack._internal.node.exceptions import WrongClusterError
 from coltsfoottrack._internal.node.http_messages import CallRequest, CallResponse, InputProblem
 from coltsfoottrack._internal.node.http_port import HttpPort
--- a/src/coltsfoottrack/_internal/node/connections.py
+++ b/src/coltsfoottrack/_internal/node/connections.py
@@ -19,12 +19,12 @@
 from collections.abc import Awaitable, Callable
 from socket import SO_KEEPALIVE, SOL_SOCKET
 from time import monotonic
-from typing import NamedTuple, Self
 from typing import Protocol as TypingProtocol
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from structlog import get_logger
 
+from coltsfoottrack._internal.node.connection_bounds import ConnectionBounds
 from coltsfoottrack._internal.node.http_messages import (
     CallRequest,
     CallResponse,
@@ -33,8 +33,6 @@
     encode_response,
 )
 from coltsfoottrack._internal.observability.stages import Stage, StageTimes
-from coltsfoottrack._internal.schema.coltsfoottrack_pb2 import NodeLimits
-from coltsfoottrack._internal.settings.rules import milliseconds_to_seconds, number_or_default
 
 MAX_REQUEST_LINE_BYTES = 4096
 # Pipelined requests of a caller that may wait before the node stops reading.
@@ -51,29 +49,6 @@
 logger = get_logger(__name__)
 
 
-class ConnectionBounds(NamedTuple):
-    """Limits on the connections and requests of one port."""
-
-    max_connections: int
-    max_header_bytes: int
-    max_header_count: int
-    max_body_bytes: int
-    first_byte_seconds: float
-    body_seconds: float
-
-    @classmethod
-    def from_config(cls, limits: NodeLimits) -> Self:
-        """Returns the limits from the settings, with the defaults of the schema."""
-        return cls(
-            max_connections=int(number_or_default(limits, "max_connections")),
-            max_header_bytes=int(number_or_default(limits, "max_header_bytes")),
-            max_header_count=int(number_or_default(limits, "max_header_count")),
-            max_body_bytes=int(number_or_default(limits, "max_body_bytes")),
-            first_byte_seconds=milliseconds_to_seconds(limits, "first_byte_timeout_ms"),
-            body_seconds=milliseconds_to_seconds(limits, "body_timeout_ms"),
-        )
-
-
 class ConnectionOwner(TypingProtocol):
     """Interface of the port that accepted a connection."""
 
@@ -86,15 +61,6 @@
     handler: Callable[[CallRequest], Awaitable[CallResponse]]
 
 
-def has_body(request: CallRequest) -> bool:
-    """Returns whether a header block announces a body; a tunnel that it asks for is none."""
-    if request.method == "CONNECT":
-        return False
-    return (
-        "Transfer-Encoding" in request.headers or request.headers.get("Content-Length", "0") != "0"
-    )
-
-
 class PortConnection(Protocol):
     """One HTTP/1.1 connection.
 
@@ -250,7 +216,7 @@
         length = request.headers.get("Content-Length", "0")
         if int(length) > self.bounds.max_body_bytes:
             self._refuse_body()
-        elif self.parser.should_upgrade() and has_body(request):
+        elif self.parser.should_upgrade() and request.announces_body():
             self.offers_before_body = True
         elif (
             request.headers.get("Expect", "").lower() == "100-continue"
--- a/src/coltsfoottrack/_internal/node/http_messages.py
+++ b/src/coltsfoottrack/_internal/node/http_messages.py
@@ -57,6 +57,12 @@
         self.header_bytes += len(name) + len(value) + HEADER_SEPARATOR_BYTES
         self.headers.add(name.decode("latin-1"), value.decode("latin-1"))
 
+    def announces_body(self) -> bool:
+        """Returns whether the headers announce a body; a tunnel that they ask for is none."""
+        if self.method == "CONNECT":
+            return False
+        return "Transfer-Encoding" in self.headers or self.headers.get("Content-Length", "0") != "0"
+
     def path(self) -> str:
         """Returns the path without the query, empty if the target has none."""
         return self._part(0)
--- a/src/coltsfoottrack/_internal/node/http_port.py
+++ b/src/coltsfoottrack/_internal/node/http_port.py
@@ -6,7 +6,8 @@
 
 from structlog import get_logger
 
-from coltsfoottrack._internal.node.connections import ConnectionBounds, PortConnection
+from coltsfoottrack._internal.node.connection_bounds import ConnectionBounds
+from coltsfoottrack._internal.node.connections import PortConnection
 from coltsfoottrack._internal.node.http_messages import CallRequest, CallResponse, DateHeader
 from coltsfoottrack._internal.observability.stages import StageTimes
 
--- a/tests/unit/test_http_port.py
+++ b/tests/unit/test_http_port.py
@@ -15,7 +15,7 @@
 from time import monotonic
 from unittest import IsolatedAsyncioTestCase
 
-from coltsfoottrack._internal.node.connections import ConnectionBounds
+from coltsfoottrack._internal.node.connection_bounds import ConnectionBounds
 from coltsfoottrack._internal.node.http_messages import CallRequest, CallResponse
 from coltsfoottrack._internal.node.http_port import HttpPort
 from coltsfoottrack._internal.observability.stages import StageTimes
