--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -232,12 +232,14 @@
         self.node = far.name
         self.other: SimulatedConnection | None = None
         self.open = True
+        # Whether what is sent from this end is lost although the connection stays open.
+        self.silent = False
 
     def is_open(self) -> bool:
         return self.open
 
     def send(self, frame: Frame) -> None:
-        if self.open:
+        if self.open and not self.silent:
             self.network.deliver(self, frame)
 
 
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -319,6 +319,24 @@
 
         run_simulated(scenario())
 
+    def test_leave_of_a_node_whose_sources_hear_nothing_goes_by_the_store(self):
+        """Guards against a leave that depends on connections which are silent in one direction."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            leaving = mesh.nodes["node-7"]
+            for connection in mesh.connections_of(leaving):
+                connection.silent = True
+            own = leaving.directory.own
+            leaving.directory.set_own(own._replace(left=True, serial=own.serial + 1))
+            leaving.subscriptions.announce()
+            leaving.record.changed.set()
+            await sleep(2.0)
+            for node in mesh.running():
+                self.assertTrue(node.directory.peers["node-7"].member.left, node.name)
+
+        run_simulated(scenario())
+
     def test_record_lost_on_the_way_is_found_by_comparison(self):
         """Guards against members that stay unknown since one message was lost."""
 
