--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -3,6 +3,8 @@
 from asyncio import CancelledError, IncompleteReadError, StreamReader, StreamWriter, start_server
 from typing import NamedTuple
 
+from coltsfoottrack._internal.experiment.fleet import LOOPBACK, free_ports
+
 
 class Message(NamedTuple):
     """A parsed request."""
@@ -44,14 +46,17 @@
         self.writers: set[StreamWriter] = set()
 
     async def open(self, port: int = 0) -> None:
-        """Opens a port on the loopback address."""
-        self.server = await start_server(self._serve, "127.0.0.1", port)
-        self.port = self.server.sockets[0].getsockname()[1]
+        """Opens a port on the loopback address.
+
+        By default, it is one that no outgoing connection takes while the server is restarted.
+        """
+        self.port = port or free_ports(1)[0]
+        self.server = await start_server(self._serve, LOOPBACK, self.port)
 
     @property
     def address(self) -> str:
         """IP:PORT."""
-        return f"127.0.0.1:{self.port}"
+        return f"{LOOPBACK}:{self.port}"
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         self.writers.add(writer)
--- a/tests/unit/test_free_ports.py
+++ b/tests/unit/test_free_ports.py
@@ -1,9 +1,10 @@
 """Ports of the processes that tests start."""
 
 from random import seed
-from unittest import TestCase
+from unittest import IsolatedAsyncioTestCase, TestCase
 
-from coltsfoottrack._internal.experiment.fleet import free_ports
+from coltsfoottrack._internal.experiment.fleet import LOWEST_EPHEMERAL_PORT, free_ports
+from tests.standins.http import HttpServer
 
 
 class FreePortsTest(TestCase):
@@ -21,3 +22,14 @@
         """Guards against two servers of one test at the same port, chosen before either listens."""
         chosen = [free_ports(1)[0] for _ in range(500)]
         self.assertEqual(len(set(chosen)), len(chosen))
+
+
+class StandInPortTest(IsolatedAsyncioTestCase):
+    """Ports of stand-ins that are restarted at the same address."""
+
+    # Soak seed 9114: an outgoing connection had taken the port of a server that was down.
+    async def test_port_of_a_stand_in_is_not_taken_while_it_is_down(self) -> None:
+        server = HttpServer()
+        await server.open()
+        self.assertLess(server.port, LOWEST_EPHEMERAL_PORT)
+        server.close()
