--- a/tests/soak/mesh_faults.py
+++ b/tests/soak/mesh_faults.py
@@ -315,13 +315,15 @@
 
     async def _restart_server(self, server: MeshPair) -> None:
         """Restarts a server at the same address, without its faults."""
-        server.backend.close()
-        self._end_announcements(server)
-        await sleep(0.1)
-        server.backend.fault = ""
-        await server.backend.restart()
-        server.backend.started_ms = unix_time_ms()
-        server.out_of_service_since = None
+        # Two faults may end at the same time, and each of them restarts the server.
+        async with server.restarting:
+            server.backend.close()
+            self._end_announcements(server)
+            await sleep(0.1)
+            server.backend.fault = ""
+            await server.backend.restart()
+            server.backend.started_ms = unix_time_ms()
+            server.out_of_service_since = None
 
     async def crash_server(self, pair: MeshPair, server: MeshPair, fault: PlannedFault) -> None:
         """Closes a server without draining and restarts it."""
--- a/tests/soak/mesh_pairs.py
+++ b/tests/soak/mesh_pairs.py
@@ -43,6 +43,8 @@
         self.starting = Lock()
         self.started_at = 0.0
         self.out_of_service_since: float | None = None
+        # Held while the server is restarted.
+        self.restarting = Lock()
         self.paused = False
         # The server sends no periodic reports.
         self.reports_paused = False
--- a/tests/unit/test_free_ports.py
+++ b/tests/unit/test_free_ports.py
@@ -27,8 +27,8 @@
 class StandInPortTest(IsolatedAsyncioTestCase):
     """Ports of stand-ins that are restarted at the same address."""
 
-    # Soak seed 9114: an outgoing connection had taken the port of a server that was down.
     async def test_port_of_a_stand_in_is_not_taken_while_it_is_down(self) -> None:
+        """Guards against an outgoing connection that takes the port of a server that is down."""
         server = HttpServer()
         await server.open()
         self.assertLess(server.port, LOWEST_EPHEMERAL_PORT)
--- a/tests/unit/test_soak_customers.py
+++ b/tests/unit/test_soak_customers.py
@@ -3,7 +3,9 @@
 Guards against a soak that passes because its checks see nothing.
 """
 
-from unittest import TestCase
+from asyncio import Lock, gather
+from types import SimpleNamespace
+from unittest import IsolatedAsyncioTestCase, TestCase
 
 from tests.soak.mesh_customers import (
     ROTATING,
@@ -14,6 +16,7 @@
     quota_violations,
 )
 from tests.soak.mesh_faults import Disturbance, FaultPlayer, plan_customer_faults
+from tests.standins.backend import StandInBackend
 from tests.standins.http import Message
 from tests.standins.store import StandInStore
 
@@ -64,6 +67,21 @@
         self.assertFalse(self.faults.was_disturbed("a", 5.0, 9.0))
 
 
+class RestartedServerTest(IsolatedAsyncioTestCase):
+    """Overlapping faults at one server."""
+
+    # Soak seed 9114: two faults restarted a server at the same time, address already in use.
+    async def test_two_faults_may_restart_a_server_at_the_same_time(self) -> None:
+        backend = StandInBackend("i-1", "stock")
+        await backend.open()
+        server = SimpleNamespace(name="a", backend=backend, restarting=Lock())
+        faults = FaultPlayer([], StandInStore(), [], Customers(1))
+        await gather(faults._restart_server(server), faults._restart_server(server))
+        self.assertTrue(backend.server.is_serving())
+        self.assertIsNone(server.out_of_service_since)
+        backend.close()
+
+
 class CustomerCheckTest(TestCase):
     """A removed key, requests that arrive with it, and a quota of 6 requests per second."""
 
