--- a/tests/unit/test_call_registry.py
+++ b/tests/unit/test_call_registry.py
@@ -172,6 +172,7 @@
         # Another call makes the node forget the first one.
         other = target.dispatcher.run_copy(make_context("new"), b"")
         self.cluster.loop.run_until_complete(other)
+        # The monotonic clock, which an instance that was suspended must not use for this.
         with patch.object(exchange, "monotonic", lambda: stopped, create=True):
             answer = self.cluster.loop.run_until_complete(self.exchange._settle(copy))
         self.assertEqual(answer.outcome, Outcome.UNKNOWN)
