--- a/src/coltsfoottrack/_internal/node/call_server.py
+++ b/src/coltsfoottrack/_internal/node/call_server.py
@@ -56,6 +56,7 @@
 SHUTDOWN_SECONDS = 10.0
 BACKLOG = 1024
 TOO_LARGE_STATUS = 413
+OVERLOAD_STATUS = 503
 # Refusals caused by the caller; they are not counted as shedding.
 CALLER_ERROR_REASONS = frozenset(
     (
@@ -108,7 +109,7 @@
         times = CallTimestamps(monotonic())
         with drain.track_call():
             answer = await self._answer(request, times)
-        if answer.reason in INPUT_ERROR_REASONS:
+        if answer.reason in INPUT_ERROR_REASONS or request.problem is not None:
             answer = unconfirmed_refusal(answer, request.headers.get(IDEMPOTENCY_KEY, ""))
         answer = answer._replace(served_by=self.state.name, node_leaving=drain.is_leaving)
         headers = answer_headers(answer, self.state.clock.tick())
@@ -173,6 +174,9 @@
 
     def _refuse_problem(self, problem: InputProblem) -> Answer:
         """Refuses a request that the connection could not read completely."""
+        if problem.status == OVERLOAD_STATUS:
+            answer = refused(Reason.OVERLOAD, text=problem.text, retry_useful=True)
+            return answer._replace(status=problem.status)
         reason = Reason.TOO_LARGE if problem.status == TOO_LARGE_STATUS else Reason.BAD_REQUEST
         return self._refuse_input(problem.status, refused(reason, text=problem.text))
 
--- a/src/coltsfoottrack/_internal/node/connection_bounds.py
+++ b/src/coltsfoottrack/_internal/node/connection_bounds.py
@@ -13,6 +13,7 @@
     max_header_bytes: int
     max_header_count: int
     max_body_bytes: int
+    max_held_body_bytes: int
     first_byte_seconds: float
     body_seconds: float
 
@@ -24,6 +25,7 @@
             max_header_bytes=int(number_or_default(limits, "max_header_bytes")),
             max_header_count=int(number_or_default(limits, "max_header_count")),
             max_body_bytes=int(number_or_default(limits, "max_body_bytes")),
+            max_held_body_bytes=int(number_or_default(limits, "max_held_body_bytes")),
             first_byte_seconds=milliseconds_to_seconds(limits, "first_byte_timeout_ms"),
             body_seconds=milliseconds_to_seconds(limits, "body_timeout_ms"),
         )
--- a/src/coltsfoottrack/_internal/node/connections.py
+++ b/src/coltsfoottrack/_internal/node/connections.py
@@ -58,6 +58,8 @@
     connections: "set[PortConnection]"
     closing: bool
     count_refused: Callable[[str], None]
+    hold_body: Callable[[int], bool]
+    release_body: Callable[[int], None]
     handler: Callable[[CallRequest], Awaitable[CallResponse]]
 
 
@@ -78,8 +80,10 @@
         self.headers_complete = False
         # The request offers another protocol and has a body, which the parser does not read.
         self.offers_before_body = False
-        self.chunks: list[bytes] = []
-        self.body_bytes = 0
+        # One object whatever the number of pieces, as each would cost more than its bytes.
+        self.body = bytearray()
+        # Bytes of bodies that the port counts for this connection.
+        self.held_bytes = 0
         # Bytes received since the parser last completed a header block or a part of a body.
         self.pending_bytes = 0
         self.timer: TimerHandle | None = None
@@ -116,6 +120,8 @@
         # Breaks the reference cycle with the parser, which only the garbage collector would free.
         self.parser = None
         self.server.connections.discard(self)
+        self._release_body(self.held_bytes)
+        self.body = bytearray()
         self._stop_timer()
         if self.task is not None:
             self.task.cancel()
@@ -180,8 +186,7 @@
     def on_message_begin(self) -> None:
         """Starts to receive a request."""
         self.arriving = CallRequest(monotonic())
-        self.chunks = []
-        self.body_bytes = 0
+        self.body = bytearray()
 
     def on_url(self, part: bytes) -> None:
         """Adds a part of the request target."""
@@ -229,22 +234,27 @@
         if self.input_ended:
             return
         self.pending_bytes = 0
-        self.body_bytes += len(chunk)
-        self.chunks.append(chunk)
-        if self.body_bytes > self.bounds.max_body_bytes:
+        size = len(chunk)
+        if len(self.body) + size > self.bounds.max_body_bytes:
             self._refuse_body()
+        elif not self.server.hold_body(size):
+            self.server.count_refused("max_held_body_bytes")
+            self._refuse(503, "the node holds too many request bodies")
+        else:
+            self.held_bytes += size
+            self.body += chunk
 
     def on_message_complete(self) -> None:
         """Queues the complete request; stops reading when too many wait."""
         if self.input_ended or self.offers_before_body:
             return
         request = self.arriving
-        request.body = b"".join(self.chunks)
+        request.body = bytes(self.body)
         request.keep_alive = self.parser.should_keep_alive()
         request.arrived_at = self.last_data_at
         self.arriving = None
         self.headers_complete = False
-        self.chunks = []
+        self.body = bytearray()
         self.pending_bytes = 0
         self._stop_timer()
         self._hand_over(request)
@@ -257,6 +267,12 @@
         if self.request_waiter is not None and not self.request_waiter.done():
             self.request_waiter.set_result(None)
 
+    def _release_body(self, size: int) -> None:
+        """Stops counting bytes of a body, unless the connection has ended before."""
+        size = min(size, self.held_bytes)
+        self.held_bytes -= size
+        self.server.release_body(size)
+
     def _refuse_body(self) -> None:
         self._refuse(413, f"body is over {self.bounds.max_body_bytes} bytes")
 
@@ -266,6 +282,8 @@
             return
         self.input_ended = True
         self._stop_timer()
+        self._release_body(len(self.body))
+        self.body = bytearray()
         request = self.arriving or CallRequest(monotonic())
         request.arrived_at = monotonic()
         request.problem = InputProblem(status, text)
@@ -279,6 +297,8 @@
             while keep_alive:
                 request = await self._next_request()
                 keep_alive = await self._answer(request)
+                self._release_body(len(request.body))
+                del request
                 self.idle_since = monotonic()
                 if not self.writable.is_set():
                     await self.writable.wait()
--- a/src/coltsfoottrack/_internal/node/http_port.py
+++ b/src/coltsfoottrack/_internal/node/http_port.py
@@ -37,6 +37,8 @@
         self.count_refused = count_refused
         self.stages = stages
         self.connections: set[PortConnection] = set()
+        # Bytes of all bodies that are being received or wait for their answer.
+        self.held_body_bytes = 0
         self.date = DateHeader()
         self.closing = False
         self.listener: Server | None = None
@@ -47,6 +49,17 @@
         """Number of accepted connections that are still open."""
         return len(self.connections)
 
+    def hold_body(self, size: int) -> bool:
+        """Counts bytes of a body; returns False if the port holds too many already."""
+        if self.held_body_bytes + size > self.bounds.max_held_body_bytes:
+            return False
+        self.held_body_bytes += size
+        return True
+
+    def release_body(self, size: int) -> None:
+        """Stops counting bytes of a body."""
+        self.held_body_bytes -= size
+
     async def open(self, address: str, port: int, backlog: int) -> None:
         """Starts listening. Raises OSError if the port cannot be opened."""
         loop = get_running_loop()
--- a/tests/unit/test_http_port.py
+++ b/tests/unit/test_http_port.py
@@ -25,6 +25,7 @@
     max_header_bytes=1000,
     max_header_count=20,
     max_body_bytes=1000,
+    max_held_body_bytes=2500,
     first_byte_seconds=0.3,
     body_seconds=0.3,
 )
@@ -101,6 +102,27 @@
             await sleep(0.01)
         self.fail("the condition was not met within 5 s")
 
+    async def test_bodies_of_all_connections_are_bounded_together(self) -> None:
+        """Guards against bodies that stop short of their end and together take all memory."""
+        crowd = [await self.connect() for _ in range(4)]
+        for _, writer in crowd:
+            writer.write(b"POST /a HTTP/1.1\r\nContent-Length: 1000\r\n\r\n" + b"x" * 800)
+        await self.wait_until(lambda: bool(self.refused))
+        self.assertEqual(self.refused, ["max_held_body_bytes"])
+        self.assertEqual(self.port.held_body_bytes, 2400)
+        for _, writer in crowd:
+            writer.close()
+        await self.wait_until(lambda: not self.port.connections)
+        self.assertEqual(self.port.held_body_bytes, 0)
+        self.assertIn(b"HTTP/1.1 200", await self.exchange(post(b"x" * 1000)))
+        self.assertEqual(self.port.held_body_bytes, 0)
+
+    async def test_body_in_single_bytes_costs_its_bytes(self) -> None:
+        """Guards against an object for each piece of a body."""
+        received = await self.exchange(CHUNKED, b"1\r\nx\r\n" * 900, b"0\r\n\r\n")
+        self.assertIn(b"HTTP/1.1 200", received)
+        self.assertEqual(self.seen, [b"x" * 900])
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         bodies = [f"b{number}".encode() for number in range(30)]
         received = await self.exchange(b"".join(post(body) for body in bodies))
