--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -139,10 +139,6 @@
             self.receiving_since = current_time()
         self.reader.feed(data)
 
-    def eof_received(self) -> bool:
-        """Closes the connection, as its caller does not wait for answers."""
-        return False
-
     def new_request(self) -> CallerRequest:
         """Returns a request without content."""
         return CallerRequest(self)
@@ -163,11 +159,15 @@
         """Charges memory for the body that is being received."""
         if not self.is_upload:
             if size <= SMALL_BODY_BYTES:
-                return self.account.try_add(size)
+                return self.account.try_add(size, self)
             self.is_upload = True
             bound_receive_buffer(self.transport, UPLOAD_RECEIVE_BYTES)
         return self.account.try_add_upload(self, size)
 
+    def reserve_head(self, size: int) -> bool:
+        """Charges memory for a large head that is being received."""
+        return self.account.try_add(size, self)
+
     def _end_upload(self) -> None:
         if not self.is_upload:
             return
@@ -182,7 +182,7 @@
         self._end_upload()
         self.waiting.append(request)
         size = request.content_bytes()
-        if not self.account.try_add(size):
+        if not self.account.try_add(size, self):
             self._reject_complete(request)
             return
         request.charged_bytes = size
@@ -282,7 +282,7 @@
 
     def held_bytes(self) -> int:
         """Returns the memory that becomes free if the connection gives way."""
-        held = self.reader.body.charged_bytes + self.unread_bytes
+        held = self.reader.held_bytes() + self.unread_bytes
         if self.unread_since is not None:
             for request in self.waiting:
                 held += request.charged_bytes
--- a/src/coltsfoottrack/_internal/mesh/memory_account.py
+++ b/src/coltsfoottrack/_internal/mesh/memory_account.py
@@ -65,12 +65,12 @@
         """Credits memory that was freed."""
         self.used_bytes -= size
 
-    def try_add(self, size: int) -> bool:
+    def try_add(self, size: int, requester: Holder | None = None) -> bool:
         """Charges memory for a small request or an answer; returns False if there is no room.
 
-        Slow holders give way first, and for an answer, which is the result of work, also uploads.
+        Slow holders other than the requester give way first.
         """
-        if self.used_bytes + size > self.limit_bytes and not self._make_room(size):
+        if self.used_bytes + size > self.limit_bytes and not self._make_room(size, requester):
             self.refused += 1
             return False
         self.add(size)
@@ -112,16 +112,16 @@
         self.uploads.pop(upload, None)
 
     def has_room(self, size: int) -> bool:
-        """Returns whether a large body of this size could be held without displacing others."""
-        return self.used_bytes + size <= self.limit_bytes * LARGE_FRACTION
+        """Returns whether a large body of this size could be held; slow holders would give way."""
+        return bool(self.slow) or self.used_bytes + size <= self.limit_bytes * LARGE_FRACTION
 
     def set_slow(self, holders: Iterable[Holder]) -> None:
         """Replaces the holders that make little progress."""
         self.slow = sorted(holders, key=lambda holder: holder.held_bytes())
 
-    def _make_room(self, size: int) -> bool:
+    def _make_room(self, size: int, requester: Holder | None) -> bool:
         while self.used_bytes + size > self.limit_bytes:
-            if not self._displace_slow():
+            if not self._displace_slow(requester):
                 return False
         return True
 
--- a/src/coltsfoottrack/_internal/mesh/request_reader.py
+++ b/src/coltsfoottrack/_internal/mesh/request_reader.py
@@ -15,6 +15,10 @@
 HEAD_TOO_LARGE = "head_too_large"
 BODY_TOO_LARGE = "body_too_large"
 MEMORY = "memory"
+# An incomplete head up to this size is part of the cost of its connection. A larger one is charged
+# at the limit, and twice, as its lines are joined in the end.
+SMALL_HEAD_BYTES = 4 * 1024
+HEAD_COPIES = 2
 
 
 class RequestOwner(Interface):
@@ -31,6 +35,9 @@
     def reserve(self, size: int) -> bool:
         """Charges memory for the body that is being received."""
 
+    def reserve_head(self, size: int) -> bool:
+        """Charges memory for a large head that is being received."""
+
     def reject(self, status: int, reason: str) -> None:
         """Rejects the request that is being received."""
 
@@ -46,6 +53,7 @@
     ) -> None:
         self.owner = owner
         self.handler = handler
+        self.account = account
         self.parser = HttpRequestParser(self)
         self.current: CallerRequest | None = None
         self.body = BodyBuffer(account, owner.reserve)
@@ -58,6 +66,8 @@
         self.customer_lines: list[int] = []
         self.url = b""
         self.head_size = 0
+        # Memory charged for an incomplete head.
+        self.charged_bytes = 0
         # Limits in force when the request began.
         self.limits = CallerLimits()
         self.in_head = False
@@ -71,8 +81,7 @@
 
     def close(self) -> None:
         """Drops the incomplete request and frees its memory at once."""
-        self.current = None
-        self.body.discard()
+        self.drop_current()
         # Parser and reader refer to each other, which only the garbage collector would free.
         self.parser = None
 
@@ -81,8 +90,20 @@
         request = self.current
         self.current = None
         self.body.discard()
+        self._drop_head()
         return request
 
+    def _drop_head(self) -> None:
+        """Frees the lines of the head, so that an idle connection does not keep them."""
+        self.header_lines = []
+        self.unforwarded_lines = []
+        self.account.remove(self.charged_bytes)
+        self.charged_bytes = 0
+
+    def held_bytes(self) -> int:
+        """Returns the memory charged for the incomplete request."""
+        return self.charged_bytes + self.body.charged_bytes
+
     def has_body_part(self) -> bool:
         """Returns whether a part of a body was received."""
         return len(self.body) > 0
@@ -101,6 +122,15 @@
             return
         if self.unreported > self.limits.max_header_bytes:
             self.owner.reject(431, HEAD_TOO_LARGE)
+        elif not self.charged_bytes and self.head_size + self.unreported > SMALL_HEAD_BYTES:
+            self._charge_head()
+
+    def _charge_head(self) -> None:
+        size = HEAD_COPIES * self.limits.max_header_bytes
+        if self.owner.reserve_head(size):
+            self.charged_bytes = size
+        else:
+            self.owner.reject(503, MEMORY)
 
     def _feed(self, data: bytes) -> None:
         """Feeds the parser. Raises HttpParserError.
@@ -131,6 +161,7 @@
         self.limits = self.handler.limits()
         self.in_head = True
         self.unreported = 0
+        # The parser may begin the same request once more without its offer.
         self.header_lines = []
         self.unforwarded_lines = []
         self.customer_lines = []
@@ -262,6 +293,7 @@
             parts.append(b"Content-Length: %d\r\n" % len(request.body))
         parts.append(self.handler.caller_header)
         request.head = b"".join(parts)
+        self._drop_head()
         self.owner.complete(request)
 
     def _count_head(self, size: int) -> None:
--- a/tests/functional/test_client_crowds.py
+++ b/tests/functional/test_client_crowds.py
@@ -232,6 +232,37 @@
             await self.assert_withstands(crowd)
 
 
+class HeadCrowdTest(CrowdTestCase):
+    """Heads that the memory cannot hold together."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        content = limited_configuration("stock")
+        content["limits"]["maxHeaderBytes"] = MEGABYTE
+        content["limits"]["headerTimeoutMs"] = 60_000
+        content["limits"]["idleTimeoutMs"] = 60_000
+        self.store.put("config", "main", content)
+
+    async def test_heads_without_end(self):
+        """Guards against header lines that no account sees while their request is incomplete."""
+        crowd = self.crowd(await self.start())
+        line = b"X-Line: " + b"x" * 1014 + b"\r\n"
+        for number in range(120):
+            head = f"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: c{number}\r\n"
+            crowd.add(after_head(head.encode(), line, 900 * KILOBYTE))
+        await self.assert_withstands(crowd)
+
+    async def test_heads_of_connections_that_are_idle(self):
+        """Guards against the last request of a connection that stays with it."""
+        crowd = self.crowd(await self.start())
+        line = b"X-Line: " + b"x" * 1014 + b"\r\n"
+        for number in range(120):
+            head = f"GET /read/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: c{number}\r\n"
+            whole = head.encode() + line * 900 + b"\r\n"
+            crowd.add(after_head(whole, b"", 0))
+        await self.assert_withstands(crowd)
+
+
 class SingleBodyTest(CrowdTestCase):
     """A single request within the limits is served."""
 
