--- a/tests/unit/test_decision_log.py
+++ b/tests/unit/test_decision_log.py
@@ -79,6 +79,29 @@
         self.assertIn("503 at front, never sent", explanation.verdict)
         self.assertEqual([entry.node for entry in explanation.context], ["store"])
 
+    def test_rejected_body_shows_what_the_node_held(self):
+        """Guards against a refusal for memory whose cause on call cannot tell."""
+        found = read(
+            line(9.0, "front", "callers_short_of", what="memory", used=180, limit=189),
+            line(
+                10.0,
+                "front",
+                "request_rejected",
+                request_id="q1",
+                status=503,
+                reason="memory",
+                received_bytes=1_000_000,
+                held_bytes=160 * 2**20,
+                held_limit_bytes=189 * 2**20,
+                connections=24,
+            ),
+        )
+        explanation = explain_request("q1", found.lines)
+        self.assertIn("503 at front, not read to its end", explanation.verdict)
+        self.assertIn("160 of 189 MB held for callers on 24 connections", explanation.verdict)
+        self.assertEqual([entry.event for entry in explanation.context], ["callers_short_of"])
+        self.assertEqual(summarize(found.lines).unserved[0].reason, "memory")
+
     def test_lost_answer_is_explained_as_possibly_run(self):
         found = read(
             line(1.0, "front", "request_sent", request_id="q1", sent_to="store", load_age_ms=-1),
--- a/tests/unit/test_mesh_path.py
+++ b/tests/unit/test_mesh_path.py
@@ -113,6 +113,35 @@
         self.assertEqual(node.account.used_bytes, 0)
         self.assertEqual(self.backends[0].runs["r2"], 0)
 
+    async def test_shortage_is_logged_and_counted(self):
+        """Guards against clients that take all memory without a word in logs and metrics."""
+        backend = StandInBackend("i-store", "stock")
+        await backend.open()
+        self.backends.append(backend)
+        settings = self.settings("store", "stock", backend)
+        node = await self.start_node(settings._replace(metrics_address=free_address()))
+        await backend.report(settings.report_address)
+        await self.wait_for_members(1)
+        node.account.limit_bytes = 100 * CONNECTION_BYTES
+        reader, writer = await self.connect(node)
+        head = encode("/order/", "r1", "POST", Content_Length="9000")
+        writer.write(head + b"x" * 5000)
+        await self.wait_until(lambda: node.account.used_bytes > CONNECTION_BYTES)
+        # What the body holds is all that there is.
+        node.account.limit_bytes = node.account.used_bytes + CONNECTION_BYTES
+        answer = await self.send_request(node, encode("/order/", "r2", "POST", b"x" * 9000))
+        self.assertEqual(answer.status, 503)
+        await self.wait_until(lambda: node.log.counts.get("callers_short_of"))
+        self.assertEqual(node.log.counts["request_rejected"], 1)
+        node.account.limit_bytes = 100 * CONNECTION_BYTES
+        reader, writer = await open_connection(*split_address(node.settings.metrics_address))
+        self.writers.append(writer)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n")
+        text = (await read_answer(reader)).body.decode()
+        self.assertIn("coltsfoottrack_mesh_client_memory_refused_total 1", text)
+        self.assertIn('coltsfoottrack_mesh_answers_total{reason="memory",route=""} 1', text)
+        self.assertIn("coltsfoottrack_mesh_caller_connections 2", text)
+
     async def test_metrics_and_a_metrics_port_in_use(self):
         """Guards against missing metrics, and a node that fails if their port is in use."""
         backend = StandInBackend("i-store", "stock")
