--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -251,8 +251,13 @@
     def resume_writing(self) -> None:
         """Continues to send a large body."""
         self.writing_paused = False
-        if self.writer is not None:
-            self.writer.resume()
+        if self.writer is None:
+            return
+        if not self.writer.is_idle():
+            # A probe waits behind the body, but the peer has read more of it than its kernel
+            # accepts without it.
+            self._note_answer()
+        self.writer.resume()
 
     def is_open(self) -> bool:
         """Returns whether the connection can send messages."""
--- a/src/coltsfoottrack/_internal/mesh/paced_writer.py
+++ b/src/coltsfoottrack/_internal/mesh/paced_writer.py
@@ -64,6 +64,9 @@
 
     def _flush(self) -> None:
         while self.pending and not self.paused:
+            if self.transport.is_closing():
+                self.pending.clear()
+                return
             first = self.pending[0]
             if isinstance(first, bytes):
                 self.pending.popleft()
--- a/src/coltsfoottrack/_internal/mesh/sockets.py
+++ b/src/coltsfoottrack/_internal/mesh/sockets.py
@@ -30,7 +30,7 @@
 # Receive buffer of a connection of a caller. Bytes that wait in it count as memory of the process.
 CALLER_RECEIVE_BYTES = 16 * 1024
 # The same for connections to other nodes and to the backend server, which are read at once.
-INNER_RECEIVE_BYTES = 128 * 1024
+INNER_RECEIVE_BYTES = 256 * 1024
 
 
 def detect_silence(transport: BaseTransport) -> None:
--- a/tests/unit/test_client_memory.py
+++ b/tests/unit/test_client_memory.py
@@ -200,6 +200,9 @@
     def close(self) -> None:
         self.closed = True
 
+    def is_closing(self) -> bool:
+        return self.closed
+
 
 class PacedWriterTest(TestCase):
     """Large bodies on a connection."""
@@ -229,6 +232,17 @@
         self.assertTrue(transport.closed)
         self.assertEqual(account.used_bytes, 0)
 
+    def test_body_is_freed_if_the_connection_ends_under_it(self):
+        """Guards against writes to a connection that has failed, one for each piece."""
+        account = MemoryAccount(LIMIT)
+        transport = SlowTransport()
+        writer = PacedWriter(transport)
+        writer.pause()
+        writer.write_body(self.large(account, MEGABYTE))
+        transport.close()
+        writer.resume()
+        self.assertEqual((bytes(transport.written), account.used_bytes), (b"", 0))
+
     def test_discarded_body_is_freed(self):
         """Guards against memory that stays with a closed connection."""
         account = MemoryAccount(LIMIT)
--- a/tests/unit/test_mesh_link.py
+++ b/tests/unit/test_mesh_link.py
@@ -4,8 +4,10 @@
 from unittest.mock import patch
 
 from coltsfoottrack._internal.mesh import link
+from coltsfoottrack._internal.mesh.body_buffer import PIECE_BYTES, BodyBuffer
 from coltsfoottrack._internal.mesh.frames import MAX_COPIED_BYTES, encode, encode_message
 from coltsfoottrack._internal.mesh.link import LinkConnection
+from coltsfoottrack._internal.mesh.memory_account import MemoryAccount
 from coltsfoottrack._internal.schema.links_pb2 import Cancel, Frame, Notice, Ping, Reply, Request
 
 
@@ -61,6 +63,43 @@
         self.assertFalse(self.counts_as_silent(Frame(reply=Reply(number=7))))
 
 
+class PausingTransport(FakeTransport):
+    """A transport whose buffer is full after each piece of a body."""
+
+    def __init__(self, connection: LinkConnection) -> None:
+        self.connection = connection
+
+    def write(self, data: bytes) -> None:
+        if isinstance(data, memoryview):
+            self.connection.pause_writing()
+
+
+class LargeBodyTest(TestCase):
+    """A large body that is being sent while a probe is due."""
+
+    setUp = OneWayCutTest.setUp
+
+    def test_peer_that_reads_a_body_slowly_does_not_count_as_silent(self):
+        """Guards against a link that is given up while a large body is under way on it."""
+        account = MemoryAccount()
+        buffer = BodyBuffer(account, account.try_add)
+        buffer.expected_bytes = 8 * PIECE_BYTES
+        buffer.append(b"x" * 8 * PIECE_BYTES)
+        connection = self.connection
+        connection.transport = PausingTransport(connection)
+        connection.send_with_body("request", Request(number=1), buffer.finish())
+        for _ in range(7):
+            self.now += 0.5
+            self.assertTrue(connection.probe(self.now))
+            connection.resume_writing()
+        # Nothing is left to be sent, and the peer does not answer.
+        connection.resume_writing()
+        self.now += 0.5
+        self.assertTrue(connection.probe(self.now))
+        self.now += 1.0
+        self.assertFalse(connection.probe(self.now))
+
+
 class RecordingTransport(FakeTransport):
     """A transport that records each write, until it is closed."""
 
