--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -28,6 +28,7 @@
 from coltsfoottrack._internal.mesh.sockets import BACKLOG, split_address
 from coltsfoottrack._internal.schema.links_pb2 import (
     RESULT_NOT_RUN,
+    RESULT_UNKNOWN,
     Cancel,
     Claim,
     Frame,
@@ -268,11 +269,12 @@
         self.distribution.compare_version(connection, message.configuration_version)
         key = CallKey(connection.node, connection.process, message.number)
         other_process = message.epoch and message.epoch not in self.epochs
-        known = self.runner.call_cache.get(key) is not None
-        if other_process or (refused and not known):
+        if other_process or (refused and self.runner.call_cache.get(key) is None):
+            # A call that was sent again may have run, unless it was for another process.
+            may_have_run = message.resent and not other_process
             reply = Reply(
                 number=message.number,
-                result=RESULT_NOT_RUN,
+                result=RESULT_UNKNOWN if may_have_run else RESULT_NOT_RUN,
                 reason=OTHER_PROCESS if other_process else MEMORY,
                 level=int(self._level(message.route) * LEVEL_UNIT),
                 configuration_version=self.active_configuration.version,
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -136,12 +136,12 @@
             self._attach(known, call)
             return
         self.call_cache.add(call)
-        if not self._charge(call):
-            self._refuse(call, MEMORY)
-            return
         if message.resent and not message.idempotent:
             self._end_unknown(call)
             return
+        if not self._charge(call):
+            self._refuse(call, MEMORY)
+            return
         self.served_routes[message.route] = call.arrived
         if not self.backend.accepting:
             self._refuse(call, self.backend.refusal)
--- a/tests/unit/test_mesh_runner.py
+++ b/tests/unit/test_mesh_runner.py
@@ -4,19 +4,27 @@
 from os import open as open_file
 from time import perf_counter
 from unittest import TestCase
+from unittest.mock import Mock, patch
 
 from coltsfoottrack._internal.mesh.backend_connection import BackendPool
 from coltsfoottrack._internal.mesh.backend_state import BackendState
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
+from coltsfoottrack._internal.mesh.directory import Directory
 from coltsfoottrack._internal.mesh.level_reports import LevelReporter
-from coltsfoottrack._internal.mesh.model import RetryBounds
+from coltsfoottrack._internal.mesh.links import Links
+from coltsfoottrack._internal.mesh.model import Member, RetryBounds
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.retry_budget import RetryBudget
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.mesh.runner_call import CallKey, RunnerCall, RunResult
 from coltsfoottrack._internal.observability.plain_histogram import PlainHistogram
-from coltsfoottrack._internal.schema.links_pb2 import RESULT_ANSWERED, Request
+from coltsfoottrack._internal.schema.links_pb2 import (
+    RESULT_ANSWERED,
+    RESULT_NOT_RUN,
+    RESULT_UNKNOWN,
+    Request,
+)
 from coltsfoottrack.platform.names import HEADERS, parent_identifier
 
 
@@ -55,6 +63,55 @@
     return min(times)
 
 
+class ShortOfMemoryTest(TestCase):
+    """Calls that find no memory at the runner."""
+
+    def setUp(self):
+        self.runner = make_runner()
+        self.runner.pool.account.limit_bytes = 0
+
+    def result(self, **fields: bool) -> int:
+        """Submits a call; returns its result."""
+        results = []
+        message = Request(number=1, head=b"POST / HTTP/1.1", **fields)
+        call = RunnerCall(
+            CallKey("n", 1, 1), message, lambda call: results.append(call.answer.result)
+        )
+        self.runner.submit(call)
+        return results[0]
+
+    # REFUSED: an order that was sent again may have run before this process forgot it.
+    def test_order_that_was_sent_again_is_not_refused(self):
+        self.assertEqual(self.result(resent=True), RESULT_UNKNOWN)
+
+    def test_call_whose_body_found_no_room_on_its_link(self):
+        """Guards against the same for a body that was not received: only a new call is refused."""
+        member = Member("runner", "10.0.0.1:1", "east", "s")
+        distribution = Mock(handlers={})
+        links = Links(
+            Directory(member),
+            self.runner,
+            Mock(),
+            Mock(),
+            Mock(version=1),
+            distribution,
+            Mock(),
+            None,
+        )
+        for resent, expected in ((True, RESULT_UNKNOWN), (False, RESULT_NOT_RUN)):
+            connection = Mock(node="n", process=1)
+            message = Request(number=1, resent=resent)
+            with patch.object(links, "_level", return_value=1.0):
+                links.receive_large(connection, "request", message, None)
+            reply = connection.send.call_args.args[0].reply
+            self.assertEqual((reply.number, reply.result, reply.reason), (1, expected, "memory"))
+
+    def test_new_call_is_refused(self):
+        """Guards against a call that is run although there is no room for it."""
+        self.assertEqual(self.result(), RESULT_NOT_RUN)
+        self.assertEqual(self.runner.pool.account.used_bytes, 0)
+
+
 class RouteSheddingTest(TestCase):
     """Requests of a route are refused because its runs find no capacity below."""
 
