--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -218,11 +218,13 @@
         """Returns the process that an announcement is about, None if it cannot be told."""
         if announcement.started_ms is not None:
             return Lifetime(announcement.backend, announcement.started_ms)
-        if announcement.backend == self.identifier:
-            return self.lifetime
-        if announcement.backend == self.earlier.backend:
-            return self.earlier
-        return None
+        known = [
+            lifetime
+            for lifetime in (self.lifetime, self.earlier)
+            if lifetime.backend == announcement.backend
+        ]
+        # After a restart from an old copy of the store, the present process may be the older one.
+        return max(known, key=lambda lifetime: lifetime.started_ms, default=None)
 
     def _put_undated(self, backend: str, leave: UndatedLeave) -> None:
         """Notes that the processes of a backend server that had started by then leave."""
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -7,7 +7,7 @@
 from unittest.mock import patch
 
 from coltsfoottrack._internal.mesh import backend_state
-from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.backend_state import BackendState, Lifetime
 from coltsfoottrack._internal.mesh.clock import current_time, unix_time_ms
 from coltsfoottrack._internal.mesh.daemon import MeshNode
 from coltsfoottrack._internal.mesh.decisions import DecisionLog, LineWriter
@@ -229,6 +229,27 @@
         self.assertTrue(self.report(unix_time_ms() + 1_000))
 
 
+class OlderRecordTest(TestCase):
+    """A node that starts learns of an older process of its server from a restored store."""
+
+    # Soak seed 4103, DRAIN: the leave of the present process was taken for one of the older.
+    def test_leave_is_that_of_the_newest_process_that_is_known(self):
+        null = open_file(devnull, O_WRONLY)
+        self.addCleanup(close, null)
+        backend = BackendState("10.0.0.1:1", DecisionLog("n", LineWriter(null)))
+        now = unix_time_ms()
+        backend.restore_leave(Lifetime("i-1", now - 80_000), 0)
+        # Another node tells of the process that was there before this node was restarted.
+        backend.note_earlier(Lifetime("i-1", now - 2_300))
+        backend.leave(BackendLeave("i-1"))
+        late = BackendReport("i-1", "s", "10.0.0.1:1", "east", 5, False, 0, 4, now - 2_300)
+        backend.apply_report(late)
+        self.assertFalse(backend.accepting)
+        self.assertTrue(backend.left)
+        backend.apply_report(late._replace(started_ms=now + 100, number=1))
+        self.assertTrue(backend.accepting)
+
+
 class RemovedRecordTest(TestCase):
     """The deletion of a stored record, of which the store may tell late."""
 
