--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -314,7 +314,7 @@
 
     def sweep(self, now: float, limits: CallerLimits) -> None:
         """Enforces the timeouts of the connection and notes whether it makes progress."""
-        self._note_progress(now)
+        self.note_progress(now)
         lingered = self.linger_until is not None and not self.waiting and now > self.linger_until
         if lingered or self._is_unread(now):
             self.transport.abort()
@@ -328,16 +328,19 @@
         """Returns whether the caller has not read its answers for too long."""
         return self.unread_since is not None and now - self.unread_since > UNREAD_TIMEOUT_SECONDS
 
-    def _note_progress(self, now: float) -> None:
-        elapsed = now - self.swept_at
+    def note_progress(self, now: float) -> None:
+        """Notes whether the caller has sent or read little since this was last told."""
+        since = self.receiving_since if self.unread_since is None else self.unread_since
+        if since is None:
+            self.is_slow = False
+            return
+        elapsed = now - max(self.swept_at, since)
         if elapsed < MIN_PROGRESS_SECONDS:
             return
         progress = self.received_bytes - self.swept_bytes
         self.swept_at = now
         self.swept_bytes = self.received_bytes
-        since = self.receiving_since if self.unread_since is None else self.unread_since
-        started = since is not None and now - since >= MIN_PROGRESS_SECONDS
-        self.is_slow = started and progress < SLOW_BYTES_PER_SECOND * elapsed
+        self.is_slow = progress < SLOW_BYTES_PER_SECOND * elapsed
 
     def _sweep_receiving(self, now: float, limits: CallerLimits) -> None:
         """Rejects a request that arrives too slowly; a body may take the idle timeout."""
--- a/src/coltsfoottrack/_internal/mesh/caller_group.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_group.py
@@ -90,6 +90,7 @@
     def _find_closable(self, now: float) -> list["CallerConnection"]:
         found = []
         for connection in self.connections:
+            connection.note_progress(now)
             worth = self._worth(connection, now)
             if worth is not None:
                 found.append((worth, connection.idle_since, id(connection), connection))
--- a/tests/unit/test_client_memory.py
+++ b/tests/unit/test_client_memory.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 from unittest import TestCase
+from unittest.mock import Mock
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,6 +14,7 @@
     BodyBuffer,
     LargeBody,
 )
+from coltsfoottrack._internal.mesh.caller_connection import CallerConnection
 from coltsfoottrack._internal.mesh.caller_group import (
     CONNECTION_BYTES,
     FIRST_REQUEST_SECONDS,
@@ -314,11 +316,40 @@
         for name, value in state.items():
             setattr(self, name, value)
 
+    def note_progress(self, now: float) -> None:
+        pass
+
     def abort(self, reason: str) -> None:
         self.aborted = True
         self.group.remove(self)
 
 
+class ProgressTest(TestCase):
+    """When a caller counts as slow."""
+
+    def setUp(self):
+        group = CallerGroup(MemoryAccount(LIMIT), lambda: 4)
+        self.connection = CallerConnection(Mock(), group)
+        self.start = self.connection.swept_at
+
+    def test_stalled_request_is_found_once_it_is_old_enough(self):
+        """Guards against callers that are refused until the sweep after the next."""
+        self.connection.receiving_since = self.start + 0.1
+        self.connection.received_bytes = 100
+        # A sweep that comes too early to tell must not put it off.
+        for after, slow in ((0.9, False), (1.05, False), (1.15, True)):
+            self.connection.note_progress(self.start + after)
+            self.assertEqual(self.connection.is_slow, slow, after)
+
+    def test_steady_upload_after_a_long_pause_is_not_slow(self):
+        """Guards against the idle time of a connection that counts for its next request."""
+        self.connection.note_progress(self.start + 9.0)
+        self.connection.receiving_since = self.start + 10.0
+        self.connection.received_bytes = 110 * 1024
+        self.connection.note_progress(self.start + 11.1)
+        self.assertFalse(self.connection.is_slow)
+
+
 class CallerGroupTest(TestCase):
     """Who is closed when there are too many connections."""
 
