review: each case reads TROUBLE in its own folder

Cause: TROUBLE was read in the stand-ins that the cases share, and nothing in the folders of the cases named it.

--- a/review/10/play.py
+++ b/review/10/play.py
@@ -3,6 +3,7 @@
 import sys
 from asyncio import create_task, gather, sleep
 from collections import Counter
+from os import environ
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -91,4 +92,5 @@
 
 
 if __name__ == "__main__":
-    play(case, FOLDER)
+    # With TROUBLE=0 all is the same but for the disruption.
+    play(case, FOLDER, environ.get("TROUBLE", "1") != "0")
--- a/review/8/play.py
+++ b/review/8/play.py
@@ -2,6 +2,7 @@
 
 import sys
 from asyncio import create_task, gather, sleep
+from os import environ
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -99,4 +100,5 @@
 
 
 if __name__ == "__main__":
-    play(case, FOLDER)
+    # With TROUBLE=0 all is the same but for the disruption.
+    play(case, FOLDER, environ.get("TROUBLE", "1") != "0")
--- a/review/standins2/fleet.py
+++ b/review/standins2/fleet.py
@@ -314,13 +314,16 @@
     return {"version": version, "routes": routes, "services": services, "limits": limits}
 
 
-def play(case: Callable[[Fleet, bool], Awaitable[bool]], folder: Path) -> None:
-    """Plays a case, writes its record and exits: 1 if the rule was broken, 0 if it held, else 2."""
+def play(case: Callable[[Fleet, bool], Awaitable[bool]], folder: Path, trouble: bool) -> None:
+    """Plays a case, writes its record and exits: 1 if the rule was broken, 0 if it held, else 2.
+
+    ``trouble`` states whether the disruption is played.
+    """
 
     async def play_case() -> int:
         fleet = Fleet()
         try:
-            held = await case(fleet, os.environ.get("TROUBLE", "1") != "0")
+            held = await case(fleet, trouble)
         except (NotRunError, OSError) as error:
             fleet.record.add(f"not run: {error}")
             print(f"not run: {error}")
