--- a/src/coltsfoottrack/_internal/decision_log/reasons.py
+++ b/src/coltsfoottrack/_internal/decision_log/reasons.py
@@ -45,6 +45,7 @@
     "time_out": "its deadline passed while it ran or waited",
     "too_slow": "it did not arrive within the time that the configuration allows",
     "unknown_key": "it carried no valid key of a customer",
+    "unknown_parent": "it carried no key, and it was not certain that it is no call of a run",
     "withdrawn": "it was sent to another node in the meantime",
 }
 
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -168,6 +168,7 @@
     def apply_configuration(self, table: RouteTable) -> None:
         """Applies a new configuration to entry and runner, and announces it."""
         self.entry.table = table
+        self.parent_requests.note_timeouts(table.configuration.routes)
         self.shared_rates.set_limits(quotas(table.configuration.customers or ()))
         self._wake()
         self.runner.level.set_ranks(table.top_rank + 1)
@@ -357,6 +358,7 @@
                 self.reload()
             self._sweep_callers(current_time())
             self.pool.sweep()
+            self.parent_requests.discard_old(current_time())
             self.links.broadcast_suspects()
             self.log.writer.flush()
 
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -8,7 +8,7 @@
 from coltsfoottrack._internal.mesh.caller_group import CallerGroup
 from coltsfoottrack._internal.mesh.caller_request import CallerRequest
 from coltsfoottrack._internal.mesh.clock import current_time
-from coltsfoottrack._internal.mesh.customers.identification import identify
+from coltsfoottrack._internal.mesh.customers.identification import MISSING_KEY, identify
 from coltsfoottrack._internal.mesh.customers.quota import (
     RateTokens,
     UnlimitedTokens,
@@ -143,9 +143,12 @@
             return
         call = EntryCall(request, route)
         now = request.received
-        if self.parent_requests.running:
-            call.parent = self.parent_requests.parent(call.request_id)
+        call.parent = self.parent_requests.parent(call.request_id, now)
         refusal = identify(call, table, self.headers.customer)
+        if refusal == MISSING_KEY and self.parent_requests.may_be_call(call.request_id, now):
+            if self._set_deadline(call, now):
+                self.refusals.refuse_unknown_parent(call, table.version, now)
+            return
         if refusal:
             self.refusals.refuse_unidentified(call, refusal, table.version)
             return
--- a/src/coltsfoottrack/_internal/mesh/entry_refusals.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_refusals.py
@@ -19,6 +19,8 @@
 # progress gives way after about this time.
 REJECTED_RETRY_AFTER_SECONDS = 1.0
 UNKNOWN_TIME_LEFT_SECONDS = 10.0
+# Reason of a request that may be a call of a run that is not known here.
+UNKNOWN_PARENT = "unknown_parent"
 # Reason of a request over the quota of its customer.
 QUOTA = "quota"
 # Names the scheme of the keys, as HTTP requires of a response with status 401.
@@ -82,6 +84,14 @@
         self.log.refused_by_customer(call, 401, reason, version)
         call.request.respond(401, AUTHENTICATE_LINE, b"")
 
+    def refuse_unknown_parent(self, call: EntryCall, version: int, now: float) -> None:
+        """Answers a request that may be a call of a run that is not known here with a 503.
+
+        A 401 would state that its key is wrong. Until that is known, trying again is of no use.
+        """
+        wait = max(RETRY_AFTER_SECONDS, self.parent_requests.earlier_runs_end() - now)
+        self.refuse_new(call, Refusal(UNKNOWN_PARENT, 0.0, wait), {}, version, now)
+
     def refuse_over_quota(self, call: EntryCall, wait: float, version: int, now: float) -> None:
         """Answers a request over its customer's quota with a 429."""
         self.count_answer(call, QUOTA)
--- a/src/coltsfoottrack/_internal/mesh/run_outcome.py
+++ b/src/coltsfoottrack/_internal/mesh/run_outcome.py
@@ -9,6 +9,7 @@
     FIRST_FAILURE_STATUS,
     BackendResponse,
 )
+from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.runner_call import RunnerCall, RunResult
@@ -29,7 +30,7 @@
 
 def note_refused_call(parent_requests: ParentRequests, request_id: str) -> None:
     """Records at the parent request, if any, that a call was refused before its route was known."""
-    parent = parent_requests.parent(request_id)
+    parent = parent_requests.parent(request_id, current_time())
     if parent is not None:
         parent.call_failed = True
 
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -374,7 +374,7 @@
         if call.sent_at is None:
             self.rate.give_back()
         else:
-            self.parent_requests.end(call.message.request_id)
+            self._end_run(call, result)
             self.whole_requests.record(call, result, current_time())
         self.running.discard(call)
         if result.result != RESULT_ANSWERED:
@@ -387,6 +387,13 @@
         self.call_cache.release_request(call)
         self._start_next()
 
+    def _end_run(self, call: RunnerCall, result: RunResult) -> None:
+        # Without an answer, the backend server may still be at work.
+        if result.result == RESULT_UNKNOWN:
+            self.parent_requests.lose(call.run)
+        else:
+            self.parent_requests.end(call.run, current_time())
+
     def _log_outcome(self, event: str, call: RunnerCall, reason: str) -> None:
         self.log.outcome(event, call, reason, len(self.running), len(self.queue))
 
--- a/tests/unit/test_mesh_customers.py
+++ b/tests/unit/test_mesh_customers.py
@@ -4,6 +4,7 @@
 from os import pread
 from tempfile import NamedTemporaryFile
 
+from coltsfoottrack._internal.mesh.clock import current_time
 from tests.standins.mesh import MeshTestCase, configuration, encode, read_answer
 from tests.unit.test_customers import ROUTES
 
@@ -114,7 +115,7 @@
         )
         await self.wait_until(lambda: len(node.runner.queue) == 1)
         await self.put_in_force(2, {"gold": {"apiKeys": [SECOND_KEY]}})
-        self.assertEqual(node.parent_requests.parent("run.1").customer, "pulo780")
+        self.assertEqual(node.parent_requests.parent("run.1", current_time()).customer, "pulo780")
         backend.slots = 3
         await backend.report(node.settings.report_address)
         tasks.append(create_task(self.send_request(node, encode("/order/", "run.1", "POST"))))
--- a/tests/unit/test_mesh_parts.py
+++ b/tests/unit/test_mesh_parts.py
@@ -228,12 +228,13 @@
     def test_only_a_request_running_here_is_a_parent(self):
         """Guards against a caller that obtains the rank of another request by its identifier."""
         parent_requests = ParentRequests(parent_identifier)
-        parent_requests.begin(RunningRequest("orders", 0, 9.0, False, "aa.bb"))
-        self.assertEqual(parent_requests.parent("aa.bb.cc").route, "orders")
-        self.assertIsNone(parent_requests.parent("aa.cc"))
-        self.assertIsNone(parent_requests.parent("aa"))
-        parent_requests.end("aa.bb")
-        self.assertIsNone(parent_requests.parent("aa.bb.cc"))
+        run = RunningRequest("orders", 0, 9.0, False, "aa.bb")
+        parent_requests.begin(run)
+        self.assertEqual(parent_requests.parent("aa.bb.cc", 1.0).route, "orders")
+        self.assertIsNone(parent_requests.parent("aa.cc", 1.0))
+        self.assertIsNone(parent_requests.parent("aa", 1.0))
+        parent_requests.end(run, 1.0)
+        self.assertIsNone(parent_requests.parent("aa.bb.cc", 1.0))
 
 
 class DirectoryTest(TestCase):
