--- a/src/coltsfoottrack/_internal/decision_log/reasons.py
+++ b/src/coltsfoottrack/_internal/decision_log/reasons.py
@@ -41,6 +41,7 @@
     "peer_silent": "the other node did not answer",
     "quarantined": "requests like it had crashed backend servers",
     "quota": "its customer had used up its quota",
+    "quota_unknown": "the node did not know yet what was left of its customer's quota",
     "repeat_budget": "the service's retry budget was used up",
     "time_out": "its deadline passed while it ran or waited",
     "too_slow": "it did not arrive within the time that the configuration allows",
--- a/src/coltsfoottrack/_internal/mesh/customers/quota.py
+++ b/src/coltsfoottrack/_internal/mesh/customers/quota.py
@@ -5,17 +5,14 @@
 
 from coltsfoottrack._internal.mesh.entry_call import EntryCall
 from coltsfoottrack._internal.mesh.model import Customer
-from coltsfoottrack._internal.mesh.shared_rate.terms import RateTerms
+from coltsfoottrack._internal.mesh.shared_rate.terms import RateTerms, TokenWait
 
 
 class RateTokens(Protocol):
     """Tokens of named rates that are shared by all nodes."""
 
-    def try_take(self, name: str, now: float) -> float | None:
-        """Takes a token.
-
-        Returns None, or the seconds until one is likely to be available if there is none now.
-        """
+    def try_take(self, name: str, now: float) -> TokenWait | None:
+        """Takes a token and returns None, or returns when one is likely."""
 
     def give_back(self, name: str) -> None:
         """Returns a token whose request has reached no backend server."""
@@ -24,7 +21,7 @@
 class UnlimitedTokens:
     """Tokens without a limit."""
 
-    def try_take(self, name: str, now: float) -> float | None:
+    def try_take(self, name: str, now: float) -> TokenWait | None:
         """Returns None."""
         return None
 
@@ -41,10 +38,10 @@
     return terms
 
 
-def charge(call: EntryCall, tokens: RateTokens, now: float) -> float | None:
+def charge(call: EntryCall, tokens: RateTokens, now: float) -> TokenWait | None:
     """Charges a new request to its customer's quota.
 
-    Returns None, or the seconds until a token is likely to be available if the quota is used up.
+    Returns None, or when a token is likely to be available if there is none.
     """
     if call.customer is None:
         return None
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -189,11 +189,11 @@
         self.parent_requests.note_call(call.parent, call.route.name, now)
 
     def _charge(self, call: EntryCall, table: RouteTable, now: float) -> bool:
-        """Returns whether a new request is within its customer's quota; answers 429 if not."""
+        """Returns whether a new request is within its customer's quota; refuses it if not."""
         wait = charge(call, self.shared_rates, now)
         if wait is None:
             return True
-        self.refusals.refuse_over_quota(call, wait, table.version, now)
+        self.refusals.refuse_without_token(call, wait, table.version, now)
         return False
 
     def _admit(self, call: EntryCall, table: RouteTable, now: float) -> bool:
--- a/src/coltsfoottrack/_internal/mesh/entry_refusals.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_refusals.py
@@ -9,6 +9,7 @@
 from coltsfoottrack._internal.mesh.model import HeaderNames
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests
 from coltsfoottrack._internal.mesh.run_outcome import note_failed_call, note_refused_call
+from coltsfoottrack._internal.mesh.shared_rate.terms import TokenWait
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 
 # Upper bound on the Retry-After value, as a fraction of the remaining time.
@@ -23,6 +24,8 @@
 UNKNOWN_PARENT = "unknown_parent"
 # Reason of a request over the quota of its customer.
 QUOTA = "quota"
+# Reason of a request while this node does not know what is left of its customer's quota.
+QUOTA_UNKNOWN = "quota_unknown"
 # Names the scheme of the keys, as HTTP requires of a response with status 401.
 AUTHENTICATE_LINE = b"WWW-Authenticate: Bearer\r\n"
 
@@ -92,11 +95,20 @@
         wait = max(RETRY_AFTER_SECONDS, self.parent_requests.earlier_runs_end() - now)
         self.refuse_new(call, Refusal(UNKNOWN_PARENT, 0.0, wait), {}, version, now)
 
-    def refuse_over_quota(self, call: EntryCall, wait: float, version: int, now: float) -> None:
-        """Answers a request over its customer's quota with a 429."""
+    def refuse_without_token(
+        self, call: EntryCall, wait: TokenWait, version: int, now: float
+    ) -> None:
+        """Answers a request over its customer's quota with a 429.
+
+        If no lender has told what is left of the quota, the answer is a 503.
+        """
+        if not wait.is_used_up:
+            refusal = Refusal(QUOTA_UNKNOWN, 0.0, wait.seconds)
+            self.refuse_new(call, refusal, {}, version, now)
+            return
         self.count_answer(call, QUOTA)
         self.log.refused_by_customer(call, 429, QUOTA, version)
-        call.request.respond(429, self.retry_after(wait, call.deadline - now), b"")
+        call.request.respond(429, self.retry_after(wait.seconds, call.deadline - now), b"")
 
     def refuse_new(
         self, call: EntryCall, refusal: Refusal, reported: dict[str, str], version: int, now: float
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/lender.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/lender.py
@@ -96,6 +96,7 @@
         grant.names.append(digest)
         grant.limits.append(rate.limit(borrower))
         grant.scarce.append(rate.scarce)
+        grant.knows_use.append(rate.knows_use())
         self.granted += borrower.lent
 
     def _rate(self, digest: int, now: float) -> LentRate | None:
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/lent_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/lent_rate.py
@@ -79,6 +79,8 @@
         self.demand = 0.0
         self.wanted = 0
         self.swept_at = now
+        # Whether the bucket was nearly full since most nodes follow this lender.
+        self.was_plentiful = False
         # Part of the nodes that follow this lender.
         self.followers = 0.0
         # Since when most nodes follow it, None if they do not.
@@ -96,6 +98,16 @@
         """Returns whether a majority has reported here for FOLLOW_SECONDS without a break."""
         return self.followed_since is not None and now - self.followed_since >= FOLLOW_SECONDS
 
+    def knows_use(self) -> bool:
+        """Returns whether an empty bucket shows that the rate is used up.
+
+        The bucket of a new lender is empty because it does not know what was used before.
+        """
+        if not self.is_sole(self.updated_at):
+            return False
+        followed = self.updated_at - self.followed_since
+        return self.was_plentiful or followed >= self.bounds.window_seconds
+
     def refill(self, now: float) -> None:
         """Adds the tokens that were earned since the last call."""
         elapsed = max(0.0, now - self.updated_at)
@@ -148,6 +160,7 @@
             return False
         elif self.level > self.scarce_below + PLENTIFUL_RATIO * self.capacity:
             self.scarce = False
+            self.was_plentiful = self.is_sole(self.updated_at)
         return before != self.scarce
 
     def _is_sparse(self) -> bool:
@@ -199,6 +212,7 @@
             self.followed_since = None
         elif self.followed_since is None:
             self.followed_since = now
+            self.was_plentiful = False
             self.level = min(0.0, self.level)
 
     def _reclaim(self, borrower: Borrower) -> None:
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/local_rate.py
@@ -3,7 +3,7 @@
 from random import random
 from typing import NamedTuple
 
-from coltsfoottrack._internal.mesh.shared_rate.terms import START_SECONDS, RateTerms
+from coltsfoottrack._internal.mesh.shared_rate.terms import START_SECONDS, RateTerms, TokenWait
 
 # A grant is valid for this long after the report that it answers was sent.
 LEASE_SECONDS = 1.0
@@ -20,6 +20,8 @@
 HELD_BACK_SECONDS = 0.8
 # Tokens of continued use are saved for this long.
 CONTINUE_BURST_SECONDS = 0.2
+# A process that has just started uses nothing for this long; then the other nodes are known.
+START_HOLD_SECONDS = 0.3
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 5.0
 
@@ -53,6 +55,8 @@
         # Who granted it, and whether tokens were scarce there.
         self.source: Source | None = None
         self.scarce = True
+        # Whether the lender knows how many tokens are in use.
+        self.lender_knows_use = False
         # Tokens used per second.
         self.pace = 0.0
         self.paced_at = now
@@ -69,8 +73,8 @@
         self.fallback_level = 0.0
         self.fallback_at = now + START_SECONDS
 
-    def try_take(self, now: float) -> float | None:
-        """Takes a token and returns None, or returns the seconds until one is likely."""
+    def try_take(self, now: float) -> TokenWait | None:
+        """Takes a token and returns None, or returns when one is likely."""
         self.wanted += 1
         if now < self.expires:
             if self.used < self.limit:
@@ -78,7 +82,7 @@
                 return None
             if now < self.continues_until and self._try_continue(now):
                 return None
-            return self._retry_seconds()
+            return TokenWait(self._retry_seconds(), is_used_up=self.lender_knows_use)
         if now < self.continues_until and self._try_continue(now):
             return None
         self._refill_fallback(now)
@@ -86,6 +90,11 @@
             self.fallback_level -= 1.0
             self.used += 1
             return None
+        return TokenWait(self._seconds_without_lender(), is_used_up=False)
+
+    def _seconds_without_lender(self) -> float:
+        if self.source is None and not self.continues_until:
+            return START_HOLD_SECONDS
         return min(MAX_RETRY_SECONDS, max(LEASE_SECONDS, 1.0 / max(0.01, self.fallback_rate)))
 
     def _try_continue(self, now: float) -> bool:
@@ -127,9 +136,18 @@
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, 0.25 * ratio))
 
     def apply_grant(
-        self, source: Source, limit: int, scarce: bool, sent_at: float, now: float
+        self,
+        source: Source,
+        limit: int,
+        scarce: bool,
+        sent_at: float,
+        now: float,
+        knows_use: bool = True,
     ) -> None:
-        """Applies a grant; one of a new lender does not end a larger one that is still valid."""
+        """Applies a grant; one of a new lender does not end a larger one that is still valid.
+
+        ``knows_use`` tells whether the lender knows how many tokens are in use.
+        """
         expires = sent_at + LEASE_SECONDS
         if expires <= now:
             return
@@ -144,6 +162,7 @@
                 return
         self.source = source
         self.scarce = scarce
+        self.lender_knows_use = knows_use
         self.limit = limit
         self.expires = expires
         self.last_grant = max(0, limit - self.used)
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/shared_rates.py
@@ -11,8 +11,13 @@
     choose_lender,
     lender_candidates,
 )
-from coltsfoottrack._internal.mesh.shared_rate.local_rate import FALLBACK_RATIO, LocalRate, Source
-from coltsfoottrack._internal.mesh.shared_rate.terms import RateTerms, name_digest
+from coltsfoottrack._internal.mesh.shared_rate.local_rate import (
+    FALLBACK_RATIO,
+    START_HOLD_SECONDS,
+    LocalRate,
+    Source,
+)
+from coltsfoottrack._internal.mesh.shared_rate.terms import RateTerms, TokenWait, name_digest
 from coltsfoottrack._internal.schema.links_pb2 import Frame, RateGrant, RateUsage
 
 MICROSECONDS = 1_000_000.0
@@ -29,8 +34,6 @@
 # A process that starts uses an equal share of each rate for this long: after a restart of all
 # nodes, no lender may lend before it knows that it is the only one.
 START_SHARE_SECONDS = 3.0
-# The other nodes are known this long after the start.
-START_HOLD_SECONDS = 0.3
 # All nodes together use at most this part of a bucket before they report.
 UNREPORTED_RATIO = 0.5
 MIN_UNREPORTED = 2
@@ -125,8 +128,8 @@
             self.loans = {}
             self.avoided = {}
 
-    def try_take(self, name: str, now: float) -> float | None:
-        """Takes a token and returns None, or returns the seconds until one is likely.
+    def try_take(self, name: str, now: float) -> TokenWait | None:
+        """Takes a token and returns None, or returns when one is likely.
 
         A name without a limit is always admitted.
         """
@@ -289,10 +292,13 @@
         loan.held_back = False
         loan.scarce = any(grant.scarce)
         source = Source(node, grant.epoch)
-        for digest, limit, scarce in zip(grant.names, grant.limits, grant.scarce, strict=True):
+        # A node of an earlier version does not tell whether it knows the use.
+        knows_use = grant.knows_use or [True] * count
+        fields = zip(grant.names, grant.limits, grant.scarce, knows_use, strict=False)
+        for digest, limit, scarce, knows in fields:
             rate = self.by_digest.get(digest)
             if rate is not None:
-                rate.apply_grant(source, limit, scarce, sent_at, now)
+                rate.apply_grant(source, limit, scarce, sent_at, now, knows)
 
     def handle_unreachable(self, node: str, now: float) -> None:
         """Replaces a lender to which no connection can be opened."""
--- a/src/coltsfoottrack/_internal/mesh/shared_rate/terms.py
+++ b/src/coltsfoottrack/_internal/mesh/shared_rate/terms.py
@@ -49,6 +49,15 @@
         return min(by_rate, SCARCE_RATIO * self.capacity(bounds))
 
 
+class TokenWait(NamedTuple):
+    """Why there is no token, and when there may be one."""
+
+    # Seconds until a token is likely.
+    seconds: float
+    # Whether the rate is known to be used up; otherwise no lender has told how much is left.
+    is_used_up: bool
+
+
 def name_digest(name: str) -> int:
     """Returns the number that stands for a name in messages."""
     digest = blake2b(name.encode("utf-8"), digest_size=DIGEST_BYTES).digest()
--- a/tests/unit/test_customers.py
+++ b/tests/unit/test_customers.py
@@ -22,6 +22,7 @@
 from coltsfoottrack._internal.mesh.model import CallerLimits, Member
 from coltsfoottrack._internal.mesh.parent_requests import ParentRequests, RunningRequest
 from coltsfoottrack._internal.mesh.routes import RouteTable
+from coltsfoottrack._internal.mesh.shared_rate.terms import TokenWait
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.schema.links_pb2 import RESULT_ANSWERED, RESULT_NOT_RUN, Reply
 from coltsfoottrack.platform.configuration import decode_configuration
@@ -313,7 +314,7 @@
 
     def test_request_over_the_quota(self):
         """Guards against a refusal that does not say when to come back, or spends a token."""
-        self.tokens.wait = 0.4
+        self.tokens.wait = TokenWait(0.4, is_used_up=True)
         status, head = self.status(self.send(KEY))
         self.assertEqual(status, 429)
         seconds = float(head.removeprefix(b"retry-after: "))
@@ -321,6 +322,16 @@
         self.assertEqual((self.sent, self.tokens.returned), ([], []))
         self.assertEqual(self.entry.statistics.customer_answers, {"pulo780": {"quota": 1}})
 
+    def test_request_while_the_quota_is_not_known(self):
+        """Guards against a customer within its limit that is told that it is over it."""
+        self.tokens.wait = TokenWait(0.4, is_used_up=False)
+        status, head = self.status(self.send(KEY))
+        self.assertEqual(status, 503)
+        self.assertTrue(head.startswith(b"retry-after: "))
+        self.assertEqual((self.sent, self.tokens.returned), ([], []))
+        answers = {"pulo780": {"quota_unknown": 1}}
+        self.assertEqual(self.entry.statistics.customer_answers, answers)
+
     def test_tokens_of_requests_that_reached_no_backend_server_return(self):
         """Guards against a quota used up by refusals, and tokens returned for requests that ran."""
         refusal = Refusal("admission_level", 0.0, 0.1)
--- a/tests/unit/test_mesh_shared_rate.py
+++ b/tests/unit/test_mesh_shared_rate.py
@@ -179,6 +179,26 @@
         mesh.run(3.0, demand)
         self.assertLess(sum(mesh.refused[-300:]), 0.05 * USUAL * 327.0 * 2.0)
 
+    def test_new_process_does_not_claim_that_the_rate_is_used_up(self):
+        """Guards against a 429 of a node that has just started, at a customer within its limit."""
+        mesh = SimulatedRates(60, 327.0, 327.0)
+        mesh.run(5.0, mesh.spread(0.1 * 327.0))
+        mesh.start("n7")
+        wait = mesh.nodes["n7"].rates.try_take(NAME, mesh.now)
+        self.assertFalse(wait.is_used_up)
+        self.assertLessEqual(wait.seconds, 0.5)
+        # A grant of a lender that has just started proves nothing either.
+        for name in list(mesh.nodes):
+            mesh.start(name)
+        for _ in range(20):
+            mesh.run(0.1, mesh.spread(0.1 * 327.0))
+            for node in mesh.nodes.values():
+                wait = node.rates.try_take(NAME, mesh.now)
+                self.assertFalse(wait is not None and wait.is_used_up)
+        mesh.run(8.0, mesh.spread(SURGE * 327.0, 0.5))
+        waits = [node.rates.try_take(NAME, mesh.now) for node in mesh.nodes.values()]
+        self.assertTrue(any(wait is not None and wait.is_used_up for wait in waits))
+
     def test_tokens_that_were_given_back_are_usable(self):
         """Guards against a quota that requests use which reach no backend server."""
         mesh = SimulatedRates(2, 5.0, 5.0)
