--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -26,8 +26,6 @@
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.subscriptions import Subscriptions
 
-# Bounds the delay until changed member records are passed on, and until a lost source is noticed.
-TICK_SECONDS = 0.2
 # Interval of the search among all members for those that left long ago.
 DISCARD_SECONDS = 5.0
 
@@ -102,7 +100,8 @@
     async def _tick(self) -> None:
         discarded_at = current_time()
         while True:
-            await sleep(TICK_SECONDS)
+            # Bounds the delay until changed records are passed on and a lost source is noticed.
+            await sleep(self.subscriptions.tick_pause(current_time()))
             now = current_time()
             levels = self.level_reporter.due(now)
             if levels:
--- a/src/coltsfoottrack/_internal/mesh/publisher.py
+++ b/src/coltsfoottrack/_internal/mesh/publisher.py
@@ -41,7 +41,7 @@
         self.changed: dict[str, Member] = {}
         self.sent_at = 0.0
         # Returns up to when the store has confirmed this node's knowledge, None if never.
-        self.last_confirmed: Callable[[float], float | None] = lambda now: None
+        self.last_confirmed: Callable[[], float | None] = lambda: None
 
     def subscribe(self, connection: LinkConnection, all_members: bool, now: float) -> None:
         """Adds or renews a subscription and sends the present state to the subscriber."""
@@ -95,7 +95,7 @@
         )
 
     def _age_ms(self, now: float) -> int:
-        confirmed = self.last_confirmed(now)
+        confirmed = self.last_confirmed()
         if confirmed is None:
             return UNKNOWN_AGE_MS
         return min(UNKNOWN_AGE_MS, max(0, int((now - confirmed) * 1000.0)))
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -15,7 +15,12 @@
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.exceptions import StoreError, StoreHistoryLostError
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
-from coltsfoottrack._internal.mesh.store import MemberChange, ProbeResult, Store
+from coltsfoottrack._internal.mesh.store import (
+    ConfigurationChange,
+    MemberChange,
+    ProbeResult,
+    Store,
+)
 from coltsfoottrack._internal.mesh.watch_guard import WatchGuard
 
 # Each answer of a watch costs one call; the pause lets one answer collect the changes of this time.
@@ -38,14 +43,15 @@
         self.members = members
         self.log = log
         self.tasks: list[Task[None]] = []
-        # Whether the store answers calls for the configuration, and when one last did before.
+        # Whether the store has answered the last call for the configuration.
         self.following = False
+        # Time of the last answer that confirms the configuration, None if there was none. A watch
+        # that waits confirms nothing by itself.
         self.confirmed_at: float | None = None
-        # Time of the last answer of a read or a watch of the configuration.
-        self.answered_at = 0.0
         self.guard = WatchGuard(store)
         self.guard.on_missed = self._apply_missed
-        # Called when the store has confirmed the configuration again.
+        self.guard.on_answered = self._handle_probed
+        # Called each time that the store has confirmed the configuration.
         self.on_confirmed: Callable[[], None] = lambda: None
 
     @property
@@ -89,10 +95,6 @@
         self._cancel()
         self._set_following(False)
 
-    def last_confirmed(self, now: float) -> float | None:
-        """Returns the time up to which the store has confirmed the configuration, None if never."""
-        return now if self.following else self.confirmed_at
-
     async def _follow_configuration(self) -> None:
         revision: int | None = None
         backoff = Backoff("configuration", self.log)
@@ -114,12 +116,8 @@
                 revision = None
                 continue
             backoff.record_success()
-            self.answered_at = current_time()
-            if change.content is not None:
-                self.active_configuration.apply_if_newer(
-                    change.content, f"store revision {change.revision}"
-                )
             self._set_following(True)
+            self._confirm(change)
             if change.content is None and revision is None:
                 # No configuration is stored yet.
                 await sleep(uniform(MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS))
@@ -133,13 +131,26 @@
                 result.content, f"probe, store revision {result.revision}"
             )
 
+    def _confirm(self, change: ConfigurationChange) -> None:
+        """Applies an answer of the store and tells the subscribers that it has confirmed it."""
+        self.confirmed_at = current_time()
+        before = self.active_configuration.version
+        if change.content is not None:
+            self.active_configuration.apply_if_newer(
+                change.content, f"store revision {change.revision}"
+            )
+        # A newer configuration tells them when it comes into force.
+        if self.active_configuration.version == before:
+            self.on_confirmed()
+
+    def _handle_probed(self) -> None:
+        """Notes that the watch, which would have failed with the probe, shows all changes."""
+        if self.following:
+            self.confirmed_at = current_time()
+            self.on_confirmed()
+
     def _set_following(self, following: bool) -> None:
-        if self.following and not following:
-            self.confirmed_at = max(self.answered_at, self.guard.answered_at)
-        regained = following and not self.following
         self.following = following
-        if regained:
-            self.on_confirmed()
 
     async def _follow_members(self) -> None:
         revision: int | None = None
--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -17,6 +17,7 @@
 from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS, Publisher
 from coltsfoottrack._internal.mesh.records import to_record
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
+from coltsfoottrack._internal.mesh.watch_guard import PROBE_SECONDS
 from coltsfoottrack._internal.mesh.watchers import (
     SOURCES,
     WATCHER_SOURCES,
@@ -47,16 +48,28 @@
 BLIND_SECONDS = 2.0
 # Pause between two changes of sources that do not reach the store.
 BLIND_REPLACE_SECONDS = 1.0
-# Without a source, a node looks itself once its knowledge is older than this. A configuration must
-# be in force within 2 s on the platform's strictest deployments.
-MAX_AGE_SECONDS = 1.2
+# A watcher's knowledge is confirmed each PROBE_SECONDS, and it tells its subscribers at once. A
+# configuration must be in force within 2 s on the platform's strictest deployments; the rest of
+# that time is divided below. A node whose knowledge is older than this asks further nodes.
+OVERDUE_SECONDS = PROBE_SECONDS + 0.2
+# Knowledge of this age has how many further sources, more the longer it lasts.
+FURTHER_SOURCES = ((OVERDUE_SECONDS, 1), (PROBE_SECONDS + 0.3, 3), (PROBE_SECONDS + 0.4, 6))
+# A node whose knowledge is older than this looks itself.
+LOOK_SECONDS = PROBE_SECONDS + 0.55
+# If this many sources say that they do not reach the store, it is taken to be away for all.
+ENOUGH_BLIND_SOURCES = 8
+# Pause of the work of a node, and while its knowledge is about to be too old.
+TICK_SECONDS = 0.2
+OVERDUE_TICK_SECONDS = 0.05
+# Without a source, a node looks itself once its knowledge is older than this.
+MAX_AGE_SECONDS = OVERDUE_SECONDS
 # A node without a configuration cannot serve, and waits for its sources for less.
 MAX_AGE_WITHOUT_CONFIGURATION_SECONDS = 0.4
-# With sources that do not reach the store, it leaves them time to find one that does.
-MAX_AGE_WITH_SOURCES_SECONDS = 4.0
+# If the store is taken to be away for all, others that look already tell when it is back.
+MAX_AGE_WITHOUT_STORE_SECONDS = 4.0
 # Random parts of these, so that not all nodes look at the same time.
 AGE_JITTER_SECONDS = 0.3
-AGE_WITH_SOURCES_JITTER_SECONDS = 2.0
+AGE_WITHOUT_STORE_JITTER_SECONDS = 12.0
 # A node follows the store for at least this long after the last reason to do so.
 KEEP_WATCHING_SECONDS = 5.0
 # Members that differ from those of a source for this long are exchanged.
@@ -113,9 +126,9 @@
         # Sends a message to a member, connecting first if there is no connection.
         self.send: Callable[[Member, Frame], None] = lambda member, frame: None
 
-    def last_confirmed(self, now: float) -> float | None:
+    def last_confirmed(self) -> float | None:
         """Returns up to when the store has confirmed what this node knows, None if never."""
-        own = self.watch.last_confirmed(now)
+        own = self.watch.confirmed_at
         if own is None or self.heard_confirmed is None:
             return own if self.heard_confirmed is None else self.heard_confirmed
         return max(own, self.heard_confirmed)
@@ -147,7 +160,9 @@
         if notice.age_ms != UNKNOWN_AGE_MS:
             confirmed = now - notice.age_ms / 1000.0
             source.confirmed_at = max(confirmed, source.confirmed_at or confirmed)
-            self.heard_confirmed = max(confirmed, self.heard_confirmed or confirmed)
+            # A newer configuration that this node does not have yet confirms nothing here.
+            if notice.configuration_version <= self.publisher.active_configuration.version:
+                self.heard_confirmed = max(confirmed, self.heard_confirmed or confirmed)
         self._compare_members(source, notice.members_digest, now)
 
     def _compare_members(self, source: Source, digest: int, now: float) -> None:
@@ -217,13 +232,63 @@
             elif now - source.renewed_at > RENEW_SECONDS and source.connection is not None:
                 source.renewed_at = now
                 source.connection.send(self._subscribe(all_members=False))
-        self._replace_blind(now)
-        if now - self.reviewed_at > REVIEW_SECONDS:
+        age = self.age(now)
+        if age > OVERDUE_SECONDS:
+            self._ask_further(age, now)
+        else:
+            self._drop_further(now)
+            self._replace_blind(now)
+        if now - self.reviewed_at > REVIEW_SECONDS and len(self.sources) <= self.wanted_sources:
             self._review(now)
         self._subscribe_missing(now)
         self._update_watch(now)
         self.publisher.tick(now)
 
+    def tick_pause(self, now: float) -> float:
+        """Returns the seconds until the next tick is due."""
+        if PROBE_SECONDS <= self.age(now) <= LOOK_SECONDS + TICK_SECONDS:
+            return OVERDUE_TICK_SECONDS
+        return TICK_SECONDS
+
+    def age(self, now: float) -> float:
+        """Returns the seconds since the store has confirmed what this node knows.
+
+        Before the first time, they count from when this node may look itself.
+        """
+        confirmed = self.last_confirmed()
+        return now - (confirmed if confirmed is not None else self.look_after)
+
+    def _ask_further(self, age: float, now: float) -> None:
+        """Subscribes to further nodes, which then follow the store.
+
+        They send no records of members: what is asked for is only whether they reach the store.
+        """
+        wanted = self.wanted_sources
+        for after, further in FURTHER_SOURCES:
+            if age > after:
+                wanted = self.wanted_sources + further
+        missing = wanted - len(self.sources)
+        if missing <= 0:
+            return
+        excluded = self.avoided.keys() | self.sources.keys()
+        for member in choose_sources(self.directory.own, self._candidates(), excluded, missing):
+            self._add(member, now, all_members=False)
+
+    def _drop_further(self, now: float) -> None:
+        """Ends a subscription that is no longer needed, to a source that is blind if there is."""
+        if len(self.sources) <= self.wanted_sources:
+            return
+        oldest = min(self.sources.values(), key=lambda source: source.confirmed_at or 0.0)
+        if self._is_blind(oldest, now):
+            self.avoided[oldest.member.node] = now + AVOID_SECONDS
+        else:
+            oldest = max(self.sources.values(), key=lambda source: source.subscribed_at)
+        self._unsubscribe(oldest)
+
+    def _is_blind(self, source: Source, now: float) -> bool:
+        """Returns whether the store has not confirmed a source's knowledge in time."""
+        return source.confirmed_at is None or now - source.confirmed_at > OVERDUE_SECONDS
+
     def _candidates(self) -> list[Member]:
         if self.directory_generation != self.directory.generation:
             self.directory_generation = self.directory.generation
@@ -241,9 +306,9 @@
         for member in choose_sources(self.directory.own, order, excluded, missing):
             self._add(member, now)
 
-    def _add(self, member: Member, now: float) -> None:
+    def _add(self, member: Member, now: float, all_members: bool = True) -> None:
         self.sources[member.node] = Source(member, now)
-        self.send(member, self._subscribe(all_members=True))
+        self.send(member, self._subscribe(all_members))
 
     def _replace_blind(self, now: float) -> None:
         """Replaces a source that does not reach the store, if there is another one to try."""
@@ -302,12 +367,13 @@
         is_alone = not self.sources and not self.avoided
         if is_alone and self.searched:
             return True
-        confirmed = self.last_confirmed(now)
-        age = now - (confirmed if confirmed is not None else self.look_after)
-        if self._live_sources(now):
-            limit = MAX_AGE_WITH_SOURCES_SECONDS + AGE_WITH_SOURCES_JITTER_SECONDS * self.jitter
+        live = self._live_sources(now)
+        if sum(self._is_blind(source, now) for source in live) >= ENOUGH_BLIND_SOURCES:
+            limit = MAX_AGE_WITHOUT_STORE_SECONDS + AGE_WITHOUT_STORE_JITTER_SECONDS * self.jitter
+        elif live:
+            limit = LOOK_SECONDS
         elif not self.publisher.active_configuration.version:
             limit = MAX_AGE_WITHOUT_CONFIGURATION_SECONDS + AGE_JITTER_SECONDS * self.jitter
         else:
             limit = MAX_AGE_SECONDS + AGE_JITTER_SECONDS * self.jitter
-        return age > limit
+        return self.age(now) > limit
--- a/src/coltsfoottrack/_internal/mesh/watch_guard.py
+++ b/src/coltsfoottrack/_internal/mesh/watch_guard.py
@@ -17,7 +17,6 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
-from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.exceptions import StoreError
 from coltsfoottrack._internal.mesh.store import ProbeResult, Store
 
@@ -39,14 +38,14 @@
         self.lock = Lock()
         # Whether the connection for probes is open.
         self.connected = False
-        # Time of the last answer to a probe.
-        self.answered_at = 0.0
         # Revision up to which the watch of the configuration has told of changes.
         self.revision = 0
         # Newer revision that the last probe has shown, 0 if none.
         self.missed_revision = 0
         # Called with a newer configuration that a probe has shown.
         self.on_missed: Callable[[ProbeResult], None] = lambda result: None
+        # Called when the watches have been shown to be alive.
+        self.on_answered: Callable[[], None] = lambda: None
 
     def reset(self) -> None:
         """Forgets the state of earlier watches."""
@@ -99,10 +98,11 @@
             if not result.reused_connection:
                 self._end_watches(StoreError("connection for probes is newer than the watches"))
             self._record(result)
+            if result.reused_connection and not self.missed_revision:
+                self.on_answered()
 
     def _record(self, result: ProbeResult) -> None:
         """Evaluates the answer to a probe, which may be seconds old."""
-        self.answered_at = current_time()
         if not self.revision or result.revision <= self.revision:
             self.missed_revision = 0
             return
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -51,7 +51,6 @@
 # Time after which a node gives up a call, and how much longer it waits for a watch.
 CALL_TIMEOUT_SECONDS = 1.5
 PROBE_TIMEOUT_SECONDS = 1.0
-TICK_SECONDS = 0.2
 # Price of a call that may return old data, in calls.
 STALE_CALL = 0.1
 CLOCK_MODULES = (
@@ -304,7 +303,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await sleep(TICK_SECONDS)
+            await sleep(self.subscriptions.tick_pause(_loop().time()))
             if not self.frozen:
                 self.subscriptions.tick(_loop().time())
 
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -1,13 +1,14 @@
 """Members and configurations in a mesh where few nodes follow the store, in simulated time."""
 
 from asyncio import get_running_loop, sleep
+from random import Random
 from unittest import TestCase
 
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.own_record import REWRITES_PER_SECOND
 from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS
 from coltsfoottrack._internal.mesh.watchers import choose_sources, watcher_count, watcher_order
-from coltsfoottrack._internal.schema.links_pb2 import Frame
+from coltsfoottrack._internal.schema.links_pb2 import Frame, Notice
 from tests.unit.simulated_mesh import SimulatedMesh, SimulatedNode, run_simulated
 
 # The platform's strictest bound on the time until a stored configuration is in force.
@@ -228,6 +229,92 @@
 
         run_simulated(scenario())
 
+    # CONFIG: a watch that waited counted as news, at the watcher and at all who heard from it.
+    def test_change_after_the_store_fell_silent_to_all_watchers(self):
+        async def scenario() -> None:
+            for count in (12, NODES):
+                for pause in (0.05, 0.3, 0.7, 1.2, 1.9):
+                    mesh = await self.started(count)
+                    mesh.store.silent.update(node.name for node in mesh.watching())
+                    await sleep(pause)
+                    mesh.store.put_configuration(2)
+                    await sleep(IN_FORCE_SECONDS)
+                    behind = set(missing(mesh, 2)) - mesh.store.silent
+                    self.assertEqual(behind, set(), (count, pause))
+
+        run_simulated(scenario())
+
+    def test_change_while_the_store_turns_a_third_of_the_nodes_away(self):
+        """Guards against nodes whose sources are all among those that the store turns away."""
+
+        async def scenario() -> None:
+            for number in range(20):
+                mesh = await self.started(12 if number % 2 else NODES)
+                names = Random(number).sample(sorted(mesh.nodes), len(mesh.nodes) // 3)
+                (mesh.store.silent if number % 4 < 2 else mesh.store.refused).update(names)
+                mesh.store.notify()
+                await sleep(0.1)
+                mesh.store.put_configuration(2)
+                await sleep(IN_FORCE_SECONDS)
+                self.assertEqual(set(missing(mesh, 2)) - set(names), set(), number)
+
+        run_simulated(scenario())
+
+    def test_age_of_knowledge_counts_from_the_last_answer(self):
+        """Guards against notices that call knowledge new because a watch is open."""
+
+        async def scenario() -> None:
+            mesh = await self.started(12)
+            watcher = mesh.watching()[0]
+            for source in list(watcher.subscriptions.sources.values()):
+                source.connection.silent = source.connection.other.silent = True
+            mesh.store.silent.add(watcher.name)
+            answered_at = watcher.watch.confirmed_at
+            await sleep(0.9)
+            self.assertTrue(watcher.watch.following)
+            frames: list[Frame] = []
+            watcher.publisher.subscribe(FrameCollector(frames), False, get_running_loop().time())
+            confirmed_at = get_running_loop().time() - frames[0].notice.age_ms / 1000.0
+            heard = watcher.subscriptions.heard_confirmed
+            self.assertLess(confirmed_at, max(answered_at, heard) + 0.1)
+
+        run_simulated(scenario())
+
+    def test_newer_version_that_was_not_fetched_confirms_nothing(self):
+        """Guards against an old configuration that counts as confirmed by news of a newer one."""
+
+        async def scenario() -> None:
+            mesh = await self.started(12)
+            node = next(n for n in mesh.running() if not n.watch.started)
+            confirmed = node.subscriptions.last_confirmed()
+            source = next(iter(node.subscriptions.sources.values()))
+            notice = Notice(configuration_version=9, age_ms=0)
+            node.subscriptions.handle_notice(source.connection, notice, confirmed + 0.5)
+            self.assertEqual(node.subscriptions.last_confirmed(), confirmed)
+            self.assertEqual(source.confirmed_at, confirmed + 0.5)
+
+        run_simulated(scenario())
+
+    def test_calls_in_an_outage_stay_few(self):
+        """Guards against nodes that all look at once, although others look already."""
+
+        async def scenario() -> None:
+            calls = {}
+            for count in (60, 196):
+                for seconds in (3.5, 9.0):
+                    mesh = await self.started(count)
+                    before = mesh.store.calls
+                    mesh.store.is_down = True
+                    mesh.store.notify()
+                    await sleep(seconds)
+                    calls[count, seconds] = mesh.store.calls - before
+            # The watchers and further sources of all nodes; 13 watchers at 196 nodes, 4 at 60.
+            self.assertLess(calls[196, 3.5], 100.0)
+            self.assertLess(calls[196, 3.5], 3.0 * calls[60, 3.5])
+            self.assertLess(calls[196, 9.0], 4.0 * 196)
+
+        run_simulated(scenario())
+
     def test_change_after_an_outage_and_a_lost_history(self):
         """Guards against nodes that stay behind after the store returns."""
 
