--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -7,6 +7,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from coltsfoottrack._internal.calls.answer_status import StatusKind, status_kind
 from coltsfoottrack._internal.mesh.backend_load import LoadReport, parse_load
 from coltsfoottrack._internal.mesh.backend_rate import parse_rate
 from coltsfoottrack._internal.mesh.body_buffer import Body, BodyBuffer, LargeBody
@@ -37,7 +38,6 @@
 NON_IDEMPOTENT_IDLE_SECONDS = 3.0
 # A connection that has refused this many requests is closed, as it must know them all.
 MAX_REFUSED_IDS = 256
-FIRST_FINAL_STATUS = 200
 # Statuses from here on count as failures of the backend server.
 FIRST_FAILURE_STATUS = 500
 # Value of the header by which a backend server states that it leaves.
@@ -107,6 +107,7 @@
         self.load: LoadReport | None = None
         self.has_content_encoding = False
         self.has_framing = False
+        self.status_kind = StatusKind.INTERIM
         self.in_response = False
         self.reusable = True
         self.idle_since = 0.0
@@ -254,10 +255,14 @@
 
     def on_headers_complete(self) -> None:
         """Completes the response to a HEAD request, which never has a body."""
-        if self.parser.get_status_code() >= FIRST_FINAL_STATUS:
-            self.in_body = True
-            self.received_in_head = 0
-        if self.is_head_request and self.parser.get_status_code() >= FIRST_FINAL_STATUS:
+        self.status_kind = status_kind(self.parser.get_status_code(), self.has_framing)
+        if self.status_kind is StatusKind.INVALID and self.answer is None:
+            self._fail("answer_not_http")
+        if self.status_kind is not StatusKind.FINAL:
+            return
+        self.in_body = True
+        self.received_in_head = 0
+        if self.is_head_request:
             self.reusable = False
             self._complete()
 
@@ -276,7 +281,7 @@
 
     def on_message_complete(self) -> None:
         """Completes a response."""
-        if self.parser.get_status_code() < FIRST_FINAL_STATUS:
+        if self.status_kind is not StatusKind.FINAL:
             return
         self.reusable = self.reusable and self.parser.should_keep_alive()
         self._complete()
--- a/src/coltsfoottrack/_internal/routing/http_connection.py
+++ b/src/coltsfoottrack/_internal/routing/http_connection.py
@@ -13,6 +13,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from multidict import CIMultiDict
 
+from coltsfoottrack._internal.calls.answer_status import StatusKind, status_kind
 from coltsfoottrack._internal.routing.exceptions import (
     ConnectionLostError,
     ConnectTimeoutError,
@@ -29,7 +30,6 @@
 TCP_KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 3000
 MAX_RESPONSE_BYTES = 17 * 1024 * 1024
-FIRST_FINAL_STATUS = 200
 
 
 class HttpReply(NamedTuple):
@@ -93,7 +93,12 @@
     def on_message_complete(self) -> None:
         """Delivers a final response; skips interim ones and closes on a second final one."""
         status = self.parser.get_status_code()
-        if status < FIRST_FINAL_STATUS:
+        is_framed = "Content-Length" in self.headers or "Transfer-Encoding" in self.headers
+        kind = status_kind(status, is_framed)
+        if kind is StatusKind.INVALID:
+            self.abort(f"response has the status {status}")
+            return
+        if kind is StatusKind.INTERIM:
             self.headers = CIMultiDict()
             return
         if self.reply is None or self.reply.done():
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -87,6 +87,8 @@
         # Fault in place of a correct answer: lose, truncate, cut_head, extra, unsealed, fail,
         # unframed, encoded, late, shed, shed_unnamed, crash or one of ENDLESS_STARTS.
         self.fault = ""
+        # Status of each correct answer, as in its status line.
+        self.status = "200"
         # Whether the last refusal on a connection is written again before the next answer on it.
         self.repeats_refusals = False
         # Bytes written of answers without end, by request.
@@ -177,7 +179,7 @@
             return True
         if fault == "late":
             self._write(writer, 200, "an-earlier-one", b"another body")
-        self._write(writer, 200, request_id, body)
+        self._write(writer, self.status, request_id, body)
         if fault == "extra":
             self._write(writer, 200, request_id, b"a second answer")
         return True
@@ -193,7 +195,7 @@
     def _write(
         self,
         writer: StreamWriter,
-        status: int,
+        status: int | str,
         request_id: str,
         body: bytes,
         seal: bool = True,
