--- a/src/coltsfoottrack/_internal/mesh/read_turns.py
+++ b/src/coltsfoottrack/_internal/mesh/read_turns.py
@@ -7,6 +7,7 @@
 
 from asyncio import Transport, get_running_loop
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol as Interface
 
 # What one read takes from a socket.
@@ -33,7 +34,9 @@
 class ReadTurns:
     """The connections whose last read was costly, in the order in which they are read again."""
 
-    def __init__(self) -> None:
+    def __init__(self, call_soon: Callable[[Callable[[], None]], object] | None = None) -> None:
+        # Calls a function in the next round of the event loop; by default the running one.
+        self.call_soon = call_soon
         self.waiting: deque[Reader] = deque()
         # Costly reads since the start.
         self.costly = 0
@@ -46,9 +49,13 @@
         reader.wait_for_turn()
         self.waiting.append(reader)
         if len(self.waiting) == 1:
-            get_running_loop().call_soon(self._next)
+            self._schedule()
+
+    def _schedule(self) -> None:
+        call_soon = self.call_soon or get_running_loop().call_soon
+        call_soon(self._next)
 
     def _next(self) -> None:
         self.waiting.popleft().take_turn()
         if self.waiting:
-            get_running_loop().call_soon(self._next)
+            self._schedule()
--- a/tests/unit/test_message_ends.py
+++ b/tests/unit/test_message_ends.py
@@ -17,6 +17,7 @@
 from coltsfoottrack._internal.mesh.caller_request import CallerRequest
 from coltsfoottrack._internal.mesh.memory_account import MemoryAccount
 from coltsfoottrack._internal.mesh.model import CallerLimits
+from coltsfoottrack._internal.mesh.read_turns import ReadTurns
 from coltsfoottrack._internal.mesh.receive_budget import ReceiveBudget
 from coltsfoottrack.platform.names import HEADERS
 
@@ -24,6 +25,8 @@
 many = settings(max_examples=EXAMPLES, deadline=None, suppress_health_check=[HealthCheck.too_slow])
 REQUEST_ID = b"r1"
 BODIES = st.binary(max_size=40)
+# Without an event loop, each connection has its next turn at once.
+TURNS = ReadTurns(call_soon=lambda function: function())
 CUTS = st.lists(st.integers(0, 2000), max_size=6)
 
 
@@ -269,7 +272,7 @@
         """Guards against a body that is lost, changed or read as a request."""
         asked = asked * times
         handler = Collector(answers_at_once)
-        connection = CallerConnection(handler, CallerGroup(MemoryAccount(), lambda: 9))
+        connection = CallerConnection(handler, CallerGroup(MemoryAccount(), lambda: 9, TURNS))
         connection.connection_made(FakeTransport())
         encoded = [request.encode(number) for number, request in enumerate(asked)]
         data = b"".join(encoded)
