--- a/src/coltsfoottrack/_internal/mesh/distribution.py
+++ b/src/coltsfoottrack/_internal/mesh/distribution.py
@@ -47,8 +47,9 @@
         # Since when a peer is known to have a configuration newer than behind_version.
         self.behind_since: float | None = None
         self.behind_version = 0
-        # When a configuration was last asked for.
+        # When a configuration was last asked for, and on which connection it was not yet answered.
         self.fetched_at = 0.0
+        self.asked: LinkConnection | None = None
         self.handlers: dict[str, Callable[[LinkConnection, Any], None]] = {
             "member": self._handle_member,
             "members": self._handle_members,
@@ -108,6 +109,7 @@
 
     def _handle_configuration(self, connection: LinkConnection, message: Configuration) -> None:
         self.fetched_at = 0.0
+        self.asked = None
         if message.content:
             self.active_configuration.apply_if_newer(message.content, f"peer {connection.node}")
 
@@ -128,9 +130,14 @@
         now = current_time()
         if now - self.fetched_at < CONFIGURATION_GRACE_SECONDS:
             return
+        if self.asked is not None:
+            # What it sends arrives, but what is sent to it may not.
+            self.subscriptions.handle_unanswered(self.asked.node)
+            self.asked = None
         if self.behind_since is None or active != self.behind_version:
             self.behind_since = now
             self.behind_version = active
         if not active or now - self.behind_since >= grace_seconds:
             self.fetched_at = now
+            self.asked = connection
             connection.send(Frame(fetch_configuration=FetchConfiguration()))
--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -214,6 +214,12 @@
         if source is not None and source.connection is None:
             self._drop(source, "unreachable", AVOID_UNREACHABLE_SECONDS)
 
+    def handle_unanswered(self, node: str) -> None:
+        """Replaces a source that has not answered a question in time."""
+        source = self.sources.get(node)
+        if source is not None:
+            self._drop(source, "unanswered")
+
     def _drop(self, source: Source, reason: str, avoid_seconds: float = AVOID_SECONDS) -> None:
         now = current_time()
         del self.sources[source.member.node]
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -280,6 +280,27 @@
 
         run_simulated(scenario())
 
+    # CONFIG: sources that were heard counted as reached, and were asked for a version in vain.
+    def test_change_at_a_node_whose_questions_are_lost(self):
+        async def scenario() -> None:
+            for count in (6, NODES):
+                mesh = await self.started(count)
+                node = next(n for n in mesh.running() if not n.watch.started)
+                deaf = set(node.subscriptions.sources)
+                for end in mesh.connections_of(node):
+                    end.silent = end.node in deaf
+                for version in (2, 3):
+                    mesh.store.put_configuration(version)
+                    await sleep(IN_FORCE_SECONDS)
+                    self.assertEqual(missing(mesh, version), [], count)
+                # It has turned to others, and so does not wait for the next version.
+                self.assertTrue(set(node.subscriptions.sources) - deaf)
+                mesh.store.put_configuration(4)
+                await sleep(0.5)
+                self.assertEqual(missing(mesh, 4), [], count)
+
+        run_simulated(scenario())
+
     def test_newer_version_that_was_not_fetched_confirms_nothing(self):
         """Guards against an old configuration that counts as confirmed by news of a newer one."""
 
