--- a/src/coltsfoottrack/_internal/mesh/backend_state.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_state.py
@@ -81,6 +81,8 @@
         # Leaves of servers of which no process was known, by identifier.
         self.undated_leaves: dict[str, UndatedLeave] = {}
         self.changed: Callable[[], None] = lambda: None
+        # Called with a process that a later one has replaced, and whether it had announced that.
+        self.on_replaced: Callable[[Lifetime, bool], None] = lambda lifetime, has_left: None
 
     @property
     def lifetime(self) -> Lifetime:
@@ -172,6 +174,8 @@
         if not is_new and self.left:
             self.number = report.number
             return
+        if is_new:
+            self.on_replaced(self.lifetime, self.left)
         before = (self.identifier, self.accepting, self.slots, self.service)
         self.identifier = report.backend
         self.service = report.service
@@ -259,6 +263,7 @@
 
     def _adopt(self, lifetime: Lifetime, number: int) -> None:
         """Makes a process of which only its leave is known the present one."""
+        self.on_replaced(self.lifetime, self.left)
         self.identifier = lifetime.backend
         self.started_ms = lifetime.started_ms
         self.number = number
--- a/src/coltsfoottrack/_internal/mesh/crash_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/crash_watch.py
@@ -4,12 +4,13 @@
 from typing import NamedTuple
 
 from coltsfoottrack._internal.admission.suspects import QUARANTINE_CRASHES, SuspectTable
+from coltsfoottrack._internal.mesh.backend_state import Lifetime
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.runner_call import RunnerCall
 
-# A crash is detected within this time after a connection was lost.
-CRASH_WINDOW_SECONDS = 4.0
+# Bound on the lost runs that are kept; beyond it the oldest one is dropped.
+MAX_LOST_RUNS = 1000
 # A request is quarantined for this long after the last crash of which it is suspected.
 QUARANTINE_MS = 120_000.0
 
@@ -18,6 +19,8 @@
     """A run whose connection ended; it does not hold the request, which may be large."""
 
     at: float
+    # Process of the backend server that ran it.
+    lifetime: Lifetime
     digest: bytes
     request_id: str
     route: str
@@ -29,7 +32,7 @@
     def __init__(self, log: DecisionLog) -> None:
         self.log = log
         self.suspects = SuspectTable(lambda: QUARANTINE_MS, current_time)
-        # Runs that recently lost their connection.
+        # Runs that lost their connection, while it is open whether their process has crashed.
         self.lost: list[LostRun] = []
         # Called when there are new suspects.
         self.on_new_suspects: Callable[[], None] = lambda: None
@@ -43,19 +46,27 @@
     def connection_lost(self, call: RunnerCall, now: float) -> None:
         """Records a run whose connection ended without an answer."""
         message = call.message
-        run = LostRun(now, call.content_digest(), message.request_id, message.route)
-        self.lost.append(run)
+        digest = call.content_digest()
+        self.lost.append(LostRun(now, call.lifetime, digest, message.request_id, message.route))
+        del self.lost[:-MAX_LOST_RUNS]
 
-    def discard_old(self, now: float) -> None:
-        """Drops runs that were lost too long ago to have caused a crash detected now."""
-        while self.lost and now - self.lost[0].at > CRASH_WINDOW_SECONDS:
-            self.lost.pop(0)
+    def answered(self, call: RunnerCall) -> None:
+        """Drops the runs that have not ended their process, as it answers a later request."""
+        if self.lost:
+            self._drop(lambda run: run.lifetime == call.lifetime and run.at < call.sent_at)
 
-    def backend_crashed(self, now: float) -> None:
-        """Records the recently lost requests as suspects."""
-        self.discard_old(now)
-        lost = self.lost
-        self.lost = []
+    def backend_left(self, lifetime: Lifetime) -> None:
+        """Drops the runs of a process that ends as announced."""
+        if self.lost:
+            self._drop(lambda run: run.lifetime == lifetime)
+
+    def _drop(self, is_cleared: Callable[[LostRun], bool]) -> None:
+        self.lost = [run for run in self.lost if not is_cleared(run)]
+
+    def backend_crashed(self, lifetime: Lifetime) -> None:
+        """Records the requests that a process had lost before it crashed as suspects."""
+        lost = [run for run in self.lost if run.lifetime == lifetime]
+        self._drop(lambda run: run.lifetime == lifetime)
         for run in lost:
             crashes = self.suspects.record_crash(run.digest, self.suspects.crashes(run.digest))
             self.log.decision(
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -13,7 +13,7 @@
     BackendResponse,
 )
 from coltsfoottrack._internal.mesh.backend_rate import BackendRate
-from coltsfoottrack._internal.mesh.backend_state import BackendState
+from coltsfoottrack._internal.mesh.backend_state import BackendState, Lifetime
 from coltsfoottrack._internal.mesh.call_cache import CallCache
 from coltsfoottrack._internal.mesh.call_queue import (
     MIN_TIME_LEFT_SECONDS,
@@ -94,6 +94,7 @@
         # Starts the next call once the rate limit allows it.
         self.start_timer: TimerHandle | None = None
         self.crash_watch = CrashWatch(log)
+        backend.on_replaced = self._handle_end
         self.call_cache = CallCache(pool.account)
         self.queue = CallQueue()
         self.running: set[RunnerCall] = set()
@@ -317,6 +318,7 @@
     ) -> None:
         self.pool.give_back(connection)
         if answer is not None:
+            self.crash_watch.answered(call)
             self.rate.observe(answer.rate_limit, call.lifetime, self.level.rate)
             self.capacity.observe(call, answer, current_time())
             if answer.leaving:
@@ -467,7 +469,6 @@
             self.log.note_routes(self.whole_requests)
         self.retry_budget.set_leaf(self.parent_requests.is_leaf(now))
         self.call_cache.evict(now)
-        self.crash_watch.discard_old(now)
 
     def is_settled(self) -> bool:
         """Returns whether a tick would change nothing while no call arrives."""
@@ -491,10 +492,17 @@
         """Handles a crash of the backend server."""
         if not self.backend.mark_crashed(reason):
             return
-        self.crash_watch.backend_crashed(current_time())
+        self._handle_end(self.backend.lifetime, self.backend.left)
         self.pool.close()
         self.refuse_waiting()
 
+    def _handle_end(self, lifetime: Lifetime, has_left: bool) -> None:
+        """Handles the end of a process, seen by a refused connection or by a later process."""
+        if has_left:
+            self.crash_watch.backend_left(lifetime)
+        else:
+            self.crash_watch.backend_crashed(lifetime)
+
 
 def _discard_result(call: RunnerCall) -> None:
     pass
