--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -199,6 +199,9 @@
 
     def _admit(self, call: EntryCall, table: RouteTable, now: float) -> bool:
         """Returns whether a new request is admitted; answers it with a 503 if not."""
+        # The level of this node's own backend server is known without a reply.
+        own_level = self.runner.level.level
+        self.gate.levels.refresh(call.route.name, self.directory.own.node, own_level)
         refusal = self.gate.check(
             call.route,
             call.rank,
--- a/src/coltsfoottrack/_internal/mesh/levels.py
+++ b/src/coltsfoottrack/_internal/mesh/levels.py
@@ -26,6 +26,9 @@
 # A rank is shed only after all less important ranks have been shed for this long: shedding lowers
 # the load only once the requests admitted earlier have ended.
 RANK_HOLD_SECONDS = 2.0
+# A level belongs to a load. A backend server that had nothing to do for this long sheds nothing:
+# while callers were refused, the share that is admitted at any level would have kept it at work.
+IDLE_SECONDS = 1.0
 # Share of each rank that is admitted at any level, so that no rank starves.
 MIN_ADMITTED_SHARE = 0.12
 # A reported level that was not confirmed for this long starts to rise.
@@ -53,6 +56,8 @@
         self.rate = 0.0
         # Load of each slot by arriving and queued requests; 1.0 is full.
         self.load = 0.0
+        # Since when nothing has arrived, waited or run.
+        self.idle_since: float | None = None
         # When the least important rank still admitted fell to MIN_ADMITTED_SHARE.
         self.at_floor_since: float | None = None
 
@@ -77,7 +82,9 @@
         """Counts a request that was started or queued."""
         self.arrived += 1
 
-    def update(self, seconds_per_request: float, waiting: int, now: float) -> None:
+    def update(
+        self, seconds_per_request: float, waiting: int, now: float, running: int = 0
+    ) -> None:
         """Adjusts the level once per interval.
 
         ``seconds_per_request`` is the time between requests at which the backend server is full.
@@ -86,6 +93,8 @@
         if elapsed < INTERVAL_SECONDS:
             return
         self.updated = now
+        if self._is_idle(waiting + running, now):
+            self.level = float(self.ranks)
         self.rate += ARRIVALS_WEIGHT * (self.arrived / elapsed - self.rate)
         self.arrived = 0
         load = self.rate * seconds_per_request
@@ -98,6 +107,14 @@
         self.at_floor_since = None
         self.level = min(float(self.ranks), self.level + min(MAX_RISE_PER_INTERVAL, -change))
 
+    def _is_idle(self, requests: int, now: float) -> bool:
+        if self.arrived or requests:
+            self.idle_since = None
+            return False
+        if self.idle_since is None:
+            self.idle_since = now
+        return now - self.idle_since >= IDLE_SECONDS
+
     def _lower(self, amount: float, now: float) -> None:
         last_admitted_rank = ceil(self.level) - 1
         floor = last_admitted_rank + MIN_ADMITTED_SHARE
@@ -129,6 +146,11 @@
             nodes = self.reports[route] = {}
         nodes[node] = (level, current_time())
 
+    def refresh(self, route: str, node: str, level: float) -> None:
+        """Replaces the report of a node that has reported before."""
+        if node in self.reports.get(route, ()):
+            self.record(route, node, level)
+
     def level(self, route: str, ranks: int, now: float) -> float:
         """Returns the mean level of a route over the nodes that serve it; drops old reports.
 
--- a/src/coltsfoottrack/_internal/mesh/runner.py
+++ b/src/coltsfoottrack/_internal/mesh/runner.py
@@ -479,7 +479,7 @@
     def _update_level(self, now: float) -> None:
         waiting = len(self.queue)
         interval = self.rate.seconds_per_request(self.mean_seconds, self.backend.limit)
-        self.level.update(interval, waiting, now)
+        self.level.update(interval, waiting, now, len(self.running))
         self.log.note_level(self.mean_seconds, waiting)
 
     def refuse_waiting(self) -> None:
--- a/tests/unit/test_customers.py
+++ b/tests/unit/test_customers.py
@@ -216,10 +216,12 @@
         self.log = Mock(try_sample=lambda: False)
         self.parents = ParentRequests(parent_identifier)
         directory = Directory(member)
+        # The level of the backend server admits all requests.
+        self.runner = Mock(level=Mock(level=9.0))
         self.entry = Entry(
             HEADERS,
             directory,
-            Mock(),
+            self.runner,
             self.parents,
             self.log,
             MeshStatistics(),
@@ -280,6 +282,7 @@
 
         Load: requests of two customers for one route, which admits only the ranks of the first.
         """
+        self.runner.level.level = 3.0
         self.entry.gate.levels.record("order", "n", 3.0)
         for key, admitted in ((b"goldkey", 20), (KEY, 2)):
             self.sent.clear()
--- a/tests/unit/test_mesh_failed_below.py
+++ b/tests/unit/test_mesh_failed_below.py
@@ -8,6 +8,7 @@
 from os import open as open_file
 from types import SimpleNamespace
 from unittest import TestCase
+from unittest.mock import Mock
 
 from coltsfoottrack._internal.mesh.backend_connection import BackendResponse
 from coltsfoottrack._internal.mesh.caller_group import CallerGroup
@@ -67,7 +68,7 @@
         self.entry = Entry(
             HEADERS,
             directory,
-            None,
+            Mock(level=Mock(level=9.0)),
             self.parents,
             log,
             MeshStatistics(),
--- a/tests/unit/test_mesh_parts.py
+++ b/tests/unit/test_mesh_parts.py
@@ -212,6 +212,29 @@
             own.update(0.1 / 10, 0, now)
         self.assertEqual(own.level, 2.0)
 
+    def test_backend_server_that_is_idle_sheds_nothing(self):
+        """Guards against a request that is refused for a load that is over."""
+        own = OwnLevel()
+        own.set_ranks(2)
+        own.level = 0.2
+        now = own.updated
+        for interval in range(13):
+            now += STEP_SECONDS
+            # A run that goes on for long is work as well.
+            own.update(0.1 / 10, 0, now, running=1 if interval < 2 else 0)
+            if interval < 11:
+                self.assertLess(own.level, 1.0, interval)
+        self.assertEqual(own.level, 2.0)
+
+    def test_level_of_the_own_backend_server_needs_no_reply(self):
+        """Guards against a refusal by the level that the last of many replies carried."""
+        reported = ReportedLevels()
+        reported.refresh("r", "own", 2.0)
+        self.assertEqual(reported.reports, {})
+        reported.record("r", "own", 1.1)
+        reported.refresh("r", "own", 2.0)
+        self.assertEqual(reported.level("r", 2, current_time()), 2.0)
+
     def test_stale_reports_expire(self):
         """Guards against shedding because of old reports of a service without recent requests."""
         levels = ReportedLevels()
