--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 from coltsfoottrack._internal.mesh.body_buffer import SMALL_BODY_BYTES, Body, LargeBody
-from coltsfoottrack._internal.mesh.caller_group import CallerGroup
+from coltsfoottrack._internal.mesh.caller_group import FIRST_REQUEST_SECONDS, CallerGroup
 from coltsfoottrack._internal.mesh.caller_request import CallerRequest, RequestHandler
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.memory_account import MemoryAccount
@@ -322,6 +322,10 @@
         self.closing = True
         self.transport.abort()
 
+    def awaits_first_request(self, now: float) -> bool:
+        """Returns whether its first request may still be under way."""
+        return not self.answered and now - self.idle_since < FIRST_REQUEST_SECONDS
+
     def close_if_idle(self) -> None:
         """Closes the connection if no request is in flight or arriving."""
         if not self.waiting and self.receiving_since is None and not self.transport.is_closing():
--- a/src/coltsfoottrack/_internal/mesh/caller_group.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_group.py
@@ -16,7 +16,8 @@
 CONNECTION_BYTES = 40 * 1024
 # Callers may reuse a connection that was idle for this part of the idle timeout.
 REUSED_IDLE_FRACTION = 0.8
-# A connection may take this long from its start to its first request, while there are too many.
+# A caller may take this long from the start of a connection to its first request, if connections
+# are scarce or the node stops.
 FIRST_REQUEST_SECONDS = 1.0
 # Part of the limit by which it may be exceeded for the time that a refusal takes.
 REFUSED_FRACTION = 1 / 16
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -386,7 +386,7 @@
                 continue
             if not self.backend.node_closed:
                 self.backend.close_node()
-            self.entry.close_idle_connections()
+            self.entry.close_idle_connections(current_time())
             if self.entry.calls or self.runner.running:
                 continue
             # A connection that was accepted meanwhile may bring one more request.
@@ -398,7 +398,7 @@
         self.entry.abandon_all()
         self.closed = True
         self.server.close()
-        self.entry.close_idle_connections()
+        self.entry.close_connections()
         if self.backend.left:
             await self.membership.own_record.delete(DELETE_TIMEOUT_SECONDS)
         # Lets the transports write the last answers.
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -534,7 +534,13 @@
         self._cancel(call)
         self._end_unserved(call, reason)
 
-    def close_idle_connections(self) -> None:
-        """Closes connections that have no request in flight."""
+    def close_idle_connections(self, now: float) -> None:
+        """Closes connections that have no request in flight and may not bring their first one."""
+        for connection in list(self.connections):
+            if not connection.awaits_first_request(now):
+                connection.close_if_idle()
+
+    def close_connections(self) -> None:
+        """Closes all connections that have no request in flight."""
         for connection in list(self.connections):
             connection.close_if_idle()
--- a/tests/unit/test_mesh_late_in_grace.py
+++ b/tests/unit/test_mesh_late_in_grace.py
@@ -157,6 +157,26 @@
         self.backends[0].released.set()
         await gather(running, ending)
 
+    # LOST: a connection that had just been accepted counted as idle, and was closed.
+    async def test_call_on_a_connection_that_was_accepted_late_is_answered(self):
+        self.backends[0].released.clear()
+        route = {"pathPrefix": "/portal/", "service": "portal", "timeoutMs": 9000}
+        self.store.put("config", "main", configuration(2, **ROUTES, portal=route))
+        await self.wait_until(lambda: self.front.active_configuration.version == 2)
+        running = create_task(self.send_request(self.front, encode("/portal/", "parent"), 9.0))
+        await self.wait_until(lambda: self.backends[0].running == 1)
+        ending = self.stop_after(self.front, 9.0)
+        await self.wait_until(lambda: self.front.backend.node_closed)
+        reader, writer = await self.connect(self.front)
+        # Several ticks pass until its first request is sent.
+        await sleep(0.3)
+        writer.write(encode("/order/", "parent.1", "POST"))
+        self.assertEqual((await self.answers(reader, 1))[0].status, 200)
+        # One that sends nothing does not delay the end for good.
+        await self.connect(self.front)
+        self.backends[0].released.set()
+        await gather(running, wait_for(ending, 3.0))
+
     async def test_order_that_waits_for_its_grant_as_the_node_ends_does_not_run(self):
         """Guards against a run after the caller was told that there was none."""
         held = []
