--- a/src/coltsfoottrack/_internal/mesh/metrics.py
+++ b/src/coltsfoottrack/_internal/mesh/metrics.py
@@ -101,6 +101,11 @@
     gauge("slowdown", "How much longer runs take than usual.", capacity.speed.current(now))
     gauge("running_limit", "Requests that run at a time at most.", capacity.limit(now))
     gauge("configuration_version", "Version in force.", node.active_configuration.version)
+    gauge(
+        "configuration_age_seconds",
+        "Time since the store confirmed the version in force, at this node or at one it hears.",
+        node.membership.subscriptions.age(now),
+    )
     gauge("members", "Known members.", len(node.directory.peers))
     gauge("backend_connections_opened", "Connections to the backend server.", node.pool.opened)
     publish_clients(node, gauge, counter)
