--- /dev/null
+++ b/review/standins3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the third review: store, upstream, client, and node processes. Standard library only."""
