--- a/review/standins3/upstream.py
+++ b/review/standins3/upstream.py
@@ -51,6 +51,8 @@
         self.work: Callable[[Message], float] = lambda message: 0.02
         # Called after the work of a request; returns the status.
         self.after_work: Callable[[Message], Awaitable[int]] | None = None
+        # Whether single requests are left out of the record.
+        self.quiet = False
         # Least size of the body of an answer.
         self.answer_bytes = 0
         self.control = ""
@@ -148,6 +150,9 @@
             self.writers.discard(writer)
             writer.close()
 
+    def _note(self, what: str) -> float:
+        return self.record.now() if self.quiet else self.record.note(self.identifier, what)
+
     async def _handle(
         self, message: Message, reader: StreamReader, writer: StreamWriter
     ) -> bool:
@@ -160,9 +165,7 @@
                 % (request_id.encode(), self.identifier.encode())
             )
             return True
-        at = self.record.note(
-            self.identifier, f"runs {request_id} ({message.first[0]} {message.first[1]})"
-        )
+        at = self._note(f"runs {request_id} ({message.first[0]} {message.first[1]})")
         self.runs.append(Run(request_id, at))
         self.running += 1
         self.at_work.add(request_id)
@@ -175,9 +178,9 @@
             self.running -= 1
             self.at_work.discard(request_id)
         if writer.is_closing() or reader.at_eof():
-            self.record.note(self.identifier, f"ends {request_id}, its connection is closed")
+            self._note(f"ends {request_id}, its connection is closed")
             return False
-        self.record.note(self.identifier, f"answers {request_id} with {status}")
+        self._note(f"answers {request_id} with {status}")
         body = f"{self.identifier} {request_id}".encode().ljust(self.answer_bytes, b".")
         writer.write(
             f"HTTP/1.1 {status} Status\r\nRequest-Id: {request_id}\r\n"
