--- a/review/15/play.py
+++ b/review/15/play.py
@@ -1,92 +1,102 @@
-"""A call that comes late in the grace period is taken and broken off."""
+"""The store turns a third of the machines away; the others take it to be away for all."""
 
 from asyncio import create_task, gather, sleep
+from hashlib import blake2b
 from pathlib import Path
-from random import Random
-from signal import SIGTERM
 
 from review.standins3.case import main
-from review.standins3.client import Client, Result
-from review.standins3.fleet import Fleet, configuration, route
-from review.standins3.http import Message
+from review.standins3.client import Client
+from review.standins3.fleet import ZONE, Fleet, configuration, route
 from review.standins3.record import Record
 
-# Work of the site's stock-query: mean 90 ms, spread 0.3, one in 100 five times as long, at most
-# 680 ms.
-MEAN_SECONDS = 0.09
-SPREAD = 0.3
-LONGEST_SECONDS = 0.68
-WARM_REQUESTS = 60
-GRACE_SECONDS = 6.0
-# A request that was sent later than this after the SIGTERM has to be answered or refused.
-SENT_LATE_SECONDS = 3.0
-PARENT_AT_SECONDS = 2.0
-CALL_AT_SECONDS = 4.95
+MACHINES = 42
+# A third of the machines, as on the site.
+TURNED_AWAY = 14
+SILENT_SECONDS = 9.0
+CONFIG_SECONDS = 2.5
+CALM_SECONDS = 14.0
+ASK_SECONDS = 0.25
 
 
-async def play(fleet: Fleet, record: Record, trouble: bool) -> list[str]:
-    """Plays the case; returns what broke the rule."""
-    random = Random(1)
-    parent_route = route("/puka111/", "casting", "safe")
-    read_route = route("/leny950/", "stores", "safe", targetLatencyMs=1200)
-    await fleet.open(configuration(7, ["stores", "casting"], p=parent_route, r=read_route))
-    node, caller = await fleet.add("casting")
-    _, called = await fleet.add("stores")
-    client = Client(record, "client-1", node.outbound)
-    own_calls = Client(record, caller.identifier, node.outbound)
-    calls: list[Result] = []
-    late: list[str] = []
-    sigterm_at = [0.0]
+def first_watchers() -> list[int]:
+    """Returns the numbers of the machines that the nodes ask first for what the store says."""
+
+    def position(number: int) -> bytes:
+        return blake2b(f"sidecar-{ZONE}-{number}".encode(), digest_size=8).digest()
 
-    def work(message: Message) -> float:
-        if message.headers["request-id"] in late:
-            return LONGEST_SECONDS
-        return random.lognormvariate(-0.5 * SPREAD**2, SPREAD) * MEAN_SECONDS
+    return sorted(range(1, MACHINES + 1), key=position)[:TURNED_AWAY]
 
-    async def call(message: Message) -> int:
-        parent = message.headers["request-id"]
-        if message.first[1].endswith("/late"):
-            await sleep(max(0.0, sigterm_at[0] + CALL_AT_SECONDS - record.now()))
-            late.append(f"{parent}.1")
-            left = int(message.headers["deadline-ms"]) - 3000
-        else:
-            left = int(message.headers["deadline-ms"]) - 50
-        result = await own_calls.send("GET", "/leny950/2f", f"{parent}.1", left)
-        calls.append(result)
-        return 200 if result.status == 200 else 500
 
-    caller.work = lambda message: 0.02
-    caller.after_work = call
-    called.work = work
-    await gather(*[node.wait_ready() for node in fleet.nodes])
-    await sleep(4.0)
-    for number in range(WARM_REQUESTS):
-        result = await client.send("GET", "/puka111/x", f"warm{number}", 5000)
-        if result.status != 200:
-            raise RuntimeError("the deployment does not serve")
-    sigterm_at[0] = record.now()
-    ending = None
+async def play(fleet: Fleet, record: Record, trouble: bool) -> list[str]:
+    """Plays the case; returns what broke the rule."""
+    services = ["casting", "shipping", "stores"]
+    first = configuration(7, services, orders=route("/puka111/", "casting", "unsafe"))
+    fleet.bounds = {"configMs": "2500", "drainMs": "2500", "ackMs": "5000", "catchUpS": "6"}
+    await fleet.open(first)
+    addresses = [await fleet.store.open_for("127.31.0.250") for _ in range(MACHINES)]
+    for number in range(MACHINES):
+        _, upstream = await fleet.add(services[number % 3], store=addresses[number])
+        upstream.work = lambda message: 0.02
+    await gather(*[node.wait_ready(30.0) for node in fleet.nodes])
+    await sleep(CALM_SECONDS)
+    turned_away = first_watchers()
+    served = [node for index, node in enumerate(fleet.nodes) if index + 1 not in turned_away]
+    clients = []
+    for node in served:
+        clients.append(Client(record, f"client-{node.name.rpartition('-')[2]}", node.outbound))
+    warm = await gather(
+        *[
+            client.send("POST", "/puka111/a", f"warm{number}", 5000, b"x", quiet=True)
+            for number, client in enumerate(clients)
+        ]
+    )
+    if any(result.status != 200 for result in warm):
+        raise RuntimeError("the deployment does not serve")
+    for upstream in fleet.upstreams:
+        upstream.runs.clear()
+
     if trouble:
-        node.signal(SIGTERM, "SIGTERM")
-        ending = create_task(node.wait_end())
-    await sleep(PARENT_AT_SECONDS)
-    parent = await client.send("GET", "/puka111/late", "parent", 5000)
-    if ending is not None:
-        await ending
-    await sleep(0.5)
+        names = ", ".join(fleet.nodes[number - 1].name for number in turned_away)
+        record.note("store", f"falls silent to {TURNED_AWAY} of {MACHINES} machines: {names}")
+        fleet.store.silent = {addresses[number - 1] for number in turned_away}
+    silent_at = record.now()
+    await sleep(0.3)
+    fleet.store.put(
+        "config",
+        "main",
+        configuration(9, services, orders=route("/puka111/", "shipping", "unsafe")),
+    )
+    acked_at = record.now()
+    sent_at = {}
+    sending = []
+    asked = 0
+    while record.now() < silent_at + SILENT_SECONDS:
+        for client in clients[asked % 4 :: 4]:
+            request_id = f"{client.name}-{asked}"
+            sent_at[request_id] = (record.now(), client.name)
+            sending.append(
+                create_task(client.send("POST", "/puka111/b", request_id, 5000, b"x", quiet=True))
+            )
+        asked += 1
+        await sleep(ASK_SECONDS)
+    fleet.store.silent = set()
+    record.note("store", "answers all machines again")
+    results = await gather(*sending)
+    statuses: dict[int, int] = {}
+    for result in results:
+        statuses[result.status] = statuses.get(result.status, 0) + 1
+    record.note("seen", f"answers by status: {statuses}")
     broken = []
-    last = [result for result in calls if result.request_id == "parent.1"]
-    if not last:
-        raise RuntimeError("the call was not made")
-    result = last[0]
-    ran = [run for run in called.runs if run.request_id == "parent.1"]
-    record.note("seen", f"the parent request ends with {parent.status}")
-    if ran and (result.status == 0 or "response-seal" not in result.headers):
-        broken.append(
-            f"LOST: parent.1 was sent {result.sent_at - sigterm_at[0]:.2f} s after the SIGTERM, "
-            f"its upstream was at work from {ran[0].at - sigterm_at[0]:.2f} s, and it ends with "
-            f"the node's own {result.status} at {result.ended_at - sigterm_at[0]:.2f} s"
-        )
+    for upstream in fleet.upstreams:
+        for run in upstream.runs:
+            if upstream.service != "casting":
+                continue
+            at, name = sent_at[run.request_id]
+            if at > acked_at + CONFIG_SECONDS:
+                broken.append(
+                    f"CONFIG: {run.request_id}, sent by {name} {at - acked_at:.2f} s after the "
+                    f"ack of version 9, runs at {upstream.identifier} of the old service"
+                )
     return broken
 
 
--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -5,6 +5,7 @@
 from asyncio import create_subprocess_exec, open_connection, sleep, wait_for
 from asyncio.subprocess import Process
 from pathlib import Path
+from re import sub
 from signal import SIGCONT, SIGKILL, SIGTERM
 from socket import socket
 from tomllib import loads
@@ -173,6 +174,8 @@
         self.record = record
         self.directory = directory
         self.store = Store(record)
+        # Bounds in the settings that differ from those of the site ubtww-mesh.
+        self.bounds: dict[str, str] = {}
         self.nodes: list[NodeProcess] = []
         self.upstreams: list[Upstream] = []
 
@@ -181,13 +184,16 @@
         await self.store.open("127.31.0.250")
         self.store.put("config", "main", configuration)
 
-    async def add(self, service: str, slots: int = 20) -> tuple[NodeProcess, Upstream]:
-        """Starts a machine."""
+    async def add(
+        self, service: str, slots: int = 20, store: str = ""
+    ) -> tuple[NodeProcess, Upstream]:
+        """Starts a machine; ``store`` is its own address of the store, if it has one."""
         number = len(self.nodes) + 1
         upstream = Upstream(self.record, f"i-{number}f3a91c2", service, ZONE, slots)
         await upstream.open(f"127.31.0.{number}")
+        store = store or self.store.address
         node = NodeProcess(
-            self.record, self.directory, number, service, upstream.address, self.store.address
+            self.record, self.directory, number, service, upstream.address, store
         )
         self.nodes.append(node)
         self.upstreams.append(upstream)
--- a/review/standins3/store.py
+++ b/review/standins3/store.py
@@ -28,13 +28,25 @@
         # Revision, kind, object, deleted.
         self.history: list[tuple[int, str, dict, bool]] = []
         self.changed = Event()
-        self.server = None
+        self.servers = []
         self.address = ""
+        # Addresses at which the store has fallen silent.
+        self.silent: set[str] = set()
 
     async def open(self, host: str) -> None:
         """Listens on a free port."""
-        self.server = await start_server(self._serve, host, 0)
-        self.address = f"{host}:{self.server.sockets[0].getsockname()[1]}"
+        self.address = await self.open_for(host)
+
+    async def open_for(self, host: str) -> str:
+        """Listens at one more address, for a machine of its own; returns the address."""
+
+        async def serve(reader: StreamReader, writer: StreamWriter) -> None:
+            await self._serve(reader, writer, address)
+
+        server = await start_server(serve, host, 0)
+        self.servers.append(server)
+        address = f"{host}:{server.sockets[0].getsockname()[1]}"
+        return address
 
     def put(self, kind: str, name: str, spec: dict) -> None:
         """Stores an object as the operator does."""
@@ -67,11 +79,15 @@
         self.changed.set()
         self.changed = Event()
 
-    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+    async def _serve(self, reader: StreamReader, writer: StreamWriter, address: str) -> None:
         try:
             while True:
                 message = await read_message(reader)
                 status, body = await self._answer(message)
+                if address in self.silent:
+                    # A call that is not answered may have been executed.
+                    await reader.read()
+                    return
                 content = dumps(body).encode()
                 head = f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n"
                 writer.write(head.encode() + b"Content-Length: %d\r\n\r\n" % len(content) + content)
