--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -174,8 +174,9 @@
         self.record = record
         self.directory = directory
         self.store = Store(record)
-        # Bounds in the settings that differ from those of the site ubtww-mesh.
+        # Bounds and other fields of the settings that differ from those of the site ubtww-mesh.
         self.bounds: dict[str, str] = {}
+        self.fields: dict[str, str] = {}
         self.nodes: list[NodeProcess] = []
         self.upstreams: list[Upstream] = []
 
