--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -16,6 +16,7 @@
     CALLER_RECEIVE_BYTES,
     bound_receive_buffer,
     detect_silence,
+    unreceived_bytes,
 )
 
 MAX_PIPELINED = 64
@@ -23,9 +24,6 @@
 UNREAD_TIMEOUT_SECONDS = 20.0
 # Receive buffer of a connection on which a large body arrives.
 UPLOAD_RECEIVE_BYTES = 64 * 1024
-# A caller whose request was rejected unread may go on sending for this long, so that it gets to
-# read the answer; what it sends is discarded.
-LINGER_SECONDS = 2.0
 # A caller that sends or reads less than this in a second makes little progress.
 SLOW_BYTES_PER_SECOND = 64 * 1024
 MIN_PROGRESS_SECONDS = 1.0
@@ -36,7 +34,13 @@
 
 
 class CallerConnection(Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    A close in order takes three steps (RFC 9112, 9.6): after the last answer the node ends its own
+    direction; it reads on and discards what arrives, as unread bytes would reset the connection and
+    cost the caller what it has not received; and it closes once the caller has, at the latest when
+    the caller waits no longer for any answer on the connection.
+    """
 
     def __init__(self, handler: RequestHandler, group: CallerGroup) -> None:
         self.handler = handler
@@ -69,7 +73,9 @@
         self.closing = False
         # The connection closes once all answers are written.
         self.close_pending = False
-        # A request was rejected before it was complete: the rest of it is discarded until then.
+        # Until when the callers of the answers written so far wait for them.
+        self.needed_until = 0.0
+        # The connection waits for the caller's close until then; None before its last answer.
         self.linger_until: float | None = None
 
     def connection_made(self, transport: Transport) -> None:
@@ -126,11 +132,14 @@
         self.unread_bytes = 0
 
     def _update_reading(self) -> None:
-        """Reads requests while the caller reads its answers and few enough requests wait."""
+        """Reads requests while the caller reads its answers and few enough requests wait.
+
+        What arrives on a connection that is about to close is read and discarded.
+        """
         if self.transport.is_closing():
             return
         has_room = self.unread_since is None and len(self.waiting) <= MAX_PIPELINED
-        if has_room and not self.awaits_turn:
+        if (has_room or self.closing) and not self.awaits_turn:
             self.transport.resume_reading()
         else:
             self.transport.pause_reading()
@@ -138,6 +147,7 @@
     def data_received(self, data: bytes) -> None:
         """Feeds the parser."""
         if self.closing:
+            self.group.turns.wait(self)
             return
         self.received_bytes += len(data)
         if self.receiving_since is None:
@@ -146,6 +156,13 @@
         if not self.closing:
             self.group.turns.end_read(self, self.reader.parts)
 
+    def eof_received(self) -> bool:
+        """Closes the connection, after a large answer that is being written."""
+        if self.waiting or self.writer.is_idle():
+            return False
+        self.writer.close()
+        return True
+
     def wait_for_turn(self) -> None:
         """Stops reading."""
         self.awaits_turn = True
@@ -252,6 +269,7 @@
             request = waiting.popleft()
             self.answered = True
             self._release(request)
+            self._note_needed(request)
             self.writer.write(request.answer)
             if request.answer_body is not None:
                 self.writer.write_body(request.answer_body)
@@ -266,6 +284,14 @@
         if not self.transport.is_reading():
             self._update_reading()
 
+    def _note_needed(self, request: CallerRequest) -> None:
+        """Notes until when the caller waits for an answer that is about to be written."""
+        until = request.deadline
+        if not until:
+            until = current_time() + self.handler.limits().idle_timeout_ms / 1000.0
+        if until > self.needed_until:
+            self.needed_until = until
+
     def _close_after_response(self) -> None:
         """Closes the connection after an answer; later requests on it are cancelled."""
         self.closing = True
@@ -274,25 +300,19 @@
         self._close_when_written()
 
     def _close_when_written(self) -> None:
-        if not self.writer.is_idle():
+        if not self.writer.is_idle() or self.transport.is_closing():
             return
-        if self.linger_until is None:
-            self.transport.close()
-        elif self.transport.can_write_eof():
-            self.transport.write_eof()
+        self.linger_until = self.needed_until
+        self.transport.write_eof()
+        self._update_reading()
 
     def reject(self, status: int, reason: str) -> None:
-        """Rejects an incomplete or unreadable request after the answers to earlier ones.
-
-        What its caller still sends is discarded for a while: closing at once would reset the
-        connection, and the caller might lose the answer.
-        """
+        """Rejects an incomplete or unreadable request after the answers to earlier ones."""
         request = self.reader.drop_current() or CallerRequest(self)
         self._end_upload()
         self.receiving_since = None
         request.keep_alive = False
         self.waiting.append(request)
-        self.linger_until = current_time() + LINGER_SECONDS
         head = self.handler.note_rejected(request, status, reason)
         self.respond(request, status, head, b"")
         self.closing = True
@@ -326,24 +346,59 @@
         """Returns whether its first request may still be under way."""
         return not self.answered and now - self.idle_since < FIRST_REQUEST_SECONDS
 
-    def close_if_idle(self) -> None:
-        """Closes the connection if no request is in flight or arriving."""
-        if not self.waiting and self.receiving_since is None and not self.transport.is_closing():
-            self.closing = True
-            self.close_pending = True
-            self._close_when_written()
+    def has_unreceived(self) -> bool:
+        """Returns whether the caller has not received all that was written."""
+        return not self.writer.is_idle() or unreceived_bytes(self.transport) > 0
+
+    def is_idle(self, now: float) -> bool:
+        """Returns whether no request is in flight or arriving and no answer is on its way.
+
+        An answer that the caller waits for no longer does not count.
+        """
+        if self.waiting or self.closing or self.receiving_since is not None:
+            return False
+        return now > self.needed_until or not self.has_unreceived()
+
+    def is_finished(self, now: float) -> bool:
+        """Returns whether the end of the process would cost the caller no answer.
+
+        What the caller's kernel has acknowledged is the caller's, also after a reset.
+        """
+        if self.waiting or self.awaits_first_request(now):
+            return False
+        if self.receiving_since is not None and not self.closing:
+            return False
+        return now > self.needed_until or not self.has_unreceived()
+
+    def close_if_idle(self, now: float) -> None:
+        """Closes the connection if it is idle."""
+        if self.is_idle(now):
+            self.close_after_answers()
+
+    def close_after_answers(self) -> None:
+        """Closes the connection after the answers that were written; there must be no other."""
+        self.closing = True
+        self.close_pending = True
+        self._close_when_written()
+
+    def end_linger(self, now: float) -> None:
+        """Closes the connection if its caller has not done so in time."""
+        if self.linger_until is not None and now > self.linger_until:
+            if self.has_unreceived():
+                self.group.unreceived_closed += 1
+            self.transport.abort()
 
     def sweep(self, now: float, limits: CallerLimits) -> None:
         """Enforces the timeouts of the connection and notes whether it makes progress."""
         self.note_progress(now)
-        lingered = self.linger_until is not None and not self.waiting and now > self.linger_until
-        if lingered or self._is_unread(now):
+        self.end_linger(now)
+        if self._is_unread(now):
             self.transport.abort()
         elif self.receiving_since is not None:
             if now - self.receiving_since > limits.header_timeout_ms / 1000.0:
                 self._sweep_receiving(now, limits)
         elif not self.waiting and now - self.idle_since > limits.idle_timeout_ms / 1000.0:
-            self.close_if_idle()
+            self.close_if_idle(now)
 
     def _is_unread(self, now: float) -> bool:
         """Returns whether the caller has not read its answers for too long."""
--- a/src/coltsfoottrack/_internal/mesh/caller_group.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_group.py
@@ -47,6 +47,8 @@
         self.aborted: dict[str, int] = {}
         # New connections that came while there were too many.
         self.over_limit = 0
+        # Connections that were closed although their callers had not received all answers.
+        self.unreceived_closed = 0
 
     def add(self, connection: "CallerConnection") -> None:
         """Registers a new connection; if there are too many, another one or this one is closed."""
@@ -78,6 +80,19 @@
         for connection in list(self.connections):
             connection.sweep(now, limits)
 
+    def close_all(self) -> None:
+        """Closes all connections after the answers that were written to them."""
+        for connection in list(self.connections):
+            connection.close_after_answers()
+
+    def is_finished(self, now: float) -> bool:
+        """Returns whether the end of the process would cost no caller an answer."""
+        return all(connection.is_finished(now) for connection in self.connections)
+
+    def unreceived(self) -> int:
+        """Returns the number of connections whose callers have not received all answers."""
+        return sum(connection.has_unreceived() for connection in self.connections)
+
     def slow(self) -> list["CallerConnection"]:
         """Returns the connections whose callers make little progress."""
         return [connection for connection in self.connections if connection.is_slow]
@@ -108,10 +123,13 @@
     def _worth(self, connection: "CallerConnection", now: float) -> int | None:
         """Returns the rank of a connection among those that can be closed, None if it cannot.
 
-        The lowest is closed first: rejected ones, then those that make no progress, those that
-        never had a request, and those that were idle for longer than a caller reuses them.
+        The lowest is closed first: those that are about to close, then those that make no progress,
+        those that never had a request, and those that were idle for longer than a caller reuses
+        them. An answer that its caller has not received yet is worth as much as no progress.
         """
-        if connection.linger_until is not None or connection.over_limit:
+        if connection.linger_until is not None:
+            return 1 if connection.has_unreceived() else 0
+        if connection.over_limit:
             return 0
         if connection.waiting:
             return 1 if connection.is_slow and connection.unread_since is not None else None
@@ -121,4 +139,6 @@
         if not connection.answered:
             return 2 if idle > FIRST_REQUEST_SECONDS else None
         idle_timeout = self.limits().idle_timeout_ms / 1000.0
-        return 3 if idle > idle_timeout * REUSED_IDLE_FRACTION else None
+        if idle <= idle_timeout * REUSED_IDLE_FRACTION:
+            return None
+        return 3 if connection.is_idle(now) else None
--- a/src/coltsfoottrack/_internal/mesh/caller_request.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_request.py
@@ -36,6 +36,7 @@
         "cancel",
         "charged_bytes",
         "connection",
+        "deadline",
         "deadline_ms",
         "head",
         "host",
@@ -59,6 +60,8 @@
         self.body: Body = b""
         self.keep_alive = True
         self.received = 0.0
+        # When its caller waits no longer, 0 if it is not known.
+        self.deadline = 0.0
         # The answer, without its body if that is large.
         self.answer: bytes | None = None
         self.answer_body: LargeBody | None = None
--- a/src/coltsfoottrack/_internal/mesh/client_shortage.py
+++ b/src/coltsfoottrack/_internal/mesh/client_shortage.py
@@ -94,3 +94,8 @@
     )
     closed = {(("reason", reason),): count for reason, count in group.aborted.items()}
     counter("caller_connections_closed_total", "Connections closed for others.", closed)
+    counter(
+        "caller_connections_unreceived_total",
+        "Connections closed although their callers had not received all answers in time.",
+        {(): group.unreceived_closed},
+    )
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -1,6 +1,6 @@
 """A node of the mesh: creates, starts and stops its parts."""
 
-from asyncio import Event, Server, Task, get_running_loop, sleep
+from asyncio import Event, Server, Task, gather, get_running_loop, sleep
 from collections.abc import Callable, Coroutine
 from functools import partial
 from gc import freeze
@@ -20,6 +20,7 @@
 from coltsfoottrack._internal.mesh.entry import Entry
 from coltsfoottrack._internal.mesh.exceptions import ReportError
 from coltsfoottrack._internal.mesh.level_reports import LevelReporter
+from coltsfoottrack._internal.mesh.link import SILENT_TIMEOUT_SECONDS
 from coltsfoottrack._internal.mesh.links import Links
 from coltsfoottrack._internal.mesh.membership import Membership
 from coltsfoottrack._internal.mesh.memory_account import MemoryAccount, account_limit
@@ -377,10 +378,10 @@
     async def stop(self) -> None:
         """Shuts down: lets callers move to other nodes and waits for requests in flight."""
         started = current_time()
-        end = self.entry.gate.stop(started, self.settings.grace_seconds).ends
+        period = self.entry.gate.stop(started, self.settings.grace_seconds)
         self.log.decision("stopping", in_flight=len(self.entry.calls), load=self.runner.load)
         self.backend.set_node_leaving()
-        while current_time() < end:
+        while current_time() < period.ends:
             await sleep(TICK_SECONDS)
             if current_time() - started < READINESS_DRAIN_SECONDS:
                 continue
@@ -392,33 +393,64 @@
             # A connection that was accepted meanwhile may bring one more request.
             if self.server.is_serving():
                 self.server.close()
-            elif not self.entry.connections:
+            elif self.entry.group.is_finished(current_time()):
                 break
         unanswered = len(self.entry.calls)
         self.entry.abandon_all()
         self.closed = True
         self.server.close()
-        self.entry.close_connections()
-        if self.backend.left:
-            await self.membership.own_record.delete(DELETE_TIMEOUT_SECONDS)
-        # Lets the transports write the last answers.
-        await sleep(TICK_SECONDS)
+        self._stop_work()
+        await gather(self._close_in_order(period.closes), self._delete_record_of_left())
+        unreceived = self._unreceived()
         self.close()
         self.log.decision(
             "stopped",
             requests=self.statistics.requests,
             given_up=unanswered,
+            unreceived=unreceived,
             after_ms=int((current_time() - started) * 1000.0),
         )
         self.log.writer.flush()
 
-    def close(self) -> None:
-        """Cancels all tasks and closes all ports and connections at once."""
-        self.closed = True
+    async def _close_in_order(self, until: float) -> None:
+        """Closes all connections after what was sent on them, which their other ends receive first.
+
+        A node that reacts to a close does so at once, so nodes are waited for no longer than for
+        the answer to a probe.
+        """
+        self.entry.group.close_all()
+        for port in self.ports:
+            port.finish()
+        self.links.finish()
+        silent_at = current_time() + SILENT_TIMEOUT_SECONDS
+        while current_time() < until:
+            await sleep(TICK_SECONDS)
+            reacting = self.links.open_connections() and current_time() < silent_at
+            if not reacting and not self._unreceived():
+                return
+
+    def _unreceived(self) -> int:
+        """Returns the number of connections whose other ends have not received everything."""
+        count = self.entry.group.unreceived() + self.links.unreceived()
+        for port in self.ports:
+            count += port.group.unreceived()
+        return count
+
+    async def _delete_record_of_left(self) -> None:
+        if self.backend.left:
+            await self.membership.own_record.delete(DELETE_TIMEOUT_SECONDS)
+
+    def _stop_work(self) -> None:
+        """Stops the background work."""
         self.timer.close()
         for task in self.tasks:
             task.cancel()
         self.membership.close()
+
+    def close(self) -> None:
+        """Cancels all tasks and closes all ports and connections at once."""
+        self.closed = True
+        self._stop_work()
         if self.server is not None:
             self.server.close()
         for port in self.ports:
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -180,7 +180,7 @@
                 request.respond(400, b"", b"")
                 return False
             remaining = min(int(request.deadline_ms), 86_400_000) / 1000.0
-        call.deadline = now + remaining
+        call.deadline = request.deadline = now + remaining
         call.expires = now + min(remaining, timeout)
         return True
 
@@ -537,10 +537,6 @@
     def close_idle_connections(self, now: float) -> None:
         """Closes connections that have no request in flight and may not bring their first one."""
         for connection in list(self.connections):
+            connection.end_linger(now)
             if not connection.awaits_first_request(now):
-                connection.close_if_idle()
-
-    def close_connections(self) -> None:
-        """Closes all connections that have no request in flight."""
-        for connection in list(self.connections):
-            connection.close_if_idle()
+                connection.close_if_idle(now)
--- a/src/coltsfoottrack/_internal/mesh/entry_gate.py
+++ b/src/coltsfoottrack/_internal/mesh/entry_gate.py
@@ -17,6 +17,8 @@
 # Part of the grace period reserved for the exit of the process itself, at most this long.
 EXIT_MARGIN_FRACTION = 0.1
 MAX_EXIT_MARGIN_SECONDS = 0.6
+# Part of that margin that remains once all connections are closed.
+CLOSE_FRACTION = 0.5
 # A process accepts calls about this long after its start.
 START_SECONDS = 0.5
 # Retry-After for requests refused because of load, and for all others.
@@ -44,6 +46,8 @@
     accepts_any_until: float
     ends: float
     kill_at: float = 0.0
+    # Until then the other ends of its connections may receive what was sent to them.
+    closes: float = 0.0
 
     @classmethod
     def from_grace(cls, started: float, grace_seconds: float) -> Self:
@@ -54,6 +58,7 @@
             started + grace_seconds * ACCEPT_ANY_FRACTION,
             started + grace_seconds - margin,
             started + grace_seconds,
+            started + grace_seconds - margin * CLOSE_FRACTION,
         )
 
     def has_time_for(self, expires: float, longest_seen: float | None, now: float) -> bool:
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -29,6 +29,7 @@
     bound_receive_buffer,
     detect_silence,
     split_address,
+    unreceived_bytes,
 )
 from coltsfoottrack._internal.schema.links_pb2 import Frame, Ping, Reply, Request
 
@@ -105,6 +106,8 @@
         # Used once a large body is sent.
         self.writer: PacedWriter | None = None
         self.writing_paused = False
+        # Nothing more is sent; the connection closes once the peer has closed it.
+        self.ended = False
         # Small frames to be written together once all received ones are handled, None otherwise.
         self.held_back: list[bytes] | None = None
         self.calls: dict[int, LinkCall] = {}
@@ -261,7 +264,9 @@
 
     def is_open(self) -> bool:
         """Returns whether the connection can send messages."""
-        return self.transport is not None and not self.transport.is_closing()
+        if self.transport is None or self.ended:
+            return False
+        return not self.transport.is_closing()
 
     def send(self, frame: Frame) -> None:
         """Sends a message; drops it silently if the connection is closed."""
@@ -307,12 +312,26 @@
             output.write(part)
 
     def close(self) -> None:
-        """Closes the connection once all that was sent is written."""
+        """Ends the stream after all that was sent; the peer closes once it has read that.
+
+        A close at once would reset the connection if the peer sends something meanwhile, and the
+        peer would lose what it has not received.
+        """
+        if not self.is_open():
+            return
         self._write_held_back()
+        self.ended = True
         if self.writer is None:
-            self.transport.close()
+            self.transport.write_eof()
         else:
-            self.writer.close()
+            self.writer.end()
+
+    def has_unreceived(self) -> bool:
+        """Returns whether the peer has not received all that was sent."""
+        if self.transport is None:
+            return False
+        waits = self.writer is not None and not self.writer.is_idle()
+        return waits or unreceived_bytes(self.transport) > 0
 
     def probe(self, now: float) -> bool:
         """Probes a connection with outstanding calls; returns False once it counts as silent."""
@@ -527,6 +546,12 @@
                 self.connections.remove(connection)
                 connection.close()
 
+    def stop_connecting(self) -> None:
+        """Gives up a connection that is not established yet."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+
     def close(self) -> None:
         """Closes all connections."""
         for connection in self.connections:
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -76,6 +76,8 @@
         self.contacts: dict[str, PeerLink] = {}
         self.accepted: set[LinkConnection] = set()
         self.server: Server | None = None
+        # All links were closed as the node ends; no new ones are opened.
+        self.finished = False
         self.process = getrandbits(PROCESS_BITS)
         # Set once by the node; it needs the links to send its messages.
         self.shared_rates: SharedRates | None = None
@@ -115,7 +117,8 @@
 
     def send_message(self, member: Member, frame: Frame) -> None:
         """Sends a message without a reply to a member, after connecting if needed."""
-        self._peer(member).send_when_connected(frame)
+        if not self.finished:
+            self._peer(member).send_when_connected(frame)
 
     def contact(self, address: str) -> None:
         """Connects to a node of which only the address is known; its first message names it."""
@@ -248,7 +251,8 @@
 
     def handle_link_lost(self, connection: LinkConnection) -> None:
         """Handles a lost connection; calls received on an accepted one become orphans."""
-        self.distribution.subscriptions.handle_connection_lost(connection)
+        if not self.finished:
+            self.distribution.subscriptions.handle_connection_lost(connection)
         if connection.peer is not None:
             connection.peer.handle_lost(connection, silent=False)
             return
@@ -404,11 +408,31 @@
             count += len(peer.connections)
         return count
 
-    def close(self) -> None:
-        """Closes all links."""
+    def finish(self) -> None:
+        """Closes the port, and all links after what was sent on them."""
         if self.server is not None:
             self.server.close()
+        self.finished = True
         for peer in (*self.peer_links.values(), *self.contacts.values()):
-            peer.close()
-        for connection in list(self.accepted):
+            peer.stop_connecting()
+        for connection in self._connections():
             connection.close()
+
+    def _connections(self) -> list[LinkConnection]:
+        connections = list(self.accepted)
+        for peer in (*self.peer_links.values(), *self.contacts.values()):
+            connections += peer.connections
+        return connections
+
+    def unreceived(self) -> int:
+        """Returns the number of connections whose peers have not received all that was sent."""
+        return sum(connection.has_unreceived() for connection in self._connections())
+
+    def close(self) -> None:
+        """Closes all links at once."""
+        if self.server is not None:
+            self.server.close()
+        for connection in self._connections():
+            connection.transport.close()
+        for peer in (*self.peer_links.values(), *self.contacts.values()):
+            peer.connections = []
--- a/src/coltsfoottrack/_internal/mesh/paced_writer.py
+++ b/src/coltsfoottrack/_internal/mesh/paced_writer.py
@@ -25,7 +25,8 @@
         self.transport = transport
         self.paused = False
         self.pending: deque[bytes | PendingBody] = deque()
-        # The connection is to be closed once all is written.
+        # The stream, or the connection, is to be closed once all is written.
+        self.ending = False
         self.closing = False
 
     def write(self, data: bytes) -> None:
@@ -49,6 +50,11 @@
         self.paused = False
         self._flush()
 
+    def end(self) -> None:
+        """Ends the stream once all is written; the connection can still be read."""
+        self.ending = True
+        self._flush()
+
     def close(self) -> None:
         """Closes the connection once all is written."""
         self.closing = True
@@ -77,5 +83,9 @@
                 self.pending.popleft()
                 continue
             self.transport.write(piece)
-        if self.closing and not self.pending:
+        if self.pending:
+            return
+        if self.closing:
             self.transport.close()
+        elif self.ending:
+            self.transport.write_eof()
--- a/src/coltsfoottrack/_internal/mesh/ports.py
+++ b/src/coltsfoottrack/_internal/mesh/ports.py
@@ -69,8 +69,14 @@
         head = f"Content-Type: {answer.content_type}\r\n".encode("latin-1")
         request.respond(answer.status, head, answer.body)
 
+    def finish(self) -> None:
+        """Closes the port, and its connections after the answers that were written."""
+        if self.server is not None:
+            self.server.close()
+        self.group.close_all()
+
     def close(self) -> None:
-        """Closes the port and its connections."""
+        """Closes the port and its connections at once."""
         if self.server is not None:
             self.server.close()
         for connection in list(self.group.connections):
--- a/src/coltsfoottrack/_internal/mesh/read_turns.py
+++ b/src/coltsfoottrack/_internal/mesh/read_turns.py
@@ -46,6 +46,10 @@
         if parts <= COSTLY_PARTS:
             return
         self.costly += 1
+        self.wait(reader)
+
+    def wait(self, reader: Reader) -> None:
+        """Lets a connection be read again once it is its turn."""
         reader.wait_for_turn()
         self.waiting.append(reader)
         if len(self.waiting) == 1:
--- a/src/coltsfoottrack/_internal/mesh/sockets.py
+++ b/src/coltsfoottrack/_internal/mesh/sockets.py
@@ -2,6 +2,7 @@
 
 from asyncio import BaseProtocol, BaseTransport, Server, get_running_loop
 from collections.abc import Callable
+from fcntl import ioctl
 from socket import (
     AF_INET,
     AF_INET6,
@@ -18,6 +19,8 @@
     socket,
 )
 from socket import TCP_USER_TIMEOUT as TCP_USER_TIMEOUT_OPTION
+from struct import Struct
+from termios import TIOCOUTQ
 
 # The kernel probes an idle connection after 1 s and drops an unresponsive one after 3 s.
 TCP_KEEPALIVE_SECONDS = 1
@@ -31,6 +34,8 @@
 CALLER_RECEIVE_BYTES = 16 * 1024
 # The same for connections to other nodes and to the backend server, which are read at once.
 INNER_RECEIVE_BYTES = 256 * 1024
+# Result of a query of the kernel for a number of bytes.
+_COUNT = Struct("i")
 
 
 def detect_silence(transport: BaseTransport) -> None:
@@ -49,6 +54,21 @@
     transport.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_RCVBUF, size)
 
 
+def unreceived_bytes(transport: BaseTransport) -> int:
+    """Returns how many written bytes the kernel of the remote end has not acknowledged.
+
+    The end of the stream counts as one byte. A system that does not tell counts as having none.
+    """
+    if transport.is_closing():
+        return 0
+    buffered = transport.get_write_buffer_size()
+    try:
+        answer = ioctl(transport.get_extra_info("socket").fileno(), TIOCOUTQ, bytes(_COUNT.size))
+    except OSError:
+        return buffered
+    return buffered + _COUNT.unpack(answer)[0]
+
+
 async def listen(
     address: str, protocol: Callable[[], BaseProtocol], accepted_at_once: int
 ) -> Server:
--- a/src/coltsfoottrack/_internal/node/connections.py
+++ b/src/coltsfoottrack/_internal/node/connections.py
@@ -24,6 +24,7 @@
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from structlog import get_logger
 
+from coltsfoottrack._internal.mesh.sockets import unreceived_bytes
 from coltsfoottrack._internal.node.connection_bounds import ConnectionBounds
 from coltsfoottrack._internal.node.http_messages import (
     CallRequest,
@@ -37,6 +38,8 @@
 MAX_REQUEST_LINE_BYTES = 4096
 # Pipelined requests of a caller that may wait before the node stops reading.
 MAX_PIPELINED = 8
+# Connections over the limit, as a part of it, that may wait for their callers to read the refusal.
+REFUSED_DIVISOR = 16
 INTERNAL_ERROR = (
     b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 )
@@ -56,6 +59,7 @@
     stages: StageTimes
     date: DateHeader
     connections: "set[PortConnection]"
+    refused_connections: "set[PortConnection]"
     closing: bool
     count_refused: Callable[[str], None]
     hold_body: Callable[[int], bool]
@@ -90,6 +94,8 @@
         self.pending_requests: deque[CallRequest] = deque()
         self.reading_paused = False
         self.input_ended = False
+        # The last answer was written; the connection closes once the caller has closed it.
+        self.lingering = False
         self.task: Task[None] | None = None
         self.request_waiter: Future[None] | None = None
         self.writable = Event()
@@ -103,10 +109,7 @@
         self.transport = transport
         server = self.server
         if len(server.connections) >= self.bounds.max_connections:
-            server.count_refused("max_connections")
-            self.input_ended = True
-            transport.write(OVER_CONNECTION_LIMIT)
-            transport.close()
+            self._refuse_connection()
             return
         transport.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
         server.connections.add(self)
@@ -114,12 +117,26 @@
         self.task = get_running_loop().create_task(self._serve_requests())
         self._start_timer(self.bounds.first_byte_seconds, self._header_timed_out)
 
+    def _refuse_connection(self) -> None:
+        """Answers that there are too many connections; closes once the caller has read that."""
+        server = self.server
+        server.count_refused("max_connections")
+        self.input_ended = True
+        self.transport.write(OVER_CONNECTION_LIMIT)
+        if len(server.refused_connections) > self.bounds.max_connections // REFUSED_DIVISOR:
+            self.transport.close()
+            return
+        server.refused_connections.add(self)
+        self.close_in_order()
+        self._start_timer(self.bounds.first_byte_seconds, self.transport.abort)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Releases the connection's resources and cancels the call in progress."""
         self.input_ended = True
         # Breaks the reference cycle with the parser, which only the garbage collector would free.
         self.parser = None
         self.server.connections.discard(self)
+        self.server.refused_connections.discard(self)
         self._release_body(self.held_bytes)
         self.body = bytearray()
         self._stop_timer()
@@ -302,11 +319,30 @@
                 self.idle_since = monotonic()
                 if not self.writable.is_set():
                     await self.writable.wait()
-            self.input_ended = True
-            self.transport.close()
+            self.close_in_order()
         except CancelledError:
             self.transport.abort()
 
+    def close_in_order(self) -> None:
+        """Ends the output after the last answer; the caller closes once it has read that.
+
+        What the caller still sends is discarded, as unread bytes would reset the connection.
+        """
+        self.input_ended = True
+        self.lingering = True
+        if self.reading_paused:
+            self.reading_paused = False
+            self.transport.resume_reading()
+        self.transport.write_eof()
+
+    def close_unused(self) -> None:
+        """Closes a connection without a call; the caller receives earlier answers first."""
+        if unreceived_bytes(self.transport) > 0:
+            self.close_in_order()
+            return
+        self.input_ended = True
+        self.transport.close()
+
     async def _answer(self, request: CallRequest) -> bool:
         """Answers one request; returns whether the connection stays open."""
         stages = self.server.stages
@@ -343,6 +379,8 @@
     @property
     def has_call(self) -> bool:
         """Returns whether a received request has not been answered yet."""
+        if self.lingering:
+            return False
         return self.request_waiter is None or self.headers_complete or bool(self.pending_requests)
 
     def _start_timer(self, seconds: float, expired: Callable[[], None]) -> None:
--- a/src/coltsfoottrack/_internal/node/http_port.py
+++ b/src/coltsfoottrack/_internal/node/http_port.py
@@ -37,6 +37,8 @@
         self.count_refused = count_refused
         self.stages = stages
         self.connections: set[PortConnection] = set()
+        # Connections over the limit whose callers have not read the refusal yet.
+        self.refused_connections: set[PortConnection] = set()
         # Bytes of all bodies that are being received or wait for their answer.
         self.held_body_bytes = 0
         self.date = DateHeader()
@@ -82,15 +84,14 @@
                     await sleep(CLOSE_POLL_SECONDS)
         except TimeoutError:
             logger.warning("call_connections_left_open", count=len(self.connections))
-        for connection in list(self.connections):
+        for connection in (*self.connections, *self.refused_connections):
             connection.transport.abort()
 
     def _close_unused(self) -> None:
         """Closes connections without a call, including those with a partial header block."""
         for connection in list(self.connections):
             if not connection.has_call:
-                connection.input_ended = True
-                connection.transport.close()
+                connection.close_unused()
 
     async def _sweep(self) -> None:
         while True:
@@ -102,9 +103,8 @@
         for connection in list(self.connections):
             if connection.idle_since >= idle_before:
                 continue
-            if connection.transport.is_closing() or not connection.writable.is_set():
+            if connection.lingering or not connection.writable.is_set():
                 # The caller has not read its response within the keep-alive time.
                 connection.transport.abort()
             elif not connection.has_call and connection.arriving is None:
-                connection.input_ended = True
-                connection.transport.close()
+                connection.close_unused()
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -89,6 +89,8 @@
         self.fault = ""
         # Status of each correct answer, as in its status line.
         self.status = "200"
+        # Least size of the body of an answer.
+        self.body_bytes = 0
         # Whether the last refusal on a connection is written again before the next answer on it.
         self.repeats_refusals = False
         # Bytes written of answers without end, by request.
@@ -147,6 +149,7 @@
     def _answer(self, writer: StreamWriter, message: Message, request_id: str) -> bool:
         """Writes an answer; returns whether the connection stays open."""
         body = f"{self.identifier} {message.method} {message.path}".encode()
+        body = body.ljust(self.body_bytes)
         fault = self.fault
         if fault == "crash":
             self.close()
--- a/tests/unit/test_client_memory.py
+++ b/tests/unit/test_client_memory.py
@@ -319,6 +319,12 @@
     def note_progress(self, now: float) -> None:
         pass
 
+    def has_unreceived(self) -> bool:
+        return False
+
+    def is_idle(self, now: float) -> bool:
+        return True
+
     def abort(self, reason: str) -> None:
         self.aborted = True
         self.group.remove(self)
--- a/tests/unit/test_http_port.py
+++ b/tests/unit/test_http_port.py
@@ -19,6 +19,7 @@
 from coltsfoottrack._internal.node.http_messages import CallRequest, CallResponse
 from coltsfoottrack._internal.node.http_port import HttpPort
 from coltsfoottrack._internal.observability.stages import StageTimes
+from tests.standins.slow_reader import SlowReader
 
 BOUNDS = ConnectionBounds(
     max_connections=10,
@@ -31,6 +32,8 @@
 )
 # Exceeds the buffers of both sockets.
 HUGE_BYTES = 64 * 1024 * 1024
+# Takes a slow caller over a second to read.
+LARGE_BYTES = 36_000
 OFFER = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABk")
 CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -73,6 +76,8 @@
             return CallResponse(200, {"Reason": "a\r\nOutcome: done"}, b"")
         if request.body == b"huge":
             return CallResponse(200, {}, bytes(HUGE_BYTES))
+        if request.body == b"large":
+            return CallResponse(200, {}, bytes(LARGE_BYTES))
         status = int(request.body) if request.body.isdigit() else 200
         return CallResponse(status, {"X": "y"}, request.body)
 
@@ -95,6 +100,34 @@
             writer.close()
         return received
 
+    async def slow_caller(self) -> SlowReader:
+        """Opens a connection whose answers are read slowly."""
+        caller = SlowReader()
+        self.addCleanup(caller.close)
+        await caller.connect(f"127.0.0.1:{self.port_number}")
+        return caller
+
+    # A close after the last answer reset the connection, as more arrived behind that answer.
+    async def test_bytes_behind_the_closing_answer_cost_no_answer(self) -> None:
+        caller = await self.slow_caller()
+        await caller.send(post(b"large", "Connection: close"))
+        await sleep(0.1)
+        await caller.send(post(b"behind"))
+        await caller.read()
+        self.assertEqual((caller.answers(), caller.problem), ([(200, "")], ""))
+
+    # A stop closed connections whose answers were still read as unused ones.
+    async def test_stop_waits_for_answers_that_are_read(self) -> None:
+        caller = await self.slow_caller()
+        await caller.send(post(b"large"))
+        await sleep(0.1)
+        closing = create_task(self.port.close(5.0))
+        await sleep(0.1)
+        await caller.send(post(b"behind"))
+        await caller.read()
+        self.assertEqual((caller.answers(), caller.problem), ([(200, "")], ""))
+        await closing
+
     async def wait_until(self, holds: Callable[[], bool]) -> None:
         for _ in range(500):
             if holds():
--- a/tests/unit/test_mesh_link.py
+++ b/tests/unit/test_mesh_link.py
@@ -106,8 +106,11 @@
     def __init__(self) -> None:
         self.writes = []
         self.closed = False
+        self.ended = False
 
     def write(self, data: bytes) -> None:
+        if self.ended:
+            raise RuntimeError("a write after the end of the stream")
         self.writes.append(data)
 
     def is_closing(self) -> bool:
@@ -118,6 +121,9 @@
 
     abort = close
 
+    def write_eof(self) -> None:
+        self.ended = True
+
 
 class AnsweringHandler:
     """Answers each cancel with a reply of its number."""
