--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -63,7 +63,7 @@
             self.members, self.subscriptions, active_configuration, summaries, self.era
         )
         self.publisher.last_confirmed = self.subscriptions.last_confirmed
-        self.watch.on_confirmed = self.publisher.publish
+        self.watch.on_confirmed = self.subscriptions.publish
         self.era.on_restored.append(self.watch.restart)
         self.era.on_restored.append(self.own_record.handle_restored)
         self.members.on_learned = self.publisher.add_changed
@@ -87,7 +87,7 @@
     def apply_ranks(self, ranks: int) -> None:
         """Announces a new configuration and its number of ranks."""
         self.publisher.levels.ranks = ranks
-        self.publisher.publish()
+        self.subscriptions.publish()
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Returns the background work, to be run until the node ends."""
@@ -113,4 +113,4 @@
 
     def close(self) -> None:
         """Stops following the store."""
-        self.watch.stop()
+        self.subscriptions.close()
--- a/src/coltsfoottrack/_internal/mesh/publisher.py
+++ b/src/coltsfoottrack/_internal/mesh/publisher.py
@@ -50,7 +50,7 @@
         if not is_new and not all_members:
             return
         members = self.directory.known_members() if all_members else []
-        connection.send(self._notice(members, now))
+        connection.send(self.notice(now, members))
 
     def unsubscribe(self, connection: LinkConnection) -> None:
         """Ends a subscription, also one whose connection was lost."""
@@ -69,7 +69,7 @@
         self.changed = {}
         if not self.subscribers:
             return
-        frame = self._notice(changed, now)
+        frame = self.notice(now, changed)
         for connection in list(self.subscribers):
             connection.send(frame)
 
@@ -82,7 +82,8 @@
         if self.changed or self.levels.sheds or now - self.sent_at >= NOTICE_INTERVAL_SECONDS:
             self.publish()
 
-    def _notice(self, members: Iterable[Member], now: float) -> Frame:
+    def notice(self, now: float, members: Iterable[Member] = ()) -> Frame:
+        """Returns a notice with these records of members."""
         return Frame(
             notice=Notice(
                 configuration_version=self.active_configuration.version,
--- a/src/coltsfoottrack/_internal/mesh/store.py
+++ b/src/coltsfoottrack/_internal/mesh/store.py
@@ -53,8 +53,11 @@
     async def watch_configuration(self, revision: int) -> ConfigurationChange:
         """Waits for a change. Raises StoreHistoryLostError."""
 
-    async def probe(self) -> ProbeResult:
-        """Reads the configuration at the least price, on a connection that only probes use."""
+    async def probe(self, new_connection: bool = False) -> ProbeResult:
+        """Reads the configuration at the least price, on a connection that only probes use.
+
+        An open connection may have fallen silent while new ones work.
+        """
 
     async def list_members(self) -> MemberChanges:
         """Returns all member records; they may be seconds old."""
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -65,6 +65,13 @@
             self.log.decision("store_watch_started")
             self._start_following()
 
+    async def look(self) -> None:
+        """Starts following the store if it answers this node. Raises StoreError."""
+        await self.store.probe(new_connection=True)
+        change = await self.store.read_configuration()
+        self._confirm(change)
+        self.start()
+
     def _start_following(self) -> None:
         self.guard.reset()
         self._start(self.guard.run())
--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -2,12 +2,13 @@
 
 A node subscribes to a few watchers. Each notice carries the time since the store last confirmed
 what its sender knows, so that "nothing new" differs from "nobody looks". A node whose sources fall
-silent or do not reach the store turns to the next watchers, and reads the store itself once its own
-knowledge is too old.
+silent or do not reach the store turns to the next watchers, and asks the store itself once its own
+knowledge is too old. If the store serves it, it tells its sources, and they tell all others.
 """
 
 from collections.abc import Callable
 from random import uniform
+from typing import NamedTuple
 
 from coltsfoottrack._internal.mesh.clock import current_time
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
@@ -16,6 +17,7 @@
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS, Publisher
 from coltsfoottrack._internal.mesh.records import to_record
+from coltsfoottrack._internal.mesh.store_look import SPREAD_SECONDS, StoreLook
 from coltsfoottrack._internal.mesh.store_watch import StoreWatch
 from coltsfoottrack._internal.mesh.watch_guard import PROBE_SECONDS
 from coltsfoottrack._internal.mesh.watchers import (
@@ -54,10 +56,8 @@
 OVERDUE_SECONDS = PROBE_SECONDS + 0.2
 # Knowledge of this age has how many further sources, more the longer it lasts.
 FURTHER_SOURCES = ((OVERDUE_SECONDS, 1), (PROBE_SECONDS + 0.3, 3), (PROBE_SECONDS + 0.4, 6))
-# A node whose knowledge is older than this looks itself.
-LOOK_SECONDS = PROBE_SECONDS + 0.55
-# If this many sources say that they do not reach the store, it is taken to be away for all.
-ENOUGH_BLIND_SOURCES = 8
+# A source whose knowledge is older than this is told what the store has confirmed here.
+STALE_SECONDS = 0.9 * PROBE_SECONDS
 # Pause of the work of a node, and while its knowledge is about to be too old.
 TICK_SECONDS = 0.2
 OVERDUE_TICK_SECONDS = 0.05
@@ -65,11 +65,8 @@
 MAX_AGE_SECONDS = OVERDUE_SECONDS
 # A node without a configuration cannot serve, and waits for its sources for less.
 MAX_AGE_WITHOUT_CONFIGURATION_SECONDS = 0.4
-# If the store is taken to be away for all, others that look already tell when it is back.
-MAX_AGE_WITHOUT_STORE_SECONDS = 4.0
-# Random parts of these, so that not all nodes look at the same time.
+# Random part of these, so that not all nodes look at the same time.
 AGE_JITTER_SECONDS = 0.3
-AGE_WITHOUT_STORE_JITTER_SECONDS = 12.0
 # A node follows the store for at least this long after the last reason to do so.
 KEEP_WATCHING_SECONDS = 5.0
 # Members that differ from those of a source for this long are exchanged.
@@ -89,9 +86,18 @@
         self.connection: LinkConnection | None = None
         # Up to when the store has confirmed the source's knowledge, None if never.
         self.confirmed_at: float | None = None
+        # Version of the configuration in its last notice.
+        self.version = 0
         self.differs_since: float | None = None
 
 
+class Newer(NamedTuple):
+    """A version of the configuration that was not fetched yet."""
+
+    version: int
+    confirmed_at: float
+
+
 class Subscriptions:
     """The sources of this node, and whether it has to follow the store itself."""
 
@@ -112,6 +118,10 @@
         self.avoided: dict[str, float] = {}
         # Latest time up to which the store has confirmed what any source knew, None if never.
         self.heard_confirmed: float | None = None
+        # A version that another node has and this one does not, and up to when the store has
+        # confirmed it.
+        self.newer = Newer(0, 0.0)
+        self.look = StoreLook(watch, log)
         # Until then, a node that knows nothing leaves the store to others.
         self.look_after = current_time() + first_look_seconds
         self.reviewed_at = 0.0
@@ -128,6 +138,9 @@
 
     def last_confirmed(self) -> float | None:
         """Returns up to when the store has confirmed what this node knows, None if never."""
+        if 0 < self.newer.version <= self.publisher.active_configuration.version:
+            self._note_confirmed(self.newer.confirmed_at)
+            self.newer = Newer(0, 0.0)
         own = self.watch.confirmed_at
         if own is None or self.heard_confirmed is None:
             return own if self.heard_confirmed is None else self.heard_confirmed
@@ -153,18 +166,59 @@
         """Records what a source has confirmed."""
         source = self.sources.get(connection.node)
         if source is None:
-            connection.send(Frame(unsubscribe=Unsubscribe()))
+            self._handle_news(connection, notice, now)
             return
         source.connection = connection
         source.heard_at = now
+        source.version = notice.configuration_version
         if notice.age_ms != UNKNOWN_AGE_MS:
             confirmed = now - notice.age_ms / 1000.0
             source.confirmed_at = max(confirmed, source.confirmed_at or confirmed)
-            # A newer configuration that this node does not have yet confirms nothing here.
-            if notice.configuration_version <= self.publisher.active_configuration.version:
-                self.heard_confirmed = max(confirmed, self.heard_confirmed or confirmed)
+            self._learn_confirmed(notice.configuration_version, confirmed)
         self._compare_members(source, notice.members_digest, now)
 
+    def _handle_news(self, connection: LinkConnection, notice: Notice, now: float) -> None:
+        """Handles a notice of a subscriber that the store serves; passes it on if it is news."""
+        if connection not in self.publisher.subscribers:
+            connection.send(Frame(unsubscribe=Unsubscribe()))
+            return
+        if notice.age_ms == UNKNOWN_AGE_MS:
+            return
+        was_stale = self.age(now) > STALE_SECONDS
+        self._learn_confirmed(notice.configuration_version, now - notice.age_ms / 1000.0)
+        if was_stale and self.age(now) <= STALE_SECONDS:
+            self.publisher.publish()
+
+    def _learn_confirmed(self, version: int, confirmed: float) -> None:
+        """Notes up to when the store has confirmed a version; a newer one once it is in force."""
+        if version <= self.publisher.active_configuration.version:
+            self._note_confirmed(confirmed)
+        elif version > self.newer.version or confirmed > self.newer.confirmed_at:
+            self.newer = Newer(version, confirmed)
+
+    def _note_confirmed(self, confirmed: float) -> None:
+        self.heard_confirmed = max(confirmed, self.heard_confirmed or confirmed)
+
+    def publish(self) -> None:
+        """Tells the subscribers what the store has confirmed, and the sources that don't know."""
+        self.publisher.publish()
+        if self.watch.confirmed_at is not None:
+            self._tell_sources(current_time())
+
+    def _tell_sources(self, now: float) -> None:
+        if now - self.watch.confirmed_at > STALE_SECONDS:
+            return
+        version = self.publisher.active_configuration.version
+        for source in self.sources.values():
+            if source.connection is None or not source.connection.is_open():
+                continue
+            stale = source.confirmed_at is None or now - source.confirmed_at > STALE_SECONDS
+            if stale:
+                # The source, and those whom it tells, need this node to follow the store.
+                self.last_reason_at = now
+            if stale or source.version < version:
+                source.connection.send(self.publisher.notice(now))
+
     def _compare_members(self, source: Source, digest: int, now: float) -> None:
         """Exchanges all records with a source if the known members differ for too long."""
         if digest == self.directory.digest:
@@ -248,11 +302,12 @@
             self._review(now)
         self._subscribe_missing(now)
         self._update_watch(now)
+        self._update_look(now)
         self.publisher.tick(now)
 
     def tick_pause(self, now: float) -> float:
         """Returns the seconds until the next tick is due."""
-        if PROBE_SECONDS <= self.age(now) <= LOOK_SECONDS + TICK_SECONDS:
+        if PROBE_SECONDS <= self.age(now) <= OVERDUE_SECONDS + SPREAD_SECONDS + TICK_SECONDS:
             return OVERDUE_TICK_SECONDS
         return TICK_SECONDS
 
@@ -373,13 +428,21 @@
         is_alone = not self.sources and not self.avoided
         if is_alone and self.searched:
             return True
-        live = self._live_sources(now)
-        if sum(self._is_blind(source, now) for source in live) >= ENOUGH_BLIND_SOURCES:
-            limit = MAX_AGE_WITHOUT_STORE_SECONDS + AGE_WITHOUT_STORE_JITTER_SECONDS * self.jitter
-        elif live:
-            limit = LOOK_SECONDS
-        elif not self.publisher.active_configuration.version:
+        if self._live_sources(now):
+            return False
+        if not self.publisher.active_configuration.version:
             limit = MAX_AGE_WITHOUT_CONFIGURATION_SECONDS + AGE_JITTER_SECONDS * self.jitter
         else:
             limit = MAX_AGE_SECONDS + AGE_JITTER_SECONDS * self.jitter
         return self.age(now) > limit
+
+    def _update_look(self, now: float) -> None:
+        """Asks the store whether it serves this node if its sources know too little."""
+        waits = not self.watch.started and bool(self._live_sources(now))
+        is_overdue = waits and self.age(now) > OVERDUE_SECONDS
+        self.look.update(now, is_overdue, len(self._candidates()))
+
+    def close(self) -> None:
+        """Stops following the store."""
+        self.look.close()
+        self.watch.stop()
--- a/src/coltsfoottrack/_internal/mesh_local/directory_store.py
+++ b/src/coltsfoottrack/_internal/mesh_local/directory_store.py
@@ -58,7 +58,7 @@
             await sleep(POLL_INTERVAL_SECONDS)
         return ConfigurationChange(None, revision)
 
-    async def probe(self) -> ProbeResult:
+    async def probe(self, new_connection: bool = False) -> ProbeResult:
         """Reads the routes file; raises StoreError if the directory cannot be read."""
         found = await self.read_configuration()
         return ProbeResult(found.content, found.revision, True)
--- a/src/coltsfoottrack/platform/store.py
+++ b/src/coltsfoottrack/platform/store.py
@@ -127,9 +127,11 @@
                 content = encode_spec(_field(item, "spec"))
         return ConfigurationChange(content, _field(page, "currentRev"))
 
-    async def probe(self) -> ProbeResult:
+    async def probe(self, new_connection: bool = False) -> ProbeResult:
         """Reads the configuration, which may be seconds old and costs a tenth of a call."""
         pool = self.probe_pool
+        if new_connection:
+            pool.discard_idle(self.address)
         reused = pool.has_idle(self.address)
         path = f"{CONFIGURATION_KIND}/{CONFIGURATION_NAME}?{STALE_READ}"
         status, item = await self._call("GET", path, seconds=PROBE_TIMEOUT_SECONDS, pool=pool)
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -60,6 +60,7 @@
     "discovery",
     "distribution",
     "publisher",
+    "store_look",
     "store_watch",
     "subscriptions",
     "watch_guard",
@@ -174,8 +175,10 @@
         content = store.configuration if store.configuration_revision > revision else None
         return ConfigurationChange(content, store.revision)
 
-    async def probe(self) -> ProbeResult:
+    async def probe(self, new_connection: bool = False) -> ProbeResult:
         store = self.store
+        if new_connection:
+            self.probe_connected_at = None
         reused = self.probe_connected_at is not None
         if reused and self.probe_connected_at < store.silent_before:
             self.probe_connected_at = None
@@ -275,7 +278,7 @@
             self.members, self.subscriptions, self.configuration, RouteSummaries(), era
         )
         self.publisher.last_confirmed = self.subscriptions.last_confirmed
-        self.watch.on_confirmed = self.publisher.publish
+        self.watch.on_confirmed = self.subscriptions.publish
         era.on_restored.append(self.watch.restart)
         era.on_restored.append(self.record.handle_restored)
         self.members.on_learned = self.publisher.add_changed
@@ -289,7 +292,7 @@
     def record_change(self, table: Any) -> None:
         """Notes the time of a new version."""
         self.in_force[table.version] = _loop().time()
-        self.publisher.publish()
+        self.subscriptions.publish()
 
     def start(self) -> None:
         """Starts the node's tasks."""
@@ -318,7 +321,7 @@
     def stop(self) -> None:
         """Ends the node's process: its connections are reset."""
         self.alive = False
-        self.watch.stop()
+        self.subscriptions.close()
         for task in self.tasks:
             task.cancel()
         for connection in list(self.network.connections_of(self)):
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -7,6 +7,7 @@
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.own_record import REWRITES_PER_SECOND
 from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS
+from coltsfoottrack._internal.mesh.store_look import PAUSE_JITTER, REPEATED_LOOKS_PER_SECOND
 from coltsfoottrack._internal.mesh.watchers import choose_sources, watcher_count, watcher_order
 from coltsfoottrack._internal.schema.links_pb2 import Frame, Notice
 from tests.unit.simulated_mesh import SimulatedMesh, SimulatedNode, run_simulated
@@ -260,6 +261,62 @@
 
         run_simulated(scenario())
 
+    # CONFIG: eight sources that the store turned away counted as proof that it serves nobody.
+    def test_change_while_the_store_turns_away_all_that_are_asked_first(self):
+        async def scenario() -> None:
+            for pause, silent in ((0.05, True), (0.3, False), (2.0, True), (2.0, False)):
+                mesh = await self.started(42, 1)
+                turned_away = set(self.asked_first(mesh)[:14])
+                (mesh.store.silent if silent else mesh.store.refused).update(turned_away)
+                mesh.store.notify()
+                await sleep(pause)
+                await self.check_change_at(mesh, 2, set(mesh.nodes) - turned_away)
+
+        run_simulated(scenario())
+
+    def test_change_while_the_store_serves_a_single_node(self):
+        """Guards against a node that the store serves and that never asks it."""
+
+        async def scenario() -> None:
+            mesh = await self.started(42, 1)
+            *turned_away, served = self.asked_first(mesh)
+            mesh.store.silent.update(turned_away)
+            await self.check_change_at(mesh, 2, {served})
+            # The others hear of it from that node.
+            await sleep(1.0)
+            self.assertEqual(missing(mesh, 2), [])
+
+        run_simulated(scenario())
+
+    def test_looks_of_all_nodes_in_an_outage_are_bounded(self):
+        """Guards against a store that each node asks again and again."""
+
+        async def scenario() -> None:
+            for count, silent in ((42, True), (42, False), (196, False)):
+                mesh = await self.started(count)
+                looks = mesh.log.counts.get("store_look", 0)
+                if silent:
+                    mesh.store.silent.update(mesh.nodes)
+                mesh.store.is_down = True
+                mesh.store.notify()
+                await sleep(9.0)
+                looks = mesh.log.counts["store_look"] - looks
+                repeated = 9.0 * REPEATED_LOOKS_PER_SECOND
+                self.assertLessEqual(looks, count + repeated * (1.0 + PAUSE_JITTER))
+
+        run_simulated(scenario())
+
+    def asked_first(self, mesh: SimulatedMesh) -> list[str]:
+        """Returns the nodes in the order in which others ask them for what the store says."""
+        known = next(iter(mesh.nodes.values())).directory.known_members()
+        return [member.node for member in watcher_order(known)]
+
+    async def check_change_at(self, mesh: SimulatedMesh, version: int, served: set[str]) -> None:
+        """Stores a version and checks that it is in force in time at some nodes."""
+        mesh.store.put_configuration(version)
+        await sleep(IN_FORCE_SECONDS)
+        self.assertEqual(set(missing(mesh, version)) & served, set())
+
     def test_age_of_knowledge_counts_from_the_last_answer(self):
         """Guards against notices that call knowledge new because a watch is open."""
 
