--- a/src/coltsfoottrack/_internal/mesh/caller_group.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_group.py
@@ -85,6 +85,12 @@
         for connection in list(self.connections):
             connection.close_after_answers()
 
+    def drop_all(self) -> None:
+        """Closes all connections at once, as the end of the process does."""
+        for connection in list(self.connections):
+            connection.transport.close()
+            self.remove(connection)
+
     def is_finished(self, now: float) -> bool:
         """Returns whether the end of the process would cost no caller an answer."""
         return all(connection.is_finished(now) for connection in self.connections)
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -402,6 +402,7 @@
         self._stop_work()
         await gather(self._close_in_order(period.closes), self._delete_record_of_left())
         unreceived = self._unreceived()
+        self.entry.group.drop_all()
         self.close()
         self.log.decision(
             "stopped",
