--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -42,7 +42,7 @@
 from coltsfoottrack._internal.mesh.shared_rate.mesh_access import NodeMeshAccess
 from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
 from coltsfoottrack._internal.mesh.socket_account import SocketAccount, socket_limit
-from coltsfoottrack._internal.mesh.sockets import listen
+from coltsfoottrack._internal.mesh.sockets import listen, refuses_connections
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
 from coltsfoottrack._internal.mesh.store import Store
 from coltsfoottrack._internal.mesh.work_timer import (
@@ -438,7 +438,8 @@
         return count
 
     async def _delete_record_of_left(self) -> None:
-        if self.backend.left:
+        """Deletes the record of a backend server that has left, if its process has ended."""
+        if self.backend.left and await refuses_connections(self.settings.backend_address):
             await self.membership.own_record.delete(DELETE_TIMEOUT_SECONDS)
 
     def _stop_work(self) -> None:
--- a/src/coltsfoottrack/_internal/mesh/member_updates.py
+++ b/src/coltsfoottrack/_internal/mesh/member_updates.py
@@ -67,13 +67,17 @@
     def learn_direct(self, member: Member, source: str) -> Member | None:
         """Stores a record that comes from the node that it describes.
 
-        Returns the record that the node lacks if its backend server leaves and it does not know.
+        Returns the record that the node lacks if its backend server leaves and it does not know: it
+        may have been restarted, and not have heard of its server at all.
         """
         peer = self.directory.peers.get(member.node)
         before = peer.member if peer is not None else member
         self.learn((member,), source, direct=True)
         if before.undated_leave_ms > member.undated_leave_ms:
             return before
+        is_older = member.backend_started_ms < before.backend_started_ms
+        if before.left and before.backend and is_older and not member.left:
+            return before
         known = self.directory.peers.get(member.node)
         if known is None or member.left or not known.member.left:
             return None
--- a/src/coltsfoottrack/_internal/mesh/membership.py
+++ b/src/coltsfoottrack/_internal/mesh/membership.py
@@ -93,7 +93,7 @@
         """Returns the background work, to be run until the node ends."""
         return [
             self.discovery.run(self.first_start),
-            self.own_record.write_changes(),
+            self.own_record.run(self.first_start),
             self._tick(),
         ]
 
--- a/src/coltsfoottrack/_internal/mesh/own_record.py
+++ b/src/coltsfoottrack/_internal/mesh/own_record.py
@@ -65,6 +65,18 @@
         self.on_previous: Callable[[Member], None] = lambda member: None
         self.backoff = Backoff("own_record", log)
 
+    async def run(self, first_start: bool) -> None:
+        """Reads what an earlier process has written, then writes the record on each change.
+
+        Runs until cancelled. At the first start of the mesh there is no earlier process.
+        """
+        if not first_start:
+            try:
+                await self._read_previous()
+            except StoreError as error:
+                self.log.decision("own_record_unread", problem=str(error))
+        await self.write_changes()
+
     async def write_changes(self) -> None:
         """Writes the record on each change until cancelled."""
         while True:
@@ -118,8 +130,9 @@
         if self.revision is None:
             try:
                 self.revision = await self.store.create_member(member)
-            except StoreConflictError:
-                await self._read_previous()
+            except StoreConflictError as error:
+                if not await self._read_previous():
+                    raise StoreError("member record was removed concurrently") from error
                 return
         if not self.restored:
             self.written = LastingState.of(member)
@@ -131,21 +144,28 @@
             serial=member.serial,
         )
 
-    async def _read_previous(self) -> None:
-        """Reads the stored record, which is written again if this node's state differs from it."""
+    async def _read_previous(self) -> bool:
+        """Reads the stored record, which is written again if this node's state differs from it.
+
+        Returns False if there is none. Raises StoreError.
+        """
         found = await self.store.read_member(self.directory.own.node)
         if found is None:
-            raise StoreError("member record was removed concurrently")
+            return False
         self.revision = found.revision
         self.changed.set()
         if found.member is None:
-            return
+            return True
         self.written = LastingState.of(found.member)
         if found.member.epoch != self.directory.own.epoch:
             self.on_previous(found.member)
+        return True
 
     async def delete(self, seconds: float) -> None:
-        """Removes the record of a node whose backend server has left."""
+        """Removes the record of a node whose backend server has left and ended.
+
+        Before its end the record is what remembers the leave for the node's next process.
+        """
         if self.revision is None:
             return
         try:
--- a/src/coltsfoottrack/_internal/mesh/sockets.py
+++ b/src/coltsfoottrack/_internal/mesh/sockets.py
@@ -1,6 +1,6 @@
 """Socket options of the mesh."""
 
-from asyncio import BaseProtocol, BaseTransport, Server, get_running_loop
+from asyncio import BaseProtocol, BaseTransport, Protocol, Server, get_running_loop, timeout
 from collections.abc import Callable
 from fcntl import ioctl
 from socket import (
@@ -30,6 +30,8 @@
 # only seconds later.
 BACKLOG = 1024
 MAX_PORT = 65535
+# Time for a connection to a port of the same machine.
+CONNECT_SECONDS = 0.1
 # Receive buffer of a connection of a caller. Bytes that wait in it count as memory of the process.
 CALLER_RECEIVE_BYTES = 16 * 1024
 # The same for connections to other nodes and to the backend server, which are read at once.
@@ -94,6 +96,20 @@
     return server
 
 
+async def refuses_connections(address: str) -> bool:
+    """Returns whether nobody listens at IP:PORT; False if that cannot be told in time."""
+    try:
+        host, port = split_address(address)
+        async with timeout(CONNECT_SECONDS):
+            transport, _ = await get_running_loop().create_connection(Protocol, host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError, ValueError):
+        return False
+    transport.abort()
+    return False
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Returns host and port of IP:PORT. Raises ValueError, also if there is no such port."""
     host, _, port = address.rpartition(":")
--- a/src/coltsfoottrack/_internal/mesh/store_watch.py
+++ b/src/coltsfoottrack/_internal/mesh/store_watch.py
@@ -14,6 +14,7 @@
 from coltsfoottrack._internal.mesh.configuration import ActiveConfiguration
 from coltsfoottrack._internal.mesh.decisions import DecisionLog
 from coltsfoottrack._internal.mesh.exceptions import StoreError, StoreHistoryLostError
+from coltsfoottrack._internal.mesh.left_records import LeftRecords
 from coltsfoottrack._internal.mesh.member_updates import MemberUpdates
 from coltsfoottrack._internal.mesh.store import (
     ConfigurationChange,
@@ -42,6 +43,7 @@
         self.active_configuration = active_configuration
         self.members = members
         self.log = log
+        self.left_records = LeftRecords(store, members.directory, log)
         self.tasks: list[Task[None]] = []
         # Whether the store has answered the last call for the configuration.
         self.following = False
@@ -177,6 +179,8 @@
             backoff.record_success()
             revision = found.revision
             apply_member_changes(self.members, found.changes, f"store revision {revision}")
+            self.left_records.note(found.changes)
+            await self.left_records.delete_oldest()
             if found.changes:
                 await sleep(MEMBER_PAUSE_SECONDS)
 
--- a/tests/unit/simulated_mesh.py
+++ b/tests/unit/simulated_mesh.py
@@ -216,6 +216,13 @@
             raise StoreConflictError("changed")
         return self._put(member)
 
+    async def delete_member(self, node: str, revision: int) -> None:
+        await self._call()
+        stored = self.store.members.get(node)
+        if stored is not None and stored.revision != revision:
+            raise StoreConflictError("changed")
+        self.store.members.pop(node, None)
+
     def _put(self, member: Member) -> int:
         store = self.store
         store.revision += 1
@@ -299,7 +306,7 @@
         self.record.changed.set()
         for work in (
             self.discovery.run(self.first_start),
-            self.record.write_changes(),
+            self.record.run(self.first_start),
             self._tick(),
         ):
             self.tasks.append(_loop().create_task(work))
--- a/tests/unit/test_mesh_distribution.py
+++ b/tests/unit/test_mesh_distribution.py
@@ -4,6 +4,7 @@
 from random import Random
 from unittest import TestCase
 
+from coltsfoottrack._internal.mesh.left_records import MIN_KEPT_RECORDS
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.own_record import REWRITES_PER_SECOND
 from coltsfoottrack._internal.mesh.publisher import UNKNOWN_AGE_MS
@@ -502,6 +503,24 @@
 
         run_simulated(scenario())
 
+    def test_records_of_leaves_are_bounded(self):
+        """Guards against a store that fills with records of machines that were removed."""
+
+        async def scenario() -> None:
+            mesh = await self.started()
+            client = next(iter(mesh.nodes.values())).record.store
+            for number in range(MIN_KEPT_RECORDS + 40):
+                name = f"gone-{number}"
+                left = Member(name, f"{name}:1", "domain-0", "stock", "i", left=True, epoch=1)
+                await client.create_member(left)
+            await sleep(30.0)
+            kept = [name for name in mesh.store.members if name.startswith("gone")]
+            self.assertEqual(len(kept), MIN_KEPT_RECORDS)
+            self.assertEqual(kept[-1], f"gone-{MIN_KEPT_RECORDS + 39}")
+            self.assertEqual(len(mesh.store.members) - len(kept), NODES)
+
+        run_simulated(scenario())
+
     def test_record_lost_on_the_way_is_found_by_comparison(self):
         """Guards against members that stay unknown since one message was lost."""
 
--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -1,6 +1,6 @@
 """An acknowledged leave of a backend server binds, whatever the node knew when it acknowledged."""
 
-from asyncio import sleep
+from asyncio import gather, sleep
 from os import O_WRONLY, close, devnull
 from os import open as open_file
 from unittest import TestCase
@@ -47,6 +47,60 @@
         addresses = tuple(seed.settings.link_address for seed in seeds)
         return await self.start_node(node.settings._replace(seed_addresses=addresses))
 
+    async def stop_and_start(self, *nodes: MeshNode) -> list[MeshNode]:
+        """Stops nodes as SIGTERM does and starts their next processes, which know each other."""
+        await gather(*[node.stop() for node in nodes])
+        running = [node for node in self.nodes if not node.closed]
+        addresses = tuple(node.settings.link_address for node in (*nodes, *running))
+        started = []
+        for node in nodes:
+            settings = node.settings._replace(seed_addresses=addresses)
+            started.append(await self.start_node(settings))
+        return started
+
+    # Review, case 13, DRAIN: a stopping node deleted the record that keeps the leave.
+    async def test_leave_outlasts_a_restart_of_all_nodes(self):
+        store = await self.start("store")
+        front = await self.start("front", "portal")
+        await self.wait_for_members(2)
+        backend = self.backends[0]
+        await backend.deregister(store.settings.report_address)
+        record = store.membership.own_record
+        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        again, _ = await self.stop_and_start(store, front)
+        await self.wait_until(again.is_ready)
+        await self.wait_until(lambda: again.backend.left)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        await self.assert_unused(again)
+
+    # The same with a store that is away: a node without a report of its server was told nothing.
+    async def test_leave_outlasts_restarts_in_turn_while_the_store_is_away(self):
+        store = await self.start("store")
+        front = await self.start("front", "portal")
+        await self.wait_for_members(2)
+        self.store.status = 503
+        backend = self.backends[0]
+        await backend.deregister(store.settings.report_address)
+        await self.wait_until(lambda: front.directory.peers["store"].member.left)
+        (again,) = await self.stop_and_start(store)
+        await self.wait_until(again.is_ready)
+        await self.wait_until(lambda: again.backend.left)
+        await self.stop_and_start(front)
+        await backend.report(again.settings.report_address, seq=LATE_NUMBER)
+        await self.assert_unused(again)
+
+    async def test_record_of_a_server_that_has_ended_is_deleted(self):
+        """Guards against records that outlast what they are about."""
+        store = await self.start("store")
+        await self.wait_for_members(1)
+        backend = self.backends[0]
+        await backend.deregister(store.settings.report_address)
+        record = store.membership.own_record
+        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        backend.close()
+        await store.stop()
+        self.assertNotIn("store", [name for _, name in self.store.objects])
+
     # Incident inc1, DRAIN: a node that had just started acknowledged a leave and forgot it.
     async def test_leave_acknowledged_before_the_first_report_is_kept(self):
         store = await self.start("store")
