--- a/src/coltsfoottrack/_internal/mesh/backend_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/backend_connection.py
@@ -18,6 +18,7 @@
 from coltsfoottrack._internal.mesh.paced_writer import PacedWriter
 from coltsfoottrack._internal.mesh.read_turns import ReadTurns, bound_reads
 from coltsfoottrack._internal.mesh.receive_budget import ReceiveBudget
+from coltsfoottrack._internal.mesh.silence_watch import SilenceWatch
 from coltsfoottrack._internal.mesh.sockets import (
     INNER_RECEIVE_BYTES,
     bound_receive_buffer,
@@ -84,7 +85,7 @@
         self.parts = 0
         account = account or MemoryAccount()
         # Called when the connection has ended.
-        self.on_lost: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[BackendConnection], object] = lambda connection: None
         self.transport: Transport | None = None
         # Used once a large body is sent.
         self.writer: PacedWriter | None = None
@@ -118,6 +119,7 @@
         self.status_kind = StatusKind.INTERIM
         self.in_response = False
         self.reusable = True
+        self.silence = SilenceWatch()
         self.idle_since = 0.0
         self.idle_seconds = DEFAULT_IDLE_SECONDS
         # Idle time of the connection before the request in flight; 0 before its first.
@@ -220,7 +222,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fails the request in flight."""
         self.reusable = False
-        self.on_lost()
+        self.on_lost(self)
         self._fail("connection_reset" if error else "connection_closed")
 
     def on_message_begin(self) -> None:
@@ -411,7 +413,8 @@
         self.account = account or MemoryAccount()
         self.idle: list[BackendConnection] = []
         self.opened = 0
-        self.open_connections = 0
+        # All open connections, those in use included.
+        self.connections: set[BackendConnection] = set()
         # Idle time after which a connection carries no non-idempotent request.
         self.non_idempotent_idle_limit = NON_IDEMPOTENT_IDLE_SECONDS
 
@@ -442,12 +445,14 @@
             ),
             CONNECT_TIMEOUT_SECONDS,
         )
-        self.open_connections += 1
-        connection.on_lost = self._note_lost
+        self.connections.add(connection)
+        connection.on_lost = self.connections.discard
         return connection
 
-    def _note_lost(self) -> None:
-        self.open_connections -= 1
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open."""
+        return len(self.connections)
 
     def give_back(self, connection: BackendConnection) -> None:
         """Returns a connection to the pool, or aborts it if it cannot be reused."""
@@ -461,8 +466,11 @@
         self.non_idempotent_idle_limit = min(self.non_idempotent_idle_limit, idle_seconds / 2.0)
 
     def sweep(self) -> None:
-        """Closes connections that were idle for too long, the oldest first."""
+        """Closes connections that were idle for too long, the oldest first, and silent ones."""
         now = current_time()
+        for connection in list(self.connections):
+            if connection.silence.is_silent(connection.transport, now):
+                connection.transport.abort()
         while self.idle and not self.idle[0].is_usable(now, inf):
             self.idle.pop(0).abort()
 
--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -12,6 +12,7 @@
 from coltsfoottrack._internal.mesh.paced_writer import PacedWriter
 from coltsfoottrack._internal.mesh.read_turns import bound_reads
 from coltsfoottrack._internal.mesh.request_reader import MEMORY, RequestReader
+from coltsfoottrack._internal.mesh.silence_watch import SilenceWatch
 from coltsfoottrack._internal.mesh.sockets import (
     CALLER_RECEIVE_BYTES,
     bound_receive_buffer,
@@ -20,7 +21,8 @@
 )
 
 MAX_PIPELINED = 64
-# A connection is aborted if the caller does not read its answers for this long.
+# A connection is aborted if the caller does not read its answers for this long, and does not wait
+# for them any more.
 UNREAD_TIMEOUT_SECONDS = 20.0
 # Receive buffer of a connection on which a large body arrives.
 UPLOAD_RECEIVE_BYTES = 64 * 1024
@@ -31,6 +33,7 @@
 # Reasons for which an incomplete request is rejected or a connection is aborted.
 TOO_SLOW = "too_slow"
 CONNECTIONS = "connections"
+SILENT = "silent"
 
 
 class CallerConnection(Protocol):
@@ -73,6 +76,7 @@
         self.closing = False
         # The connection closes once all answers are written.
         self.close_pending = False
+        self.silence = SilenceWatch()
         # Until when the callers of the answers written so far wait for them.
         self.needed_until = 0.0
         # The connection waits for the caller's close until then; None before its last answer.
@@ -392,6 +396,8 @@
         """Enforces the timeouts of the connection and notes whether it makes progress."""
         self.note_progress(now)
         self.end_linger(now)
+        if self.silence.is_silent(self.transport, now):
+            self.abort(SILENT)
         if self._is_unread(now):
             self.transport.abort()
         elif self.receiving_since is not None:
@@ -402,7 +408,9 @@
 
     def _is_unread(self, now: float) -> bool:
         """Returns whether the caller has not read its answers for too long."""
-        return self.unread_since is not None and now - self.unread_since > UNREAD_TIMEOUT_SECONDS
+        if self.unread_since is None or now < self.needed_until:
+            return False
+        return now - self.unread_since > UNREAD_TIMEOUT_SECONDS
 
     def note_progress(self, now: float) -> None:
         """Notes whether the caller has sent or read little since this was last told."""
--- a/src/coltsfoottrack/_internal/mesh/caller_request.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_request.py
@@ -60,7 +60,7 @@
         self.body: Body = b""
         self.keep_alive = True
         self.received = 0.0
-        # When its caller waits no longer, 0 if it is not known.
+        # When its caller waits no longer, within the operator's limits; 0 if it is not known.
         self.deadline = 0.0
         # The answer, without its body if that is large.
         self.answer: bytes | None = None
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -41,6 +41,7 @@
 from coltsfoottrack._internal.mesh.runner import Runner
 from coltsfoottrack._internal.mesh.shared_rate.mesh_access import NodeMeshAccess
 from coltsfoottrack._internal.mesh.shared_rate.shared_rates import SharedRates
+from coltsfoottrack._internal.mesh.silence_watch import SWEEP_SECONDS
 from coltsfoottrack._internal.mesh.socket_account import SocketAccount, socket_limit
 from coltsfoottrack._internal.mesh.sockets import listen, refuses_connections
 from coltsfoottrack._internal.mesh.statistics import MeshStatistics
@@ -53,7 +54,6 @@
 )
 
 TICK_SECONDS = 0.05
-SWEEP_SECONDS = 1.0
 SETTINGS_CHECK_SECONDS = 5.0
 # Callers stop using a node after two failed readiness checks, one second apart.
 READINESS_DRAIN_SECONDS = 2.3
--- a/src/coltsfoottrack/_internal/mesh/entry.py
+++ b/src/coltsfoottrack/_internal/mesh/entry.py
@@ -180,8 +180,9 @@
                 request.respond(400, b"", b"")
                 return False
             remaining = min(int(request.deadline_ms), 86_400_000) / 1000.0
-        call.deadline = request.deadline = now + remaining
+        call.deadline = now + remaining
         call.expires = now + min(remaining, timeout)
+        request.deadline = min(call.deadline, call.expires + self.limits().idle_timeout_ms / 1000.0)
         return True
 
     def _inherit_rank(self, call: EntryCall, now: float) -> None:
--- a/src/coltsfoottrack/_internal/mesh/sockets.py
+++ b/src/coltsfoottrack/_internal/mesh/sockets.py
@@ -12,6 +12,7 @@
     SO_REUSEADDR,
     SOCK_STREAM,
     SOL_SOCKET,
+    TCP_INFO,
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
     TCP_KEEPINTVL,
@@ -26,6 +27,7 @@
 TCP_KEEPALIVE_SECONDS = 1
 TCP_KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 3000
+SILENCE_SECONDS = TCP_USER_TIMEOUT_MS / 1000.0
 # Connections that arrive while the node is busy wait in this backlog. If it is full, clients retry
 # only seconds later.
 BACKLOG = 1024
@@ -38,6 +40,9 @@
 INNER_RECEIVE_BYTES = 256 * 1024
 # Result of a query of the kernel for a number of bytes.
 _COUNT = Struct("i")
+# Start of the kernel's tcp_info: state, congestion state, then the unanswered retransmissions and
+# the unanswered probes of a closed window.
+_UNANSWERED = Struct("xxBB")
 
 
 def detect_silence(transport: BaseTransport) -> None:
@@ -51,6 +56,27 @@
     socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT_OPTION, TCP_USER_TIMEOUT_MS)
 
 
+def set_silence_timeout(transport: BaseTransport, seconds: float) -> None:
+    """Sets how long the remote end may leave bytes unacknowledged, or its window closed."""
+    socket = transport.get_extra_info("socket")
+    socket.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT_OPTION, int(seconds * 1000.0))
+
+
+def answers_probes(transport: BaseTransport) -> bool:
+    """Returns whether the remote end has answered all that the kernel has sent it lately.
+
+    A system that does not tell counts as having had no answer.
+    """
+    try:
+        socket = transport.get_extra_info("socket")
+        state = socket.getsockopt(IPPROTO_TCP, TCP_INFO, _UNANSWERED.size)
+    except OSError:
+        return False
+    if len(state) < _UNANSWERED.size:
+        return False
+    return _UNANSWERED.unpack(state) == (0, 0)
+
+
 def bound_receive_buffer(transport: BaseTransport, size: int) -> None:
     """Keeps the kernel from growing the receive buffer of a connection, in bytes."""
     transport.get_extra_info("socket").setsockopt(SOL_SOCKET, SO_RCVBUF, size)
--- a/tests/standins/backend.py
+++ b/tests/standins/backend.py
@@ -70,6 +70,8 @@
         self.started_ms = 1_000
         self.number = 0
         self.work_seconds = 0.01
+        # Pause in reading before the body of a request.
+        self.pause_seconds = 0.0
         self.runs: Counter[str] = Counter()
         self.received: list[Message] = []
         # Time of each arrival, in seconds of the event loop.
@@ -103,7 +105,7 @@
     async def serve(self, reader: StreamReader, writer: StreamWriter) -> None:
         """Serves one connection."""
         refusal = b""
-        while (message := await read_message(reader)) is not None:
+        while (message := await read_message(reader, self.pause_seconds)) is not None:
             self.received.append(message)
             self.arrivals.append(get_running_loop().time())
             request_id = message.headers[self.request_id_name]
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -1,6 +1,13 @@
 """Small HTTP/1.1 server on asyncio streams for the stand-ins."""
 
-from asyncio import CancelledError, IncompleteReadError, StreamReader, StreamWriter, start_server
+from asyncio import (
+    CancelledError,
+    IncompleteReadError,
+    StreamReader,
+    StreamWriter,
+    sleep,
+    start_server,
+)
 from typing import NamedTuple
 
 from coltsfoottrack._internal.experiment.fleet import LOOPBACK, free_ports
@@ -15,8 +22,11 @@
     body: bytes
 
 
-async def read_message(reader: StreamReader) -> Message | None:
-    """Reads a request with a Content-Length; returns None at the end of the connection."""
+async def read_message(reader: StreamReader, pause_seconds: float = 0.0) -> Message | None:
+    """Reads a request with a Content-Length; returns None at the end of the connection.
+
+    Pauses before the body.
+    """
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (IncompleteReadError, ConnectionError):
@@ -33,6 +43,7 @@
         headers[key] = f"{headers[key]}, {value.strip()}" if key in headers else value.strip()
     body = b""
     if "content-length" in headers:
+        await sleep(pause_seconds)
         body = await reader.readexactly(int(headers["content-length"]))
     return Message(method, path, headers, body)
 
