--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -53,6 +53,15 @@
         self.writer: PacedWriter | None = None
         self.reader = RequestReader(self, handler, self.account)
         self.waiting: deque[CallerRequest] = deque()
+        # Those of the waiting requests that are not handled yet, and the number of those that are
+        # handled and not answered.
+        self.unhandled: deque[CallerRequest] = deque()
+        self.running = 0
+        # Size of the answers that wait for their turn, and of the last one that was written.
+        self.answered_bytes = 0
+        self.written_bytes = 0
+        self.is_busy = False
+        self.is_handling = False
         # Since when a request has been partly received.
         self.receiving_since: float | None = None
         self.idle_since = current_time()
@@ -103,9 +112,14 @@
     def _drop_waiting(self) -> None:
         waiting = self.waiting
         self.waiting = deque()
+        self.unhandled.clear()
+        self.running = 0
+        self.answered_bytes = 0
+        self._note_busy()
         for request in waiting:
             self._release(request)
             cancel = request.cancel
+            request.is_running = False
             # The entry's call refers to the request, and must not be referred to by it.
             request.cancel = None
             if request.answer is None and cancel is not None:
@@ -231,7 +245,42 @@
             return
         if len(self.waiting) > MAX_PIPELINED:
             self._update_reading()
-        self.handler.handle(request)
+        self.unhandled.append(request)
+        self._note_busy()
+        self.handle_waiting()
+
+    def handle_waiting(self, run_ahead: bool = False) -> None:
+        """Handles requests in their order, as far ahead of the caller's reading as there is room.
+
+        The answers to requests that were sent ahead are held until the caller has read those before
+        them. With ``run_ahead`` all are handled.
+        """
+        # An answer that is ready at once would handle the next request within this loop.
+        if self.is_handling:
+            return
+        self.is_handling = True
+        while self.unhandled and (run_ahead or self._may_run_ahead()):
+            request = self.unhandled.popleft()
+            request.is_running = True
+            self.running += 1
+            self.handler.handle(request)
+        self.is_handling = False
+
+    def _may_run_ahead(self) -> bool:
+        """Returns whether the answer to the next request is likely to find room."""
+        held = self.answered_bytes
+        if self.unread_since is not None or not self.writer.is_idle():
+            held += self.written_bytes
+        if not held and not self.running:
+            return True
+        expected = (self.running + 1) * self.group.answer_bytes
+        return held + expected <= self.group.ahead_bytes()
+
+    def _note_busy(self) -> None:
+        """Counts the connection among those with requests that are not answered."""
+        if self.is_busy != bool(self.waiting):
+            self.is_busy = not self.is_busy
+            self.group.busy += 1 if self.is_busy else -1
 
     def _reject_complete(self, request: CallerRequest) -> None:
         head = self.handler.note_rejected(request, 503, MEMORY)
@@ -249,6 +298,11 @@
         if not request.keep_alive:
             self.closing = True
         request.encode_answer(status, head, body)
+        if request.is_running:
+            request.is_running = False
+            self.running -= 1
+        self.answered_bytes += request.answer_size()
+        self.group.record_answer(request.answer_size())
         # A large body is not needed any more, but the answer may have to wait for its turn.
         if type(request.body) is LargeBody:
             request.body = b""
@@ -269,8 +323,11 @@
                 self._drop_waiting()
                 return
             if self.unread_since is not None or not self.writer.is_idle():
+                self.handle_waiting()
                 return
             request = waiting.popleft()
+            self.written_bytes = request.answer_size()
+            self.answered_bytes -= self.written_bytes
             self.answered = True
             self._release(request)
             self._note_needed(request)
@@ -280,9 +337,11 @@
             if not request.keep_alive:
                 self._close_after_response()
                 return
+        self._note_busy()
         if self.close_pending:
             self._close_when_written()
             return
+        self.handle_waiting()
         if not waiting:
             self.idle_since = current_time()
         if not self.transport.is_reading():
@@ -304,7 +363,7 @@
         self._close_when_written()
 
     def _close_when_written(self) -> None:
-        if not self.writer.is_idle() or self.transport.is_closing():
+        if self.waiting or not self.writer.is_idle() or self.transport.is_closing():
             return
         self.linger_until = self.needed_until
         self.transport.write_eof()
@@ -380,7 +439,7 @@
             self.close_after_answers()
 
     def close_after_answers(self) -> None:
-        """Closes the connection after the answers that were written; there must be no other."""
+        """Closes the connection after all answers; requests that still arrive have none."""
         self.closing = True
         self.close_pending = True
         self._close_when_written()
--- a/src/coltsfoottrack/_internal/mesh/caller_group.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_group.py
@@ -23,6 +23,12 @@
 REFUSED_FRACTION = 1 / 16
 # Pause between two searches for connections that can be closed.
 SEARCH_SECONDS = 0.1
+# Part of the account that the answers to requests which were sent ahead may use.
+AHEAD_FRACTION = 0.5
+# Expected size of an answer before the first one, and the part of the difference by which it falls
+# with each smaller answer.
+FIRST_ANSWER_BYTES = 1024 * 1024
+ANSWER_DECAY = 0.02
 
 
 class CallerGroup:
@@ -40,6 +46,11 @@
         self.limit = limit
         self.limits: Callable[[], CallerLimits] = CallerLimits
         self.connections: set[CallerConnection] = set()
+        # Connections with requests that are not answered.
+        self.busy = 0
+        # Size of the larger ones of the latest answers, in bytes.
+        self.answer_bytes = float(FIRST_ANSWER_BYTES)
+        self.has_answered = False
         # Connections that can be closed for others, the last one first, and when they were found.
         self.closable: list[CallerConnection] = []
         self.searched_at = 0.0
@@ -70,6 +81,18 @@
             self.connections.remove(connection)
             self.account.remove(CONNECTION_BYTES)
 
+    def record_answer(self, size: int) -> None:
+        """Records the size of an answer."""
+        if size > self.answer_bytes or not self.has_answered:
+            self.has_answered = True
+            self.answer_bytes = float(size)
+        else:
+            self.answer_bytes += ANSWER_DECAY * (size - self.answer_bytes)
+
+    def ahead_bytes(self) -> float:
+        """Returns the share of one connection in the memory for answers to requests sent ahead."""
+        return self.account.limit_bytes * AHEAD_FRACTION / max(1, self.busy)
+
     def note_aborted(self, reason: str) -> None:
         """Counts a connection that was closed at once."""
         self.aborted[reason] = self.aborted.get(reason, 0) + 1
@@ -83,6 +106,7 @@
     def close_all(self) -> None:
         """Closes all connections after the answers that were written to them."""
         for connection in list(self.connections):
+            connection.handle_waiting(run_ahead=True)
             connection.close_after_answers()
 
     def drop_all(self) -> None:
--- a/src/coltsfoottrack/_internal/mesh/caller_request.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_request.py
@@ -40,6 +40,7 @@
         "deadline_ms",
         "head",
         "host",
+        "is_running",
         "keep_alive",
         "method",
         "path",
@@ -59,6 +60,8 @@
         self.head = b""
         self.body: Body = b""
         self.keep_alive = True
+        # It was handled and not answered yet.
+        self.is_running = False
         self.received = 0.0
         # When its caller waits no longer, within the operator's limits; 0 if it is not known.
         self.deadline = 0.0
@@ -75,6 +78,11 @@
         size = REQUEST_BYTES + len(self.head)
         return size + len(self.body) if type(self.body) is bytes else size
 
+    def answer_size(self) -> int:
+        """Returns the size of the stored answer, with a large body."""
+        size = len(self.answer)
+        return size if self.answer_body is None else size + len(self.answer_body)
+
     def respond(self, status: int, head: bytes, body: Body) -> None:
         """Answers the request; ``head`` holds complete header lines."""
         self.connection.respond(self, status, head, body)
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -198,6 +198,9 @@
             end = content_start + length
             if end > size:
                 break
+            if length > LARGE_FRAME_BYTES and self._dispatch_large(bytes(data[start:end])):
+                start = end
+                continue
             with memoryview(data) as view:
                 content = bytes(view[content_start:end])
             frame = Frame.FromString(content)
@@ -206,6 +209,21 @@
             self._dispatch(frame)
         return start
 
+    def _dispatch_large(self, data: bytes) -> bool:
+        """Dispatches a complete frame with a large body; returns False if it has none.
+
+        Its body is charged like one that arrives in several reads. Raises DecodeError.
+        """
+        if self.account is None:
+            return False
+        frame = LargeFrame.from_start(data, self.account)
+        if frame is None:
+            return False
+        self._note_answer()
+        message, body = frame.finish()
+        self.handler.receive_large(self, frame.kind, message, body)
+        return True
+
     def _write_held_back(self) -> None:
         held = self.held_back
         self.held_back = None
--- a/tests/standins/slow_reader.py
+++ b/tests/standins/slow_reader.py
@@ -14,10 +14,11 @@
 
     def __init__(self, pause_seconds: float = 0.02) -> None:
         self.pause_seconds = pause_seconds
+        self.read_bytes = READ_BYTES
         self.socket = socket()
         self.socket.setsockopt(SOL_SOCKET, SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.socket.setblocking(False)
-        self.received = b""
+        self.received = bytearray()
         # Name of the error that ended the connection, empty if it was closed in order.
         self.problem = ""
 
@@ -38,7 +39,7 @@
         end = loop.time() + seconds if seconds else None
         while end is None or loop.time() < end:
             try:
-                data = await loop.sock_recv(self.socket, READ_BYTES)
+                data = await loop.sock_recv(self.socket, self.read_bytes)
             except OSError as error:
                 self.problem = type(error).__name__
                 data = b""
@@ -51,18 +52,17 @@
     def answers(self) -> list[tuple[int, str]]:
         """Returns status and Request-Id of each answer that was received whole."""
         found = []
-        rest = self.received
-        while b"\r\n\r\n" in rest:
-            head, _, rest = rest.partition(b"\r\n\r\n")
+        start = 0
+        while (end := self.received.find(b"\r\n\r\n", start)) >= 0:
+            head = self.received[start:end].decode("latin-1")
             headers = {}
-            for line in head.decode("latin-1").split("\r\n")[1:]:
+            for line in head.split("\r\n")[1:]:
                 name, _, value = line.partition(":")
                 headers[name.lower()] = value.strip()
-            size = int(headers["content-length"])
-            if len(rest) < size:
+            start = end + 4 + int(headers["content-length"])
+            if len(self.received) < start:
                 break
             found.append((int(head.split()[1]), headers.get("request-id", "")))
-            rest = rest[size:]
         return found
 
     def close(self) -> None:
