--- a/src/coltsfoottrack/_internal/mesh/publisher.py
+++ b/src/coltsfoottrack/_internal/mesh/publisher.py
@@ -10,7 +10,7 @@
 from coltsfoottrack._internal.mesh.model import Member
 from coltsfoottrack._internal.mesh.records import to_record
 from coltsfoottrack._internal.mesh.store_era import StoreEra
-from coltsfoottrack._internal.schema.links_pb2 import Frame, Notice
+from coltsfoottrack._internal.schema.links_pb2 import Frame, Notice, RouteLevel
 
 # A subscriber that hears nothing for longer looks for another source.
 NOTICE_INTERVAL_SECONDS = 0.4
@@ -82,15 +82,22 @@
         if self.changed or self.levels.sheds or now - self.sent_at >= NOTICE_INTERVAL_SECONDS:
             self.publish()
 
-    def notice(self, now: float, members: Iterable[Member] = ()) -> Frame:
-        """Returns a notice with these records of members."""
+    def news(self, now: float) -> Frame:
+        """Returns a notice for a source, which hears of levels and members in other messages."""
+        return self._notice(now, (), [])
+
+    def notice(self, now: float, members: Iterable[Member]) -> Frame:
+        """Returns a notice for subscribers with these records of members."""
+        return self._notice(now, members, self.levels.summaries(now))
+
+    def _notice(self, now: float, members: Iterable[Member], levels: list[RouteLevel]) -> Frame:
         return Frame(
             notice=Notice(
                 configuration_version=self.active_configuration.version,
                 age_ms=self._age_ms(now),
                 members_digest=self.directory.digest,
                 members=[to_record(member) for member in members],
-                levels=self.levels.summaries(now),
+                levels=levels,
                 store_era=0 if self.era.number is None else self.era.number + 1,
             )
         )
--- a/src/coltsfoottrack/_internal/mesh/subscriptions.py
+++ b/src/coltsfoottrack/_internal/mesh/subscriptions.py
@@ -217,7 +217,7 @@
                 # The source, and those whom it tells, need this node to follow the store.
                 self.last_reason_at = now
             if stale or source.version < version:
-                source.connection.send(self.publisher.notice(now))
+                source.connection.send(self.publisher.news(now))
 
     def _compare_members(self, source: Source, digest: int, now: float) -> None:
         """Exchanges all records with a source if the known members differ for too long."""
