--- a/tests/unit/test_mesh_leave_kept.py
+++ b/tests/unit/test_mesh_leave_kept.py
@@ -47,6 +47,14 @@
         addresses = tuple(seed.settings.link_address for seed in seeds)
         return await self.start_node(node.settings._replace(seed_addresses=addresses))
 
+    async def store_leave(self, node: MeshNode) -> StandInBackend:
+        """Announces the leave of the first backend server, waits until it is stored."""
+        backend = self.backends[0]
+        await backend.deregister(node.settings.report_address)
+        record = node.membership.own_record
+        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        return backend
+
     async def stop_and_start(self, *nodes: MeshNode) -> list[MeshNode]:
         """Stops nodes as SIGTERM does and starts their next processes, which know each other."""
         await gather(*[node.stop() for node in nodes])
@@ -63,10 +71,7 @@
         store = await self.start("store")
         front = await self.start("front", "portal")
         await self.wait_for_members(2)
-        backend = self.backends[0]
-        await backend.deregister(store.settings.report_address)
-        record = store.membership.own_record
-        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        backend = await self.store_leave(store)
         again, _ = await self.stop_and_start(store, front)
         await self.wait_until(again.is_ready)
         await self.wait_until(lambda: again.backend.left)
@@ -93,10 +98,7 @@
         """Guards against records that outlast what they are about."""
         store = await self.start("store")
         await self.wait_for_members(1)
-        backend = self.backends[0]
-        await backend.deregister(store.settings.report_address)
-        record = store.membership.own_record
-        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        backend = await self.store_leave(store)
         backend.close()
         await store.stop()
         self.assertNotIn("store", [name for _, name in self.store.objects])
@@ -126,10 +128,7 @@
     async def test_stored_leave_binds_after_a_late_report_with_a_higher_number(self):
         store = await self.start("store")
         await self.wait_for_members(1)
-        backend = self.backends[0]
-        await backend.deregister(store.settings.report_address)
-        record = store.membership.own_record
-        await self.wait_until(lambda: record.written is not None and record.written.left_backend)
+        backend = await self.store_leave(store)
         self.store.status = 503
         again = await self.restart(store)
         await backend.report(again.settings.report_address, seq=LATE_NUMBER)
