--- a/src/coltsfoottrack/_internal/mesh/caller_connection.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_connection.py
@@ -413,6 +413,10 @@
         """Returns whether the caller has not received all that was written."""
         return not self.writer.is_idle() or unreceived_bytes(self.transport) > 0
 
+    def awaits_bytes(self, now: float) -> bool:
+        """Returns whether the caller still waits for something that it has not received."""
+        return now <= self.needed_until and self.has_unreceived()
+
     def is_idle(self, now: float) -> bool:
         """Returns whether no request is in flight or arriving and no answer is on its way.
 
@@ -420,7 +424,7 @@
         """
         if self.waiting or self.closing or self.receiving_since is not None:
             return False
-        return now > self.needed_until or not self.has_unreceived()
+        return not self.awaits_bytes(now)
 
     def is_finished(self, now: float) -> bool:
         """Returns whether the end of the process would cost the caller no answer.
@@ -431,7 +435,7 @@
             return False
         if self.receiving_since is not None and not self.closing:
             return False
-        return now > self.needed_until or not self.has_unreceived()
+        return not self.awaits_bytes(now)
 
     def close_if_idle(self, now: float) -> None:
         """Closes the connection if it is idle."""
--- a/src/coltsfoottrack/_internal/mesh/caller_group.py
+++ b/src/coltsfoottrack/_internal/mesh/caller_group.py
@@ -119,9 +119,9 @@
         """Returns whether the end of the process would cost no caller an answer."""
         return all(connection.is_finished(now) for connection in self.connections)
 
-    def unreceived(self) -> int:
-        """Returns the number of connections whose callers have not received all answers."""
-        return sum(connection.has_unreceived() for connection in self.connections)
+    def unreceived(self, now: float) -> int:
+        """Returns the number of connections whose callers wait for answers not received yet."""
+        return sum(connection.awaits_bytes(now) for connection in self.connections)
 
     def slow(self) -> list["CallerConnection"]:
         """Returns the connections whose callers make little progress."""
--- a/src/coltsfoottrack/_internal/mesh/daemon.py
+++ b/src/coltsfoottrack/_internal/mesh/daemon.py
@@ -416,8 +416,7 @@
     async def _close_in_order(self, until: float) -> None:
         """Closes all connections after what was sent on them, which their other ends receive first.
 
-        A node that reacts to a close does so at once, so nodes are waited for no longer than for
-        the answer to a probe.
+        Nodes that acknowledge nothing are waited for no longer than for the answer to a probe.
         """
         self.entry.group.close_all()
         for port in self.ports:
@@ -426,15 +425,15 @@
         silent_at = current_time() + SILENT_TIMEOUT_SECONDS
         while current_time() < until:
             await sleep(TICK_SECONDS)
-            reacting = self.links.open_connections() and current_time() < silent_at
-            if not reacting and not self._unreceived():
+            if not self._unreceived(with_silent=current_time() < silent_at):
                 return
 
-    def _unreceived(self) -> int:
+    def _unreceived(self, with_silent: bool = True) -> int:
         """Returns the number of connections whose other ends have not received everything."""
-        count = self.entry.group.unreceived() + self.links.unreceived()
+        now = current_time()
+        count = self.entry.group.unreceived(now) + self.links.unreceived(with_silent)
         for port in self.ports:
-            count += port.group.unreceived()
+            count += port.group.unreceived(now)
         return count
 
     async def _delete_record_of_left(self) -> None:
--- a/src/coltsfoottrack/_internal/mesh/link.py
+++ b/src/coltsfoottrack/_internal/mesh/link.py
@@ -26,6 +26,7 @@
 from coltsfoottrack._internal.mesh.records import from_record
 from coltsfoottrack._internal.mesh.sockets import (
     INNER_RECEIVE_BYTES,
+    answers_probes,
     bound_receive_buffer,
     detect_silence,
     split_address,
@@ -351,6 +352,10 @@
         waits = self.writer is not None and not self.writer.is_idle()
         return waits or unreceived_bytes(self.transport) > 0
 
+    def is_silent(self) -> bool:
+        """Returns whether the peer has not acknowledged what was last sent to it."""
+        return not answers_probes(self.transport)
+
     def probe(self, now: float) -> bool:
         """Probes a connection with outstanding calls; returns False once it counts as silent."""
         quiet = now - max(self.last_received, self.busy_since)
--- a/src/coltsfoottrack/_internal/mesh/links.py
+++ b/src/coltsfoottrack/_internal/mesh/links.py
@@ -424,9 +424,16 @@
             connections += peer.connections
         return connections
 
-    def unreceived(self) -> int:
-        """Returns the number of connections whose peers have not received all that was sent."""
-        return sum(connection.has_unreceived() for connection in self._connections())
+    def unreceived(self, with_silent: bool = True) -> int:
+        """Returns the number of connections whose peers have not received all that was sent.
+
+        Those of peers that acknowledge nothing are left out without ``with_silent``.
+        """
+        count = 0
+        for connection in self._connections():
+            if connection.has_unreceived() and (with_silent or not connection.is_silent()):
+                count += 1
+        return count
 
     def close(self) -> None:
         """Closes all links at once."""
