--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -43,7 +43,8 @@
         headers[key] = f"{headers[key]}, {value.strip()}" if key in headers else value.strip()
     body = b""
     if "content-length" in headers:
-        await sleep(pause_seconds)
+        if pause_seconds:
+            await sleep(pause_seconds)
         body = await reader.readexactly(int(headers["content-length"]))
     return Message(method, path, headers, body)
 
